Set down the workspace: folders, core types, checks

Cause: an empty repository. Before: nothing. Conclusion: the shape that everything else is built in.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Commands for developers; each sets up what it needs.
+PYTHON ?= python3
+VENV := .venv
+STAMP := $(VENV)/.stamp
+MANIFESTS := $(wildcard libs/*/pyproject.toml programs/*/pyproject.toml)
+
+.PHONY: setup demo test check format bench
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt constraints.txt $(MANIFESTS)
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.txt -c constraints.txt
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps \
+		$(foreach manifest,$(MANIFESTS),-e $(dir $(manifest)))
+	touch $@
+
+demo: setup
+	$(VENV)/bin/papayaspar-local demo
+
+test: setup
+	$(VENV)/bin/pytest
+
+check: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+	$(VENV)/bin/lint-imports
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+bench: setup
+	$(VENV)/bin/papayaspar-bench all
--- /dev/null
+++ b/libs/admission/src/papayaspar_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, fair shares, limits and retry budgets."""
--- /dev/null
+++ b/libs/agent/src/papayaspar_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent daemon as a library."""
--- /dev/null
+++ b/libs/control/src/papayaspar_control/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's client."""
--- /dev/null
+++ b/libs/dispatch/src/papayaspar_dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts, claims of non-idempotent requests, answers."""
--- /dev/null
+++ b/libs/entry/src/papayaspar_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon as a library."""
--- /dev/null
+++ b/libs/events/src/papayaspar_events/__init__.py
@@ -0,0 +1,1 @@
+"""Events, logs, metrics and the time line."""
--- /dev/null
+++ b/libs/local/src/papayaspar_local/__init__.py
@@ -0,0 +1,1 @@
+"""The whole system in one process."""
--- /dev/null
+++ b/libs/membership/src/papayaspar_membership/__init__.py
@@ -0,0 +1,1 @@
+"""View of the workers and ejection of failing ones."""
--- /dev/null
+++ b/libs/model/src/papayaspar_model/__init__.py
@@ -0,0 +1,10 @@
+"""Core types, error tree, clocks and identifiers of papayaspar.
+
+Every other library imports its modules from here::
+
+    from papayaspar_model import errors, work
+"""
+
+from papayaspar_model import clock, errors, identifiers, rulesets, work, workers
+
+__all__ = ["clock", "errors", "identifiers", "rulesets", "work", "workers"]
--- /dev/null
+++ b/libs/model/src/papayaspar_model/identifiers.py
@@ -0,0 +1,42 @@
+"""Identifiers of requests, jobs, processes and leases."""
+
+import random
+import re
+import uuid
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}\Z")
+KEY_MAX_CHARS = 200
+UUID_VERSION_WITH_TIME = 7
+UUID_TIME_SHIFT_BITS = 80
+MILLISECONDS_PER_SECOND = 1000
+
+
+def new_id(prefix: str, rng: random.Random | None = None) -> str:
+    """Return a fresh identifier.
+
+    :param prefix: what it names, such as ``req`` or ``job``.
+    :param rng: source of randomness; the system's when left out.
+    :return: the prefix, a dash and 24 hexadecimal digits.
+    """
+    source = rng or random.SystemRandom()
+    return f"{prefix}-{source.getrandbits(96):024x}"
+
+
+def is_name(text: str) -> bool:
+    """Return whether a text can name a team, worker, rack, data centre or rule."""
+    return NAME_PATTERN.match(text) is not None
+
+
+def key_time_s(key: str) -> float | None:
+    """Return when an idempotency key was made, if it says so.
+
+    :param key: the caller's key; a version 7 UUID (RFC 9562) carries its time.
+    :return: seconds since the Unix epoch, or ``None``.
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != UUID_VERSION_WITH_TIME:
+        return None
+    return (parsed.int >> UUID_TIME_SHIFT_BITS) / MILLISECONDS_PER_SECOND
--- /dev/null
+++ b/libs/placement/src/papayaspar_placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of workers and accelerators for work."""
--- /dev/null
+++ b/libs/rules/src/papayaspar_rules/__init__.py
@@ -0,0 +1,1 @@
+"""Rules file, its validation, and the chain of revisions."""
--- /dev/null
+++ b/libs/settings/src/papayaspar_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings from flags and environment variables, checked."""
--- /dev/null
+++ b/libs/slots/src/papayaspar_slots/__init__.py
@@ -0,0 +1,1 @@
+"""An agent's ledger of slots, accelerators and leases."""
--- /dev/null
+++ b/libs/standin/src/papayaspar_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, for tests and first looks."""
--- /dev/null
+++ b/libs/wire/src/papayaspar_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Message streams between processes."""
--- /dev/null
+++ b/programs/local/src/papayaspar_local_main/__init__.py
@@ -0,0 +1,1 @@
+"""The program ``papayaspar-local``."""
