Admit requests by guarantee, fair shares and urgency

Cause: an entry needs one place that decides who gets the next slot and who is refused early. Conclusion: the entry can build on it.

--- /dev/null
+++ b/libs/admission/tests/test_fairness.py
@@ -0,0 +1,79 @@
+"""Tests of the parts that the admission queue is made of."""
+
+import random
+
+import pytest
+
+from papayaspar_admission import drains, durations, fairness, heaps, reserves
+
+
+def test_keyed_heap_agrees_with_sorting():
+    rng = random.Random(3)
+    heap = heaps.KeyedHeap()
+    expected = {}
+    for _ in range(3000):
+        key = rng.randrange(50)
+        if rng.random() < 0.3:
+            heap.discard(key)
+            expected.pop(key, None)
+        else:
+            expected[key] = rng.random()
+            heap.put(key, expected[key])
+        assert heap.peek() == min(expected, key=expected.get, default=None)
+        assert len(heap) == len(expected)
+    assert len(heap._heap) <= 2 * 50 + heaps.SLACK_ENTRIES
+
+
+def test_a_flow_that_returns_neither_saves_credit_nor_waits():
+    flows = fairness.FairQueue()
+    flows.activate("busy")
+    for _ in range(100):
+        flows.charge("busy", 1.0)
+    flows.activate("fresh")
+    served = []
+    for _ in range(10):
+        served.append(flows.peek())
+        flows.charge(served[-1], 1.0)
+    assert served[0] == "fresh"
+    assert served.count("fresh") in (5, 6)
+
+
+def test_flows_that_fell_idle_are_forgotten():
+    flows = fairness.FairQueue()
+    for number in range(10_000):
+        flows.activate(number)
+        flows.charge(number, 1.0)
+        flows.deactivate(number)
+    flows.activate("last")
+    for _ in range(3):
+        flows.charge("last", 1.0)
+    assert len(flows) == 1
+
+
+def test_durations_are_learnt_and_bounded():
+    learnt = durations.Durations(kinds_max=10)
+    for number in range(100):
+        learnt.observe(f"kind-{number}", 5.0)
+    assert len(learnt) == 10
+    assert learnt.expected_s("kind-99") == 5.0
+    assert learnt.expected_s("kind-0") == durations.FIRST_GUESS_S
+
+
+def test_a_stalled_queue_is_seen_to_drain_slower():
+    drain = drains.DrainRate()
+    assert drain.wait_s(0.0, 5) is None
+    for now_s in range(5):
+        drain.started(float(now_s), backlogged=True)
+    assert drain.wait_s(4.5, 3) == pytest.approx(3.0)
+    assert drain.wait_s(14.0, 3) == pytest.approx(30.0)
+
+
+def test_a_reserve_follows_demand_and_is_lent_out_again():
+    reserve = reserves.Reserve()
+    reserve.update("a", in_flight=6, waiting=0, guaranteed=8, now_s=0.0)
+    reserve.update("a", in_flight=0, waiting=0, guaranteed=8, now_s=1.0)
+    assert reserve.total(100, 1.0) == 6
+    assert reserve.total(8, 1.0) == 2
+    assert reserve.total(100, reserves.HOLD_S + 100) == reserves.TEAM_MIN_SLOTS
+    reserve.drop("a")
+    assert reserve.total(100, 200.0) == 0
--- /dev/null
+++ b/libs/admission/tests/test_queues.py
@@ -0,0 +1,342 @@
+"""Tests of the admission queue: order, refusal, deadlines, cancellation and live rules."""
+
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from papayaspar_model import errors, rulesets, work
+
+URGENT = work.Urgency.URGENT
+NORMAL = work.Urgency.NORMAL
+BATCH = work.Urgency.BATCH
+
+
+def test_a_team_below_its_guarantee_gets_the_next_free_slots(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 0, None), b=(1, 2, None)), capacity=2)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(6):
+                await sent.send(make_request("a"))
+            for _ in range(3):
+                await sent.send(make_request("b", urgency=BATCH))
+            await trio.sleep(0.5)
+            assert sent.count(team="a") == 2
+            await trio.sleep(1)
+            assert (sent.count(team="a"), sent.count(team="b")) == (2, 2)
+            await trio.sleep(1)
+            assert (sent.count(team="a"), sent.count(team="b")) == (3, 3)
+
+    run(scenario)
+
+
+def test_urgent_work_goes_first_among_teams_below_their_guarantee(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 2, None), b=(1, 2, None)), capacity=0)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            await sent.send(make_request("a", urgency=BATCH))
+            await sent.send(make_request("b", urgency=URGENT))
+            queue.set_capacity(1)
+            await trio.sleep(1.5)
+            assert [request.team for request in sent.started] == ["b", "a"]
+
+    run(scenario)
+
+
+def test_borrowed_work_leaves_free_what_a_guarantee_needed_of_late(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 0, None), b=(1, 4, None)), capacity=16)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(4):
+                await sent.send(make_request("b"), service_s=1)
+            await trio.sleep(2)
+            for _ in range(20):
+                await sent.send(make_request("a"), service_s=100)
+            assert sent.count(team="a") == 12
+            for _ in range(4):
+                await sent.send(make_request("b"), service_s=1)
+            assert sent.count(team="b") == 8
+            await trio.sleep(150)
+            assert sent.count(team="a") == 20
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("urgency", [URGENT, NORMAL, BATCH])
+def test_what_is_left_is_shared_by_weight(
+    run, make_queue, make_rules, make_request, recorder, urgency
+):
+    async def scenario():
+        rules = make_rules(a=(3, 0, None), b=(1, 0, None), c=(1, 2, None))
+        queue = make_queue(rules, capacity=6)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(200):
+                await sent.send(make_request("a", urgency=urgency))
+                await sent.send(make_request("b", urgency=urgency))
+                await sent.send(make_request("c", urgency=urgency))
+            await trio.sleep(40.5)
+            assert sent.count(team="c") >= 80
+            assert sent.count(team="a") / sent.count(team="b") == pytest.approx(3, rel=0.25)
+            nursery.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_shares_count_slot_time_rather_than_requests(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 0, None), b=(1, 0, None)), capacity=4)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(250):
+                await sent.send(make_request("a", kind="long"), service_s=10)
+                await sent.send(make_request("b", kind="short"), service_s=1)
+            await trio.sleep(100)
+            long_s = 10 * sent.count(team="a")
+            short_s = sent.count(team="b")
+            assert short_s / (long_s + short_s) == pytest.approx(0.5, abs=0.1)
+            nursery.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_a_flood_of_urgent_work_does_not_starve_the_rest(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 2, None), b=(1, 0, None)), capacity=4)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(250):
+                await sent.send(make_request("a", urgency=URGENT))
+            for _ in range(20):
+                await sent.send(make_request("a", urgency=BATCH))
+                await sent.send(make_request("b", urgency=BATCH))
+            await trio.sleep(50.5)
+            assert sent.count(team="a", urgency=URGENT) > 100
+            assert sent.count(team="a", urgency=BATCH) >= 5
+            assert sent.count(team="b", urgency=BATCH) >= 15
+            nursery.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_a_flooding_caller_does_not_delay_the_others_of_its_team(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 2, None)), capacity=2)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(200):
+                await sent.send(make_request(caller="flood"))
+            await trio.sleep(5.5)
+            for number in range(4):
+                await sent.send(make_request(caller=f"small-{number}"))
+            await trio.sleep(2)
+            assert sum(request.caller != "flood" for request in sent.started) == 4
+            nursery.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_a_full_queue_refuses_the_longest_caller_and_says_when_to_return(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        limits = [rulesets.QueueLimit("q", NORMAL, 4)]
+        queue = make_queue(make_rules(limits=limits, a=(1, 0, None)), capacity=1)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(6):
+                await sent.send(make_request(caller="flood"))
+            assert [request.caller for request, _ in sent.refused] == ["flood"]
+            await sent.send(make_request(caller="small"))
+            assert [request.caller for request, _ in sent.refused] == ["flood", "flood"]
+            for _, error in sent.refused:
+                assert isinstance(error, errors.OverloadedError)
+                assert error.retry_after_s > 0
+                assert error.ran is errors.Ran.NO
+            await trio.sleep(3)
+            assert sent.count(caller="small") == 1
+
+    run(scenario)
+
+
+def test_a_wait_beyond_the_deadline_is_refused_at_once(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 0, None)), capacity=1)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(20):
+                await sent.send(make_request())
+            await trio.sleep(5.5)
+            with pytest.raises(errors.OverloadedError) as caught:
+                await queue.acquire(make_request(deadline_s=trio.current_time() + 3))
+            assert caught.value.retry_after_s == pytest.approx(15, abs=3)
+            nursery.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_a_deadline_that_passes_in_the_queue_is_honoured_before_start(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 0, None)), capacity=1)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            await sent.send(make_request(), service_s=10)
+            late = make_request(deadline_s=trio.current_time() + 2)
+            await sent.send(late)
+            await trio.sleep(3)
+            assert [request for request, _ in sent.refused] == [late]
+            assert isinstance(sent.refused[0][1], errors.DeadlineError)
+            await trio.sleep(10)
+            assert late not in sent.started
+
+    run(scenario)
+
+
+def test_work_whose_caller_left_is_never_started(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 0, None)), capacity=1)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            await sent.send(make_request(), service_s=10)
+            with trio.move_on_after(1):
+                await queue.acquire(make_request())
+            stays = make_request()
+            await sent.send(stays)
+            await trio.sleep(9.5)
+            assert sent.started[1:] == [stays]
+            assert queue.in_flight == 1
+
+    run(scenario)
+
+
+def test_a_slot_given_at_the_moment_of_cancellation_is_not_lost(
+    run, make_queue, make_rules, make_request
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 0, None)), capacity=1)
+        first = await queue.acquire(make_request())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(queue.acquire, make_request())
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+            queue.release(first)
+        assert queue.in_flight == 0
+        queue.release(first)
+        assert queue.status() == ()
+
+    run(scenario)
+
+
+def test_a_quota_is_a_ceiling(run, make_queue, make_rules, make_request, recorder):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 1, 2)), capacity=8)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(6):
+                await sent.send(make_request())
+            assert queue.in_flight == 2
+            await trio.sleep(2.5)
+            assert (queue.in_flight, len(sent.started)) == (2, 6)
+
+    run(scenario)
+
+
+def test_rules_come_into_force_live_and_never_revert(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 0, 1), b=(1, 0, None)), capacity=4)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(3):
+                await sent.send(make_request(), service_s=10)
+            queue.apply(make_rules(revision=3, a=(1, 0, 3), b=(1, 0, None)))
+            queue.apply(make_rules(revision=2, a=(1, 0, 1)))
+            await trio.testing.wait_all_tasks_blocked()
+            assert len(sent.started) == 3
+            for _ in range(2):
+                await sent.send(make_request("b"), service_s=1)
+            queue.apply(make_rules(revision=4, a=(1, 0, 3)))
+            await trio.sleep(0.1)
+            assert [type(error) for _, error in sent.refused] == [errors.UnknownTeamError]
+            with pytest.raises(errors.UnknownTeamError):
+                await queue.acquire(make_request("b"))
+
+    run(scenario)
+
+
+def test_guarantees_shrink_in_proportion_when_workers_are_lost(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 12, None), b=(1, 4, None)), capacity=16)
+        queue.set_capacity(8)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(20):
+                await sent.send(make_request("a"))
+                await sent.send(make_request("b"))
+            await trio.sleep(1.5)
+            held = {status.team: status.in_flight for status in queue.status()}
+            assert held == {"a": 6, "b": 2}
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_random_traffic_never_passes_the_capacity_and_leaves_nothing(
+    run, make_queue, make_rules, make_request, seed
+):
+    rng = random.Random(seed)
+
+    async def one(queue, rules):
+        await trio.sleep(rng.uniform(0, 50))
+        urgency = rng.choice(list(work.Urgency))
+        request = make_request(
+            rng.choice(rules.teams).name,
+            f"c{rng.randrange(30)}",
+            urgency,
+            trio.current_time() + rng.uniform(0.5, 20),
+            rng.choice(["x", "y"]),
+        )
+        with trio.move_on_after(rng.expovariate(0.05)):
+            try:
+                async with queue.slot(request) as ticket:
+                    assert queue.in_flight <= queue.capacity
+                    assert ticket.started_s < request.deadline_s
+                    await trio.sleep(rng.expovariate(1))
+            except (errors.OverloadedError, errors.DeadlineError):
+                return
+
+    async def scenario():
+        rules = make_rules(a=(1, 3, 5), b=(2, 2, None), c=(1, 0, None))
+        queue = make_queue(rules, capacity=8)
+        async with trio.open_nursery() as nursery:
+            for _ in range(800):
+                nursery.start_soon(one, queue, rules)
+        assert queue.in_flight == 0
+        assert queue.status() == ()
+
+    run(scenario)
--- a/libs/model/src/papayaspar_model/clock.py
+++ b/libs/model/src/papayaspar_model/clock.py
@@ -3,6 +3,8 @@
 import abc
 import time
 
+import anyio
+
 NANOSECONDS_PER_SECOND = 1_000_000_000
 
 
@@ -59,3 +61,15 @@
         :param seconds: how far, at least zero.
         """
         self._now_s += max(0.0, seconds)
+
+
+class LoopClock(Clock):
+    """The clock of the running event loop, which tests and experiments can make virtual."""
+
+    def now_s(self) -> float:
+        """Return seconds on the event loop's clock."""
+        return anyio.current_time()
+
+    def wall_s(self) -> float:
+        """Return seconds on the event loop's clock."""
+        return anyio.current_time()
