Run catalogued experiments against committed bounds

Cause: experiments need one runner, one table and one file of bounds. Change: catalog, runner, table, plots and the program papayaspar-bench. Conclusion: others add a line to the catalog and their bounds.

--- a/libs/bench/src/papayaspar_bench/__init__.py
+++ b/libs/bench/src/papayaspar_bench/__init__.py
@@ -1,5 +1,8 @@
-"""Load and experiments over the decision classes, with seeds, in virtual time."""
+"""Load and experiments over the decision classes, with seeds, in virtual time.
 
-from papayaspar_bench import experiments
+Experiments are listed in :mod:`papayaspar_bench.catalog`; their bounds are in ``bounds.json``.
+"""
 
-__all__ = ["experiments"]
+from papayaspar_bench import catalog, experiments, runner, tables
+
+__all__ = ["catalog", "experiments", "runner", "tables"]
--- /dev/null
+++ b/libs/bench/src/papayaspar_bench/catalog.py
@@ -0,0 +1,17 @@
+"""All experiments, one line each."""
+
+from papayaspar_bench import experiments
+
+EXPERIMENTS: tuple[experiments.Experiment, ...] = ()
+
+
+def find(name: str) -> experiments.Experiment:
+    """Return an experiment by name.
+
+    :param name: its name.
+    :raises UnknownExperimentError: there is none of this name.
+    """
+    for experiment in EXPERIMENTS:
+        if experiment.name == name:
+            return experiment
+    raise experiments.UnknownExperimentError(f"no experiment {name}", field="name")
--- a/libs/bench/src/papayaspar_bench/experiments.py
+++ b/libs/bench/src/papayaspar_bench/experiments.py
@@ -4,6 +4,15 @@
 
 import attrs
 
+from papayaspar_model import errors
+
+
+class UnknownExperimentError(errors.NotFoundError):
+    """The catalog has no experiment of this name."""
+
+    code = "unknown_experiment"
+    title = "There is no such experiment"
+
 
 @attrs.frozen
 class Bound:
--- /dev/null
+++ b/libs/bench/src/papayaspar_bench/plots.py
@@ -0,0 +1,59 @@
+"""Plots of results; the only module that needs matplotlib."""
+
+import pathlib
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot
+
+from papayaspar_bench import runner
+
+BAR_HEIGHT_INCHES = 0.3
+MARGIN_INCHES = 1.2
+WIDTH_INCHES = 11.0
+RESOLUTION_DPI = 100
+
+
+def save(result: runner.Result, folder: pathlib.Path) -> pathlib.Path:
+    """Draw the figures of one run as bars, one panel for each unit, bounds as marks.
+
+    :param result: the run.
+    :param folder: where the picture goes; made if it is missing.
+    :return: path of the picture.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    panels = _by_unit(result.outcome.figures)
+    sizes = [len(names) for names in panels.values()]
+    height_inches = sum(sizes) * BAR_HEIGHT_INCHES + len(sizes) * MARGIN_INCHES
+    figure, axes = pyplot.subplots(
+        len(panels),
+        1,
+        squeeze=False,
+        figsize=(WIDTH_INCHES, height_inches),
+        height_ratios=sizes,
+        layout="constrained",
+    )
+    for axis, (unit, names) in zip(axes[:, 0], panels.items(), strict=True):
+        axis.barh(names, [result.outcome.figures[name] for name in names])
+        axis.invert_yaxis()
+        axis.set_xlabel(unit)
+        for bound in result.bounds:
+            if bound.figure not in names:
+                continue
+            for value in (bound.at_least, bound.at_most):
+                if value is not None:
+                    axis.plot(value, bound.figure, marker="|", markersize=14, color="red")
+    figure.suptitle(f"{result.outcome.name}, seed {result.outcome.seed}")
+    path = folder / f"{result.outcome.name}.png"
+    figure.savefig(path, dpi=RESOLUTION_DPI)
+    pyplot.close(figure)
+    return path
+
+
+def _by_unit(figures: dict[str, float]) -> dict[str, list[str]]:
+    panels: dict[str, list[str]] = {}
+    for name in figures:
+        panels.setdefault(name.rsplit("_", 1)[-1], []).append(name)
+    return panels
--- /dev/null
+++ b/programs/bench/src/papayaspar_bench_main/main.py
@@ -0,0 +1,119 @@
+"""The command line of ``papayaspar-bench``."""
+
+import json
+import pathlib
+import sys
+from typing import Annotated
+
+import attrs
+import cappa
+
+from papayaspar_bench import catalog, experiments, runner, tables
+
+STANDARD_OUTPUT = "-"
+DEFAULT_SEED = 1
+PLOTS_FOLDER = "plots"
+EXIT_MISSED = 1
+EXIT_USAGE = 2
+
+
+@cappa.command(name="list", help="List the experiments.")
+@attrs.define
+class ListCommand:
+    """Lists the experiments.
+
+    :param json: whether to print JSON.
+    """
+
+    json: Annotated[bool, cappa.Arg(long="--json", help="Print JSON.")] = False
+
+    def __call__(self) -> None:
+        """Print name and summary of each experiment."""
+        if self.json:
+            listed = [{"name": item.name, "summary": item.summary} for item in catalog.EXPERIMENTS]
+            print(json.dumps(listed, indent=2))
+            return
+        for item in catalog.EXPERIMENTS:
+            print(f"{item.name}: {item.summary}")
+
+
+@cappa.command(name="run", help="Run one experiment; exit 1 past a bound or on a violation.")
+@attrs.define
+class RunCommand:
+    """Runs one experiment.
+
+    :param name: its name.
+    :param seed: seed of every random choice.
+    :param json: file for the result as JSON, or ``-``; a table is printed when left out.
+    """
+
+    name: Annotated[str, cappa.Arg(help="Name of the experiment.")]
+    seed: Annotated[int, cappa.Arg(long="--seed", help="Seed.")] = DEFAULT_SEED
+    json: Annotated[
+        str | None, cappa.Arg(long="--json", help="File for the JSON, or - for standard output.")
+    ] = None
+
+    def __call__(self) -> None:
+        """Run, print and set the exit status."""
+        try:
+            result = runner.run(self.name, self.seed)
+        except experiments.UnknownExperimentError as error:
+            raise cappa.Exit(error.detail, code=EXIT_USAGE) from error
+        self._print(result)
+        if not result.passed:
+            raise cappa.Exit(code=EXIT_MISSED)
+
+    def _print(self, result: runner.Result) -> None:
+        if self.json is None:
+            print(tables.render([result]))
+            return
+        if self.json == STANDARD_OUTPUT:
+            print(result.to_json())
+            return
+        pathlib.Path(self.json).write_text(result.to_json() + "\n", "utf-8")
+
+
+@cappa.command(name="all", help="Run all experiments; exit 1 past a bound or on a violation.")
+@attrs.define
+class AllCommand:
+    """Runs all experiments with one seed, prints one table and draws a plot of each.
+
+    :param seed: seed of every random choice.
+    :param plots: folder for the plots.
+    """
+
+    seed: Annotated[int, cappa.Arg(long="--seed", help="Seed.")] = DEFAULT_SEED
+    plots: Annotated[str, cappa.Arg(long="--plots", help="Folder for plots.")] = PLOTS_FOLDER
+
+    def __call__(self) -> None:
+        """Run, print, draw and set the exit status."""
+        results = [runner.run(item.name, self.seed) for item in catalog.EXPERIMENTS]
+        print(tables.render(results))
+        self._draw(results)
+        if not all(result.passed for result in results):
+            raise cappa.Exit(code=EXIT_MISSED)
+
+    def _draw(self, results: list[runner.Result]) -> None:
+        try:
+            from papayaspar_bench import plots
+        except ImportError:
+            print("no plots: matplotlib is not installed", file=sys.stderr)
+            return
+        for result in results:
+            plots.save(result, pathlib.Path(self.plots))
+
+
+@cappa.command(name="papayaspar-bench", help="Experiments over the decision classes.")
+@attrs.define
+class Bench:
+    """The program.
+
+    :param command: what to do.
+    """
+
+    command: cappa.Subcommands[ListCommand | RunCommand | AllCommand]
+
+
+def main() -> None:
+    """Run the program."""
+    cappa.invoke(Bench)
