Share slots among callers, and measure floods

Change: flows by caller and urgency under starting potential-based fair queueing, with a floor for the less urgent lanes; the experiments flood and callers. Conclusion: callers are apart from one another also across urgencies.

--- a/libs/admission/src/papayaspar_admission/heaps.py
+++ b/libs/admission/src/papayaspar_admission/heaps.py
@@ -10,13 +10,6 @@
 SLACK_ENTRIES = 16
 
 
-@attrs.frozen(order=True)
-class _Entry(Generic[KeyT]):
-    rank: tuple[float, ...]
-    serial: int
-    key: KeyT = attrs.field(order=False)
-
-
 @attrs.define
 class KeyedHeap(Generic[KeyT]):
     """Keys by rank, least first; equal ranks leave in the order in which they came.
@@ -25,8 +18,10 @@
     heap is rebuilt once more than half of it is stale.
     """
 
-    _heap: list[_Entry[KeyT]] = attrs.field(factory=list, init=False)
-    _current: dict[KeyT, _Entry[KeyT]] = attrs.field(factory=dict, init=False)
+    _heap: list[tuple[tuple[float, ...], int, KeyT]] = attrs.field(factory=list, init=False)
+    _current: dict[KeyT, tuple[tuple[float, ...], int, KeyT]] = attrs.field(
+        factory=dict, init=False
+    )
     _serial: int = attrs.field(default=0, init=False)
 
     def __len__(self) -> int:
@@ -42,10 +37,10 @@
         :param rank: numbers that are compared from the first to the last.
         """
         known = self._current.get(key)
-        if known is not None and known.rank == rank:
+        if known is not None and known[0] == rank:
             return
         self._serial += 1
-        entry = _Entry(rank, self._serial, key)
+        entry = (rank, self._serial, key)
         self._current[key] = entry
         heapq.heappush(self._heap, entry)
         self._compact()
@@ -58,9 +53,9 @@
     def peek(self) -> KeyT | None:
         """Return the key of least rank, or ``None``."""
         while self._heap:
-            entry = self._heap[0]
-            if self._current.get(entry.key) is entry:
-                return entry.key
+            _, _, key = self._heap[0]
+            if self._current.get(key) is self._heap[0]:
+                return key
             heapq.heappop(self._heap)
         return None
 
@@ -69,7 +64,7 @@
 
         :param key: a key that is there.
         """
-        return self._current[key].rank[0]
+        return self._current[key][0][0]
 
     def _compact(self) -> None:
         if len(self._heap) <= 2 * len(self._current) + SLACK_ENTRIES:
--- a/libs/admission/src/papayaspar_admission/lanes.py
+++ b/libs/admission/src/papayaspar_admission/lanes.py
@@ -1,11 +1,11 @@
-"""One bounded queue: the waiting requests of one team and urgency, fair among callers."""
+"""One bounded queue: the waiting requests of one team and urgency."""
 
 import collections
 
 import anyio
 import attrs
 
-from papayaspar_admission import drains, fairness, heaps
+from papayaspar_admission import drains, heaps
 from papayaspar_model import errors, work
 
 
@@ -48,30 +48,32 @@
     """Requests of one team and urgency: first come, first served within a caller."""
 
     drain: drains.DrainRate = attrs.field(factory=drains.DrainRate)
-    callers: fairness.FairQueue[str] = attrs.field(factory=fairness.FairQueue)
     _lines: dict[str, Line] = attrs.field(factory=dict, init=False)
     _longest: heaps.KeyedHeap[str] = attrs.field(factory=heaps.KeyedHeap, init=False)
-    _waiting: int = attrs.field(default=0, init=False)
+    _by_age: Line = attrs.field(factory=collections.OrderedDict, init=False)
 
     def __len__(self) -> int:
         """Return how many requests wait."""
-        return self._waiting
+        return len(self._by_age)
 
     def push(self, waiting: Waiting) -> None:
         """Add a request behind the others of its caller."""
         caller = waiting.request.caller
         line = self._lines.setdefault(caller, collections.OrderedDict())
         line[id(waiting)] = waiting
-        self._waiting += 1
+        self._by_age[id(waiting)] = waiting
         self._longest.put(caller, -len(line))
-        self.callers.activate(caller)
 
-    def head(self) -> Waiting | None:
-        """Return the request that is next by fair shares among callers, or ``None``."""
-        caller = self.callers.peek()
-        if caller is None:
+    def head(self, caller: str) -> Waiting | None:
+        """Return the oldest request of one caller, or ``None``."""
+        line = self._lines.get(caller)
+        if line is None:
             return None
-        return next(iter(self._lines[caller].values()))
+        return next(iter(line.values()))
+
+    def oldest(self) -> Waiting | None:
+        """Return the request that has waited longest, or ``None``."""
+        return next(iter(self._by_age.values()), None)
 
     def remove(self, waiting: Waiting) -> bool:
         """Take a request out.
@@ -83,13 +85,12 @@
         line = self._lines.get(caller)
         if line is None or line.pop(id(waiting), None) is None:
             return False
-        self._waiting -= 1
+        del self._by_age[id(waiting)]
         if line:
             self._longest.put(caller, -len(line))
             return True
         del self._lines[caller]
         self._longest.discard(caller)
-        self.callers.deactivate(caller)
         return True
 
     def displaced_by(self, caller: str) -> Waiting | None:
@@ -109,9 +110,9 @@
     def ahead_of(self, caller: str) -> int:
         """Return about how many requests start before a new one of this caller."""
         own = self._lines.get(caller, ())
-        callers = self.callers.backlogged_count + (0 if own else 1)
-        return min(self._waiting, callers * (len(own) + 1) - 1)
+        callers = len(self._lines) + (0 if own else 1)
+        return min(len(self._by_age), callers * (len(own) + 1) - 1)
 
     def everyone(self) -> list[Waiting]:
         """Return all requests that wait."""
-        return [waiting for line in self._lines.values() for waiting in line.values()]
+        return list(self._by_age.values())
--- a/libs/admission/src/papayaspar_admission/queues.py
+++ b/libs/admission/src/papayaspar_admission/queues.py
@@ -58,8 +58,8 @@
 
     A free slot goes first to teams below their guarantee, the more urgent work first. Whether a
     team is below is computed from what it holds at that moment. What is left goes to teams by
-    weighted shares of slot time, in which urgent work counts for less; within a team to
-    urgencies by weight, and within an urgency to callers in equal shares.
+    weighted shares of slot time, in which urgent work counts for less. Within a team callers
+    share alike, the more urgent work ahead.
 
     :param time_source: the clock of this process.
     :param capacity: slots to fill at first.
@@ -185,7 +185,7 @@
         now_s = self._clock.now_s()
         if request.deadline_s <= now_s:
             raise errors.DeadlineError("the deadline passed before the request came")
-        team = self._teams.get(request.team) or teams.TeamQueue()
+        team = self._teams.get(request.team) or teams.TeamQueue(self._durations)
         self._refuse_early(request, team, policy, now_s)
         self._teams[request.team] = team
         waiting = lanes.Waiting(request, now_s)
@@ -244,8 +244,8 @@
         cost_s = self._durations.expected_s(request.kind)
         weight = None
         if borrowed:
-            weight = self._policy(name).weight * teams.BORROWED_DISCOUNTS[request.urgency]
-            self._borrowers.charge(name, cost_s / weight)
+            weight = _borrowed_weight(self._policy(name), request)
+            self._borrowers.charge(name, cost_s)
         team.start(waiting, cost_s, now_s)
         self._serial += 1
         self._charges[self._serial] = _Charge(cost_s, weight)
@@ -279,18 +279,20 @@
         policy = self._policy(name)
         now_s = self._clock.now_s()
         self._reserve.update(name, team.in_flight, team.waiting, policy.guaranteed, now_s)
-        urgency = team.next_urgency
+        head = team.head()
         capped = policy.ceiling is not None and team.in_flight >= policy.ceiling
-        if urgency is None or capped:
+        if head is None or capped:
             self._below_guarantee.discard(name)
             self._borrowers.deactivate(name)
         elif team.in_flight < policy.guaranteed:
             used_ratio = team.in_flight / policy.guaranteed
-            self._below_guarantee.put(name, teams.URGENCY_ORDER[urgency], used_ratio)
+            place = teams.URGENCY_ORDER[head.request.urgency]
+            self._below_guarantee.put(name, place, used_ratio)
             self._borrowers.deactivate(name)
         else:
             self._below_guarantee.discard(name)
-            self._borrowers.activate(name)
+            cost_s = self._durations.expected_s(head.request.kind)
+            self._borrowers.activate(name, _borrowed_weight(policy, head.request), cost_s)
         if team.is_idle:
             del self._teams[name]
 
@@ -318,6 +320,10 @@
                 waiting.refuse(errors.UnknownTeamError(f"team {name} was removed", field="team"))
 
 
+def _borrowed_weight(policy: teams.TeamPolicy, request: work.Request) -> float:
+    return policy.weight * teams.BORROWED_WEIGHTS[request.urgency]
+
+
 def _overloaded(detail: str, wait_s: float | None) -> errors.OverloadedError:
     if wait_s is None:
         wait_s = RETRY_AFTER_UNKNOWN_S
--- a/libs/admission/src/papayaspar_admission/teams.py
+++ b/libs/admission/src/papayaspar_admission/teams.py
@@ -1,21 +1,37 @@
 """The waiting and running requests of one team."""
 
+import enum
+
 import attrs
 
-from papayaspar_admission import fairness, lanes
+from papayaspar_admission import durations, fairness, lanes
 from papayaspar_model import rulesets, work
 
+
+class Order(enum.Enum):
+    """The orders in which a team's requests start: fair shares, and a floor for some lanes."""
+
+    FAIR = "fair"
+    NORMAL_FLOOR = "normal_floor"
+    BATCH_FLOOR = "batch_floor"
+
+
 URGENCY_WEIGHTS = {
     work.Urgency.URGENT: 16.0,
     work.Urgency.NORMAL: 4.0,
     work.Urgency.BATCH: 1.0,
 }
 URGENCY_ORDER = {urgency: place for place, urgency in enumerate(work.Urgency)}
-BORROWED_DISCOUNTS = {
+BORROWED_WEIGHTS = {
     work.Urgency.URGENT: 4.0,
     work.Urgency.NORMAL: 2.0,
     work.Urgency.BATCH: 1.0,
 }
+ORDER_WEIGHTS = {Order.FAIR: 18.0, Order.NORMAL_FLOOR: 1.0, Order.BATCH_FLOOR: 1.0}
+FLOORS = {
+    Order.NORMAL_FLOOR: work.Urgency.NORMAL,
+    Order.BATCH_FLOOR: work.Urgency.BATCH,
+}
 DEFAULT_DEPTHS = {
     work.Urgency.URGENT: 256,
     work.Urgency.NORMAL: 256,
@@ -39,42 +55,61 @@
     depths: dict[work.Urgency, int] = attrs.field(factory=lambda: dict(DEFAULT_DEPTHS))
 
 
+@attrs.frozen
+class Flow:
+    """What one caller asks for with one urgency.
+
+    :param caller: the caller.
+    :param urgency: how soon its work is wanted.
+    """
+
+    caller: str
+    urgency: work.Urgency
+
+
 @attrs.define
 class TeamQueue:
-    """One team's requests: weighted shares among urgencies, equal shares among callers."""
+    """One team's requests: shares among callers, the more urgent work ahead.
+
+    Most slot time goes by fair shares to flows, weighted by urgency. A small share each goes to
+    the oldest request of the less urgent lanes, so that no number of urgent callers starves them.
 
+    :param learnt: expected durations by kind.
+    """
+
+    learnt: durations.Durations
     by_urgency: dict[work.Urgency, lanes.Lane] = attrs.field(
         factory=lambda: {urgency: lanes.Lane() for urgency in work.Urgency}, init=False
     )
-    urgencies: fairness.FairQueue[work.Urgency] = attrs.field(
-        factory=fairness.FairQueue, init=False
-    )
     in_flight: int = attrs.field(default=0, init=False)
-    waiting: int = attrs.field(default=0, init=False)
+    _flows: fairness.FairQueue[Flow] = attrs.field(factory=fairness.FairQueue, init=False)
+    _orders: fairness.FairQueue[Order] = attrs.field(factory=fairness.FairQueue, init=False)
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return sum(len(lane) for lane in self.by_urgency.values())
 
     @property
     def is_idle(self) -> bool:
         """Whether nothing of the team waits or runs."""
         return self.in_flight == 0 and self.waiting == 0
 
-    @property
-    def next_urgency(self) -> work.Urgency | None:
-        """The urgency to serve next, or ``None`` when nothing waits."""
-        return self.urgencies.peek()
-
     def push(self, waiting: lanes.Waiting) -> None:
         """Add a request to its lane."""
-        urgency = waiting.request.urgency
-        self.by_urgency[urgency].push(waiting)
-        self.waiting += 1
-        self.urgencies.activate(urgency)
+        request = waiting.request
+        self.by_urgency[request.urgency].push(waiting)
+        self._renew(Flow(request.caller, request.urgency))
 
     def head(self) -> lanes.Waiting | None:
         """Return the request to serve next, or ``None``."""
-        urgency = self.next_urgency
-        if urgency is None:
+        floor = FLOORS.get(self._orders.peek() or Order.FAIR)
+        if floor is not None:
+            return self.by_urgency[floor].oldest()
+        flow = self._flows.peek()
+        if flow is None:
             return None
-        return self.by_urgency[urgency].head()
+        return self.by_urgency[flow.urgency].head(flow.caller)
 
     def remove(self, waiting: lanes.Waiting) -> bool:
         """Take a request out of its lane.
@@ -82,40 +117,57 @@
         :param waiting: the request.
         :return: whether it was there.
         """
-        urgency = waiting.request.urgency
-        lane = self.by_urgency[urgency]
-        if not lane.remove(waiting):
+        request = waiting.request
+        if not self.by_urgency[request.urgency].remove(waiting):
             return False
-        self.waiting -= 1
-        if len(lane) == 0:
-            self.urgencies.deactivate(urgency)
+        self._renew(Flow(request.caller, request.urgency))
         return True
 
     def start(self, waiting: lanes.Waiting, cost_s: float, now_s: float) -> None:
-        """Move a request from waiting to running and charge its shares.
+        """Move the request at the head from waiting to running and charge its shares.
 
-        :param waiting: the request, which is in its lane.
+        :param waiting: the request.
         :param cost_s: expected slot time.
         :param now_s: reading of the clock.
         """
         request = waiting.request
-        lane = self.by_urgency[request.urgency]
-        self.urgencies.charge(request.urgency, cost_s / URGENCY_WEIGHTS[request.urgency])
-        lane.callers.charge(request.caller, cost_s)
+        order = self._orders.peek() or Order.FAIR
+        self._orders.charge(order, cost_s)
+        flow = Flow(request.caller, request.urgency)
+        self._flows.charge(flow, cost_s)
         self.remove(waiting)
+        lane = self.by_urgency[request.urgency]
         lane.drain.started(now_s, len(lane) > 0)
         self.in_flight += 1
 
     def finish(self, request: work.Request, difference_s: float) -> None:
-        """Settle the charges of a request that ended.
+        """Settle the charge of a request that ended.
 
         :param request: the request.
         :param difference_s: true slot time less the time charged.
         """
         self.in_flight -= 1
-        weight = URGENCY_WEIGHTS[request.urgency]
-        self.urgencies.correct(request.urgency, difference_s / weight)
-        self.by_urgency[request.urgency].callers.correct(request.caller, difference_s)
+        flow = Flow(request.caller, request.urgency)
+        self._flows.correct(flow, difference_s / URGENCY_WEIGHTS[request.urgency])
+
+    def _renew(self, flow: Flow) -> None:
+        head = self.by_urgency[flow.urgency].head(flow.caller)
+        if head is None:
+            self._flows.deactivate(flow)
+        else:
+            cost_s = self.learnt.expected_s(head.request.kind)
+            self._flows.activate(flow, URGENCY_WEIGHTS[flow.urgency], cost_s)
+        for order in Order:
+            if self._is_backlogged(order):
+                self._orders.activate(order, ORDER_WEIGHTS[order], cost_s=0.0)
+            else:
+                self._orders.deactivate(order)
+
+    def _is_backlogged(self, order: Order) -> bool:
+        floor = FLOORS.get(order)
+        if floor is None:
+            return self.waiting > 0
+        return len(self.by_urgency[floor]) > 0
 
 
 def policies(rules: rulesets.RuleSet, share_ratio: float, capacity: int) -> dict[str, TeamPolicy]:
--- a/libs/admission/tests/test_fairness.py
+++ b/libs/admission/tests/test_fairness.py
@@ -26,10 +26,10 @@
 
 def test_a_flow_that_returns_neither_saves_credit_nor_waits():
     flows = fairness.FairQueue()
-    flows.activate("busy")
+    flows.activate("busy", 1.0, 1.0)
     for _ in range(100):
         flows.charge("busy", 1.0)
-    flows.activate("fresh")
+    flows.activate("fresh", 1.0, 1.0)
     served = []
     for _ in range(10):
         served.append(flows.peek())
@@ -41,10 +41,10 @@
 def test_flows_that_fell_idle_are_forgotten():
     flows = fairness.FairQueue()
     for number in range(10_000):
-        flows.activate(number)
+        flows.activate(number, 1.0, 1.0)
         flows.charge(number, 1.0)
         flows.deactivate(number)
-    flows.activate("last")
+    flows.activate("last", 1.0, 1.0)
     for _ in range(3):
         flows.charge("last", 1.0)
     assert len(flows) == 1
@@ -55,7 +55,8 @@
     for number in range(100):
         learnt.observe(f"kind-{number}", 5.0)
     assert len(learnt) == 10
-    assert learnt.expected_s("kind-99") == 5.0
+    learnt.observe("kind-99", 7.0)
+    assert learnt.expected_s("kind-99") == 6.0
     assert learnt.expected_s("kind-0") == durations.FIRST_GUESS_S
 
 
--- a/libs/admission/tests/test_queues.py
+++ b/libs/admission/tests/test_queues.py
@@ -152,6 +152,45 @@
     run(scenario)
 
 
+def test_urgent_work_of_one_caller_does_not_hold_up_batch_work_of_others(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 4, None)), capacity=4)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(200):
+                await sent.send(make_request(caller="flood", urgency=URGENT))
+            await trio.sleep(5.5)
+            for number in range(4):
+                await sent.send(make_request(caller=f"small-{number}", urgency=BATCH))
+            await trio.sleep(9)
+            assert sent.count(urgency=BATCH) == 4
+            nursery.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_many_urgent_callers_do_not_starve_batch_work(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 4, None)), capacity=4)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            await sent.send(make_request(caller="batch", urgency=BATCH), service_s=10)
+            for number in range(240):
+                await sent.send(make_request(caller=f"c-{number}", urgency=URGENT))
+            for _ in range(2):
+                await sent.send(make_request(caller="batch", urgency=BATCH), service_s=10)
+            await trio.sleep(40)
+            assert sent.count(urgency=URGENT) > 60
+            assert sent.count(urgency=BATCH) >= 2
+            nursery.cancel_scope.cancel()
+
+    run(scenario)
+
+
 def test_a_full_queue_refuses_the_longest_caller_and_says_when_to_return(
     run, make_queue, make_rules, make_request, recorder
 ):
--- a/libs/bench/src/papayaspar_bench/catalog.py
+++ b/libs/bench/src/papayaspar_bench/catalog.py
@@ -1,8 +1,11 @@
 """All experiments, one line each."""
 
-from papayaspar_bench import experiments
+from papayaspar_bench import callers, experiments, flood
 
-EXPERIMENTS: tuple[experiments.Experiment, ...] = ()
+EXPERIMENTS: tuple[experiments.Experiment, ...] = (
+    flood.Flood(),
+    callers.Callers(),
+)
 
 
 def find(name: str) -> experiments.Experiment:
