Flatten the weights of urgencies within a team

Cause: batch work of small callers came close to the bound of callers. Change: weights 8:3:1 in place of 16:4:1. Conclusion: 8:3:1.

--- a/libs/admission/src/papayaspar_admission/teams.py
+++ b/libs/admission/src/papayaspar_admission/teams.py
@@ -17,8 +17,8 @@
 
 
 URGENCY_WEIGHTS = {
-    work.Urgency.URGENT: 16.0,
-    work.Urgency.NORMAL: 4.0,
+    work.Urgency.URGENT: 8.0,
+    work.Urgency.NORMAL: 3.0,
     work.Urgency.BATCH: 1.0,
 }
 URGENCY_ORDER = {urgency: place for place, urgency in enumerate(work.Urgency)}
