--- a/libs/bench/src/papayaspar_bench/callers.py
+++ b/libs/bench/src/papayaspar_bench/callers.py
@@ -27,7 +27,7 @@
             team = random.Random(seed).choice(deployment.guaranteed_teams)
             small = loads.arrivals(deployment.streams, seed, 0.0, WARM_UP_S + MEASURED_S)
             large = _large_arrivals(deployment, team, seed)
-            mixed = sorted(small + large, key=lambda arrival: arrival.at_s)
+            mixed = loads.merge(small, large)
             for policy in policies.ALL:
                 quiet = fleets.simulate(policy, deployment.rules, small)
                 loaded = fleets.simulate(policy, deployment.rules, mixed)
@@ -83,4 +83,4 @@
         figures[f"{name}_mean_s"] = times.mean_s
         figures[f"{name}_p50_s"] = times.p50_s
         figures[f"{name}_p99_s"] = times.p99_s
-    return figures
+    return measures.finite(figures)
