Add settings from flags and variables, and the frame of a program

Cause: each program needs its settings declared once, checked at start with every fault named, and the same exit codes. Change: papayaspar_settings with kinds, fields, loading, tables, programs; the cappa command line is generated from the same attrs class.

--- /dev/null
+++ b/libs/settings/src/papayaspar_settings/commands.py
@@ -0,0 +1,64 @@
+"""The command line of a program, generated from its settings and actions by ``cappa``."""
+
+import functools
+import operator
+from collections.abc import Sequence
+from importlib import metadata
+from typing import Annotated, TypeVar, cast
+
+import attrs
+import cappa
+
+from papayaspar_settings import fields, programs, tables
+
+S = TypeVar("S", bound=fields.Settings)
+
+ACTION_FIELD = "action"
+DISTRIBUTION = "papayaspar-settings"
+
+
+def read(program: programs.Program[S], argv: Sequence[str]) -> programs.Invocation[S]:
+    """Read a command line; help, version and bad usage end the process here.
+
+    :param program: the program.
+    :param argv: the command line without the program's name.
+    :return: what it asks for.
+    """
+    command = cappa.Command(
+        _command_class(program),
+        name=program.name,
+        help=program.summary,
+        description=tables.exit_codes(),
+    )
+    parsed = cappa.parse(
+        command, argv=list(argv), version=metadata.version(DISTRIBUTION), completion=False
+    )
+    flags = {}
+    for setting in fields.settings_of(program.settings):
+        flags[setting.name] = getattr(parsed, setting.name)
+    return programs.Invocation(getattr(parsed, ACTION_FIELD), flags)
+
+
+def _command_class(program: programs.Program[S]) -> type[attrs.AttrsInstance]:
+    declared = {ACTION_FIELD: attrs.field(type=_action_type(program), kw_only=True)}
+    for row, setting in zip(
+        tables.describe(program.settings), fields.settings_of(program.settings), strict=True
+    ):
+        argument = cappa.Arg[str](
+            long=row.flag,
+            value_name=row.value,
+            help=f"{row.help} [{row.variable}; {row.default}]",
+            propagate=True,
+            show_default=False,
+        )
+        declared[setting.name] = attrs.field(
+            type=cast("type", Annotated[str | None, argument]), default=None, kw_only=True
+        )
+    return attrs.make_class("Arguments", declared)
+
+
+def _action_type(program: programs.Program[S]) -> type:
+    if len(program.actions) == 1:
+        return cast("type", Annotated[program.actions[0], cappa.Arg(destructure=True)])
+    union = functools.reduce(operator.or_, program.actions)
+    return cast("type", Annotated[union, cappa.Subcommand()])
--- /dev/null
+++ b/libs/settings/src/papayaspar_settings/programs.py
@@ -0,0 +1,125 @@
+"""The frame of a program: command line, settings, errors and exit codes."""
+
+import abc
+import os
+import sys
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Generic, NoReturn, TypeVar
+
+import anyio
+import attrs
+
+from papayaspar_model import errors
+from papayaspar_settings import exits, fields, loading
+
+S = TypeVar("S", bound=fields.Settings)
+
+
+@attrs.frozen
+class Action(abc.ABC, Generic[S]):
+    """What a program does; its fields are the operands on the command line."""
+
+    @abc.abstractmethod
+    async def run(self, settings: S) -> exits.ExitCode:
+        """Do it.
+
+        :param settings: the checked settings.
+        :return: how the program ends.
+        """
+
+
+@attrs.frozen
+class Program(Generic[S]):
+    """A program.
+
+    :param name: what a person types.
+    :param summary: one sentence.
+    :param settings: class that declares its settings.
+    :param actions: classes of its actions; a single one needs no subcommand.
+    :param backend: event loop for :func:`anyio.run`.
+    """
+
+    name: str
+    summary: str
+    settings: type[S]
+    actions: tuple[type[Action[S]], ...]
+    backend: str = "asyncio"
+
+
+@attrs.frozen
+class Invocation(Generic[S]):
+    """What the command line asks for.
+
+    :param action: what to do.
+    :param flags: text of each flag by field name.
+    """
+
+    action: Action[S]
+    flags: Mapping[str, str | None]
+
+
+def run(program: Program[S]) -> NoReturn:
+    """Run a program on this process's command line and environment, and exit.
+
+    :param program: the program.
+    """
+    sys.exit(execute(program, sys.argv[1:], os.environ))
+
+
+def execute(program: Program[S], argv: Sequence[str], environment: Mapping[str, str]) -> int:
+    """Run a program.
+
+    :param program: the program.
+    :param argv: the command line without the program's name.
+    :param environment: the environment variables.
+    :return: the exit code.
+    """
+    try:
+        invocation = _read(program, argv)
+        settings = loading.load(program.settings, invocation.flags, environment)
+        return anyio.run(invocation.action.run, settings, backend=program.backend)
+    except KeyboardInterrupt:
+        return exits.ExitCode.FAILED
+    except errors.PapayasparError as error:
+        return _report(program.name, error)
+    except BaseExceptionGroup as group:
+        typed = _first_typed(group)
+        if typed is None:
+            raise
+        return _report(program.name, typed)
+
+
+def _read(program: Program[S], argv: Sequence[str]) -> Invocation[S]:
+    operands = attrs.fields(program.actions[0]) if len(program.actions) == 1 else ()
+    if not argv and len(program.actions) == 1 and not operands:
+        return Invocation(program.actions[0](), {})
+    # cappa is large; a process set up by variables alone does without it.
+    from papayaspar_settings import commands
+
+    return commands.read(program, argv)
+
+
+def _report(name: str, error: errors.PapayasparError) -> exits.ExitCode:
+    for line in _lines(error):
+        print(f"{name}: {error.code}: {line}", file=sys.stderr)
+    return exits.exit_code_of(error)
+
+
+def _lines(error: errors.PapayasparError) -> Iterator[str]:
+    if isinstance(error, loading.InvalidSettingsError):
+        for fault in error.faults:
+            yield str(fault)
+        return
+    yield error.detail
+
+
+def _first_typed(group: BaseExceptionGroup[BaseException]) -> errors.PapayasparError | None:
+    for error in group.exceptions:
+        if isinstance(error, errors.PapayasparError):
+            return error
+        if not isinstance(error, BaseExceptionGroup):
+            continue
+        nested = _first_typed(error)
+        if nested is not None:
+            return nested
+    return None
