--- a/libs/model/src/papayaspar_model/rulesets.py
+++ b/libs/model/src/papayaspar_model/rulesets.py
@@ -11,10 +11,12 @@
 
     :param name: its name.
     :param weight: share of what is left over, relative to other teams.
+    :param asked_by: who asked for the rule.
     """
 
     name: str
     weight: int = 1
+    asked_by: str = ""
 
 
 @attrs.frozen
@@ -26,6 +28,7 @@
     :param shape: the shape.
     :param count: how many instances of it.
     :param data_centre: where, or ``None`` for anywhere.
+    :param asked_by: who asked for the rule.
     """
 
     name: str
@@ -33,6 +36,7 @@
     shape: work.Shape
     count: int = 1
     data_centre: str | None = None
+    asked_by: str = ""
 
 
 @attrs.frozen
@@ -42,11 +46,13 @@
     :param name: name of the rule.
     :param team: whose guarantee.
     :param slots: how many slots.
+    :param asked_by: who asked for the rule.
     """
 
     name: str
     team: str
     slots: int
+    asked_by: str = ""
 
 
 @attrs.frozen
@@ -57,12 +63,14 @@
     :param team: whose ceiling.
     :param accelerators: most accelerators, or ``None`` for no ceiling.
     :param slots: most request slots, or ``None`` for no ceiling.
+    :param asked_by: who asked for the rule.
     """
 
     name: str
     team: str
     accelerators: int | None = None
     slots: int | None = None
+    asked_by: str = ""
 
 
 @attrs.frozen
@@ -73,12 +81,14 @@
     :param urgency: which queue.
     :param depth: most requests waiting.
     :param team: whose queue, or ``None`` for each team without a rule of its own.
+    :param asked_by: who asked for the rule.
     """
 
     name: str
     urgency: work.Urgency
     depth: int
     team: str | None = None
+    asked_by: str = ""
 
 
 @attrs.frozen
@@ -88,11 +98,13 @@
     :param name: name of the rule.
     :param share_ratio: retries per fresh request.
     :param floor_per_s: retries a second that are always allowed.
+    :param asked_by: who asked for the rule.
     """
 
     name: str = "default"
     share_ratio: float = 0.1
     floor_per_s: float = 1.0
+    asked_by: str = ""
 
 
 @attrs.frozen
--- /dev/null
+++ b/libs/rules/src/papayaspar_rules/faults.py
@@ -0,0 +1,68 @@
+"""Faults in a rules file, and the errors that carry them."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from papayaspar_model import errors
+
+DETAIL_MAX_FAULTS = 5
+
+
+@attrs.frozen
+class Fault:
+    """One thing that is wrong in a rules file.
+
+    :param file: name of the file.
+    :param line: line, from 1.
+    :param column: column of the first character at fault, from 1.
+    :param code: kind of fault, such as ``key_unknown``.
+    :param detail: one sentence for a person.
+    """
+
+    file: str
+    line: int
+    column: int
+    code: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}:{self.column}: {self.code}: {self.detail}"
+
+
+class InvalidRulesError(errors.RulesError):
+    """A rules file was refused.
+
+    :param faults: every fault, in the order of the file.
+    """
+
+    def __init__(self, faults: Sequence[Fault]) -> None:
+        shown = [str(fault) for fault in faults[:DETAIL_MAX_FAULTS]]
+        if len(faults) > DETAIL_MAX_FAULTS:
+            shown.append(f"and {len(faults) - DETAIL_MAX_FAULTS} more")
+        super().__init__("; ".join(shown))
+        self.faults = tuple(faults)
+
+
+class InvalidValueError(errors.RulesError):
+    """One value of a rule is not of its kind.
+
+    :param fault_code: code of the fault.
+    :param detail: one sentence for a person.
+    """
+
+    def __init__(self, fault_code: str, detail: str) -> None:
+        super().__init__(detail)
+        self.fault_code = fault_code
+
+
+class UnprintableRulesError(errors.RulesError):
+    """Rules built in memory have no form as a file."""
+
+    title = "The rules can't be written as a file"
+
+
+class InvalidRecordError(errors.RulesError):
+    """A record of the log is not a revision."""
+
+    title = "The record is not a revision of the rules"
--- /dev/null
+++ b/libs/rules/src/papayaspar_rules/revisions.py
@@ -0,0 +1,278 @@
+"""The chain of revisions: which one is in force, by the log alone and alike for every reader.
+
+The first valid child of the head wins; all other records are ignored. The log keeps records for a
+limited time only, so the head is repeated before it goes. Such a snapshot says which revision was
+the head after all records before an offset. A reader that came too late for the records takes the
+snapshot for its base only if it has seen every record from that offset on; so a snapshot that
+was late when it was written misleads nobody.
+"""
+
+import collections
+import enum
+
+import attrs
+
+from papayaspar_model import errors, rulesets
+from papayaspar_rules import faults, parsing, records
+
+HISTORY_MAX_REVISIONS = 1000
+OUTCOMES_MAX = 4096
+PENDING_MAX_CHARS = 4 * 1024 * 1024
+NO_RECORD = records.RevisionRecord(0, 0, "", "", "", 0.0)
+
+
+class Verdict(enum.Enum):
+    """What a chain made of a record."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    DUPLICATE = "duplicate"
+    INVALID = "invalid"
+    PENDING = "pending"
+
+
+class Settlement(enum.Enum):
+    """What became of a publish."""
+
+    WON = "won"
+    LOST = "lost"
+    UNSEEN = "unseen"
+
+
+@attrs.frozen
+class HistoryEntry:
+    """A revision that was in force.
+
+    :param revision: its number.
+    :param parent: its parent's number.
+    :param author: who published it.
+    :param publish_id: the publisher's name for it.
+    :param published_wall_s: when, in seconds since the Unix epoch.
+    """
+
+    revision: int
+    parent: int
+    author: str
+    publish_id: str
+    published_wall_s: float
+
+
+@attrs.frozen
+class Head:
+    """A revision with its rules.
+
+    :param record: the record that brought it.
+    :param rules: its rules.
+    """
+
+    record: records.RevisionRecord
+    rules: rulesets.RuleSet
+
+
+class Chain:
+    """The revisions as one reader of the log knows them; the one in force only rises."""
+
+    def __init__(self) -> None:
+        self._head = Head(NO_RECORD, rulesets.RuleSet())
+        self._known_offset = 0
+        self._from_offset = 0
+        self._next_offset = 0
+        self._pending: collections.deque[tuple[int, records.RevisionRecord]] = collections.deque()
+        self._pending_chars = 0
+        self._outcomes: collections.OrderedDict[str, Settlement] = collections.OrderedDict()
+        self._history: collections.deque[HistoryEntry] = collections.deque(
+            maxlen=HISTORY_MAX_REVISIONS
+        )
+
+    @property
+    def rules(self) -> rulesets.RuleSet:
+        """The rules in force."""
+        return self._head.rules
+
+    @property
+    def next_offset(self) -> int:
+        """Offset from which the log is to be read next."""
+        return self._next_offset
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the rules in force are known to be the head at ``next_offset``."""
+        return self._known_offset == self._next_offset
+
+    def history(self) -> tuple[HistoryEntry, ...]:
+        """Return the revisions that were in force here, newest first."""
+        return tuple(reversed(self._history))
+
+    def trimmed(self, first_offset: int) -> None:
+        """Note the oldest offset that the log still keeps, before its records are offered.
+
+        :param first_offset: offset of the oldest record.
+        """
+        if first_offset > self._next_offset:
+            self._restart(first_offset)
+
+    def offer(self, offset: int, data: bytes) -> Verdict:
+        """Take in the next record of the log.
+
+        :param offset: its offset; one that was passed already is ignored.
+        :param data: its bytes, garbage included.
+        :return: what became of it.
+        """
+        if offset < self._next_offset:
+            return Verdict.DUPLICATE
+        self.trimmed(offset)
+        was_current = self.is_current
+        self._next_offset = offset + 1
+        try:
+            record = records.decode(data)
+        except faults.InvalidRecordError:
+            record = None
+        if was_current:
+            self._known_offset = self._next_offset
+        if record is None:
+            return Verdict.INVALID
+        if record.reappended:
+            return self._offer_snapshot(offset, record)
+        if not was_current:
+            self._keep_pending(offset, record)
+            return Verdict.PENDING
+        head, verdict = self._advance(self._head, record)
+        self._put_in_force(head)
+        return verdict
+
+    def adopt(self, record: records.RevisionRecord) -> Verdict:
+        """Take in a snapshot from a peer; the newest one counts.
+
+        :param record: what the peer's :meth:`snapshot` returned.
+        :return: ``ACCEPTED`` if it told this chain something new.
+        """
+        as_of = record.as_of_offset
+        if as_of <= self._known_offset:
+            return Verdict.DUPLICATE
+        head = _head_of(record)
+        if head is None:
+            return Verdict.INVALID
+        if as_of > self._next_offset:
+            self._restart(as_of)
+        self._known_offset = as_of
+        if as_of >= self._from_offset:
+            head = self._replay(head, as_of)
+            self._known_offset = self._next_offset
+        self._put_in_force(head)
+        return Verdict.ACCEPTED
+
+    def snapshot(self) -> records.RevisionRecord:
+        """Return the head as a record to append again, or to pass to a peer."""
+        return attrs.evolve(self._head.record, reappended=True, as_of_offset=self._known_offset)
+
+    def settle(self, publish_id: str) -> Settlement:
+        """Return what became of a publish whose acknowledgement was lost.
+
+        An unseen publish may be appended again as it was: if the first one counted after all, the
+        second one is no valid child.
+
+        :param publish_id: the publisher's name for it.
+        """
+        if publish_id and publish_id == self._head.record.publish_id:
+            return Settlement.WON
+        return self._outcomes.get(publish_id, Settlement.UNSEEN)
+
+    def propose(
+        self, parent: int, publish_id: str, author: str, text: str, wall_s: float
+    ) -> records.RevisionRecord:
+        """Return the record that publishes rules, after checking them.
+
+        :param parent: revision that the publisher started from.
+        :param publish_id: the publisher's name for this publish.
+        :param author: who publishes.
+        :param text: the rules.
+        :param wall_s: seconds since the Unix epoch.
+        :return: the record to append.
+        :raises InvalidRulesError: if the rules have faults.
+        :raises RevisionConflictError: if the parent is not the head.
+        :raises LogUnavailableError: if the head is not known for certain yet.
+        """
+        parsing.parse(text)
+        if not self.is_current:
+            raise errors.LogUnavailableError("the head of the rules is not known yet")
+        if parent != self.rules.revision:
+            raise errors.RevisionConflictError(
+                f"revision {self.rules.revision} is in force, not {parent}", field="parent"
+            )
+        return records.RevisionRecord(parent + 1, parent, publish_id, author, text, wall_s)
+
+    def _offer_snapshot(self, offset: int, record: records.RevisionRecord) -> Verdict:
+        if record.as_of_offset > offset:
+            return Verdict.INVALID
+        return self.adopt(record)
+
+    def _restart(self, offset: int) -> None:
+        self._from_offset = offset
+        self._next_offset = offset
+        self._pending.clear()
+        self._pending_chars = 0
+
+    def _keep_pending(self, offset: int, record: records.RevisionRecord) -> None:
+        self._pending.append((offset, record))
+        self._pending_chars += len(record.text)
+        while self._pending_chars > PENDING_MAX_CHARS:
+            dropped_offset, dropped = self._pending.popleft()
+            self._pending_chars -= len(dropped.text)
+            self._from_offset = dropped_offset + 1
+
+    def _replay(self, head: Head, as_of: int) -> Head:
+        for offset, record in self._pending:
+            if offset < as_of:
+                continue
+            head, _ = self._advance(head, record)
+        self._pending.clear()
+        self._pending_chars = 0
+        return head
+
+    def _advance(self, head: Head, record: records.RevisionRecord) -> tuple[Head, Verdict]:
+        is_child = record.parent == head.record.revision and record.revision == record.parent + 1
+        if not is_child:
+            return head, self._reject(record.publish_id)
+        child = _head_of(record)
+        if child is None:
+            self._note(record.publish_id, Settlement.LOST)
+            return head, Verdict.INVALID
+        self._note(record.publish_id, Settlement.WON)
+        return child, Verdict.ACCEPTED
+
+    def _reject(self, publish_id: str) -> Verdict:
+        if self.settle(publish_id) is Settlement.WON:
+            return Verdict.DUPLICATE
+        self._note(publish_id, Settlement.LOST)
+        return Verdict.CONFLICT
+
+    def _note(self, publish_id: str, settlement: Settlement) -> None:
+        self._outcomes[publish_id] = settlement
+        self._outcomes.move_to_end(publish_id)
+        while len(self._outcomes) > OUTCOMES_MAX:
+            self._outcomes.popitem(last=False)
+
+    def _put_in_force(self, head: Head) -> None:
+        record = head.record
+        if record.revision <= self._head.record.revision:
+            return
+        self._head = head
+        self._note(record.publish_id, Settlement.WON)
+        self._history.append(
+            HistoryEntry(
+                record.revision,
+                record.parent,
+                record.author,
+                record.publish_id,
+                record.published_wall_s,
+            )
+        )
+
+
+def _head_of(record: records.RevisionRecord) -> Head | None:
+    try:
+        rules = parsing.parse(record.text)
+    except faults.InvalidRulesError:
+        return None
+    in_force = attrs.evolve(rules, revision=record.revision, publish_id=record.publish_id)
+    return Head(record, in_force)
--- /dev/null
+++ b/libs/rules/tests/test_revisions.py
@@ -0,0 +1,228 @@
+"""The chain of revisions: one winner for all readers, whenever they started."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from papayaspar_model import errors
+from papayaspar_rules import faults, records, revisions
+
+TEXT = "team a weight={} # asked by A\n"
+
+
+def record(revision: int, parent: int, publish_id: str, text: str | None = None):
+    rules = TEXT.format(revision) if text is None else text
+    return records.RevisionRecord(revision, parent, publish_id, "ann", rules, 1.0)
+
+
+def offer(chain: revisions.Chain, *found: records.RevisionRecord) -> list[revisions.Verdict]:
+    verdicts = []
+    for item in found:
+        verdicts.append(chain.offer(chain.next_offset, records.encode(item)))
+    return verdicts
+
+
+@pytest.fixture
+def chain() -> revisions.Chain:
+    return revisions.Chain()
+
+
+def test_first_valid_child_wins_and_the_rest_are_ignored(chain):
+    verdicts = offer(
+        chain,
+        record(1, 0, "p1", "nonsense"),
+        record(1, 0, "p2"),
+        record(1, 0, "p3"),
+        record(3, 1, "p4"),
+        record(2, 1, "p5"),
+        record(1, 0, "p2"),
+    )
+    assert [verdict.value for verdict in verdicts] == [
+        "invalid",
+        "accepted",
+        "conflict",
+        "conflict",
+        "accepted",
+        "duplicate",
+    ]
+    assert (chain.rules.revision, chain.rules.publish_id) == (2, "p5")
+    assert [chain.settle(name).value for name in ("p1", "p2", "p3", "p5", "p6")] == [
+        "lost",
+        "won",
+        "lost",
+        "won",
+        "unseen",
+    ]
+    assert [entry.revision for entry in chain.history()] == [2, 1]
+
+
+def test_garbage_is_ignored_and_does_not_hide_the_head(chain):
+    offer(chain, record(1, 0, "p1"))
+    assert chain.offer(1, b"\xff garbage") is revisions.Verdict.INVALID
+    assert chain.is_current
+    assert offer(chain, record(2, 1, "p2")) == [revisions.Verdict.ACCEPTED]
+
+
+def test_reader_after_trimming_adopts_the_repeated_head(chain):
+    offer(chain, record(1, 0, "p1"), record(2, 1, "p2"))
+    late = revisions.Chain()
+    late.trimmed(2)
+    assert not late.is_current
+    snapshot = records.encode(chain.snapshot())
+    for reader in (chain, late):
+        reader.offer(2, snapshot)
+        offer(reader, record(3, 2, "p3"))
+        assert (reader.rules.revision, reader.is_current) == (3, True)
+
+
+def test_stale_repeated_head_is_no_base_for_a_late_reader(chain):
+    """A snapshot of revision 1, late, must not let a loser become revision 2."""
+    offer(chain, record(1, 0, "p1"))
+    stale = chain.snapshot()
+    offer(chain, record(2, 1, "winner"), stale, record(2, 1, "loser"))
+    late = revisions.Chain()
+    late.trimmed(2)
+    late.offer(2, records.encode(stale))
+    assert late.offer(3, records.encode(record(2, 1, "loser"))) is revisions.Verdict.PENDING
+    assert late.rules.revision == 1
+    late.offer(4, records.encode(chain.snapshot()))
+    assert (late.rules.publish_id, late.is_current) == ("winner", True)
+
+
+def test_records_between_a_snapshot_and_its_offset_are_replayed(chain):
+    offer(chain, record(1, 0, "p1"))
+    snapshot = chain.snapshot()
+    late = revisions.Chain()
+    late.trimmed(1)
+    late.offer(1, records.encode(record(2, 1, "p2")))
+    late.offer(2, records.encode(snapshot))
+    assert (late.rules.publish_id, late.settle("p2")) == ("p2", revisions.Settlement.WON)
+
+
+def test_peer_passes_the_head_on_and_an_older_one_changes_nothing(chain):
+    offer(chain, record(1, 0, "p1"))
+    older = chain.snapshot()
+    offer(chain, record(2, 1, "p2"))
+    reader = revisions.Chain()
+    assert reader.adopt(chain.snapshot()) is revisions.Verdict.ACCEPTED
+    assert reader.adopt(older) is revisions.Verdict.DUPLICATE
+    assert (reader.rules.revision, reader.next_offset, reader.is_current) == (2, 2, True)
+
+
+def test_snapshot_from_the_future_is_invalid(chain):
+    offer(chain, record(1, 0, "p1"))
+    future = chain.snapshot()
+    assert revisions.Chain().offer(0, records.encode(future)) is revisions.Verdict.INVALID
+
+
+def test_proposals_are_checked_before_they_reach_the_log(chain):
+    proposal = chain.propose(0, "p1", "ann", TEXT.format(1), 2.0)
+    assert offer(chain, proposal) == [revisions.Verdict.ACCEPTED]
+    with pytest.raises(errors.RevisionConflictError):
+        chain.propose(0, "p2", "bob", TEXT.format(2), 2.0)
+    with pytest.raises(faults.InvalidRulesError):
+        chain.propose(1, "p2", "bob", "nonsense", 2.0)
+    chain.trimmed(9)
+    with pytest.raises(errors.LogUnavailableError):
+        chain.propose(1, "p2", "bob", TEXT.format(2), 2.0)
+
+
+def random_log(rng: random.Random) -> list[bytes]:
+    """Write a log as several entries do, each with its own lag behind it."""
+    log: list[bytes] = []
+    entries = [revisions.Chain() for _ in range(3)]
+    for number in range(rng.randrange(5, 40)):
+        entry = rng.choice(entries)
+        while entry.next_offset < len(log) and rng.random() < 0.8:
+            entry.offer(entry.next_offset, log[entry.next_offset])
+        revision = entry.rules.revision
+        choice = rng.random()
+        if choice < 0.1:
+            log.append(b"garbage")
+        elif choice < 0.4:
+            log.append(records.encode(entry.snapshot()))
+        elif choice < 0.5:
+            log.append(records.encode(record(revision + 1, revision, f"p{number}", "bad")))
+        else:
+            log.append(records.encode(record(revision + 1, revision, f"p{number}")))
+    full = revisions.Chain()
+    for offset, data in enumerate(log):
+        full.offer(offset, data)
+    return [*log, records.encode(full.snapshot())]
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.integers(0, 2**32))
+def test_readers_that_start_anywhere_agree_on_the_head(seed):
+    log = random_log(random.Random(seed))
+    truth = revisions.Chain()
+    heads = []
+    for offset, data in enumerate(log):
+        truth.offer(offset, data)
+        heads.append(truth.rules)
+    for start in range(len(log)):
+        reader = revisions.Chain()
+        reader.trimmed(start)
+        risen_to = 0
+        for offset in range(start, len(log)):
+            reader.offer(offset, log[offset])
+            assert reader.rules.revision >= risen_to
+            risen_to = reader.rules.revision
+            if reader.is_current:
+                assert reader.rules == heads[offset]
+        assert reader.rules == truth.rules
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.integers(0, 2**32))
+def test_readers_that_miss_records_and_hear_peers_never_revert(seed):
+    rng = random.Random(seed)
+    log = random_log(rng)
+    truth = revisions.Chain()
+    snapshots = []
+    for offset, data in enumerate(log):
+        truth.offer(offset, data)
+        snapshots.append(truth.snapshot())
+    reader = revisions.Chain()
+    risen_to = 0
+    while reader.next_offset < len(log):
+        action = rng.random()
+        if action < 0.2:
+            reader.adopt(rng.choice(snapshots))
+        elif action < 0.3:
+            reader.trimmed(rng.randrange(len(log)))
+        else:
+            reader.offer(reader.next_offset, log[reader.next_offset])
+        assert reader.rules.revision >= risen_to
+        risen_to = reader.rules.revision
+        if reader.is_current and reader.next_offset:
+            expected = snapshots[reader.next_offset - 1].publish_id
+            assert reader.rules.publish_id == expected
+    assert reader.rules == truth.rules
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.binary()
+    | st.recursive(st.none() | st.integers() | st.floats() | st.text(), st.lists).map(
+        lambda value: repr(value).encode()
+    )
+)
+def test_no_bytes_raise_anything_but_the_typed_error_as_a_record(data):
+    with pytest.raises(faults.InvalidRecordError):
+        records.decode(data)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("revision", b"true"), ("parent", b"-1"), ("published_wall_s", b"1e999"), ("text", b"1")],
+)
+def test_record_with_a_field_of_the_wrong_type_is_refused(field, value):
+    good = records.encode(record(1, 0, "p"))
+    start = good.index(f'"{field}":'.encode()) + len(field) + 3
+    end = good.index(b',"', start)
+    with pytest.raises(faults.InvalidRecordError) as caught:
+        records.decode(good[:start] + value + good[end:])
+    assert caught.value.field == field
--- /dev/null
+++ b/libs/rules/tests/test_rules_file.py
@@ -0,0 +1,204 @@
+"""The rules file: faults with their places, canonical form, and no other error for any text."""
+
+import string
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from papayaspar_model import rulesets, work
+from papayaspar_rules import differences, faults, parsing, printing
+
+GOOD = """\
+# The photo service.
+
+retry default share=7.5% floor=2/s # asked by Ms. Sen; ticket #12
+team booths weight=8 # asked by Jalchhobi
+team albums weight=1\t# asked by  Jalchhobi
+guarantee g-booths team=booths tasks=2 accelerators=4 adjacency=rack count=2 # asked by A\r
+guarantee g2 count=1 adjacency=any accelerators=1 tasks=1 team=booths data-centre=dc1 # asked by A
+slots s-booths team=booths slots=6 # asked by A
+quota q-albums team=albums accelerators=16 # asked by A
+queue q1 urgency=batch depth=1000 # asked by A
+queue q2 urgency=batch depth=10 team=albums # asked by A
+"""
+
+FAULTS = [
+    ("team a weight=1", 16, "comment_missing"),
+    ("team a weight=1 # by me", 17, "comment_invalid"),
+    ("team a weight=1 # asked by", 17, "comment_invalid"),
+    ("tram a weight=1 # asked by A", 1, "kind_unknown"),
+    ("team # asked by A", 5, "name_missing"),
+    ("team weight=1 # asked by A", 14, "name_missing"),
+    ("team A weight=1 # asked by A", 6, "name_invalid"),
+    ("retry other share=1% floor=1/s # asked by A", 7, "name_invalid"),
+    ("team a weight=1 size=2 # asked by A", 17, "key_unknown"),
+    ("team a weight=1 weight=2 # asked by A", 17, "key_duplicate"),
+    ("team a # asked by A", 7, "key_missing"),
+    ("team a weight=1 size # asked by A", 17, "pair_invalid"),
+    ("team a weight=0 # asked by A", 15, "out_of_range"),
+    ("team a weight=-1 # asked by A", 15, "value_invalid"),
+    ("team a weight=1.5 # asked by A", 15, "value_invalid"),
+    ("team a weight=1% # asked by A", 15, "unit_wrong"),
+    ("team a weight=٣ # asked by A", 15, "value_invalid"),
+    ("retry default share=10 floor=1/s # asked by A", 21, "unit_missing"),
+    ("retry default share=10% floor=1/min # asked by A", 31, "unit_wrong"),
+    ("retry default share=101% floor=1/s # asked by A", 21, "out_of_range"),
+    ("queue q urgency=soon depth=1 # asked by A", 17, "value_invalid"),
+    ("slots s team=ghost slots=1 # asked by A", 14, "team_unknown"),
+]
+
+NAMES = st.text(string.ascii_lowercase + string.digits, min_size=1, max_size=8)
+LETTERS = st.characters(exclude_categories=("C", "Z"), include_characters=" #=")
+ASKERS = st.text(LETTERS, min_size=1, max_size=20).map(str.strip).filter(bool)
+SHARES = st.integers(0, 10**6).map(lambda number: number / 10**6)
+RATES = st.integers(0, 10**6).map(lambda number: number / 10**3)
+CEILINGS = st.none() | st.integers(10**6, 10**7)
+
+
+def fault_of(text: str) -> list[tuple[int, int, str]]:
+    with pytest.raises(faults.InvalidRulesError) as caught:
+        parsing.parse(text)
+    return [(fault.line, fault.column, fault.code) for fault in caught.value.faults]
+
+
+@st.composite
+def rulesets_of_any_size(draw):
+    """Draw rules that a file could hold."""
+
+    def each(build):
+        names = draw(st.lists(NAMES, unique=True, max_size=4))
+        return tuple(build(name) for name in sorted(names))
+
+    teams = each(lambda name: rulesets.Team(name, draw(st.integers(1, 10**6)), draw(ASKERS)))
+    if not teams:
+        return printing.with_text(rulesets.RuleSet())
+    team = st.sampled_from([item.name for item in teams])
+    shape = st.builds(
+        work.Shape, st.integers(1, 8), st.integers(1, 8), st.sampled_from(work.Adjacency)
+    )
+
+    def guarantee(name):
+        place = draw(st.none() | NAMES)
+        count = draw(st.integers(1, 100))
+        return rulesets.Guarantee(name, draw(team), draw(shape), count, place, draw(ASKERS))
+
+    quotas = []
+    for item in teams:
+        ceilings = (draw(CEILINGS), draw(CEILINGS))
+        if ceilings != (None, None):
+            quotas.append(rulesets.Quota(item.name, item.name, *ceilings, draw(ASKERS)))
+    limits = []
+    for urgency in work.Urgency:
+        depth = draw(st.integers(0, 10**6))
+        limits.append(rulesets.QueueLimit(urgency.value, urgency, depth, None, draw(ASKERS)))
+    limits.sort(key=lambda limit: limit.name)
+    budget = rulesets.RetryBudget("default", draw(SHARES), draw(RATES), draw(ASKERS))
+    return printing.with_text(
+        rulesets.RuleSet(
+            teams=teams,
+            guarantees=each(guarantee),
+            slot_guarantees=each(
+                lambda name: rulesets.SlotGuarantee(
+                    name, draw(team), draw(st.integers(1, 1000)), draw(ASKERS)
+                )
+            ),
+            quotas=tuple(quotas),
+            queue_limits=tuple(limits),
+            retry_budget=draw(st.sampled_from([budget, rulesets.RetryBudget()])),
+        )
+    )
+
+
+def test_good_file_is_read_into_sorted_rules():
+    rules = parsing.parse(GOOD)
+    assert [team.name for team in rules.teams] == ["albums", "booths"]
+    assert rules.guarantees[1].shape == work.Shape(1, 1, work.Adjacency.ANY)
+    assert rules.guarantees[1].data_centre == "dc1"
+    assert rules.retry_budget == rulesets.RetryBudget("default", 0.075, 2.0, "Ms. Sen; ticket #12")
+    assert "share=7.5% floor=2/s # asked by Ms. Sen; ticket #12\n" in rules.text
+
+
+@pytest.mark.parametrize(("line", "column", "code"), FAULTS)
+def test_fault_names_its_line_column_and_code(line, column, code):
+    assert fault_of(f"\n{line}\n") == [(2, column, code)]
+
+
+def test_all_faults_of_a_file_are_named_at_once():
+    text = (
+        "team a weight=0 size=1\nteam b weight=1 # asked by A\nslots s team=c slots=6s # asked by A"
+    )
+    assert [code for _, _, code in fault_of(text)] == [
+        "out_of_range",
+        "key_unknown",
+        "comment_missing",
+        "unit_wrong",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("second", "column", "code"),
+    [
+        ("team booths weight=2 # asked by A", 6, "name_duplicate"),
+        ("quota q2 team=albums slots=1 # asked by A", 1, "rule_duplicate"),
+        ("queue q9 urgency=batch depth=1 # asked by A", 1, "rule_duplicate"),
+        ("quota q3 team=booths slots=5 # asked by A", 1, "quota_below_guarantee"),
+        ("quota q3 team=booths accelerators=16 # asked by A", 1, "quota_below_guarantee"),
+    ],
+)
+def test_rules_that_contradict_each_other_are_refused(second, column, code):
+    assert fault_of(GOOD + second) == [(12, column, code)]
+
+
+def test_rules_without_asker_cannot_be_printed():
+    with pytest.raises(faults.UnprintableRulesError):
+        printing.print_rules(rulesets.RuleSet(teams=(rulesets.Team("a"),)))
+
+
+def test_changes_name_new_gone_and_altered_rules():
+    before = parsing.parse("team a weight=1 # asked by A\nteam b weight=1 # asked by A")
+    after = parsing.parse("team b weight=2 # asked by A\nteam c weight=1 # asked by A")
+    found = [(change.before, change.after) for change in differences.changes(before, after)]
+    assert found == [
+        ("team a weight=1 # asked by A", None),
+        ("team b weight=1 # asked by A", "team b weight=2 # asked by A"),
+        (None, "team c weight=1 # asked by A"),
+    ]
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(rulesets_of_any_size())
+def test_printed_rules_read_back_the_same(rules):
+    assert parsing.parse(rules.text) == rules
+
+
+WORDS = st.sampled_from(
+    [*"#= \t\n\r%/0.", "team", "retry", "default", "share=", "weight=", "1/s", "# asked by A", "="]
+)
+
+
+@settings(derandomize=True, max_examples=500, deadline=None)
+@given(st.text() | st.lists(WORDS | st.text(max_size=4), max_size=30).map("".join))
+def test_no_text_raises_anything_but_the_typed_error(text):
+    try:
+        rules = parsing.parse(text)
+    except faults.InvalidRulesError as error:
+        assert error.faults
+        return
+    assert parsing.parse(rules.text) == rules
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary())
+def test_no_bytes_raise_anything_but_the_typed_error(data):
+    try:
+        parsing.parse_bytes(data)
+    except faults.InvalidRulesError as error:
+        assert error.faults
+
+
+def test_bytes_that_are_not_utf8_name_their_place():
+    with pytest.raises(faults.InvalidRulesError) as caught:
+        parsing.parse_bytes(b"# a\n  \xff")
+    fault = caught.value.faults[0]
+    assert (fault.line, fault.column, fault.code) == (2, 3, "encoding_invalid")
