Add message streams between processes, and typed events with a time line

Cause: the path from caller to target needs streams and a record of what happened. Change: msgpack frames with calls, notices, pings and a silence limit (papayaspar_wire); events as key=value lines, stamped by a hybrid logical clock carried on every frame (papayaspar_events). Conclusion: base for entry and agent.

--- /dev/null
+++ b/libs/events/src/papayaspar_events/metrics.py
@@ -0,0 +1,50 @@
+"""Prometheus metrics of a process, in base units, with bounded label sets."""
+
+import prometheus_client
+from prometheus_client import exposition
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 7.3, 15.0, 60.0)
+
+
+class Metrics:
+    """The metrics of one process, in a registry of its own."""
+
+    content_type = exposition.CONTENT_TYPE_LATEST
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._events = prometheus_client.Counter(
+            "papayaspar_events",
+            "Events by kind and error code.",
+            ("event", "code"),
+            registry=self._registry,
+        )
+        self._latency = prometheus_client.Histogram(
+            "papayaspar_request_duration_seconds",
+            "Time from a request's arrival to its answer.",
+            ("urgency",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._gauges = prometheus_client.Gauge(
+            "papayaspar_state",
+            "Sizes of the process's state: workers, slots, queues, revision, short guarantees.",
+            ("name",),
+            registry=self._registry,
+        )
+
+    def count_event(self, kind: str, code: str) -> None:
+        """Count an event."""
+        self._events.labels(kind, code).inc()
+
+    def observe_request(self, urgency: str, duration_s: float) -> None:
+        """Record how long a request took."""
+        self._latency.labels(urgency).observe(duration_s)
+
+    def set_state(self, name: str, value: float) -> None:
+        """Set the size of a part of the state."""
+        self._gauges.labels(name).set(value)
+
+    def exposition(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
--- a/libs/model/src/papayaspar_model/__init__.py
+++ b/libs/model/src/papayaspar_model/__init__.py
@@ -5,6 +5,6 @@
     from papayaspar_model import errors, work
 """
 
-from papayaspar_model import clock, errors, identifiers, rulesets, work, workers
+from papayaspar_model import causality, clock, errors, identifiers, rulesets, work, workers
 
-__all__ = ["clock", "errors", "identifiers", "rulesets", "work", "workers"]
+__all__ = ["causality", "clock", "errors", "identifiers", "rulesets", "work", "workers"]
--- /dev/null
+++ b/libs/wire/src/papayaspar_wire/codecs.py
@@ -0,0 +1,84 @@
+"""Encoding of typed messages as msgpack maps."""
+
+import enum
+from typing import cast
+
+import attrs
+import cattrs
+import msgpack
+from cattrs.preconf import msgpack as cattrs_msgpack
+
+from papayaspar_model import errors
+
+MESSAGE_MAX_BYTES = 4 * 1024 * 1024
+
+
+class FrameKind(enum.Enum):
+    """What a frame is for."""
+
+    CALL = "c"
+    REPLY = "r"
+    FAILURE = "f"
+    NOTICE = "n"
+    PING = "p"
+    PONG = "o"
+
+
+@attrs.frozen
+class Frame:
+    """One message on a stream.
+
+    :param kind: what it is for.
+    :param call_id: ties a reply to its call; 0 for notices.
+    :param stamp: the sender's hybrid clock.
+    :param message: the typed message, or ``None`` for pings.
+    """
+
+    kind: FrameKind
+    call_id: int
+    stamp: int
+    message: object | None = None
+
+
+class Codec:
+    """Packs and unpacks frames whose messages are of known types.
+
+    :param message_types: every ``attrs`` class that may travel.
+    """
+
+    def __init__(self, message_types: tuple[type, ...]) -> None:
+        self._types = {message_type.__name__: message_type for message_type in message_types}
+        self._converter = cattrs_msgpack.make_converter()
+
+    def pack(self, frame: Frame) -> bytes:
+        """Return the bytes of a frame.
+
+        :raises ProtocolError: when the message is of an unknown type or too large.
+        """
+        name = type(frame.message).__name__ if frame.message is not None else ""
+        if name and name not in self._types:
+            raise errors.ProtocolError(f"no message type {name}")
+        body = self._converter.unstructure(frame.message)
+        fields = [frame.kind.value, frame.call_id, frame.stamp, name, body]
+        data = cast(bytes, msgpack.packb(fields))
+        if len(data) > MESSAGE_MAX_BYTES:
+            raise errors.ProtocolError(f"{name} is {len(data)} bytes, over {MESSAGE_MAX_BYTES}")
+        return data
+
+    def unpacker(self) -> msgpack.Unpacker:
+        """Return a buffer for one stream, bounded in memory."""
+        return msgpack.Unpacker(max_buffer_size=MESSAGE_MAX_BYTES, strict_map_key=False)
+
+    def structure(self, fields: object) -> Frame:
+        """Return the frame that unpacked fields describe.
+
+        :raises ProtocolError: when they describe none.
+        """
+        try:
+            kind, call_id, stamp, name, body = cast(tuple[str, int, int, str, object], fields)
+            if not name:
+                return Frame(FrameKind(kind), call_id, stamp)
+            message: object = self._converter.structure(body, self._types[name])
+        except (cattrs.BaseValidationError, KeyError, TypeError, ValueError) as error:
+            raise errors.ProtocolError(f"not a frame: {type(error).__name__}") from error
+        return Frame(FrameKind(kind), call_id, stamp, message)
--- /dev/null
+++ b/libs/wire/src/papayaspar_wire/transports.py
@@ -0,0 +1,112 @@
+"""TCP connections by IP number, with TLS where settings ask for it."""
+
+import ssl
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+import attrs
+from anyio.streams import tls as tls_streams
+
+from papayaspar_model import errors
+
+CONNECT_TIMEOUT_S = 3.0
+
+
+@attrs.frozen
+class Address:
+    """Where a process listens.
+
+    :param host: IP number.
+    :param port: TCP port; 0 lets the system choose when listening.
+    """
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Return the address written as ``ip:port``, checked by the settings before."""
+        host, _, port = text.rpartition(":")
+        return cls(host.strip("[]"), int(port))
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+@attrs.frozen
+class TlsFiles:
+    """Files for mutual TLS on the streams.
+
+    :param certificate: path of the certificate chain, PEM.
+    :param key: path of its private key, PEM.
+    :param authority: path of the authority that peers must be signed by, PEM.
+    """
+
+    certificate: str
+    key: str
+    authority: str
+
+    def context(self, purpose: ssl.Purpose) -> ssl.SSLContext:
+        """Return a context that demands a certificate of the peer."""
+        context = ssl.create_default_context(purpose, cafile=self.authority)
+        context.load_cert_chain(self.certificate, self.key)
+        context.verify_mode = ssl.CERT_REQUIRED
+        return context
+
+
+async def connect(address: Address, tls: TlsFiles | None = None) -> anyio.abc.ByteStream:
+    """Open a stream to a peer.
+
+    :param address: where it listens.
+    :param tls: files for mutual TLS, or ``None`` for plain TCP.
+    :raises PeerError: when no connection is made in time; nothing was sent.
+    """
+    context = tls.context(ssl.Purpose.SERVER_AUTH) if tls is not None else None
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            if context is None:
+                return await anyio.connect_tcp(address.host, address.port)
+            return await anyio.connect_tcp(
+                address.host, address.port, ssl_context=context, tls_hostname=address.host
+            )
+    except (OSError, TimeoutError, ssl.SSLError) as error:
+        raise errors.PeerError(f"no connection to {address}: {type(error).__name__}") from error
+
+
+class Listener:
+    """A bound listening socket.
+
+    :param listener: the socket, wrapped in TLS if asked for.
+    :param address: where it really listens.
+    """
+
+    def __init__(
+        self, listener: anyio.abc.Listener[anyio.abc.ByteStream], address: Address
+    ) -> None:
+        self._listener = listener
+        self.address = address
+
+    async def serve(self, handle: Callable[[anyio.abc.ByteStream], Awaitable[None]]) -> None:
+        """Run ``handle`` in a task of its own for each connection, until cancelled."""
+        await self._listener.serve(handle)
+
+    async def aclose(self) -> None:
+        """Stop listening."""
+        await self._listener.aclose()
+
+
+async def listen(address: Address, tls: TlsFiles | None = None) -> Listener:
+    """Bind a listening socket.
+
+    :param address: where; port 0 lets the system choose.
+    :param tls: files for mutual TLS, or ``None`` for plain TCP.
+    """
+    multi = await anyio.create_tcp_listener(local_host=address.host, local_port=address.port)
+    port = multi.extra(anyio.abc.SocketAttribute.local_port)
+    bound = Address(address.host, port)
+    if tls is None:
+        return Listener(multi, bound)
+    context = tls.context(ssl.Purpose.CLIENT_AUTH)
+    wrapped = tls_streams.TLSListener(multi, context, standard_compatible=False)
+    return Listener(wrapped, bound)
