Add the stand-ins for log, runtime and target, and their HTTP clients

Cause: nothing could run end to end without the platform. Change: MemoryLog and MemoryRuntime carry semantics and faults; the HTTP services are thin fronts over them; HttpLog and HttpRuntime raise typed errors whose ran is no only when the connection was not made or the service itself said so. Conclusion: clients and stand-ins agree on records, leases, caps, lost answers and refusals.

--- a/libs/standin/src/papayaspar_standin/__init__.py
+++ b/libs/standin/src/papayaspar_standin/__init__.py
@@ -1,1 +1,5 @@
 """Stand-ins for the platform, for tests and first looks."""
+
+from papayaspar_standin import faults, memory_logs, memory_runtimes, serving, targets
+
+__all__ = ["faults", "memory_logs", "memory_runtimes", "serving", "targets"]
--- /dev/null
+++ b/libs/standin/src/papayaspar_standin/log_apps.py
@@ -0,0 +1,90 @@
+"""The log service over HTTP."""
+
+import base64
+import binascii
+
+from starlette import applications, requests, responses, routing
+
+from papayaspar_model import errors
+from papayaspar_standin import bodies, faults, memory_logs
+
+READ_WAIT_MAX_S = 30.0
+
+
+class LogApp:
+    """Routes of the log service over one log in memory.
+
+    :param log: where the records are.
+    """
+
+    def __init__(self, log: memory_logs.MemoryLog) -> None:
+        self.log = log
+
+    def asgi(self) -> applications.Starlette:
+        """Return the ASGI application."""
+        records = "/streams/{stream}/records"
+        return applications.Starlette(
+            routes=[
+                routing.Route(records, bodies.guard(self.append), methods=["POST"]),
+                routing.Route(records, bodies.guard(self.read), methods=["GET"]),
+                routing.Route("/streams/{stream}/trim", bodies.guard(self.trim), methods=["POST"]),
+                routing.Route("/faults", bodies.guard(self.set_faults), methods=["POST"]),
+            ]
+        )
+
+    async def append(self, request: requests.Request) -> responses.Response:
+        """Answer ``POST /streams/{stream}/records``."""
+        body = await bodies.read_body(request)
+        records = tuple(_decode(item) for item in body.items("records"))
+        if not records:
+            raise errors.InvalidRequestError("records must not be empty", field="records")
+        offset = await self.log.append(request.path_params["stream"], records)
+        return responses.JSONResponse({"offset": offset})
+
+    async def read(self, request: requests.Request) -> responses.Response:
+        """Answer ``GET /streams/{stream}/records?offset=&wait_s=``."""
+        offset = int(_query_number(request, "offset"))
+        wait_s = min(_query_number(request, "wait_s"), READ_WAIT_MAX_S)
+        page = await self.log.read(request.path_params["stream"], offset, wait_s)
+        records = [base64.b64encode(record.data).decode("ascii") for record in page.records]
+        return responses.JSONResponse(
+            {
+                "first_offset": page.first_offset,
+                "next_offset": page.next_offset,
+                "records": records,
+            }
+        )
+
+    async def trim(self, request: requests.Request) -> responses.Response:
+        """Answer ``POST /streams/{stream}/trim``."""
+        body = await bodies.read_body(request)
+        self.log.trim(request.path_params["stream"], int(body.number("before_offset")))
+        return responses.JSONResponse({})
+
+    async def set_faults(self, request: requests.Request) -> responses.Response:
+        """Answer ``POST /faults``; fields left out are switched off."""
+        body = await bodies.read_body(request)
+        self.log.faults = faults.LogFaults(
+            down=body.flag("down", False),
+            slow_s=body.number("slow_s", 0.0),
+            answer_lost=body.flag("answer_lost", False),
+        )
+        return responses.JSONResponse({})
+
+
+def _decode(item: object) -> bytes:
+    """Return the bytes of one record."""
+    if not isinstance(item, str):
+        raise errors.InvalidRequestError("a record must be base64 text", field="records")
+    try:
+        return base64.b64decode(item, validate=True)
+    except binascii.Error:
+        raise errors.InvalidRequestError("a record is not base64", field="records") from None
+
+
+def _query_number(request: requests.Request, name: str) -> float:
+    """Return a number of the query, 0 when it is left out."""
+    try:
+        return float(request.query_params.get(name, "0"))
+    except ValueError:
+        raise errors.InvalidRequestError(f"{name} must be a number", field=name) from None
--- /dev/null
+++ b/libs/standin/src/papayaspar_standin/worker_apps.py
@@ -0,0 +1,186 @@
+"""One worker over HTTP: its runtime and its target."""
+
+import json
+from collections.abc import AsyncIterator
+
+import attrs
+from starlette import applications, requests, responses, routing
+
+from papayaspar_model import errors
+from papayaspar_platform import runtimes
+from papayaspar_standin import bodies, faults, memory_runtimes, targets
+
+REQUEST_ID_HEADER = "x-request-id"
+KEY_HEADER = "idempotency-key"
+
+
+class WorkerApp:
+    """Routes of one worker.
+
+    :param runtime: runs the tasks of gangs.
+    :param target: runs requests.
+    """
+
+    def __init__(self, runtime: memory_runtimes.MemoryRuntime, target: targets.Target) -> None:
+        self.runtime = runtime
+        self.target = target
+
+    def asgi(self) -> applications.Starlette:
+        """Return the ASGI application."""
+        posts = {
+            "/run": self.run,
+            "/tasks": self.prepare,
+            "/tasks/{task_id}/start": self.start,
+            "/tasks/{task_id}/renew": self.renew,
+            "/tasks/{task_id}/throttle": self.throttle,
+            "/tasks/{task_id}/checkpoint": self.checkpoint,
+            "/tasks/{task_id}/stop": self.stop,
+            "/faults": self.set_faults,
+        }
+        gets = {
+            "/tasks/{task_id}": self.status,
+            "/runs": self.runs,
+            "/counts": self.counts,
+            "/healthz": self.health,
+        }
+        routes = [
+            routing.Route(path, bodies.guard(handler), methods=["POST"])
+            for path, handler in posts.items()
+        ]
+        routes += [
+            routing.Route(path, bodies.guard(handler), methods=["GET"])
+            for path, handler in gets.items()
+        ]
+        return applications.Starlette(routes=routes)
+
+    async def run(self, request: requests.Request) -> responses.Response:
+        """Answer ``POST /run``: echo the payload and the request id."""
+        request_id = request.headers.get(REQUEST_ID_HEADER, "")
+        key = request.headers.get(KEY_HEADER, "")
+        payload = await request.body()
+        await self.target.run(request_id, key, _service_ms(payload))
+        text = payload.decode("utf-8", "replace") or "null"
+        data = f'{{"request_id": {json.dumps(request_id)}, "payload": {text}}}'.encode()
+        if self.target.faults.cut_body:
+            return _cut_answer(data)
+        return responses.Response(data, media_type="application/json")
+
+    async def prepare(self, request: requests.Request) -> responses.Response:
+        """Answer ``POST /tasks``."""
+        body = await bodies.read_body(request)
+        accelerators: list[int] = []
+        for item in body.items("accelerators"):
+            if not isinstance(item, int):
+                raise errors.InvalidRequestError("not a number", field="accelerators")
+            accelerators.append(item)
+        spec = runtimes.TaskSpec(
+            task_id=body.text("task_id"),
+            job_id=body.text("job_id"),
+            attempt=int(body.number("attempt")),
+            task=int(body.number("task")),
+            team=body.text("team"),
+            accelerators=tuple(accelerators),
+            run_time_s=body.number("run_time_s"),
+        )
+        await self.runtime.prepare(spec)
+        return responses.JSONResponse({})
+
+    async def start(self, request: requests.Request) -> responses.Response:
+        """Answer ``POST /tasks/{task_id}/start``."""
+        body = await bodies.read_body(request)
+        await self.runtime.start(_task_id(request), body.number("lease_until_s"))
+        return responses.JSONResponse({})
+
+    async def renew(self, request: requests.Request) -> responses.Response:
+        """Answer ``POST /tasks/{task_id}/renew``."""
+        body = await bodies.read_body(request)
+        return _status_answer(
+            await self.runtime.renew(_task_id(request), body.number("lease_until_s"))
+        )
+
+    async def throttle(self, request: requests.Request) -> responses.Response:
+        """Answer ``POST /tasks/{task_id}/throttle``."""
+        body = await bodies.read_body(request)
+        await self.runtime.throttle(_task_id(request), body.number("share_ratio"))
+        return responses.JSONResponse({})
+
+    async def checkpoint(self, request: requests.Request) -> responses.Response:
+        """Answer ``POST /tasks/{task_id}/checkpoint``."""
+        saved_s = await self.runtime.checkpoint(_task_id(request))
+        return responses.JSONResponse({"checkpoint_s": saved_s})
+
+    async def stop(self, request: requests.Request) -> responses.Response:
+        """Answer ``POST /tasks/{task_id}/stop``."""
+        await self.runtime.stop(_task_id(request))
+        return responses.JSONResponse({})
+
+    async def status(self, request: requests.Request) -> responses.Response:
+        """Answer ``GET /tasks/{task_id}``."""
+        return _status_answer(await self.runtime.status(_task_id(request)))
+
+    async def runs(self, request: requests.Request) -> responses.Response:
+        """Answer ``GET /runs``: each run of a task, ``stopped_s`` null while it runs."""
+        listed: list[dict[str, object]] = []
+        for run in self.runtime.runs():
+            fields = attrs.asdict(run)
+            if run.stopped_s == float("inf"):
+                fields["stopped_s"] = None
+            listed.append(fields)
+        return responses.JSONResponse({"runs": listed})
+
+    async def counts(self, request: requests.Request) -> responses.Response:
+        """Answer ``GET /counts``."""
+        return responses.JSONResponse(attrs.asdict(self.target.counts))
+
+    async def health(self, request: requests.Request) -> responses.Response:
+        """Answer ``GET /healthz``."""
+        return responses.JSONResponse({"status": "ok"})
+
+    async def set_faults(self, request: requests.Request) -> responses.Response:
+        """Answer ``POST /faults``; fields left out are switched off."""
+        body = await bodies.read_body(request)
+        switched = faults.WorkerFaults(
+            fail=body.flag("fail", False),
+            slow_s=body.number("slow_s", 0.0),
+            hang=body.flag("hang", False),
+            cut_body=body.flag("cut_body", False),
+        )
+        self.runtime.faults = switched
+        self.target.faults = switched
+        return responses.JSONResponse({})
+
+
+def _task_id(request: requests.Request) -> str:
+    """Return the task named in the path."""
+    return str(request.path_params["task_id"])
+
+
+def _service_ms(payload: bytes) -> float | None:
+    """Return the service time that a payload declares."""
+    try:
+        return bodies.parse_body(payload).number("service_ms")
+    except errors.InvalidRequestError:
+        return None
+
+
+def _status_answer(status: runtimes.TaskStatus) -> responses.Response:
+    """Return a task's status as JSON."""
+    return responses.JSONResponse(
+        {
+            "task_id": status.task_id,
+            "state": status.state.value,
+            "ran_s": status.ran_s,
+            "checkpoint_s": status.checkpoint_s,
+        }
+    )
+
+
+def _cut_answer(data: bytes) -> responses.Response:
+    """Return an answer that ends in the middle of its body."""
+
+    async def first_half() -> AsyncIterator[bytes]:
+        yield data[: len(data) // 2]
+        raise errors.TargetError("the body is cut")
+
+    headers = {"content-length": str(len(data))}
+    return responses.StreamingResponse(first_half(), media_type="application/json", headers=headers)
--- /dev/null
+++ b/libs/standin/tests/conftest.py
@@ -0,0 +1,48 @@
+"""Fixtures: stand-ins served over HTTP on loopback."""
+
+import contextlib
+
+import anyio
+import attrs
+import httpx
+import pytest
+
+from papayaspar_platform import http_logs, http_runtimes
+from papayaspar_standin import memory_logs, memory_runtimes, serving, targets
+
+LOOPBACK = "127.0.0.1:0"
+
+
+@attrs.define
+class Stage:
+    """A log and a worker that are served, with clients of both."""
+
+    log: memory_logs.MemoryLog
+    log_client: http_logs.HttpLog
+    runtime: memory_runtimes.MemoryRuntime
+    runtime_client: http_runtimes.HttpRuntime
+    target: targets.Target
+    caller: httpx.AsyncClient
+
+
+@pytest.fixture
+def serve():
+    """Return an async context that serves a log and a worker."""
+
+    @contextlib.asynccontextmanager
+    async def served(**log_options):
+        stopping = anyio.Event()
+        log = memory_logs.MemoryLog(**log_options)
+        runtime, target = memory_runtimes.MemoryRuntime(usage_lag_s=0.0), targets.Target()
+        async with anyio.create_task_group() as tasks:
+            log_at = await tasks.start(serving.serve_log, LOOPBACK, log, stopping)
+            worker_at = await tasks.start(serving.serve_worker, LOOPBACK, runtime, target, stopping)
+            async with httpx.AsyncClient(base_url=f"http://{worker_at}", trust_env=False) as caller:
+                log_client = http_logs.HttpLog(log_at, client_timeout_s=0.3)
+                runtime_client = http_runtimes.HttpRuntime(worker_at, client_timeout_s=0.3)
+                yield Stage(log, log_client, runtime, runtime_client, target, caller)
+                await log_client.close()
+                await runtime_client.close()
+            stopping.set()
+
+    return served
