Serve a request end to end over separate processes

Cause: the whole path comes first. Change: entry (HTTP to callers and operators, a view of the workers, attempts), agent (a stream to each entry, request slots, HTTP to its target), HTTP listeners with bounded bodies and problem documents, programs with checked settings, and a fixture that starts them as processes on loopback.

--- /dev/null
+++ b/libs/agent/src/papayaspar_agent/process.py
@@ -0,0 +1,172 @@
+"""The agent as a whole: one task for each entry it announces its worker to."""
+
+import random
+
+import anyio
+import anyio.abc
+
+from papayaspar_agent import config, reports, requests, targets
+from papayaspar_events import journal, lines, metrics
+from papayaspar_model import causality, clock, errors, workers
+from papayaspar_settings import daemons
+from papayaspar_slots import ledger
+from papayaspar_wire import messages, peers, transports
+
+REPORT_SPACING_S = 0.02
+RECONNECT_MIN_S = 0.1
+RECONNECT_MAX_S = 2.0
+HELLO_TIMEOUT_S = 3.0
+DRAIN_NOTICE_S = 0.5
+
+
+class AgentHandler(peers.Handler):
+    """Answers the calls of entries.
+
+    :param runner: runs requests.
+    :param agent: the agent as a whole.
+    """
+
+    def __init__(self, runner: requests.RequestRunner, agent: "Agent") -> None:
+        self._runner = runner
+        self._agent = agent
+
+    async def call(self, peer: peers.Peer, message: object) -> object:
+        """Answer one call of an entry."""
+        if isinstance(message, messages.RunRequest):
+            return await self._runner.run(message)
+        if isinstance(message, messages.DrainWorker):
+            self._agent.drain()
+            return messages.Done()
+        if isinstance(message, messages.EventsWanted):
+            return self._agent.newest_events(message.limit)
+        raise errors.ProtocolError(f"an agent does not answer {type(message).__name__}")
+
+    async def notice(self, peer: peers.Peer, message: object) -> None:
+        """Take one notice of an entry."""
+        if isinstance(message, messages.CancelRequest):
+            self._runner.cancel(message)
+        if isinstance(message, messages.EntriesChanged):
+            self._agent.learn_entries(message.entries)
+
+
+class Agent(daemons.Daemon):
+    """One agent beside one target.
+
+    :param settings: checked settings.
+    :param target: client of the target; HTTP by the settings when left out.
+    :param clock_source: clock of the machine.
+    """
+
+    def __init__(
+        self,
+        settings: config.AgentConfig,
+        target: targets.Target | None = None,
+        clock_source: clock.Clock | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock_source or clock.BootClock()
+        stamps = causality.HybridClock(self._clock)
+        self._journal = journal.Journal(
+            settings.worker, settings.data_centre, stamps, metrics.Metrics()
+        )
+        self._ledger = ledger.Ledger(settings.worker, settings.capacity, self._clock)
+        self._signal = reports.ReportSignal()
+        self._target = target or targets.HttpTarget(settings.target, settings.capacity.connections)
+        self._runner = requests.RequestRunner(
+            self._ledger, self._target, self._clock, self._journal, self._signal
+        )
+        self._handler = AgentHandler(self._runner, self)
+        self._codec = messages.codec()
+        self._known_entries: set[str] = set()
+        self._group: anyio.abc.TaskGroup | None = None
+        self._stopping = anyio.Event()
+
+    async def run(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until :meth:`stop`, then until the requests in progress are finished."""
+        self._journal.record(lines.EventKind.PROCESS_STARTED, worker=self._settings.worker)
+        async with anyio.create_task_group() as group:
+            self._group = group
+            self.learn_entries(tuple(str(address) for address in self._settings.entries))
+            task_status.started()
+            await self._stopping.wait()
+            await self._finish()
+            group.cancel_scope.cancel()
+        await self._target.aclose()
+        self._journal.record(lines.EventKind.PROCESS_STOPPED, worker=self._settings.worker)
+
+    def stop(self) -> None:
+        """Drain and leave once the work in progress is done."""
+        self._journal.record(lines.EventKind.PROCESS_STOPPING, worker=self._settings.worker)
+        self.drain()
+        self._stopping.set()
+
+    def drain(self) -> None:
+        """Refuse new work from this moment and say so to every entry."""
+        self._ledger.drain()
+        self._signal.changed()
+        self._journal.record(lines.EventKind.WORKER_DRAINING, worker=self._settings.worker)
+
+    def newest_events(self, limit: int) -> messages.EventLines:
+        """Return the newest events of this process as lines."""
+        events = self._journal.newest(limit)
+        return messages.EventLines(tuple(lines.to_line(event) for event in events))
+
+    def learn_entries(self, addresses: tuple[str, ...]) -> None:
+        """Hold a stream to each entry, one task each.
+
+        :param addresses: ``ip:port`` of the entries.
+        """
+        if self._group is None:
+            return
+        for address in addresses:
+            if address in self._known_entries:
+                continue
+            self._known_entries.add(address)
+            self._group.start_soon(self._keep_entry, transports.Address.parse(address))
+
+    def report(self) -> workers.WorkerReport:
+        """Return the worker as it stands."""
+        return workers.WorkerReport(
+            identity=self._settings.identity,
+            capacity=self._settings.capacity,
+            sequence=self._signal.sequence,
+            busy_slots=self._ledger.slots.busy,
+            draining=self._ledger.draining,
+            agent_address=str(self._settings.listen),
+        )
+
+    async def _keep_entry(self, address: transports.Address) -> None:
+        wait_s = RECONNECT_MIN_S
+        while True:
+            try:
+                stream = await transports.connect(address, self._settings.tls)
+                wait_s = RECONNECT_MIN_S
+                await self._talk_to_entry(stream)
+                self._journal.record(lines.EventKind.PEER_LOST, detail=f"entry {address}")
+            except errors.PapayasparError as error:
+                self._journal.record(
+                    lines.EventKind.PEER_LOST, code=error.code, detail=f"entry {address}"
+                )
+            await anyio.sleep(wait_s * random.uniform(0.5, 1.0))
+            wait_s = min(wait_s * 2, RECONNECT_MAX_S)
+
+    async def _talk_to_entry(self, stream: anyio.abc.ByteStream) -> None:
+        stamps = self._journal.stamps
+        async with peers.connected(stream, self._codec, self._handler, stamps) as peer:
+            sent = self._signal.sequence
+            reply = await peer.call(messages.Hello(self.report()), HELLO_TIMEOUT_S)
+            welcome = messages.expect(reply, messages.Welcome)
+            self._journal.record(lines.EventKind.PEER_CONNECTED, detail=welcome.process)
+            self.learn_entries(welcome.entries)
+            while True:
+                sent = await self._signal.wait_beyond(sent)
+                await peer.notify(messages.Report(self.report()))
+                await anyio.sleep(REPORT_SPACING_S)
+
+    async def _finish(self) -> None:
+        with anyio.move_on_after(self._settings.grace_s):
+            # Entries learn of the drain before the last stream closes.
+            await anyio.sleep(DRAIN_NOTICE_S)
+            await self._runner.wait_idle()
--- /dev/null
+++ b/libs/agent/src/papayaspar_agent/requests.py
@@ -0,0 +1,110 @@
+"""Requests on the agent: a slot, the target, the answer."""
+
+import contextlib
+from collections.abc import Iterator
+
+import anyio
+
+from papayaspar_agent import reports, targets
+from papayaspar_events import journal, lines
+from papayaspar_model import clock, errors
+from papayaspar_slots import ledger
+from papayaspar_wire import messages
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class RequestRunner:
+    """Runs attempts of requests on the target, each in a slot of the ledger.
+
+    :param slots: the worker's ledger.
+    :param target: client of the target.
+    :param clock_source: clock of the machine.
+    :param record: the process's journal.
+    :param signal: told when a slot is taken or freed.
+    """
+
+    def __init__(
+        self,
+        slots: ledger.Ledger,
+        target: targets.Target,
+        clock_source: clock.Clock,
+        record: journal.Journal,
+        signal: reports.ReportSignal,
+    ) -> None:
+        self._ledger = slots
+        self._target = target
+        self._clock = clock_source
+        self._journal = record
+        self._signal = signal
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    async def run(self, request: messages.RunRequest) -> messages.RequestAnswer:
+        """Run one attempt.
+
+        :param request: the attempt.
+        :return: the target's whole answer.
+        :raises PapayasparError: ``ran`` is ``no`` when the target was never asked.
+        """
+        if request.remaining_ms <= 0:
+            raise errors.DeadlineError("the deadline passed on the way to the worker")
+        token = f"{request.request_id}/{request.attempt}"
+        with self._slot(token):
+            started_s = self._clock.now_s()
+            self._record(lines.EventKind.REQUEST_STARTED, request)
+            answer = await self._ask_target(token, request)
+            took_ms = (self._clock.now_s() - started_s) * MILLISECONDS_PER_SECOND
+            self._record(lines.EventKind.REQUEST_FINISHED, request, took_ms)
+            return answer
+
+    async def wait_idle(self) -> None:
+        """Wait until no request holds a slot."""
+        sequence = self._signal.sequence
+        while self._ledger.slots.busy > 0:
+            sequence = await self._signal.wait_beyond(sequence)
+
+    def cancel(self, message: messages.CancelRequest) -> None:
+        """Give up an attempt whose caller has gone; its outcome is lost with it."""
+        scope = self._scopes.get(f"{message.request_id}/{message.attempt}")
+        if scope is not None:
+            scope.cancel()
+
+    @contextlib.contextmanager
+    def _slot(self, token: str) -> Iterator[None]:
+        with self._ledger.slots.hold(token):
+            self._signal.changed()
+            yield
+        self._signal.changed()
+
+    async def _ask_target(self, token: str, request: messages.RunRequest) -> messages.RequestAnswer:
+        with anyio.move_on_after(request.remaining_ms / MILLISECONDS_PER_SECOND) as scope:
+            if request.idempotent:
+                # Non-idempotent work is never cut: its outcome has to be learnt.
+                self._scopes[token] = scope
+            try:
+                answer = await self._target.run(request)
+            finally:
+                self._scopes.pop(token, None)
+            return messages.RequestAnswer(
+                request.request_id,
+                request.attempt,
+                self._journal.process,
+                answer.status,
+                answer.body,
+            )
+        raise errors.DeadlineError("the target did not answer in time", ran=errors.Ran.UNKNOWN)
+
+    def _record(
+        self,
+        kind: lines.EventKind,
+        request: messages.RunRequest,
+        duration_ms: float | None = None,
+    ) -> None:
+        self._journal.record(
+            kind,
+            worker=self._journal.process,
+            team=request.team,
+            request=request.request_id,
+            attempt=request.attempt,
+            duration_ms=duration_ms,
+        )
--- /dev/null
+++ b/libs/agent/src/papayaspar_agent/settings.py
@@ -0,0 +1,74 @@
+"""Settings of the agent, as flags and environment variables."""
+
+import pathlib
+import time
+
+import attrs
+
+from papayaspar_agent import config
+from papayaspar_model import workers
+from papayaspar_settings import fields, kinds
+from papayaspar_wire import transports
+
+MILLISECONDS_PER_SECOND = 1000
+GIBIBYTE = 1024**3
+
+
+@attrs.frozen(kw_only=True)
+class AgentSettings(fields.Settings):
+    """What ``papayaspar-agent`` is told at start."""
+
+    worker: str = fields.required(kinds.Name(), "name of the worker")
+    rack: str = fields.required(kinds.Name(), "rack the worker stands in")
+    data_centre: str = fields.required(kinds.Name(), "data centre of the rack")
+    region: str = fields.default(kinds.Name(), "region-1", "region of the data centre")
+    entries: tuple[str, ...] = fields.required(kinds.Addresses(), "entries to announce to")
+    listen: str = fields.default(
+        kinds.Address(listening=True), "127.0.0.1:0", "where other agents reach this one"
+    )
+    target: str = fields.required(kinds.Address(), "where the target listens")
+    runtime: str | None = fields.optional(kinds.Address(), "where the worker runtime listens")
+    slots: int = fields.default(
+        kinds.Integer(minimum=1, maximum=1024), "8", "requests the target serves at once"
+    )
+    connections: int = fields.default(
+        kinds.Integer(minimum=1, maximum=4096), "64", "connections the target accepts"
+    )
+    accelerators: int = fields.default(
+        kinds.Integer(minimum=0, maximum=64), "8", "accelerators of the worker"
+    )
+    memory_gib: int = fields.default(
+        kinds.Integer(minimum=1, unit="GiB"), "256", "memory for tasks"
+    )
+    grace_s: float = fields.default(
+        kinds.Seconds(minimum=0.0), "60", "longest wait for work in progress at a shutdown"
+    )
+    tls_certificate: pathlib.Path | None = fields.optional(kinds.File(), "certificate, PEM")
+    tls_key: pathlib.Path | None = fields.optional(kinds.File(), "private key, PEM")
+    tls_authority: pathlib.Path | None = fields.optional(kinds.File(), "authority of peers, PEM")
+
+    def faults(self) -> tuple[fields.Fault, ...]:
+        """Refuse TLS files that are not all given together."""
+        files = (self.tls_certificate, self.tls_key, self.tls_authority)
+        if all(files) or not any(files):
+            return ()
+        return (fields.Fault("tls_certificate", "inconsistent", "TLS wants all three files"),)
+
+    def config(self) -> config.AgentConfig:
+        """Return what the agent needs to know."""
+        return config.AgentConfig(
+            worker=self.worker,
+            rack=self.rack,
+            data_centre=self.data_centre,
+            region=self.region,
+            incarnation=time.time_ns() // (1_000_000_000 // MILLISECONDS_PER_SECOND),
+            entries=tuple(transports.Address.parse(text) for text in self.entries),
+            target=transports.Address.parse(self.target),
+            runtime=transports.Address.parse(self.runtime) if self.runtime else None,
+            listen=transports.Address.parse(self.listen),
+            capacity=workers.Capacity(
+                self.slots, self.connections, self.accelerators, self.memory_gib * GIBIBYTE
+            ),
+            grace_s=self.grace_s,
+            tls=transports.TlsFiles.of(self.tls_certificate, self.tls_key, self.tls_authority),
+        )
--- /dev/null
+++ b/libs/entry/src/papayaspar_entry/operators.py
@@ -0,0 +1,100 @@
+"""HTTP towards operators: status, metrics, drain, events."""
+
+from starlette import applications, requests, responses, routing
+
+from papayaspar_entry import sessions
+from papayaspar_events import journal, lines
+from papayaspar_membership import members
+from papayaspar_model import errors
+from papayaspar_web import problems
+from papayaspar_wire import messages
+
+CALL_TIMEOUT_S = 3.0
+EVENTS_MAX = 4096
+
+
+class OperatorApi:
+    """The operators' endpoints.
+
+    :param table: the entry's view of the workers.
+    :param links: streams to the agents.
+    :param record: the process's journal.
+    """
+
+    def __init__(
+        self,
+        table: members.MemberTable,
+        links: sessions.Sessions,
+        record: journal.Journal,
+    ) -> None:
+        self._table = table
+        self._sessions = links
+        self._journal = record
+
+    def application(self) -> applications.Starlette:
+        """Return the ASGI application."""
+        routes = [
+            routing.Route("/v1/status", self.get_status),
+            routing.Route("/v1/events", self.get_events),
+            routing.Route("/v1/workers/{worker}/drain", self.drain, methods=["POST"]),
+            routing.Route("/metrics", self.get_metrics),
+        ]
+        handlers = {errors.PapayasparError: problems.handle}
+        return applications.Starlette(routes=routes, exception_handlers=handlers)
+
+    async def get_status(self, http_request: requests.Request) -> responses.Response:
+        """Return what this entry sees."""
+        rows = [_worker_row(member) for member in self._table.all()]
+        return responses.JSONResponse(
+            {
+                "process": self._journal.process,
+                "revision": 0,
+                "workers": rows,
+                "short_guarantees": [],
+            }
+        )
+
+    async def get_events(self, http_request: requests.Request) -> responses.Response:
+        """Return the newest events of this entry and of its agents, as lines."""
+        found = [lines.to_line(event) for event in self._journal.newest(EVENTS_MAX)]
+        for member in self._table.all():
+            found.extend(await self._agent_lines(member.name))
+        return responses.PlainTextResponse("\n".join(found) + "\n")
+
+    async def drain(self, http_request: requests.Request) -> responses.Response:
+        """Tell a worker's agent to refuse new work."""
+        worker = http_request.path_params["worker"]
+        if self._table.get(worker) is None:
+            raise errors.NotFoundError(f"no worker {worker}", field="worker")
+        await self._sessions.peer(worker).call(messages.DrainWorker(), CALL_TIMEOUT_S)
+        return responses.JSONResponse({"worker": worker, "state": "draining"})
+
+    async def get_metrics(self, http_request: requests.Request) -> responses.Response:
+        """Return the metrics of this process."""
+        self._journal.metrics.set_state("workers", len(self._table))
+        self._journal.metrics.set_state("slots", self._table.total_slots())
+        counters = self._journal.metrics
+        return responses.Response(counters.exposition(), media_type=counters.content_type)
+
+    async def _agent_lines(self, worker: str) -> tuple[str, ...]:
+        try:
+            peer = self._sessions.peer(worker)
+            reply = await peer.call(messages.EventsWanted(EVENTS_MAX), CALL_TIMEOUT_S)
+            return messages.expect(reply, messages.EventLines).lines
+        except errors.PapayasparError:
+            return ()
+
+
+def _worker_row(member: members.Member) -> dict[str, object]:
+    report = member.report
+    state = "draining" if report.draining else "up"
+    return {
+        "worker": member.name,
+        "rack": report.identity.rack,
+        "data_centre": report.identity.data_centre,
+        "state": state if member.is_connected else "lost",
+        "busy_slots": report.busy_slots,
+        "slots": report.capacity.slots,
+        "free_accelerators": len(report.free_accelerators),
+        "accelerators": report.capacity.accelerators,
+    }
--- /dev/null
+++ b/libs/entry/src/papayaspar_entry/settings.py
@@ -0,0 +1,75 @@
+"""Settings of the entry, as flags and environment variables."""
+
+import pathlib
+
+import attrs
+
+from papayaspar_entry import config
+from papayaspar_settings import fields, kinds
+from papayaspar_web import listeners
+from papayaspar_wire import transports
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings(fields.Settings):
+    """What ``papayaspar-entry`` is told at start."""
+
+    name: str = fields.required(kinds.Name(), "name of the process")
+    data_centre: str = fields.required(kinds.Name(), "its data centre")
+    callers: str = fields.default(kinds.Address(), "127.0.0.1:7800", "where callers reach it")
+    operators: str = fields.default(kinds.Address(), "127.0.0.1:7801", "where operators reach it")
+    listen: str = fields.default(
+        kinds.Address(), "127.0.0.1:7802", "where agents and entries reach it"
+    )
+    log: str = fields.required(kinds.Address(), "the platform's log service")
+    peers: tuple[str, ...] = fields.default(
+        kinds.Addresses(empty=True), "", "other entries known at start"
+    )
+    grace_s: float = fields.default(
+        kinds.Seconds(minimum=0.0), "60", "longest wait for requests in progress at a shutdown"
+    )
+    unready_s: float = fields.default(
+        kinds.Seconds(minimum=0.0, maximum=60.0),
+        "1",
+        "time between turning unready and closing the listeners",
+    )
+    http_certificate: pathlib.Path | None = fields.optional(kinds.File(), "HTTP certificate, PEM")
+    http_key: pathlib.Path | None = fields.optional(kinds.File(), "HTTP private key, PEM")
+    tls_certificate: pathlib.Path | None = fields.optional(
+        kinds.File(), "certificate of the streams, PEM"
+    )
+    tls_key: pathlib.Path | None = fields.optional(kinds.File(), "key of the streams, PEM")
+    tls_authority: pathlib.Path | None = fields.optional(kinds.File(), "authority of peers, PEM")
+
+    def faults(self) -> tuple[fields.Fault, ...]:
+        """Refuse TLS files that are not given together."""
+        found = []
+        streams = (self.tls_certificate, self.tls_key, self.tls_authority)
+        if any(streams) and not all(streams):
+            found.append(
+                fields.Fault("tls_certificate", "inconsistent", "TLS wants all three files")
+            )
+        if (self.http_certificate is None) != (self.http_key is None):
+            found.append(fields.Fault("http_key", "inconsistent", "goes with --http-certificate"))
+        return tuple(found)
+
+    def config(self) -> config.EntryConfig:
+        """Return what the entry needs to know."""
+        http_tls = None
+        if self.http_certificate is not None:
+            http_tls = listeners.ServerTls(str(self.http_certificate), str(self.http_key))
+        return config.EntryConfig(
+            name=self.name,
+            data_centre=self.data_centre,
+            callers=transports.Address.parse(self.callers),
+            operators=transports.Address.parse(self.operators),
+            listen=transports.Address.parse(self.listen),
+            log=transports.Address.parse(self.log),
+            peers=tuple(transports.Address.parse(text) for text in self.peers),
+            grace_s=self.grace_s,
+            unready_s=self.unready_s,
+            http_tls=http_tls,
+            stream_tls=transports.TlsFiles.of(
+                self.tls_certificate, self.tls_key, self.tls_authority
+            ),
+        )
--- a/libs/membership/src/papayaspar_membership/__init__.py
+++ b/libs/membership/src/papayaspar_membership/__init__.py
@@ -1,1 +1,5 @@
-"""View of the workers and ejection of failing ones."""
+"""View of the workers: who is there, in which life, and what each reports."""
+
+from papayaspar_membership import members
+
+__all__ = ["members"]
--- /dev/null
+++ b/libs/settings/src/papayaspar_settings/daemons.py
@@ -0,0 +1,43 @@
+"""Running a daemon until a signal, and shutting it down without cutting its work."""
+
+import abc
+import signal
+
+import anyio
+import anyio.abc
+
+
+class Daemon(abc.ABC):
+    """A process of the system that runs until it is told to stop."""
+
+    @abc.abstractmethod
+    async def run(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run until :meth:`stop`, then until the work in progress is done."""
+
+    @abc.abstractmethod
+    def stop(self) -> None:
+        """Take no new work, finish what is in progress, and return from :meth:`run`."""
+
+
+async def run_until_signal(daemon: Daemon) -> None:
+    """Run a daemon; SIGTERM or SIGINT stops it, a second one ends it at once.
+
+    :param daemon: the daemon.
+    """
+    async with anyio.create_task_group() as group:
+        group.start_soon(_watch_signals, daemon, group.cancel_scope)
+        await daemon.run()
+        group.cancel_scope.cancel()
+
+
+async def _watch_signals(daemon: Daemon, scope: anyio.CancelScope) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        is_stopping = False
+        async for _ in received:
+            if is_stopping:
+                scope.cancel()
+                return
+            is_stopping = True
+            daemon.stop()
--- /dev/null
+++ b/libs/web/src/papayaspar_web/listeners.py
@@ -0,0 +1,96 @@
+"""HTTP listeners, served by hypercorn."""
+
+import errno
+import logging
+import socket
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import cast
+
+import attrs
+import hypercorn.asyncio
+import hypercorn.config
+from hypercorn import typing as hypercorn_typing
+from starlette import applications
+
+from papayaspar_model import errors
+
+BACKLOG = 1024
+KEEP_ALIVE_S = 75.0
+HEADERS_MAX_BYTES = 32 * 1024
+
+
+class ListenError(errors.PapayasparError):
+    """An address can't be listened on."""
+
+    code = "listen_failed"
+    title = "The address can't be listened on"
+
+
+@attrs.frozen
+class ServerTls:
+    """Files for TLS on a listener.
+
+    :param certificate: path of the certificate chain, PEM.
+    :param key: path of its private key, PEM.
+    :param authority: path of the authority callers must be signed by, or ``None`` for any caller.
+    """
+
+    certificate: str
+    key: str
+    authority: str | None = None
+
+
+def bind(host: str, port: int) -> socket.socket:
+    """Return a socket that listens.
+
+    :param host: IP number.
+    :param port: TCP port; 0 lets the system choose.
+    :raises ListenError: when the address is taken or not this machine's.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.setblocking(False)
+    try:
+        bound.bind((host, port))
+        bound.listen(BACKLOG)
+    except OSError as error:
+        bound.close()
+        name = errno.errorcode.get(error.errno or 0, "unknown")
+        raise ListenError(f"{host}:{port}: {name}") from error
+    return bound
+
+
+async def serve(
+    app: applications.Starlette,
+    bound: socket.socket,
+    stop: Callable[[], Awaitable[None]],
+    *,
+    grace_s: float = 5.0,
+    tls: ServerTls | None = None,
+) -> None:
+    """Serve an ASGI application on a bound socket.
+
+    :param app: the application.
+    :param bound: the socket from :func:`bind`; closed at the end.
+    :param stop: returns when no more connections are to be accepted.
+    :param grace_s: how long requests in progress may go on after that.
+    :param tls: files for TLS, or ``None`` for plain HTTP.
+    """
+    settings = hypercorn.config.Config()
+    settings.bind = [f"fd://{bound.fileno()}"]
+    settings.graceful_timeout = grace_s
+    settings.shutdown_timeout = grace_s
+    settings.keep_alive_timeout = KEEP_ALIVE_S
+    settings.h11_max_incomplete_size = HEADERS_MAX_BYTES
+    settings.accesslog = None
+    settings.errorlog = logging.getLogger("hypercorn.silent")
+    logging.getLogger("hypercorn.silent").setLevel(logging.CRITICAL)
+    if tls is not None:
+        settings.certfile = tls.certificate
+        settings.keyfile = tls.key
+        settings.ca_certs = tls.authority
+        settings.verify_mode = ssl.CERT_REQUIRED if tls.authority else None
+    framework = cast(hypercorn_typing.ASGIFramework, app)
+    await hypercorn.asyncio.serve(framework, settings, shutdown_trigger=stop, mode="asgi")
--- a/libs/wire/src/papayaspar_wire/peers.py
+++ b/libs/wire/src/papayaspar_wire/peers.py
@@ -1,8 +1,10 @@
 """One stream to one peer: calls, notices, and pings that notice a silent connection."""
 
 import abc
+import contextlib
 import math
 import random
+from collections.abc import AsyncIterator
 
 import anyio
 import anyio.abc
@@ -222,3 +224,36 @@
         for pending in self._pending.values():
             pending.failure = errors.PeerError("the stream was lost", ran=errors.Ran.UNKNOWN)
             pending.done.set()
+
+
+@contextlib.asynccontextmanager
+async def connected(
+    stream: anyio.abc.ByteStream,
+    codec: codecs.Codec,
+    handler: Handler,
+    stamps: causality.HybridClock,
+    limits: PeerLimits | None = None,
+) -> AsyncIterator[Peer]:
+    """Run a peer while the body runs; the body is cancelled when the stream ends.
+
+    Parameters are those of :class:`Peer`.
+
+    :raises PapayasparError: what the body raised, not wrapped in a group.
+    """
+    failure: errors.PapayasparError | None = None
+    peer = Peer(stream, codec, handler, stamps, limits)
+    async with anyio.create_task_group() as group:
+        group.start_soon(_run_then_cancel, peer, group.cancel_scope)
+        try:
+            yield peer
+        except errors.PapayasparError as error:
+            failure = error
+        finally:
+            peer.close()
+    if failure is not None:
+        raise failure
+
+
+async def _run_then_cancel(peer: Peer, scope: anyio.CancelScope) -> None:
+    await peer.run()
+    scope.cancel()
--- a/libs/wire/src/papayaspar_wire/transports.py
+++ b/libs/wire/src/papayaspar_wire/transports.py
@@ -1,5 +1,6 @@
 """TCP connections by IP number, with TLS where settings ask for it."""
 
+import pathlib
 import ssl
 from collections.abc import Awaitable, Callable
 
@@ -47,6 +48,18 @@
     key: str
     authority: str
 
+    @classmethod
+    def of(
+        cls,
+        certificate: pathlib.Path | None,
+        key: pathlib.Path | None,
+        authority: pathlib.Path | None,
+    ) -> "TlsFiles | None":
+        """Return the files when all are given, else ``None``."""
+        if certificate is None or key is None or authority is None:
+            return None
+        return cls(str(certificate), str(key), str(authority))
+
     def context(self, purpose: ssl.Purpose) -> ssl.SSLContext:
         """Return a context that demands a certificate of the peer."""
         context = ssl.create_default_context(purpose, cafile=self.authority)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,190 @@
+"""Fixtures: the whole system as separate processes on loopback."""
+
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import attrs
+import httpx
+import pytest
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+CALL_TIMEOUT_S = 30.0
+
+
+def free_port():
+    """Return a port nobody listens on now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+@attrs.define
+class Program:
+    """One running program of the system."""
+
+    name: str
+    process: subprocess.Popen
+    log_path: pathlib.Path
+    http: str = ""
+    operators: str = ""
+    streams: str = ""
+
+    def send(self, number):
+        """Send a signal, by process id."""
+        os.kill(self.process.pid, number)
+
+    def kill(self):
+        """Kill the process and wait for its end."""
+        self.send(signal.SIGKILL)
+        self.process.wait(STOP_TIMEOUT_S)
+
+    def lines(self):
+        """Return what the program logged so far."""
+        return self.log_path.read_text().splitlines()
+
+
+@attrs.define
+class System:
+    """Starts and holds the programs of one test."""
+
+    folder: pathlib.Path
+    programs: list = attrs.field(factory=list)
+    entries: list = attrs.field(factory=list)
+    agents: dict = attrs.field(factory=dict)
+    workers: dict = attrs.field(factory=dict)
+    log: Program | None = None
+
+    def start(self, name, program, *arguments):
+        """Start one program; its log goes to a file."""
+        log_path = self.folder / f"{name}-{len(self.programs)}.log"
+        command = [sys.executable, "-m", f"papayaspar_{program}_main.main", *arguments]
+        with log_path.open("w") as log_file:
+            process = subprocess.Popen(command, stdout=log_file, stderr=log_file)
+        started = Program(name, process, log_path)
+        self.programs.append(started)
+        return started
+
+    def start_log(self):
+        """Start the stand-in of the log service."""
+        address = f"127.0.0.1:{free_port()}"
+        self.log = self.start("log", "standin", "log", "--listen", address)
+        self.log.http = address
+        self.wait_until(lambda: self.get(f"http://{address}/streams/none/records?offset=0"))
+
+    def start_worker(self, name):
+        """Start the stand-in of a worker: its target and its runtime."""
+        address = f"127.0.0.1:{free_port()}"
+        worker = self.start(f"{name}-worker", "standin", "worker", "--listen", address)
+        worker.http = address
+        self.workers[name] = worker
+        self.wait_until(lambda: self.get(f"http://{address}/counts"))
+
+    def start_entry(self, name, *arguments):
+        """Start one entry."""
+        callers, operators, streams = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        peers = ",".join(entry.streams for entry in self.entries)
+        entry = self.start(
+            name,
+            "entry",
+            *("--name", name, "--data-centre", "dc-1", "--log", self.log.http),
+            *("--callers", callers, "--operators", operators, "--listen", streams),
+            *("--peers", peers, "--unready-s", "0.2"),
+            *arguments,
+        )
+        entry.http, entry.operators, entry.streams = callers, operators, streams
+        self.entries.append(entry)
+        self.wait_until(lambda: self.get(f"http://{callers}/healthz"))
+        return entry
+
+    def start_agent(self, name, rack="rack-1", *arguments):
+        """Start the agent beside a worker."""
+        entries = ",".join(entry.streams for entry in self.entries)
+        address = self.workers[name].http
+        agent = self.start(
+            name,
+            "agent",
+            *("--worker", name, "--rack", rack, "--data-centre", "dc-1"),
+            *("--entries", entries, "--target", address, "--runtime", address),
+            *("--listen", f"127.0.0.1:{free_port()}"),
+            *arguments,
+        )
+        self.agents[name] = agent
+        return agent
+
+    def wait_workers(self, count):
+        """Wait until every entry sees so many usable workers."""
+        for entry in self.entries:
+            self.wait_until(lambda entry=entry: self.usable_workers(entry) == count)
+
+    def usable_workers(self, entry):
+        """Return how many workers an entry would send work to."""
+        rows = self.get(f"http://{entry.operators}/v1/status").json()["workers"]
+        return sum(row["state"] == "up" for row in rows)
+
+    def request(self, entry, key=None, **fields):
+        """Send one request to an entry and return the HTTP response."""
+        body = {"team": "booths", "kind": "check", "payload": {"n": 1}} | fields
+        headers = {"idempotency-key": key} if key is not None else {}
+        url = f"http://{entry.http}/v1/requests"
+        return httpx.post(url, json=body, headers=headers, timeout=CALL_TIMEOUT_S, trust_env=False)
+
+    def executions(self, key):
+        """Return how often requests with a key began to run, by the targets' own counts."""
+        total = 0
+        for worker in self.workers.values():
+            counts = self.get(f"http://{worker.http}/counts").json()
+            total += counts["by_key"].get(key, 0)
+        return total
+
+    @staticmethod
+    def get(url):
+        """Return the response to a GET."""
+        return httpx.get(url, timeout=CALL_TIMEOUT_S, trust_env=False)
+
+    @staticmethod
+    def wait_until(condition, timeout_s=START_TIMEOUT_S):
+        """Wait until a condition holds; connection errors count as not yet."""
+        deadline_s = time.monotonic() + timeout_s
+        while time.monotonic() < deadline_s:
+            with contextlib.suppress(httpx.TransportError):
+                if condition():
+                    return
+            time.sleep(0.02)
+        pytest.fail("the condition did not come true in time")
+
+    def close(self):
+        """End every program that was started, by its process id."""
+        for program in self.programs:
+            if program.process.poll() is not None:
+                continue
+            with contextlib.suppress(ProcessLookupError):
+                program.send(signal.SIGCONT)
+            program.kill()
+
+
+@pytest.fixture
+def system(tmp_path):
+    """Return an empty system; its programs end with the test."""
+    made = System(tmp_path)
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def small_system(system):
+    """Return a system of one log, two entries and three workers."""
+    system.start_log()
+    for name in ("entry-1", "entry-2"):
+        system.start_entry(name)
+    for name in ("worker-1", "worker-2", "worker-3"):
+        system.start_worker(name)
+        system.start_agent(name)
+    system.wait_workers(3)
+    return system
--- /dev/null
+++ b/tests/test_request_path.py
@@ -0,0 +1,41 @@
+"""A request end to end over separate processes, and what callers may get wrong."""
+
+import httpx
+import pytest
+
+
+def test_a_request_is_answered_whole_through_either_entry(small_system):
+    for number, entry in enumerate(small_system.entries):
+        response = small_system.request(entry, payload={"photo": "x" * 50_000, "n": number})
+        assert response.status_code == 200, response.text
+        assert response.json()["result"]["payload"]["n"] == number
+
+
+def test_malformed_requests_are_refused_and_run_nothing(small_system):
+    entry = small_system.entries[0]
+    cases = [
+        ({"urgency": "soon"}, "urgency"),
+        ({"deadline_ms": 0}, "deadline_ms"),
+        ({"deadline_ms": "fast"}, "deadline_ms"),
+        ({"idempotent": "yes"}, "idempotent"),
+        ({"colour": "red"}, "colour"),
+        ({"team": 7}, "team"),
+    ]
+    for fields, field in cases:
+        response = small_system.request(entry, key=f"bad-{field}", **fields)
+        problem = response.json()
+        assert response.status_code == 400
+        assert (problem["field"], problem["ran"]) == (field, "no")
+        assert small_system.executions(f"bad-{field}") == 0
+
+
+@pytest.mark.parametrize("body", [b"{", b"[]", b"\xff", b'{"team": NaN}', b"[" * 100_000])
+def test_bodies_that_are_no_json_object_are_refused(small_system, body):
+    url = f"http://{small_system.entries[0].http}/v1/requests"
+    response = httpx.post(url, content=body, trust_env=False)
+    assert (response.status_code, response.json()["field"]) == (400, "body")
+
+
+def test_an_oversized_body_is_refused(small_system):
+    response = small_system.request(small_system.entries[0], payload="x" * 2_000_000)
+    assert (response.status_code, response.json()["code"]) == (413, "body_too_large")
