Add homes, placement policies, reclaims and the job queue

Guaranteed shapes get homes by one deterministic packing; the view computes what is guaranteed or borrowed from present use; four policies place gangs whole; reclaims choose the cheapest instance; the queue holds racks for the oldest large gang and backfills around it. 47 tests pass in libs/placement.

--- a/libs/placement/src/papayaspar_placement/__init__.py
+++ b/libs/placement/src/papayaspar_placement/__init__.py
@@ -1,1 +1,29 @@
 """Choice of workers and accelerators for work."""
+
+from papayaspar_placement import (
+    durations,
+    ends,
+    entitlements,
+    feasibility,
+    fleet,
+    holds,
+    homes,
+    policies,
+    queues,
+    reclaims,
+    shape_keeping,
+)
+
+__all__ = [
+    "durations",
+    "ends",
+    "entitlements",
+    "feasibility",
+    "fleet",
+    "holds",
+    "homes",
+    "policies",
+    "queues",
+    "reclaims",
+    "shape_keeping",
+]
--- /dev/null
+++ b/libs/placement/src/papayaspar_placement/fleet.py
@@ -0,0 +1,364 @@
+"""The fleet as one entry sees it: the newest reports, homes, and gangs it has just started."""
+
+import copy
+from collections.abc import Iterable, Iterator
+
+from papayaspar_model import rulesets, work, workers
+from papayaspar_placement import entitlements, homes, inventory
+
+
+class FleetView:
+    """Workers by rack, their free accelerators, and each team's present use.
+
+    The view may be stale; the agents decide. It holds no state that reports don't restore, but
+    for gangs that this process has started and the agents have not reported yet.
+    """
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self._workers: dict[str, inventory.WorkerView] = {}
+        self._racks: dict[str, inventory.RackView] = {}
+        self._uses: dict[str, dict[str, tuple[workers.GangUse, ...]]] = {}
+        self._gangs: dict[str, entitlements.RunningGang] = {}
+        self._jobs_of: dict[str, set[str]] = {}
+        self._started_s: dict[str, float] = {}
+        self._accelerators: dict[str, int] = {}
+        self._assumed: dict[str, tuple[str, ...]] = {}
+        self._homes: tuple[rulesets.Home, ...] = ()
+        self._homes_of: dict[str, tuple[rulesets.Home, ...]] = {}
+        self._owners: dict[str, dict[int, inventory.Ownership]] = {}
+        self._shapes: tuple[work.Shape, ...] = ()
+        self._entitlements: dict[str, entitlements.Entitlement] = {}
+        self._ejected: frozenset[str] = frozenset()
+        self._avoided: frozenset[str] = frozenset()
+        self._hidden: frozenset[str] = frozenset()
+
+    def advance(self, now_s: float) -> None:
+        """Set the time for which run times left are judged.
+
+        :param now_s: reading of the process's clock.
+        """
+        self.now_s = max(self.now_s, now_s)
+
+    def observe(self, report: workers.WorkerReport, now_s: float) -> bool:
+        """Take in a report; older ones of a worker are dropped.
+
+        :param report: what an agent says of its worker.
+        :param now_s: reading of the process's clock when the report came.
+        :return: whether the report was newer than what was known.
+        """
+        self.advance(now_s)
+        name = report.identity.worker
+        known = self._workers.get(name)
+        if known is None:
+            known = inventory.WorkerView(report, owners=self._owners.get(name, {}))
+            known.is_ejected = name in self._ejected
+            known.is_avoided = name in self._avoided
+            self._workers[name] = known
+            self._stand(known)
+        elif _age(report) <= _age(known.report):
+            return False
+        elif report.identity != known.report.identity:
+            self._leave(known)
+            known.report = report
+            self._stand(known)
+        known.report = report
+        for gang in report.gangs:
+            known.assumed.pop(gang.job_id, None)
+        self._refresh(known)
+        return True
+
+    def forget(self, worker: str) -> None:
+        """Drop a worker that is lost.
+
+        :param worker: its name.
+        """
+        known = self._workers.pop(worker, None)
+        if known is None:
+            return
+        self._leave(known)
+        for job_id in sorted(known.jobs):
+            self._set_use(job_id, worker, ())
+
+    def set_homes(self, all_homes: tuple[rulesets.Home, ...]) -> None:
+        """Put homes in force.
+
+        :param all_homes: homes of all guarantees.
+        """
+        self._homes = all_homes
+        self._homes_of = {}
+        self._owners = {}
+        self._entitlements = {}
+        self._shapes = _shapes_of(all_homes)
+        for home in all_homes:
+            self._homes_of[home.team] = (*self._homes_of.get(home.team, ()), home)
+            name = homes.InstanceName(home.guarantee, home.instance)
+            for item in home.tasks:
+                owners = self._owners.setdefault(item.worker, {})
+                for number in item.accelerators:
+                    owners[number] = inventory.Ownership(home.team, name)
+        for worker in self._workers.values():
+            worker.owners = self._owners.get(worker.name, {})
+            worker.refresh()
+        for rack in self._racks.values():
+            rack.refresh()
+
+    def set_ejected(self, names: Iterable[str]) -> None:
+        """Exclude workers on which work fails.
+
+        :param names: names of all excluded workers.
+        """
+        changed = self._ejected.symmetric_difference(names)
+        self._ejected = frozenset(names)
+        for name in sorted(changed):
+            worker = self._workers.get(name)
+            if worker is None:
+                continue
+            worker.is_ejected = name in self._ejected
+            self._refresh(worker)
+
+    def set_avoided(self, names: Iterable[str]) -> None:
+        """Name workers to choose only when nothing else fits.
+
+        :param names: names of all such workers.
+        """
+        self._avoided = frozenset(names)
+        for worker in self._workers.values():
+            worker.is_avoided = worker.name in self._avoided
+
+    def assume(self, job: work.Job, placement: workers.Placement) -> None:
+        """Count a gang that is being started, until its workers report it or it is released.
+
+        :param job: the job.
+        :param placement: where it is being started.
+        """
+        numbers: dict[str, list[int]] = {}
+        for item in placement.tasks:
+            numbers.setdefault(item.worker, []).extend(item.accelerators)
+        self._assumed[job.job_id] = tuple(numbers)
+        for name, held in numbers.items():
+            worker = self._workers.get(name)
+            if worker is None:
+                continue
+            worker.assumed[job.job_id] = workers.GangUse(
+                job_id=job.job_id,
+                attempt=0,
+                team=job.team,
+                accelerators=tuple(sorted(held)),
+                stoppable=job.stoppable,
+                checkpoint=job.checkpoint,
+                elapsed_s=0.0,
+                remaining_s=job.run_time_s,
+                lead_worker=placement.tasks[0].worker,
+            )
+            self._refresh(worker)
+
+    def release(self, job_id: str) -> None:
+        """Stop counting a gang that was assumed and failed to start, or has ended.
+
+        :param job_id: the job.
+        """
+        for name in self._assumed.pop(job_id, ()):
+            worker = self._workers.get(name)
+            if worker is None or worker.assumed.pop(job_id, None) is None:
+                continue
+            self._refresh(worker)
+
+    def hiding(self, racks: Iterable[str]) -> "FleetView":
+        """Return the same view without some racks; it stays valid until the next change.
+
+        :param racks: names of the racks to leave out.
+        """
+        view = copy.copy(self)
+        view._hidden = self._hidden.union(racks)
+        return view
+
+    def racks(self) -> Iterator[inventory.RackView]:
+        """Return racks with a free accelerator that are not hidden, in order of names."""
+        for rack in self._racks.values():
+            if rack.free and rack.name not in self._hidden:
+                yield rack
+
+    def all_racks(self) -> tuple[inventory.RackView, ...]:
+        """Return all racks, in ascending order of names."""
+        return tuple(self._racks.values())
+
+    def rack(self, name: str) -> inventory.RackView | None:
+        """Return a rack by name, or ``None``."""
+        return self._racks.get(name)
+
+    def worker(self, name: str) -> inventory.WorkerView | None:
+        """Return a worker by name, or ``None``."""
+        return self._workers.get(name)
+
+    def is_hidden(self, worker: inventory.WorkerView) -> bool:
+        """Return whether a worker stands in a rack that is left out."""
+        return worker.report.identity.rack in self._hidden
+
+    def gangs(self) -> Iterator[entitlements.RunningGang]:
+        """Return all gangs."""
+        yield from self._gangs.values()
+
+    def gang(self, job_id: str) -> entitlements.RunningGang | None:
+        """Return a gang by its job, or ``None``."""
+        return self._gangs.get(job_id)
+
+    def holders(self, worker: inventory.WorkerView) -> dict[int, entitlements.RunningGang]:
+        """Return the gang on each accelerator of a worker that one holds.
+
+        :param worker: the worker.
+        """
+        found: dict[int, entitlements.RunningGang] = {}
+        for job_id in sorted(worker.jobs):
+            for use in self._uses[job_id][worker.name]:
+                found.update(dict.fromkeys(use.accelerators, self._gangs[job_id]))
+        return found
+
+    def team_accelerators(self, team: str) -> int:
+        """Return how many accelerators a team holds."""
+        return self._accelerators.get(team, 0)
+
+    def homes_of(self, team: str) -> tuple[rulesets.Home, ...]:
+        """Return the homes of a team."""
+        return self._homes_of.get(team, ())
+
+    def entitlement(self, team: str) -> entitlements.Entitlement:
+        """Return a team's present use against its guarantees.
+
+        :param team: the team.
+        """
+        known = self._entitlements.get(team)
+        if known is not None:
+            return known
+        jobs = sorted(self._jobs_of.get(team, ()))
+        gangs = tuple(self._gangs[job_id] for job_id in jobs)
+        known = entitlements.split(gangs, self.homes_of(team))
+        self._entitlements[team] = known
+        return known
+
+    def guaranteed_shapes(self) -> tuple[work.Shape, ...]:
+        """Return the distinct shapes of the homes, the largest first."""
+        return self._shapes
+
+    def is_guaranteed(self, job: work.Job) -> bool:
+        """Return whether a job that waits is within what its team's guarantees leave unused."""
+        if not self.homes_of(job.team):
+            return False
+        return any(room.fits(job.shape) for room in self.entitlement(job.team).rooms)
+
+    def known_racks(self) -> tuple[rulesets.RackInventory, ...]:
+        """Return the known racks in the form that homes are packed from."""
+        found: list[rulesets.RackInventory] = []
+        for rack in self._racks.values():
+            ranges = tuple(
+                workers.AcceleratorRange(name, tuple(range(worker.report.capacity.accelerators)))
+                for name, worker in rack.workers.items()
+            )
+            found.append(rulesets.RackInventory(rack.name, rack.data_centre, ranges))
+        return tuple(found)
+
+    def _stand(self, worker: inventory.WorkerView) -> None:
+        identity = worker.report.identity
+        rack = self._racks.get(identity.rack)
+        if rack is None:
+            rack = inventory.RackView(identity.rack, identity.data_centre)
+            self._racks[identity.rack] = rack
+            self._racks = dict(sorted(self._racks.items()))
+        rack.add(worker)
+
+    def _leave(self, worker: inventory.WorkerView) -> None:
+        rack = self._racks[worker.report.identity.rack]
+        del rack.workers[worker.name]
+        rack.refresh()
+        if not rack.workers:
+            del self._racks[rack.name]
+
+    def _refresh(self, worker: inventory.WorkerView) -> None:
+        worker.refresh()
+        self._racks[worker.report.identity.rack].refresh()
+        self._count_gangs(worker)
+
+    def _count_gangs(self, worker: inventory.WorkerView) -> None:
+        present: dict[str, list[workers.GangUse]] = {}
+        for use in (*worker.report.gangs, *worker.assumed.values()):
+            present.setdefault(use.job_id, []).append(use)
+        for job_id in sorted(worker.jobs.difference(present)):
+            self._set_use(job_id, worker.name, ())
+        for job_id, uses in present.items():
+            self._set_use(job_id, worker.name, tuple(uses))
+        worker.jobs = set(present)
+
+    def _set_use(self, job_id: str, worker: str, uses: tuple[workers.GangUse, ...]) -> None:
+        by_worker = self._uses.setdefault(job_id, {})
+        if _is_same_use(by_worker.get(worker, ()), uses):
+            return
+        by_worker.pop(worker, None)
+        if uses:
+            by_worker[worker] = uses
+        before = self._gangs.pop(job_id, None)
+        if before is not None:
+            self._account(before, -1)
+        if not by_worker:
+            del self._uses[job_id]
+            self._started_s.pop(job_id, None)
+            return
+        merged = self._merge(job_id, by_worker)
+        self._gangs[job_id] = merged
+        self._account(merged, 1)
+
+    def _account(self, gang: entitlements.RunningGang, sign: int) -> None:
+        total = self._accelerators.get(gang.team, 0) + sign * gang.accelerators
+        self._accelerators[gang.team] = total
+        jobs = self._jobs_of.setdefault(gang.team, set())
+        jobs.discard(gang.name.job_id)
+        if sign > 0:
+            jobs.add(gang.name.job_id)
+        self._entitlements.pop(gang.team, None)
+
+    def _merge(
+        self, job_id: str, by_worker: dict[str, tuple[workers.GangUse, ...]]
+    ) -> entitlements.RunningGang:
+        newest = max((use for uses in by_worker.values() for use in uses), key=_attempt)
+        ranges: list[workers.AcceleratorRange] = []
+        for worker in sorted(by_worker):
+            held = {number for use in by_worker[worker] for number in use.accelerators}
+            ranges.append(workers.AcceleratorRange(worker, tuple(sorted(held))))
+        started_s = self._started_s.setdefault(job_id, self.now_s - newest.elapsed_s)
+        return entitlements.RunningGang(
+            name=entitlements.GangName(job_id, newest.attempt),
+            team=newest.team,
+            ranges=tuple(ranges),
+            stoppable=newest.stoppable,
+            checkpoint=newest.checkpoint,
+            started_s=started_s,
+            remaining_s=newest.remaining_s,
+            lead_worker=newest.lead_worker,
+        )
+
+
+def _shapes_of(all_homes: tuple[rulesets.Home, ...]) -> tuple[work.Shape, ...]:
+    shapes = {work.Shape(len(home.tasks), len(home.tasks[0].accelerators)) for home in all_homes}
+    return tuple(sorted(shapes, key=_size, reverse=True))
+
+
+def _size(shape: work.Shape) -> tuple[int, int]:
+    return (shape.accelerators, shape.accelerators_per_task)
+
+
+def _age(report: workers.WorkerReport) -> tuple[int, int]:
+    return (report.identity.incarnation, report.sequence)
+
+
+def _is_same_use(before: tuple[workers.GangUse, ...], after: tuple[workers.GangUse, ...]) -> bool:
+    if not before or len(before) != len(after):
+        return False
+    for old, new in zip(before, after, strict=True):
+        if (old.attempt, old.accelerators) != (new.attempt, new.accelerators):
+            return False
+        if (old.stoppable, old.checkpoint) != (new.stoppable, new.checkpoint):
+            return False
+    return True
+
+
+def _attempt(use: workers.GangUse) -> int:
+    return use.attempt
--- /dev/null
+++ b/libs/placement/src/papayaspar_placement/inventory.py
@@ -0,0 +1,107 @@
+"""One worker and one rack as an entry sees them."""
+
+import attrs
+
+from papayaspar_model import workers
+from papayaspar_placement import homes
+
+
+@attrs.frozen
+class Ownership:
+    """Whose home an accelerator is.
+
+    :param team: the team.
+    :param instance: the instance of its guarantee.
+    """
+
+    team: str
+    instance: homes.InstanceName
+
+
+@attrs.define
+class WorkerView:
+    """One worker.
+
+    :param report: its newest report.
+    :param owners: whose home each of its accelerators is; absent for no one's.
+    :param assumed: gangs started by this process that the worker has not reported yet.
+    :param jobs: jobs that have a gang here.
+    :param is_ejected: whether it is excluded because work fails there.
+    :param is_avoided: whether it is chosen only when nothing else fits.
+    :param free: accelerators that no gang holds, ascending.
+    :param common: those of them that are no one's home, ascending.
+    """
+
+    report: workers.WorkerReport
+    owners: dict[int, Ownership] = attrs.field(factory=dict)
+    assumed: dict[str, workers.GangUse] = attrs.field(factory=dict)
+    jobs: set[str] = attrs.field(factory=set)
+    is_ejected: bool = False
+    is_avoided: bool = False
+    free: tuple[int, ...] = ()
+    common: tuple[int, ...] = ()
+
+    @property
+    def name(self) -> str:
+        """Name of the worker."""
+        return self.report.identity.worker
+
+    @property
+    def is_open(self) -> bool:
+        """Whether it takes new work."""
+        return not (self.is_ejected or self.report.draining)
+
+    def refresh(self) -> None:
+        """Compute anew what is free."""
+        free = set(self.report.free_accelerators)
+        for gang in self.assumed.values():
+            free.difference_update(gang.accelerators)
+        self.free = tuple(sorted(free)) if self.is_open else ()
+        self.common = tuple(number for number in self.free if number not in self.owners)
+
+    def usable(self, team: str, stoppable: bool) -> tuple[int, ...]:
+        """Return free accelerators that work may take; those of no one's home come first.
+
+        :param team: whose work.
+        :param stoppable: whether a reclaim may stop it; if not, homes of others are left out.
+        """
+        if len(self.common) == len(self.free):
+            return self.free
+        owned = tuple(number for number in self.free if number in self.owners)
+        if not stoppable:
+            owned = tuple(number for number in owned if self.owners[number].team == team)
+        return self.common + owned
+
+
+@attrs.define
+class RackView:
+    """One rack.
+
+    :param name: its name.
+    :param data_centre: its data centre.
+    :param workers: its workers by name, in ascending order of names.
+    :param free: free accelerators of all its workers.
+    :param counts: free accelerators of each worker, in order of names.
+    :param most_free: the largest of them.
+    """
+
+    name: str
+    data_centre: str
+    workers: dict[str, WorkerView] = attrs.field(factory=dict)
+    free: int = 0
+    counts: tuple[int, ...] = ()
+    most_free: int = 0
+
+    def add(self, worker: WorkerView) -> None:
+        """Add a worker.
+
+        :param worker: the worker.
+        """
+        self.workers[worker.name] = worker
+        self.workers = dict(sorted(self.workers.items()))
+
+    def refresh(self) -> None:
+        """Compute the sums anew."""
+        self.counts = tuple(len(worker.free) for worker in self.workers.values())
+        self.free = sum(self.counts)
+        self.most_free = max(self.counts, default=0)
--- /dev/null
+++ b/libs/placement/src/papayaspar_placement/shape_keeping.py
@@ -0,0 +1,203 @@
+"""The placement policy that keeps the largest guaranteed shapes open."""
+
+import functools
+
+import attrs
+
+from papayaspar_model import work, workers
+from papayaspar_placement import ends, entitlements, fleet, inventory, policies, seating
+
+MAX_SHAPES_KEPT = 3
+
+
+@attrs.frozen(order=True)
+class _Loss:
+    """What a placement in a rack costs; smaller is better, compared field by field.
+
+    :param avoided: accelerators taken on workers to avoid.
+    :param shapes: for each guaranteed shape, the largest first, how many fewer fit the rack.
+    :param slots: for each such shape, how many fewer of its tasks fit the rack.
+    :param homes: accelerators taken on homes of other teams.
+    """
+
+    avoided: int
+    shapes: tuple[int, ...]
+    slots: tuple[int, ...]
+    homes: int
+
+
+@attrs.frozen
+class _Option:
+    """Seats for a whole gang in one rack, and what they cost."""
+
+    loss: _Loss
+    rack: inventory.RackView
+    seats: seating.Seats
+
+
+class ShapeKeeping(policies.PlacementPolicy):
+    """Racks first; the largest guaranteed shapes stay open; failing workers come last.
+
+    Among placements that keep the same shapes open, the one is chosen that delays least the time
+    at which its workers become empty.
+
+    :param expected: expected ends of running gangs.
+    """
+
+    name = "shape_keeping"
+
+    def __init__(self, expected: ends.EndEstimator) -> None:
+        self._expected = expected
+
+    def place(self, job: work.Job, view: fleet.FleetView) -> workers.Placement | None:
+        """Choose a home of the team's own, one rack, one data centre, or any place."""
+        at_home = self._at_home(job, view)
+        if at_home is not None:
+            return at_home
+        seats = self._in_one_rack(job, view)
+        if seats is None and job.shape.adjacency is work.Adjacency.ANY:
+            seats = self._over_racks(job, view)
+        return seating.placement(seats, job, view)
+
+    def _at_home(self, job: work.Job, view: fleet.FleetView) -> workers.Placement | None:
+        """Return a free instance of exactly the job's size, if the team has one."""
+        if not view.is_guaranteed(job):
+            return None
+        for room in view.entitlement(job.team).rooms:
+            whole = sum(len(item.accelerators) for item in room.home.tasks)
+            if whole != job.shape.accelerators or not room.fits(job.shape):
+                continue
+            if _is_free(room, view):
+                seats = seats_in_room(room, job.shape)
+                return workers.Placement(seats, room.home.guarantee, room.home.instance)
+        return None
+
+    def _in_one_rack(self, job: work.Job, view: fleet.FleetView) -> seating.Seats | None:
+        shapes = view.guaranteed_shapes()[:MAX_SHAPES_KEPT]
+        best: list[_Option] = []
+        for rack in seating.roomy_racks(view, job):
+            for option in _options(rack, job, shapes):
+                if best and option.loss > best[0].loss:
+                    continue
+                if best and option.loss < best[0].loss:
+                    best = []
+                best.append(option)
+        if not best:
+            return None
+        if len(best) == 1:
+            return best[0].seats
+        own_s = self._expected.estimator.estimate_s(job)
+
+        def preference(option: _Option) -> tuple[float, int, str, str]:
+            delay_s = self._delay_s(option, own_s, view)
+            return (delay_s, option.rack.free, option.rack.name, option.seats[0].worker)
+
+        return min(best, key=preference).seats
+
+    def _delay_s(self, option: _Option, own_s: float, view: fleet.FleetView) -> float:
+        """Return by how long the workers of an option become empty later, summed."""
+        delay_s = 0.0
+        for name in {item.worker for item in option.seats}:
+            worker = option.rack.workers[name]
+            until_s = self._expected.worker_remaining_s(worker, view)
+            delay_s += max(0.0, own_s - until_s)
+        return delay_s
+
+    def _over_racks(self, job: work.Job, view: fleet.FleetView) -> seating.Seats | None:
+        rooms: dict[str, list[inventory.RackView]] = {}
+        slots: dict[str, int] = {}
+        for rack in view.racks():
+            fitting = seating.slots_in(rack, job)
+            if not fitting:
+                continue
+            rooms.setdefault(rack.data_centre, []).append(rack)
+            slots[rack.data_centre] = slots.get(rack.data_centre, 0) + fitting
+        if sum(slots.values()) < job.shape.tasks:
+            return None
+        whole = [(count, place) for place, count in slots.items() if count >= job.shape.tasks]
+        places = [min(whole)[1]] if whole else sorted(slots, key=lambda place: -slots[place])
+        order: list[inventory.WorkerView] = []
+        for place in places:
+            for rack in sorted(rooms[place], key=lambda one: (-one.free, one.name)):
+                order.extend(sorted(rack.workers.values(), key=_tight_first))
+        return seating.fill(order, job)
+
+
+def seats_in_room(room: entitlements.Room, shape: work.Shape) -> seating.Seats:
+    """Return seats for a shape in what is left of an instance.
+
+    :param room: a room in which the shape fits.
+    :param shape: the shape.
+    :return: one range a task.
+    """
+    seats: list[workers.AcceleratorRange] = []
+    size = shape.accelerators_per_task
+    for item in room.tasks:
+        for start in range(0, len(item.accelerators) - size + 1, size):
+            if len(seats) == shape.tasks:
+                return tuple(seats)
+            chosen = item.accelerators[start : start + size]
+            seats.append(workers.AcceleratorRange(item.worker, chosen))
+    return tuple(seats)
+
+
+def _is_free(room: entitlements.Room, view: fleet.FleetView) -> bool:
+    for item in room.home.tasks:
+        worker = view.worker(item.worker)
+        if worker is None or worker.is_avoided or view.is_hidden(worker):
+            return False
+        if not set(item.accelerators).issubset(worker.free):
+            return False
+    return True
+
+
+def _options(
+    rack: inventory.RackView, job: work.Job, shapes: tuple[work.Shape, ...]
+) -> list[_Option]:
+    found: list[_Option] = []
+    if job.shape.tasks == 1:
+        tried = [[worker] for worker in rack.workers.values()]
+    else:
+        tried = [sorted(rack.workers.values(), key=_tight_first)]
+    for order in tried:
+        seats = seating.fill(order, job)
+        if seats is not None:
+            found.append(_Option(_loss(rack, seats, job, shapes), rack, seats))
+    return found
+
+
+def _loss(
+    rack: inventory.RackView,
+    seats: seating.Seats,
+    job: work.Job,
+    shapes: tuple[work.Shape, ...],
+) -> _Loss:
+    taken: dict[str, int] = {}
+    avoided = 0
+    foreign = 0
+    for item in seats:
+        worker = rack.workers[item.worker]
+        taken[item.worker] = taken.get(item.worker, 0) + len(item.accelerators)
+        if worker.is_avoided:
+            avoided += len(item.accelerators)
+        for number in item.accelerators:
+            owner = worker.owners.get(number)
+            if owner is not None and owner.team != job.team:
+                foreign += 1
+    after = tuple(
+        count - taken.get(name, 0) for name, count in zip(rack.workers, rack.counts, strict=True)
+    )
+    lost = [_lost(rack.counts, after, shape) for shape in shapes]
+    return _Loss(avoided, tuple(one[0] for one in lost), tuple(one[1] for one in lost), foreign)
+
+
+@functools.lru_cache(maxsize=65536)
+def _lost(before: tuple[int, ...], after: tuple[int, ...], shape: work.Shape) -> tuple[int, int]:
+    slots_before = sum(count // shape.accelerators_per_task for count in before)
+    slots_after = sum(count // shape.accelerators_per_task for count in after)
+    shapes = slots_before // shape.tasks - slots_after // shape.tasks
+    return (shapes, slots_before - slots_after)
+
+
+def _tight_first(worker: inventory.WorkerView) -> tuple[bool, int, str]:
+    return (worker.is_avoided, len(worker.free), worker.name)
--- /dev/null
+++ b/libs/placement/tests/test_fleet.py
@@ -0,0 +1,85 @@
+"""Tests of the view of the fleet and of entitlements."""
+
+import pytest
+
+from papayaspar_model import work, workers
+from papayaspar_placement import entitlements, homes
+
+
+@pytest.fixture
+def use_of():
+    def make(job_id, accelerators, attempt=1, team="blue"):
+        return workers.GangUse(job_id, attempt, team, accelerators, True, True, 5.0, 10.0)
+
+    return make
+
+
+def test_newest_report_wins(view_of, report_of, use_of):
+    view = view_of("r0")
+    assert view.observe(report_of("r0-w0", 5, gangs=[use_of("j", (0, 1))]), 10.0)
+    assert not view.observe(report_of("r0-w0", 4), 11.0)
+    assert view.team_accelerators("blue") == 2
+    assert view.gang("j").started_s == 5.0
+    assert view.observe(report_of("r0-w0", 1, incarnation=2), 12.0)
+    assert view.team_accelerators("blue") == 0
+
+
+def test_gang_is_merged_over_its_workers(view_of, report_of, use_of):
+    view = view_of("r0")
+    view.observe(report_of("r0-w0", 2, gangs=[use_of("j", (0,))]), 1.0)
+    view.observe(report_of("r0-w1", 2, gangs=[use_of("j", (3, 4))]), 1.0)
+    assert view.gang("j").accelerators == 3
+    view.forget("r0-w1")
+    assert view.gang("j").accelerators == 1
+
+
+def test_assumed_gang_counts_until_reported_or_released(view_of, report_of, use_of, job_of, put):
+    view = view_of("r0")
+    put(view, job_of("j"), ("r0-w0", (7,)))
+    view.observe(report_of("r0-w0", 2), 1.0)
+    assert 7 not in view.worker("r0-w0").free
+    view.observe(report_of("r0-w0", 3, gangs=[use_of("j", (7,))]), 2.0)
+    view.observe(report_of("r0-w0", 4), 3.0)
+    assert 7 in view.worker("r0-w0").free
+    put(view, job_of("k"), ("r0-w0", (7,)))
+    view.release("k")
+    assert view.team_accelerators("blue") == 0
+
+
+def test_ejected_and_draining_workers_offer_nothing(view_of, report_of):
+    view = view_of("r0")
+    view.set_ejected({"r0-w0"})
+    view.observe(report_of("r0-w1", 2, draining=True), 1.0)
+    assert [rack.free for rack in view.racks()] == [8]
+    view.set_ejected(())
+    assert [rack.free for rack in view.racks()] == [16]
+
+
+def test_guaranteed_or_borrowed_follows_from_present_use(
+    view_of, rack_of, guarantee_of, job_of, put
+):
+    packing = homes.pack((guarantee_of("blue", 1, 8, count=2),), (rack_of("r0"),))
+    view = view_of("r0", homes=packing.homes)
+    wide = job_of("claim", accelerators=8)
+    for number in range(2):
+        assert view.is_guaranteed(wide)
+        put(view, job_of(f"j{number}", accelerators=8), ("r0-w2" if number else "r0-w0", range(8)))
+    assert not view.is_guaranteed(wide)
+    put(view, job_of("j2", accelerators=8), ("r0-w1", range(8)))
+    split = view.entitlement("blue")
+    assert len(split.guaranteed) == 2
+    assert len(split.borrowed) == 1
+    view.release("j0")
+    assert len(view.entitlement("blue").guaranteed) == 2
+    assert not view.is_guaranteed(wide)
+
+
+def test_small_gangs_share_an_instance(guarantee_of, rack_of, job_of, view_of, put):
+    packing = homes.pack((guarantee_of("blue", 2, 4),), (rack_of("r0"),))
+    view = view_of("r0", homes=packing.homes)
+    put(view, job_of("j"), ("r0-w0", (0,)))
+    (room,) = view.entitlement("blue").rooms
+    assert room.accelerators == 7
+    assert room.fits(work.Shape(1, 4))
+    assert not room.fits(work.Shape(2, 4))
+    assert view.entitlement("blue").at_home == {entitlements.GangName("j", 0)}
--- /dev/null
+++ b/libs/placement/tests/test_policies.py
@@ -0,0 +1,100 @@
+"""Tests of placement policies."""
+
+import random
+
+import pytest
+
+from papayaspar_model import rulesets, work, workers
+from papayaspar_placement import durations, ends, homes, policies, shape_keeping
+
+POLICIES = ("first_fit", "best_fit", "random_of_two", "shape_keeping")
+
+
+@pytest.fixture
+def policy_of():
+    def make(name):
+        expected = ends.EndEstimator(durations.DurationEstimator())
+        known = [
+            policies.FirstFit(),
+            policies.BestFit(),
+            policies.RandomOfTwo(random.Random(3)),
+            shape_keeping.ShapeKeeping(expected),
+        ]
+        return {policy.name: policy for policy in known}[name]
+
+    return make
+
+
+@pytest.mark.parametrize("name", POLICIES)
+def test_random_jobs_get_whole_disjoint_and_allowed_accelerators(
+    name, policy_of, view_of, job_of, guarantee_of, rack_of
+):
+    rng = random.Random(11)
+    policy = policy_of(name)
+    racks = tuple(rack_of(f"r{number}") for number in range(4))
+    rules = (guarantee_of("red", 2, 8), guarantee_of("blue", 3, 4, count=2))
+    packing = homes.pack(rules, racks)
+    view = view_of("r0", "r1", "r2", "r3", homes=packing.homes)
+    running = []
+    for number in range(400):
+        job = job_of(
+            f"j{number}",
+            team=rng.choice(["red", "blue", "green"]),
+            tasks=rng.choice([1, 1, 2, 6]),
+            accelerators=rng.choice([1, 2, 4, 8]),
+            adjacency=rng.choice(["rack", "any"]),
+            checkpoint=rng.random() < 0.5,
+        )
+        free = {
+            worker.name: set(worker.free)
+            for rack in view.racks()
+            for worker in rack.workers.values()
+        }
+        placement = policy.place(job, view)
+        if placement is not None:
+            assert len(placement.tasks) == job.shape.tasks
+            for item in placement.tasks:
+                assert len(item.accelerators) == job.shape.accelerators_per_task
+                assert free[item.worker].issuperset(item.accelerators)
+                free[item.worker].difference_update(item.accelerators)
+                owners = view.worker(item.worker).owners
+                teams = {owners[one].team for one in item.accelerators if one in owners}
+                assert job.stoppable or teams <= {job.team}
+            if job.shape.adjacency is work.Adjacency.RACK:
+                assert len({item.worker[:2] for item in placement.tasks}) == 1
+            view.assume(job, placement)
+            running.append(job.job_id)
+        if running and rng.random() < 0.45:
+            view.release(running.pop(rng.randrange(len(running))))
+
+
+def test_small_job_goes_where_no_large_shape_is_lost(policy_of, view_of, job_of, put):
+    home = rulesets.Home("red", "red", 0, (workers.AcceleratorRange("r9-w0", tuple(range(8))),))
+    view = view_of("r0", "r1", homes=(home,))
+    put(view, job_of("old", accelerators=4), ("r1-w1", range(4)))
+    placement = policy_of("shape_keeping").place(job_of("small", accelerators=2), view)
+    assert placement.tasks[0].worker == "r1-w1"
+
+
+def test_avoided_workers_come_last(policy_of, view_of, job_of, put):
+    view = view_of("r0")
+    put(view, job_of("old"), ("r0-w0", (0,)))
+    view.set_avoided({"r0-w0"})
+    placement = policy_of("shape_keeping").place(job_of("small"), view)
+    assert placement.tasks[0].worker != "r0-w0"
+
+
+def test_job_of_the_guaranteed_shape_goes_home(policy_of, view_of, job_of, rack_of, guarantee_of):
+    packing = homes.pack((guarantee_of("blue", 2, 8),), (rack_of("r1"),))
+    view = view_of("r0", "r1", homes=packing.homes)
+    job = job_of("j", tasks=2, accelerators=8, checkpoint=False)
+    placement = policy_of("shape_keeping").place(job, view)
+    assert (placement.guarantee, placement.instance) == ("blue", 0)
+    assert placement.tasks == packing.homes[0].tasks
+
+
+def test_gang_too_wide_for_a_rack_spans_racks(policy_of, view_of, job_of):
+    view = view_of("r0", "r1")
+    job = job_of("j", tasks=5, accelerators=8)
+    placement = policy_of("shape_keeping").place(job, view)
+    assert len({item.worker for item in placement.tasks}) == 5
--- /dev/null
+++ b/libs/placement/tests/test_reclaims.py
@@ -0,0 +1,90 @@
+"""Tests of reclaims."""
+
+import pytest
+
+from papayaspar_placement import homes, reclaims
+
+
+@pytest.fixture
+def packing(guarantee_of, rack_of):
+    rules = (guarantee_of("red", 2, 8, count=2), guarantee_of("blue", 2, 8))
+    return homes.pack(rules, tuple(rack_of(f"r{number}") for number in range(4)))
+
+
+@pytest.fixture
+def view(view_of, packing):
+    return view_of("r0", "r1", "r2", "r3", homes=packing.homes)
+
+
+def workers_of(packing, guarantee, instance=0):
+    for home in packing.homes:
+        if (home.guarantee, home.instance) == (guarantee, instance):
+            return [item.worker for item in home.tasks]
+    return []
+
+
+def borrow(view, put, job_of, names, **facts):
+    for number, worker in enumerate(names):
+        job = job_of(f"on-{worker}-{number}", team="green", accelerators=8, **facts)
+        put(view, job, (worker, range(8)))
+
+
+def test_the_instance_with_the_least_lost_work_is_freed(view, packing, job_of, put):
+    borrow(view, put, job_of, workers_of(packing, "red", 0), checkpoint=False, idempotent=True)
+    borrow(view, put, job_of, workers_of(packing, "red", 1))
+    view.advance(500.0)
+    plan = reclaims.plan(job_of("claim", team="red", tasks=2, accelerators=8), view)
+    assert plan.placement.instance == 1
+    assert [step.action for step in plan.victims[0].steps] == list(reclaims.Action)
+    assert plan.lost_work_s == 2 * 8 * reclaims.CHECKPOINT_COST_S
+    assert plan.within_s < 7.3
+
+
+def test_young_work_leaves_before_old_work_that_cannot_checkpoint(view, packing, job_of, put):
+    borrow(view, put, job_of, workers_of(packing, "red", 1), checkpoint=False, idempotent=True)
+    view.advance(500.0)
+    borrow(view, put, job_of, workers_of(packing, "red", 0), checkpoint=False, idempotent=True)
+    view.advance(510.0)
+    plan = reclaims.plan(job_of("claim", team="red", tasks=2, accelerators=8), view)
+    assert plan.placement.instance == 0
+    assert [victim.lost_work_s for victim in plan.victims] == [80.0, 80.0]
+
+
+def test_two_teams_at_once_never_take_the_same_accelerators(view, packing, job_of, put):
+    for home in packing.homes:
+        borrow(view, put, job_of, [item.worker for item in home.tasks])
+    taken = set()
+    for number, team in enumerate(["red", "blue", "red"]):
+        job = job_of(f"claim-{number}", team=team, tasks=2, accelerators=8)
+        plan = reclaims.plan(job, view)
+        view.assume(job, plan.placement)
+        taken.update(item.worker for item in plan.placement.tasks)
+        assert {victim.team for victim in plan.victims} == {"green"}
+    assert len(taken) == 6
+    assert reclaims.plan(job_of("more", team="red", tasks=2, accelerators=8), view) is None
+
+
+def test_instance_with_a_lost_worker_is_left_out(view, packing, job_of):
+    view.forget(workers_of(packing, "red", 0)[0])
+    plan = reclaims.plan(job_of("claim", team="red", tasks=2, accelerators=8), view)
+    assert plan.placement.instance == 1
+    view.set_ejected(workers_of(packing, "red", 1)[:1])
+    assert reclaims.plan(job_of("claim", team="red", tasks=2, accelerators=8), view) is None
+
+
+def test_work_that_cannot_be_stopped_is_never_a_victim(view, packing, job_of, put):
+    borrow(view, put, job_of, workers_of(packing, "blue"), checkpoint=False)
+    assert reclaims.plan(job_of("claim", team="blue", tasks=2, accelerators=8), view) is None
+
+
+def test_smaller_claim_stops_one_whole_gang_and_leaves_the_rest(view, packing, job_of, put):
+    first, second = workers_of(packing, "blue")
+    wide = job_of("wide", team="green", tasks=2, accelerators=4)
+    put(view, wide, (first, range(4)), (second, range(4)))
+    small = job_of("small", team="green", accelerators=4)
+    put(view, small, (first, range(4, 8)))
+    put(view, job_of("held", team="green", accelerators=4), (second, range(4, 8)))
+    view.advance(1.0)
+    plan = reclaims.plan(job_of("claim", team="blue", accelerators=4), view)
+    (victim,) = plan.victims
+    assert victim.gang.job_id in ("small", "held")
