Add papayaspar-ctl and the operator's client

Cause: operators check, publish and show rules, and look after workers and jobs. Change: papayaspar_control with a client of the operators' HTTP interface, a publish that settles a lost answer by its id before it sends again, and the commands; papayaspar-ctl is a thin main. Conclusion: a lost answer ends as accepted, as a conflict, or as a named publish id that is not settled.

--- /dev/null
+++ b/libs/control/src/papayaspar_control/client.py
@@ -0,0 +1,162 @@
+"""The operators' HTTP interface of an entry, from the asking side."""
+
+import ssl
+from types import TracebackType
+from urllib import parse
+
+import httpx
+
+from papayaspar_control import answers, failures
+from papayaspar_model import errors
+from papayaspar_rules import faults
+
+NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+RULES_TYPE = "text/plain; charset=utf-8"
+STATUS_UNAVAILABLE = 503
+
+
+class Client:
+    """Asks one entry; used as an asynchronous context manager.
+
+    :param base_url: URL of the operators' listener.
+    :param timeout_s: longest wait for an answer.
+    :param transport: carries the requests; the network when left out.
+    :param tls: how to check the entry's certificate, for an ``https`` URL.
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        timeout_s: float,
+        transport: httpx.AsyncBaseTransport | None = None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._http = httpx.AsyncClient(
+            base_url=base_url,
+            timeout=timeout_s,
+            transport=transport,
+            verify=tls or False,
+            trust_env=False,
+        )
+
+    async def __aenter__(self) -> "Client":
+        await self._http.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._http.__aexit__(kind, error, trace)
+
+    async def publish_rules(
+        self, text: str, parent: int, publish_id: str, author: str
+    ) -> answers.Published:
+        """Publish rules once, without settling a lost answer.
+
+        :param text: the rules.
+        :param parent: revision they were made from.
+        :param publish_id: the publisher's name for this publish.
+        :param author: who publishes.
+        :return: the new revision.
+        :raises RevisionConflictError: if another revision was accepted first.
+        :raises InvalidRulesError: if the rules have faults.
+        """
+        headers = {
+            "Content-Type": RULES_TYPE,
+            "Papayaspar-Parent": str(parent),
+            "Papayaspar-Publish-Id": publish_id,
+            "Papayaspar-Author": parse.quote(author),
+        }
+        content = await self._ask("POST", "/v1/rules", text.encode("utf-8"), headers)
+        return answers.read(answers.Published, content)
+
+    async def rules(self) -> answers.RulesInForce:
+        """Return the rules in force."""
+        return answers.read(answers.RulesInForce, await self._ask("GET", "/v1/rules"))
+
+    async def history(self) -> answers.History:
+        """Return the revisions that were in force."""
+        return answers.read(answers.History, await self._ask("GET", "/v1/rules/history"))
+
+    async def status(self) -> answers.Status:
+        """Return what the entry sees."""
+        return answers.read(answers.Status, await self._ask("GET", "/v1/status"))
+
+    async def drain(self, worker: str) -> None:
+        """Let a worker finish its work and take no more.
+
+        :param worker: name of the worker.
+        """
+        await self._ask("POST", f"/v1/workers/{_quoted(worker)}/drain")
+
+    async def retire(self, worker: str) -> None:
+        """Say that a worker is gone for good.
+
+        :param worker: name of the worker.
+        """
+        await self._ask("POST", f"/v1/workers/{_quoted(worker)}/retire")
+
+    async def job(self, job_id: str) -> tuple[answers.JobField, ...]:
+        """Return what is known of a job.
+
+        :param job_id: the job.
+        """
+        return answers.read_job(await self._ask("GET", f"/v1/jobs/{_quoted(job_id)}"))
+
+    async def cancel_job(self, job_id: str) -> tuple[answers.JobField, ...]:
+        """Cancel a job.
+
+        :param job_id: the job.
+        :return: what is known of it afterwards.
+        """
+        return answers.read_job(await self._ask("DELETE", f"/v1/jobs/{_quoted(job_id)}"))
+
+    async def _ask(
+        self,
+        method: str,
+        path: str,
+        content: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> bytes:
+        try:
+            answer = await self._http.request(method, path, content=content, headers=headers)
+        except NOT_SENT_ERRORS as error:
+            raise failures.UnreachableError(f"nobody answers at {self._http.base_url}") from error
+        except httpx.HTTPError as error:
+            raise failures.AnswerLostError(f"{self._http.base_url}: {error!r}") from error
+        if answer.is_success:
+            return answer.content
+        raise _refusal(answer.status_code, answer.content)
+
+
+def _quoted(segment: str) -> str:
+    return parse.quote(segment, safe="")
+
+
+def _refusal(status: int, content: bytes) -> errors.PapayasparError:
+    try:
+        problem = answers.read(answers.Problem, content)
+    except failures.BrokenAnswerError:
+        return failures.BrokenAnswerError(f"the entry answered {status} without a problem")
+    if problem.code == errors.RevisionConflictError.code:
+        return errors.RevisionConflictError(problem.detail, field=problem.field)
+    if problem.code == errors.RulesError.code and problem.faults:
+        return faults.InvalidRulesError([_fault(row) for row in problem.faults])
+    ran = _ran(problem.ran)
+    if status == STATUS_UNAVAILABLE:
+        return failures.EntryUnavailableError(problem.code, problem.detail, ran)
+    return failures.RefusedError(problem.code, problem.detail, ran, problem.field)
+
+
+def _fault(row: answers.FaultRow) -> faults.Fault:
+    return faults.Fault("published rules", row.line, row.column, row.code, row.detail)
+
+
+def _ran(text: str) -> errors.Ran:
+    try:
+        return errors.Ran(text)
+    except ValueError:
+        return errors.Ran.UNKNOWN
--- /dev/null
+++ b/libs/control/tests/test_control.py
@@ -0,0 +1,163 @@
+"""The operator's client and command, against a fake entry."""
+
+import functools
+
+import httpx
+import pytest
+import trio
+import trio.testing
+
+from papayaspar_control import answers, client, failures, publishing
+from papayaspar_ctl_main import main
+from papayaspar_model import errors
+from papayaspar_rules import faults, records
+from papayaspar_settings import exits, programs
+
+TEXT = "team a weight=1 # asked by A\n"
+OTHER = records.RevisionRecord(1, 0, "other", "bob", TEXT, 0.0)
+
+
+@pytest.fixture
+def publish(connect):
+    """Return a function that publishes under virtual time."""
+
+    async def body(text: str) -> answers.Published:
+        async with connect() as entry:
+            return await publishing.publish(entry, text, 0, "ann", "mine")
+
+    def run(text: str = TEXT) -> answers.Published:
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(functools.partial(body, text), clock=clock)
+
+    return run
+
+
+@pytest.fixture
+def ctl(connect, capsys):
+    """Return a function that runs the command and returns its exit code and output."""
+
+    def run(*argv: str) -> tuple[int, str]:
+        code = programs.execute(main.PROGRAM, argv, {"PAPAYASPAR_AUTHOR": "ann"})
+        return code, capsys.readouterr().out
+
+    return run
+
+
+@pytest.fixture
+def rules_file(tmp_path):
+    path = tmp_path / "a.rules"
+    path.write_text(TEXT)
+    return path
+
+
+def test_publish_whose_answer_was_lost_after_the_effect_is_found_in_the_history(
+    publish, fake_entry
+):
+    fake_entry.lose_after = {0}
+    assert publish() == answers.Published(1, "mine")
+    assert fake_entry.asked == ["POST /v1/rules", "GET /v1/rules/history"]
+
+
+def test_publish_that_never_arrived_is_sent_again_under_its_id(publish, fake_entry):
+    fake_entry.lose_before = {0, 1}
+    assert publish() == answers.Published(1, "mine")
+    assert fake_entry.chain.next_offset == 1
+
+
+def test_conflict_after_a_lost_answer_and_a_lost_history_is_not_taken_for_a_loss(
+    publish, fake_entry
+):
+    fake_entry.lose_after = {0, 1}
+    assert publish() == answers.Published(1, "mine")
+    assert fake_entry.asked[2:] == ["POST /v1/rules", "GET /v1/rules/history"]
+
+
+@pytest.mark.parametrize("lost", [set(), {0}])
+def test_loser_of_a_race_is_told_so(publish, fake_entry, lost):
+    fake_entry.append(OTHER)
+    fake_entry.lose_after = lost
+    with pytest.raises(errors.RevisionConflictError):
+        publish()
+
+
+def test_publish_that_cannot_be_settled_says_so(publish, fake_entry):
+    fake_entry.lose_after = set(range(100))
+    with pytest.raises(errors.OutcomeUnknownError, match="mine"):
+        publish()
+
+
+def test_refused_rules_name_their_faults(publish):
+    with pytest.raises(faults.InvalidRulesError) as caught:
+        publish("team a weight=x # asked by A")
+    assert [(item.line, item.column) for item in caught.value.faults] == [(1, 15)]
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (httpx.Response(200, content=b"garbage"), failures.BrokenAnswerError),
+        (httpx.Response(200, json={"revision": "x"}), failures.BrokenAnswerError),
+        (httpx.Response(502, content=b"[]"), failures.BrokenAnswerError),
+        (httpx.Response(503, json={"code": "draining", "ran": "no"}), errors.UnavailableError),
+        (httpx.Response(404, json={"code": "not_found"}), failures.RefusedError),
+    ],
+)
+def test_unexpected_answer_gives_a_typed_error(answer, expected):
+    async def body() -> None:
+        transport = httpx.MockTransport(lambda _: answer)
+        async with client.Client("http://127.0.0.1:1", 1.0, transport) as entry:
+            await entry.rules()
+
+    with pytest.raises(expected):
+        trio.run(body)
+
+
+def test_file_is_checked_compared_published_and_shown(ctl, rules_file):
+    path = str(rules_file)
+    assert ctl("rules", "check", path) == (0, f"{path}: 1 rules, no faults\n")
+    assert ctl("rules", "diff", path) == (0, f"+ {TEXT}")
+    code, out = ctl("rules", "publish", path)
+    assert (code, out.split(" (")[0]) == (0, "revision 1 is accepted")
+    code, out = ctl("rules", "show")
+    assert (code, out.splitlines()[1] + "\n") == (0, TEXT)
+    assert ctl("rules", "diff", path) == (0, "")
+    code, out = ctl("rules", "history")
+    assert out.splitlines()[1].split()[:4] == ["1", "0", "1970-01-01T00:00:00Z", "ann"]
+
+
+def test_publish_from_an_old_parent_fails(ctl, rules_file, fake_entry):
+    fake_entry.append(OTHER)
+    assert ctl("rules", "publish", str(rules_file), "--parent", "0") == (1, "")
+
+
+def test_faulty_or_missing_file_fails_before_anything_is_asked(ctl, tmp_path, fake_entry):
+    path = tmp_path / "bad.rules"
+    path.write_bytes(b"\xff")
+    for argument in (str(path), str(tmp_path / "none")):
+        assert ctl("rules", "publish", argument) == (exits.ExitCode.FAILED, "")
+    assert fake_entry.asked == []
+
+
+def test_status_shows_workers_and_short_guarantees(ctl):
+    code, out = ctl("status")
+    lines = out.splitlines()
+    assert (code, lines[2].split()) == (0, ["w1", "r1", "d1", "up", "1/8", "6/8"])
+    assert lines[3] == "short: guarantee g, instance 1"
+
+
+@pytest.mark.parametrize("command", ["drain", "retire"])
+def test_unknown_worker_fails(ctl, command):
+    assert ctl(command, "w1")[0] == exits.ExitCode.OK
+    assert ctl(command, "w2")[0] == exits.ExitCode.FAILED
+
+
+@pytest.mark.parametrize("command", ["show", "cancel"])
+def test_job_is_shown_field_by_field(ctl, command):
+    assert ctl("job", command, "a/b?") == (1, "")
+    assert ctl("job", command, "j1") == (0, 'job_id: "j1"\ntasks: 2\n')
+
+
+def test_entry_that_is_not_there_gives_its_exit_code(capsys):
+    argv = ["status", "--entry", "127.0.0.1:1", "--timeout-s", "1"]
+    assert programs.execute(main.PROGRAM, argv, {}) == exits.ExitCode.UNAVAILABLE
+    assert "unreachable" in capsys.readouterr().err
--- a/libs/settings/src/papayaspar_settings/exits.py
+++ b/libs/settings/src/papayaspar_settings/exits.py
@@ -15,10 +15,10 @@
 
 
 MEANINGS = {
-    ExitCode.OK: "done; what was asked for holds",
+    ExitCode.OK: "done",
     ExitCode.FAILED: "refused, failed, or a check did not hold",
-    ExitCode.USAGE: "bad usage or bad settings; nothing was done",
-    ExitCode.UNAVAILABLE: "the process or service asked is not reachable now",
+    ExitCode.USAGE: "bad usage or settings, nothing done",
+    ExitCode.UNAVAILABLE: "what was asked is not reachable now",
 }
 
 
