--- a/libs/rules/tests/test_rules_file.py
+++ b/libs/rules/tests/test_rules_file.py
@@ -1,5 +1,7 @@
 """The rules file: faults with their places, canonical form, and no other error for any text."""
 
+import pathlib
+import re
 import string
 
 import pytest
@@ -56,6 +58,9 @@
 CEILINGS = st.none() | st.integers(10**6, 10**7)
 
 
+PAGE = pathlib.Path(__file__).parents[3] / "docs" / "RULES.md"
+
+
 def fault_of(text: str) -> list[tuple[int, int, str]]:
     with pytest.raises(faults.InvalidRulesError) as caught:
         parsing.parse(text)
@@ -119,6 +124,14 @@
     assert "share=7.5% floor=2/s # asked by Ms. Sen; ticket #12\n" in rules.text
 
 
+def test_examples_on_the_page_are_good_and_its_codes_complete():
+    page = PAGE.read_text()
+    examples = re.findall(r"```rules\n(.*?)```", page, re.DOTALL)
+    assert [len(parsing.parse(example).teams) for example in examples] == [2, 3]
+    for _, _, code in FAULTS:
+        assert f"`{code}`" in page
+
+
 @pytest.mark.parametrize(("line", "column", "code"), FAULTS)
 def test_fault_names_its_line_column_and_code(line, column, code):
     assert fault_of(f"\n{line}\n") == [(2, column, code)]
