Carry changes, not whole rules, from one revision to the next

Change: Chain.propose records the lines that differ from the parent's rules when that is shorter; Book makes the next rules of them. Chain.latest passes a change to a peer that has the parent. Checks between rules no longer compare line numbers, which differ between a reader of the file and one of the changes. Book also replaces the module of differences.

--- a/libs/control/src/papayaspar_control/actions.py
+++ b/libs/control/src/papayaspar_control/actions.py
@@ -9,7 +9,7 @@
 import cappa
 
 from papayaspar_control import client, files, publishing, settings, texts
-from papayaspar_rules import differences, faults, parsing
+from papayaspar_rules import faults, parsing
 from papayaspar_settings import exits, programs
 
 RulesPath = Annotated[pathlib.Path, cappa.Arg(help="path of the rules file")]
@@ -76,7 +76,7 @@
 
     async def operate(self, settings: settings.ControlSettings) -> exits.ExitCode:
         """Read the file; faults end the program."""
-        rules = files.read_rules(self.file)
+        rules = files.read_rules(self.file).ruleset()
         print(f"{self.file}: {len(rules.text.splitlines())} rules, no faults")
         return exits.ExitCode.OK
 
@@ -92,8 +92,8 @@
         """Return the rules that differ."""
         wanted = files.read_rules(self.file)
         in_force = await entry.rules()
-        current = parsing.parse(in_force.text, f"revision {in_force.revision}")
-        return texts.changes(differences.changes(current, wanted))
+        current = parsing.parse_book(in_force.text, f"revision {in_force.revision}")
+        return texts.changes(current.differences(wanted))
 
 
 @cappa.command(name="publish", help="Publish a rules file as the next revision.")
@@ -107,7 +107,7 @@
     async def ask(self, entry: client.Client, settings: settings.ControlSettings) -> str:
         """Publish the file and say which revision it became."""
         author = settings.required_author()
-        rules = files.read_rules(self.file)
+        rules = files.read_rules(self.file).ruleset()
         parent = self.parent
         if parent is None:
             in_force = await entry.rules()
--- a/libs/control/src/papayaspar_control/files.py
+++ b/libs/control/src/papayaspar_control/files.py
@@ -3,11 +3,10 @@
 import pathlib
 
 from papayaspar_control import failures
-from papayaspar_model import rulesets
-from papayaspar_rules import parsing
+from papayaspar_rules import books, parsing
 
 
-def read_rules(path: pathlib.Path) -> rulesets.RuleSet:
+def read_rules(path: pathlib.Path) -> books.Book:
     """Read and check a rules file.
 
     :param path: its path.
--- a/libs/rules/src/papayaspar_rules/checks.py
+++ b/libs/rules/src/papayaspar_rules/checks.py
@@ -3,29 +3,33 @@
 from collections.abc import Hashable, Sequence
 
 from papayaspar_model import rulesets
-from papayaspar_rules import kinds, statements
+from papayaspar_rules import statements
 
 
 def check(found: Sequence[statements.Statement], faults: statements.FaultList) -> None:
-    """Note what is wrong between rules that are each right alone.
+    """Note what is wrong between rules whose names are unique.
 
-    :param found: the statements of a file.
+    :param found: the statements.
     :param faults: gets the faults.
     """
-    _check_names(found, faults)
     _check_teams(found, faults)
     _check_scopes(found, faults)
     _check_ceilings(found, faults)
 
 
-def _check_names(found: Sequence[statements.Statement], faults: statements.FaultList) -> None:
-    lines_by_name: dict[tuple[str, str], int] = {}
+def check_names(found: Sequence[statements.Statement], faults: statements.FaultList) -> None:
+    """Note names that are given twice within a kind.
+
+    :param found: the statements.
+    :param faults: gets the faults.
+    """
+    first_by_name: dict[tuple[str, str], statements.Statement] = {}
     for statement in found:
         name = (statement.word.text, statement.name.text)
-        first_line = lines_by_name.setdefault(name, statement.name.line)
-        if first_line == statement.name.line:
+        first = first_by_name.setdefault(name, statement)
+        if first is statement:
             continue
-        detail = f"{name[0]} {name[1]!r} is already on line {first_line}"
+        detail = f"{name[0]} {name[1]!r} is already on line {first.name.line}"
         faults.add(statement.name, "name_duplicate", detail)
 
 
@@ -39,37 +43,38 @@
 
 
 def _check_scopes(found: Sequence[statements.Statement], faults: statements.FaultList) -> None:
-    lines_by_scope: dict[Hashable, int] = {}
+    first_by_scope: dict[Hashable, statements.Statement] = {}
     for statement in found:
-        scope = _scope(statement.rule)
-        if scope is None:
+        if not isinstance(statement.rule, rulesets.Quota | rulesets.QueueLimit):
             continue
-        first_line = lines_by_scope.setdefault(scope, statement.name.line)
-        if first_line == statement.name.line:
+        scope = _scope(statement.rule)
+        first = first_by_scope.setdefault(scope, statement)
+        if first is statement:
             continue
-        detail = f"line {first_line} already sets this for the same work"
+        detail = f"{first.word.text} {first.name.text} already sets this for the same work"
         faults.add(statement.word, "rule_duplicate", detail)
 
 
-def _scope(rule: kinds.Rule) -> Hashable:
+def _scope(rule: rulesets.Quota | rulesets.QueueLimit) -> Hashable:
     if isinstance(rule, rulesets.Quota):
         return ("quota", rule.team)
-    if isinstance(rule, rulesets.QueueLimit):
-        return ("queue", rule.urgency, rule.team)
-    return None
+    return ("queue", rule.urgency, rule.team)
 
 
 def _check_ceilings(found: Sequence[statements.Statement], faults: statements.FaultList) -> None:
     accelerators: dict[str, int] = {}
     slots: dict[str, int] = {}
+    quotas: list[statements.Statement] = []
     for statement in found:
         rule = statement.rule
         if isinstance(rule, rulesets.Guarantee):
             guaranteed = rule.shape.accelerators * rule.count
             accelerators[rule.team] = accelerators.get(rule.team, 0) + guaranteed
-        if isinstance(rule, rulesets.SlotGuarantee):
+        elif isinstance(rule, rulesets.SlotGuarantee):
             slots[rule.team] = slots.get(rule.team, 0) + rule.slots
-    for statement in found:
+        elif isinstance(rule, rulesets.Quota):
+            quotas.append(statement)
+    for statement in quotas:
         rule = statement.rule
         if not isinstance(rule, rulesets.Quota):
             continue
--- a/libs/rules/src/papayaspar_rules/kinds.py
+++ b/libs/rules/src/papayaspar_rules/kinds.py
@@ -218,3 +218,4 @@
 RETRY = RetryKind()
 ALL = (TEAMS, GUARANTEES, SLOT_GUARANTEES, QUOTAS, QUEUE_LIMITS, RETRY)
 BY_WORD = {kind.word: kind for kind in ALL}
+BY_RULE = {kind.rule: kind for kind in ALL}
--- a/libs/rules/src/papayaspar_rules/printing.py
+++ b/libs/rules/src/papayaspar_rules/printing.py
@@ -1,7 +1,7 @@
 """The canonical text of rules: one form for each set, whatever file it came from."""
 
 from collections.abc import Iterator, Sequence
-from typing import TypeVar
+from typing import TypeVar, cast
 
 import attrs
 
@@ -41,11 +41,26 @@
         yield from _section(kinds.RETRY, (ruleset.retry_budget,))
 
 
+def line_of(rule: kinds.Rule) -> str:
+    """Return the canonical line of one rule.
+
+    :param rule: the rule.
+    :return: the line without its line feed.
+    :raises UnprintableRulesError: if the rule does not say who asked for it.
+    """
+    kind = cast("kinds.Kind[kinds.Rule]", kinds.BY_RULE[type(rule)])
+    return _line(kind, rule)
+
+
 def _section(kind: kinds.Kind[R], rules: Sequence[R]) -> Iterator[str]:
     for rule in sorted(rules, key=lambda rule: rule.name):
-        if not lines.is_asker(rule.asked_by):
-            raise faults.UnprintableRulesError(
-                f"{kind.word} {rule.name} does not say who asked for it", field=rule.name
-            )
-        comment = f"{lines.COMMENT_START} {lines.COMMENT_PREFIX}{rule.asked_by}"
-        yield f"{kind.word} {rule.name}{kind.write(rule)} {comment}"
+        yield _line(kind, rule)
+
+
+def _line(kind: kinds.Kind[R], rule: R) -> str:
+    if not lines.is_asker(rule.asked_by):
+        raise faults.UnprintableRulesError(
+            f"{kind.word} {rule.name} does not say who asked for it", field=rule.name
+        )
+    comment = f"{lines.COMMENT_START} {lines.COMMENT_PREFIX}{rule.asked_by}"
+    return f"{kind.word} {rule.name}{kind.write(rule)} {comment}"
--- a/libs/rules/src/papayaspar_rules/records.py
+++ b/libs/rules/src/papayaspar_rules/records.py
@@ -19,9 +19,10 @@
     :param parent: number of the revision it was made from.
     :param publish_id: the publisher's name for this publish.
     :param author: who published it.
-    :param text: the rules.
+    :param text: the rules, or the changes that make them of the parent's.
     :param published_wall_s: when, in seconds since the Unix epoch; for people only.
     :param reappended: whether the record repeats the head for readers that come later.
+    :param is_change: whether the text holds changes, as ``books.Book.changes_to`` writes them.
     :param as_of_offset: for a repeated head, the offset up to which its writer had read the log;
         the revision was the head after all records before it.
     """
@@ -33,6 +34,7 @@
     text: str
     published_wall_s: float
     reappended: bool = False
+    is_change: bool = False
     as_of_offset: int = 0
 
 
@@ -69,6 +71,7 @@
         text=_text(fields, "text"),
         published_wall_s=_seconds(fields, "published_wall_s"),
         reappended=_flag(fields, "reappended"),
+        is_change=_flag(fields, "is_change"),
         as_of_offset=_number(fields, "as_of_offset"),
     )
 
--- a/libs/rules/src/papayaspar_rules/revisions.py
+++ b/libs/rules/src/papayaspar_rules/revisions.py
@@ -13,7 +13,7 @@
 import attrs
 
 from papayaspar_model import errors, rulesets
-from papayaspar_rules import faults, parsing, records
+from papayaspar_rules import books, faults, parsing, records
 
 HISTORY_MAX_REVISIONS = 1000
 OUTCOMES_MAX = 4096
@@ -62,10 +62,12 @@
     """A revision with its rules.
 
     :param record: the record that brought it.
-    :param rules: its rules.
+    :param book: its rules, for making the next revision of them.
+    :param rules: its rules, for everything else.
     """
 
     record: records.RevisionRecord
+    book: books.Book
     rules: rulesets.RuleSet
 
 
@@ -73,10 +75,11 @@
     """The revisions as one reader of the log knows them; the one in force only rises."""
 
     def __init__(self) -> None:
-        self._head = Head(NO_RECORD, rulesets.RuleSet())
+        self._head = Head(NO_RECORD, books.EMPTY, rulesets.RuleSet())
         self._known_offset = 0
         self._from_offset = 0
         self._next_offset = 0
+        self._snapshot_offset: int | None = None
         self._pending: collections.deque[tuple[int, records.RevisionRecord]] = collections.deque()
         self._pending_chars = 0
         self._outcomes: collections.OrderedDict[str, Settlement] = collections.OrderedDict()
@@ -99,6 +102,11 @@
         """Whether the rules in force are known to be the head at ``next_offset``."""
         return self._known_offset == self._next_offset
 
+    @property
+    def snapshot_offset(self) -> int | None:
+        """Offset of the newest snapshot seen on the log, to leave out one that others wrote."""
+        return self._snapshot_offset
+
     def history(self) -> tuple[HistoryEntry, ...]:
         """Return the revisions that were in force here, newest first."""
         return tuple(reversed(self._history))
@@ -141,15 +149,18 @@
         return verdict
 
     def adopt(self, record: records.RevisionRecord) -> Verdict:
-        """Take in a snapshot from a peer; the newest one counts.
+        """Take in the head of a peer; the newest one counts.
 
-        :param record: what the peer's :meth:`snapshot` returned.
-        :return: ``ACCEPTED`` if it told this chain something new.
+        :param record: what the peer's :meth:`snapshot` or :meth:`latest` returned.
+        :return: ``ACCEPTED`` if it told this chain something new; ``PENDING`` if it holds changes
+            to a revision that this chain does not have, so that the snapshot is needed.
         """
         as_of = record.as_of_offset
         if as_of <= self._known_offset:
             return Verdict.DUPLICATE
-        head = _head_of(record)
+        if record.is_change and record.parent != self.rules.revision:
+            return Verdict.PENDING
+        head = _head_of(record, self._head)
         if head is None:
             return Verdict.INVALID
         if as_of > self._next_offset:
@@ -162,8 +173,18 @@
         return Verdict.ACCEPTED
 
     def snapshot(self) -> records.RevisionRecord:
-        """Return the head as a record to append again, or to pass to a peer."""
-        return attrs.evolve(self._head.record, reappended=True, as_of_offset=self._known_offset)
+        """Return the head as a record to append again, or to pass to any peer."""
+        return attrs.evolve(
+            self._head.record,
+            text=self.rules.text,
+            is_change=False,
+            reappended=True,
+            as_of_offset=self._known_offset,
+        )
+
+    def latest(self) -> records.RevisionRecord:
+        """Return the head as it was published, to pass to a peer that has its parent."""
+        return attrs.evolve(self._head.record, as_of_offset=self._known_offset)
 
     def settle(self, publish_id: str) -> Settlement:
         """Return what became of a publish whose acknowledgement was lost.
@@ -192,18 +213,23 @@
         :raises RevisionConflictError: if the parent is not the head.
         :raises LogUnavailableError: if the head is not known for certain yet.
         """
-        parsing.parse(text)
+        book = parsing.parse_book(text)
         if not self.is_current:
             raise errors.LogUnavailableError("the head of the rules is not known yet")
         if parent != self.rules.revision:
             raise errors.RevisionConflictError(
                 f"revision {self.rules.revision} is in force, not {parent}", field="parent"
             )
-        return records.RevisionRecord(parent + 1, parent, publish_id, author, text, wall_s)
+        record = records.RevisionRecord(parent + 1, parent, publish_id, author, text, wall_s)
+        changes = self._head.book.changes_to(book)
+        if len(changes) >= len(text):
+            return record
+        return attrs.evolve(record, text=changes, is_change=True)
 
     def _offer_snapshot(self, offset: int, record: records.RevisionRecord) -> Verdict:
-        if record.as_of_offset > offset:
+        if record.as_of_offset > offset or record.is_change:
             return Verdict.INVALID
+        self._snapshot_offset = offset
         return self.adopt(record)
 
     def _restart(self, offset: int) -> None:
@@ -233,7 +259,7 @@
         is_child = record.parent == head.record.revision and record.revision == record.parent + 1
         if not is_child:
             return head, self._reject(record.publish_id)
-        child = _head_of(record)
+        child = _head_of(record, head)
         if child is None:
             self._note(record.publish_id, Settlement.LOST)
             return head, Verdict.INVALID
@@ -269,10 +295,12 @@
         )
 
 
-def _head_of(record: records.RevisionRecord) -> Head | None:
+def _head_of(record: records.RevisionRecord, parent: Head) -> Head | None:
     try:
-        rules = parsing.parse(record.text)
+        if record.is_change:
+            book = parent.book.changed(record.text)
+        else:
+            book = parsing.parse_book(record.text)
     except faults.InvalidRulesError:
         return None
-    in_force = attrs.evolve(rules, revision=record.revision, publish_id=record.publish_id)
-    return Head(record, in_force)
+    return Head(record, book, book.ruleset(record.revision, record.publish_id))
--- a/libs/rules/tests/test_revisions.py
+++ b/libs/rules/tests/test_revisions.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -9,6 +10,7 @@
 from papayaspar_model import errors
 from papayaspar_rules import faults, records, revisions
 
+WIDE = "team a weight=1 # asked by A\nteam b weight=1 # asked by A\n"
 TEXT = "team a weight={} # asked by A\n"
 
 
@@ -75,6 +77,7 @@
         reader.offer(2, snapshot)
         offer(reader, record(3, 2, "p3"))
         assert (reader.rules.revision, reader.is_current) == (3, True)
+        assert reader.snapshot_offset == 2
 
 
 def test_stale_repeated_head_is_no_base_for_a_late_reader(chain):
@@ -129,6 +132,49 @@
         chain.propose(1, "p2", "bob", TEXT.format(2), 2.0)
 
 
+def test_change_is_published_as_the_rules_that_differ(chain):
+    offer(chain, chain.propose(0, "p1", "ann", WIDE, 1.0))
+    change = chain.propose(1, "p2", "ann", WIDE.replace("b weight=1", "b weight=2"), 1.0)
+    assert (change.is_change, change.text) == (True, "+ team b weight=2 # asked by A\n")
+    reader = revisions.Chain()
+    reader.adopt(chain.snapshot())
+    offer(chain, change)
+    assert reader.adopt(chain.latest()) is revisions.Verdict.ACCEPTED
+    assert reader.rules == chain.rules
+    assert revisions.Chain().adopt(chain.latest()) is revisions.Verdict.PENDING
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "team c weight=1 # asked by A",
+        "* team c",
+        "- team d",
+        "- team",
+        "- team a b",
+        "- tram a",
+        "+ team c weight=x # asked by A",
+        "- team a",
+        "+ quota q2 team=a slots=1 # asked by A",
+    ],
+)
+def test_change_that_does_not_fit_is_no_valid_child(chain, text):
+    """The quotas of one team stand on the first line of their texts, which must not matter."""
+    quota = "quota q1 team=a slots=1 # asked by A\n"
+    offer(chain, record(1, 0, "p1", quota + WIDE))
+    change = attrs.evolve(record(2, 1, "p2", text), is_change=True)
+    assert offer(chain, change) == [revisions.Verdict.INVALID]
+    assert chain.rules.revision == 1
+
+
+def random_text(rng: random.Random) -> str:
+    """Return rules of many teams that differ a little from one text to the next."""
+    lines = []
+    for number in range(rng.randrange(6, 9)):
+        lines.append(f"team t{number} weight={rng.choice((1, 1, 1, 2))} # asked by A\n")
+    return "".join(lines)
+
+
 def random_log(rng: random.Random) -> list[bytes]:
     """Write a log as several entries do, each with its own lag behind it."""
     log: list[bytes] = []
@@ -146,7 +192,8 @@
         elif choice < 0.5:
             log.append(records.encode(record(revision + 1, revision, f"p{number}", "bad")))
         else:
-            log.append(records.encode(record(revision + 1, revision, f"p{number}")))
+            text = random_text(rng)
+            log.append(records.encode(entry.propose(revision, f"p{number}", "ann", text, 1.0)))
     full = revisions.Chain()
     for offset, data in enumerate(log):
         full.offer(offset, data)
--- a/libs/rules/tests/test_rules_file.py
+++ b/libs/rules/tests/test_rules_file.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from papayaspar_model import rulesets, work
-from papayaspar_rules import differences, faults, parsing, printing
+from papayaspar_rules import faults, parsing, printing
 
 GOOD = """\
 # The photo service.
@@ -168,10 +168,10 @@
         printing.print_rules(rulesets.RuleSet(teams=(rulesets.Team("a"),)))
 
 
-def test_changes_name_new_gone_and_altered_rules():
-    before = parsing.parse("team a weight=1 # asked by A\nteam b weight=1 # asked by A")
-    after = parsing.parse("team b weight=2 # asked by A\nteam c weight=1 # asked by A")
-    found = [(change.before, change.after) for change in differences.changes(before, after)]
+def test_differences_name_new_gone_and_altered_rules():
+    before = parsing.parse_book("team a weight=1 # asked by A\nteam b weight=1 # asked by A")
+    after = parsing.parse_book("team b weight=2 # asked by A\nteam c weight=1 # asked by A")
+    found = [(change.before, change.after) for change in before.differences(after)]
     assert found == [
         ("team a weight=1 # asked by A", None),
         ("team b weight=1 # asked by A", "team b weight=2 # asked by A"),
@@ -185,6 +185,14 @@
     assert parsing.parse(rules.text) == rules
 
 
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(rulesets_of_any_size(), rulesets_of_any_size())
+def test_changes_turn_any_rules_into_any_others(before, after):
+    book = parsing.parse_book(before.text)
+    changes = book.changes_to(parsing.parse_book(after.text))
+    assert book.changed(changes).ruleset() == after
+
+
 WORDS = st.sampled_from(
     [*"#= \t\n\r%/0.", "team", "retry", "default", "share=", "weight=", "1/s", "# asked by A", "="]
 )
