Remember the options of a rack until it changes

Cause: the shape-keeping policy weighed each worker of the fleet for each job, and a queue tried the same shape again for each class of waiting jobs. Change: the cheapest options of a rack are kept by shape until its version changes; shapes that did not fit are not tried again in one pass; the index of the packing compares plain tuples. Conclusion: a placement costs about a millisecond; the first of a new shape still weighs every rack.

--- a/libs/placement/src/papayaspar_placement/fleet.py
+++ b/libs/placement/src/papayaspar_placement/fleet.py
@@ -124,7 +124,9 @@
         """
         self._avoided = frozenset(names)
         for worker in self._workers.values():
-            worker.is_avoided = worker.name in self._avoided
+            if worker.is_avoided != (worker.name in self._avoided):
+                worker.is_avoided = not worker.is_avoided
+                self._racks[worker.report.identity.rack].refresh()
 
     def assume(self, job: work.Job, placement: workers.Placement) -> None:
         """Count a gang that is being started, until its workers report it or it is released.
--- a/libs/placement/src/papayaspar_placement/inventory.py
+++ b/libs/placement/src/papayaspar_placement/inventory.py
@@ -83,6 +83,8 @@
     :param free: free accelerators of all its workers.
     :param counts: free accelerators of each worker, in order of names.
     :param most_free: the largest of them.
+    :param owners: teams that have homes in the rack.
+    :param version: grows with every change of the rack.
     """
 
     name: str
@@ -91,6 +93,8 @@
     free: int = 0
     counts: tuple[int, ...] = ()
     most_free: int = 0
+    owners: frozenset[str] = frozenset()
+    version: int = 0
 
     def add(self, worker: WorkerView) -> None:
         """Add a worker.
@@ -105,3 +109,7 @@
         self.counts = tuple(len(worker.free) for worker in self.workers.values())
         self.free = sum(self.counts)
         self.most_free = max(self.counts, default=0)
+        self.owners = frozenset(
+            owner.team for worker in self.workers.values() for owner in worker.owners.values()
+        )
+        self.version += 1
--- a/libs/placement/src/papayaspar_placement/queues.py
+++ b/libs/placement/src/papayaspar_placement/queues.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from papayaspar_model import rulesets, work
+from papayaspar_model import rulesets, work, workers
 from papayaspar_placement import ends, feasibility, fleet, holds, policies, reclaims
 
 LARGE_ACCELERATORS = 8
@@ -61,6 +61,22 @@
     job_id: str
 
 
+@attrs.frozen
+class _Miss:
+    """A shape that did not fit in this pass; during one the view only gets fuller.
+
+    :param shape: the shape.
+    :param stoppable: whether it may run on homes of others.
+    :param team: the team whose homes it may use; empty if that makes no difference.
+    :param around_hold: whether held racks were left out.
+    """
+
+    shape: work.Shape
+    stoppable: bool
+    team: str
+    around_hold: bool
+
+
 class JobQueue:
     """Waiting jobs of one entry.
 
@@ -84,6 +100,7 @@
         self._hold: holds.Hold | None = None
         self._hold_until_s = 0.0
         self._backfilled: set[str] = set()
+        self._misses: set[_Miss] = set()
 
     def __len__(self) -> int:
         return len(self._class_of)
@@ -152,6 +169,7 @@
         :return: the decisions, in the order in which they were taken.
         """
         view.advance(now_s)
+        self._misses.clear()
         self._review_hold(view)
         taken: list[Decision] = []
         missed: list[_Waiting] = []
@@ -210,24 +228,34 @@
     ) -> reclaims.ReclaimPlan | None:
         hold = self._hold
         if is_guaranteed:
-            placement = self._policy.place(job, view)
+            placement = self._place(job, view)
             if placement is not None:
                 return reclaims.ReclaimPlan(placement)
             return reclaims.plan(job, view)
         if hold is not None and hold.job_id == job.job_id:
-            placement = self._policy.place(job, view)
+            placement = self._place(job, view)
             if placement is not None:
                 return reclaims.ReclaimPlan(placement)
             return holds.clear(job, hold, frozenset(self._backfilled), view)
-        if hold is None:
-            placement = self._policy.place(job, view)
-        else:
-            placement = self._policy.place(job, view.hiding(hold.racks))
-            if placement is None and self._may_enter(job, view):
-                placement = self._policy.place(job, view)
-        if placement is not None:
-            return reclaims.ReclaimPlan(placement)
-        return None
+        placement = self._place(job, view, around=hold)
+        if placement is None and hold is not None and self._may_enter(job, view):
+            placement = self._place(job, view)
+        return None if placement is None else reclaims.ReclaimPlan(placement)
+
+    def _place(
+        self, job: work.Job, view: fleet.FleetView, around: holds.Hold | None = None
+    ) -> workers.Placement | None:
+        is_team_bound = not job.stoppable and bool(view.homes_of(job.team))
+        team = job.team if is_team_bound else ""
+        miss = _Miss(job.shape, job.stoppable, team, around is not None)
+        if miss in self._misses:
+            return None
+        if around is not None:
+            view = view.hiding(around.racks)
+        placement = self._policy.place(job, view)
+        if placement is None:
+            self._misses.add(miss)
+        return placement
 
     def _take(
         self,
@@ -283,6 +311,7 @@
     def _drop_hold(self) -> None:
         self._hold = None
         self._backfilled = set()
+        self._misses.clear()
 
 
 def _class_of(job: work.Job) -> _Class:
--- a/libs/placement/src/papayaspar_placement/shape_keeping.py
+++ b/libs/placement/src/papayaspar_placement/shape_keeping.py
@@ -1,6 +1,7 @@
 """The placement policy that keeps the largest guaranteed shapes open."""
 
 import functools
+import heapq
 
 import attrs
 
@@ -8,6 +9,8 @@
 from papayaspar_placement import ends, entitlements, fleet, inventory, policies, seating
 
 MAX_SHAPES_KEPT = 3
+MAX_TIES = 48
+MAX_REMEMBERED = 16
 
 
 @attrs.frozen(order=True)
@@ -35,6 +38,29 @@
     seats: seating.Seats
 
 
+@attrs.frozen
+class _Question:
+    """What the options of a rack depend on, beside the rack.
+
+    :param shape: shape of the job.
+    :param stoppable: whether the job can be stopped.
+    :param team: its team if that has homes in the rack, else empty.
+    """
+
+    shape: work.Shape
+    stoppable: bool
+    team: str
+
+
+@attrs.define
+class _Remembered:
+    """Cheapest options of one version of a rack, by question."""
+
+    rack: inventory.RackView
+    version: int
+    options: dict[_Question, list[_Option]] = attrs.field(factory=dict)
+
+
 class ShapeKeeping(policies.PlacementPolicy):
     """Racks first; the largest guaranteed shapes stay open; failing workers come last.
 
@@ -48,6 +74,8 @@
 
     def __init__(self, expected: ends.EndEstimator) -> None:
         self._expected = expected
+        self._shapes: tuple[work.Shape, ...] = ()
+        self._remembered: dict[str, _Remembered] = {}
 
     def place(self, job: work.Job, view: fleet.FleetView) -> workers.Placement | None:
         """Choose a home of the team's own, one rack, one data centre, or any place."""
@@ -73,15 +101,19 @@
         return None
 
     def _in_one_rack(self, job: work.Job, view: fleet.FleetView) -> seating.Seats | None:
-        shapes = view.guaranteed_shapes()[:MAX_SHAPES_KEPT]
+        self._keep_open(view.guaranteed_shapes()[:MAX_SHAPES_KEPT])
+        need = job.shape.accelerators
+        size = job.shape.accelerators_per_task
         best: list[_Option] = []
-        for rack in seating.roomy_racks(view, job):
-            for option in _options(rack, job, shapes):
-                if best and option.loss > best[0].loss:
-                    continue
-                if best and option.loss < best[0].loss:
-                    best = []
-                best.append(option)
+        for rack in view.racks():
+            if rack.free < need or rack.most_free < size:
+                continue
+            options = self._cheapest(rack, job)
+            if not options or (best and options[0].loss > best[0].loss):
+                continue
+            if best and options[0].loss < best[0].loss:
+                best = []
+            best.extend(options)
         if not best:
             return None
         if len(best) == 1:
@@ -92,7 +124,32 @@
             delay_s = self._delay_s(option, own_s, view)
             return (delay_s, option.rack.free, option.rack.name, option.seats[0].worker)
 
-        return min(best, key=preference).seats
+        tightest = heapq.nsmallest(MAX_TIES, best, key=lambda one: (one.rack.free, one.rack.name))
+        return min(tightest, key=preference).seats
+
+    def _keep_open(self, shapes: tuple[work.Shape, ...]) -> None:
+        if shapes != self._shapes:
+            self._shapes = shapes
+            self._remembered = {}
+
+    def _cheapest(self, rack: inventory.RackView, job: work.Job) -> list[_Option]:
+        """Return the cheapest options of a rack; they are remembered until the rack changes."""
+        known = self._remembered.get(rack.name)
+        if known is None or known.rack is not rack or known.version != rack.version:
+            known = _Remembered(rack, rack.version)
+            self._remembered[rack.name] = known
+        team = job.team if job.team in rack.owners else ""
+        question = _Question(job.shape, job.stoppable, team)
+        options = known.options.get(question)
+        if options is not None:
+            return options
+        found = _options(rack, job, self._shapes)
+        least = min((option.loss for option in found), default=None)
+        options = [option for option in found if option.loss == least]
+        if len(known.options) == MAX_REMEMBERED:
+            known.options.clear()
+        known.options[question] = options
+        return options
 
     def _delay_s(self, option: _Option, own_s: float, view: fleet.FleetView) -> float:
         """Return by how long the workers of an option become empty later, summed."""
--- a/libs/placement/src/papayaspar_placement/stock.py
+++ b/libs/placement/src/papayaspar_placement/stock.py
@@ -45,13 +45,8 @@
         return seats
 
 
-@attrs.frozen(order=True)
-class _RackKey:
-    """Place of a rack in an index, from the tightest fit to the loosest."""
-
-    capacity: int
-    free: int
-    rack: str
+# Tasks that fit, unclaimed accelerators and name of a rack: from the tightest fit to the loosest.
+_RackKey = tuple[int, int, str]
 
 
 class Stock:
@@ -122,10 +117,10 @@
         tightest: list[_RackKey] = []
         for place in places:
             keys = index.get(place, [])
-            at = bisect.bisect_left(keys, _RackKey(shape.tasks, 0, ""))
+            at = bisect.bisect_left(keys, (shape.tasks, 0, ""))
             tightest.extend(keys[at : at + 1])
         if tightest:
-            rack = self._racks[min(tightest).rack]
+            rack = self._racks[min(tightest)[2]]
             return tuple(rack.seat(shape.accelerators_per_task, shape.tasks))
         if shape.adjacency is work.Adjacency.RACK:
             return None
@@ -135,13 +130,13 @@
         self, shape: work.Shape, places: list[str]
     ) -> tuple[workers.AcceleratorRange, ...] | None:
         index = self._index_for(shape.accelerators_per_task)
-        rooms = [(sum(key.capacity for key in index.get(place, [])), place) for place in places]
+        rooms = [(sum(key[0] for key in index.get(place, [])), place) for place in places]
         whole = [room for room in rooms if room[0] >= shape.tasks]
         order = [min(whole)[1]] if whole else [place for _, place in sorted(rooms, reverse=True)]
         seats: list[workers.AcceleratorRange] = []
         for place in order:
             for key in reversed(index.get(place, [])):
-                rack = self._racks[key.rack]
+                rack = self._racks[key[2]]
                 seats.extend(rack.seat(shape.accelerators_per_task, shape.tasks - len(seats)))
                 if len(seats) == shape.tasks:
                     return tuple(seats)
@@ -162,7 +157,7 @@
 
     def _key(self, rack: RackStock, accelerators_per_task: int) -> _RackKey:
         free = sum(len(numbers) for numbers in rack.free.values())
-        return _RackKey(rack.capacity(accelerators_per_task), free, rack.name)
+        return (rack.capacity(accelerators_per_task), free, rack.name)
 
     def _unindex(self, rack: RackStock) -> None:
         for size, index in self._indexes.items():
