Make the choice of victims a policy, and keep gangs in a ledger of their own

Least lost work and youngest first stand behind one abstract base class, so an experiment can compare them. New homes are packed beside accelerators that unstoppable work holds.

--- a/libs/placement/src/papayaspar_placement/fleet.py
+++ b/libs/placement/src/papayaspar_placement/fleet.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 
 from papayaspar_model import rulesets, work, workers
-from papayaspar_placement import entitlements, homes, inventory
+from papayaspar_placement import entitlements, homes, inventory, ledger
 
 
 class FleetView:
@@ -18,11 +18,7 @@
         self.now_s = 0.0
         self._workers: dict[str, inventory.WorkerView] = {}
         self._racks: dict[str, inventory.RackView] = {}
-        self._uses: dict[str, dict[str, tuple[workers.GangUse, ...]]] = {}
-        self._gangs: dict[str, entitlements.RunningGang] = {}
-        self._jobs_of: dict[str, set[str]] = {}
-        self._started_s: dict[str, float] = {}
-        self._accelerators: dict[str, int] = {}
+        self._ledger = ledger.GangLedger()
         self._assumed: dict[str, tuple[str, ...]] = {}
         self._homes: tuple[rulesets.Home, ...] = ()
         self._homes_of: dict[str, tuple[rulesets.Home, ...]] = {}
@@ -199,26 +195,22 @@
 
     def gangs(self) -> Iterator[entitlements.RunningGang]:
         """Return all gangs."""
-        yield from self._gangs.values()
+        yield from self._ledger.gangs()
 
     def gang(self, job_id: str) -> entitlements.RunningGang | None:
         """Return a gang by its job, or ``None``."""
-        return self._gangs.get(job_id)
+        return self._ledger.gang(job_id)
 
     def holders(self, worker: inventory.WorkerView) -> dict[int, entitlements.RunningGang]:
         """Return the gang on each accelerator of a worker that one holds.
 
         :param worker: the worker.
         """
-        found: dict[int, entitlements.RunningGang] = {}
-        for job_id in sorted(worker.jobs):
-            for use in self._uses[job_id][worker.name]:
-                found.update(dict.fromkeys(use.accelerators, self._gangs[job_id]))
-        return found
+        return self._ledger.holders(worker.name, worker.jobs)
 
     def team_accelerators(self, team: str) -> int:
         """Return how many accelerators a team holds."""
-        return self._accelerators.get(team, 0)
+        return self._ledger.accelerators_of(team)
 
     def homes_of(self, team: str) -> tuple[rulesets.Home, ...]:
         """Return the homes of a team."""
@@ -232,9 +224,7 @@
         known = self._entitlements.get(team)
         if known is not None:
             return known
-        jobs = sorted(self._jobs_of.get(team, ()))
-        gangs = tuple(self._gangs[job_id] for job_id in jobs)
-        known = entitlements.split(gangs, self.homes_of(team))
+        known = entitlements.split(self._ledger.gangs_of(team), self.homes_of(team))
         self._entitlements[team] = known
         return known
 
@@ -259,6 +249,44 @@
             found.append(rulesets.RackInventory(rack.name, rack.data_centre, ranges))
         return tuple(found)
 
+    def packable_racks(self) -> tuple[rulesets.RackInventory, ...]:
+        """Return the racks in which new homes may be packed.
+
+        Workers that take no new work are left out, and so are accelerators held by work that
+        can't be stopped, unless it runs on a home of its team whose workers all stand.
+        """
+        standing = self._standing_homes()
+        found: list[rulesets.RackInventory] = []
+        for rack in self._racks.values():
+            ranges = tuple(
+                workers.AcceleratorRange(worker.name, self._packable(worker, standing))
+                for worker in rack.workers.values()
+                if worker.is_open
+            )
+            if ranges:
+                found.append(rulesets.RackInventory(rack.name, rack.data_centre, ranges))
+        return tuple(found)
+
+    def _packable(
+        self, worker: inventory.WorkerView, standing: set[homes.InstanceName]
+    ) -> tuple[int, ...]:
+        numbers = set(range(worker.report.capacity.accelerators))
+        for number, gang in self.holders(worker).items():
+            if gang.stoppable:
+                continue
+            owner = worker.owners.get(number)
+            if owner is None or owner.team != gang.team or owner.instance not in standing:
+                numbers.discard(number)
+        return tuple(sorted(numbers))
+
+    def _standing_homes(self) -> set[homes.InstanceName]:
+        standing: set[homes.InstanceName] = set()
+        for home in self._homes:
+            known = [self._workers.get(item.worker) for item in home.tasks]
+            if all(worker is not None and worker.is_open for worker in known):
+                standing.add(homes.InstanceName(home.guarantee, home.instance))
+        return standing
+
     def _stand(self, worker: inventory.WorkerView) -> None:
         identity = worker.report.identity
         rack = self._racks.get(identity.rack)
@@ -291,51 +319,9 @@
         worker.jobs = set(present)
 
     def _set_use(self, job_id: str, worker: str, uses: tuple[workers.GangUse, ...]) -> None:
-        by_worker = self._uses.setdefault(job_id, {})
-        if _is_same_use(by_worker.get(worker, ()), uses):
-            return
-        by_worker.pop(worker, None)
-        if uses:
-            by_worker[worker] = uses
-        before = self._gangs.pop(job_id, None)
-        if before is not None:
-            self._account(before, -1)
-        if not by_worker:
-            del self._uses[job_id]
-            self._started_s.pop(job_id, None)
-            return
-        merged = self._merge(job_id, by_worker)
-        self._gangs[job_id] = merged
-        self._account(merged, 1)
-
-    def _account(self, gang: entitlements.RunningGang, sign: int) -> None:
-        total = self._accelerators.get(gang.team, 0) + sign * gang.accelerators
-        self._accelerators[gang.team] = total
-        jobs = self._jobs_of.setdefault(gang.team, set())
-        jobs.discard(gang.name.job_id)
-        if sign > 0:
-            jobs.add(gang.name.job_id)
-        self._entitlements.pop(gang.team, None)
-
-    def _merge(
-        self, job_id: str, by_worker: dict[str, tuple[workers.GangUse, ...]]
-    ) -> entitlements.RunningGang:
-        newest = max((use for uses in by_worker.values() for use in uses), key=_attempt)
-        ranges: list[workers.AcceleratorRange] = []
-        for worker in sorted(by_worker):
-            held = {number for use in by_worker[worker] for number in use.accelerators}
-            ranges.append(workers.AcceleratorRange(worker, tuple(sorted(held))))
-        started_s = self._started_s.setdefault(job_id, self.now_s - newest.elapsed_s)
-        return entitlements.RunningGang(
-            name=entitlements.GangName(job_id, newest.attempt),
-            team=newest.team,
-            ranges=tuple(ranges),
-            stoppable=newest.stoppable,
-            checkpoint=newest.checkpoint,
-            started_s=started_s,
-            remaining_s=newest.remaining_s,
-            lead_worker=newest.lead_worker,
-        )
+        team = self._ledger.set_use(job_id, worker, uses, self.now_s)
+        if team is not None:
+            self._entitlements.pop(team, None)
 
 
 def _shapes_of(all_homes: tuple[rulesets.Home, ...]) -> tuple[work.Shape, ...]:
@@ -349,18 +335,3 @@
 
 def _age(report: workers.WorkerReport) -> tuple[int, int]:
     return (report.identity.incarnation, report.sequence)
-
-
-def _is_same_use(before: tuple[workers.GangUse, ...], after: tuple[workers.GangUse, ...]) -> bool:
-    if not before or len(before) != len(after):
-        return False
-    for old, new in zip(before, after, strict=True):
-        if (old.attempt, old.accelerators) != (new.attempt, new.accelerators):
-            return False
-        if (old.stoppable, old.checkpoint) != (new.stoppable, new.checkpoint):
-            return False
-    return True
-
-
-def _attempt(use: workers.GangUse) -> int:
-    return use.attempt
--- /dev/null
+++ b/libs/placement/src/papayaspar_placement/ledger.py
@@ -0,0 +1,116 @@
+"""Gangs of the whole fleet, merged from what each worker says of its part."""
+
+from collections.abc import Iterator
+
+from papayaspar_model import workers
+from papayaspar_placement import entitlements
+
+
+class GangLedger:
+    """Running gangs by job and team, and each team's present use."""
+
+    def __init__(self) -> None:
+        self._uses: dict[str, dict[str, tuple[workers.GangUse, ...]]] = {}
+        self._gangs: dict[str, entitlements.RunningGang] = {}
+        self._jobs_of: dict[str, set[str]] = {}
+        self._started_s: dict[str, float] = {}
+        self._accelerators: dict[str, int] = {}
+
+    def gang(self, job_id: str) -> entitlements.RunningGang | None:
+        """Return a gang by its job, or ``None``."""
+        return self._gangs.get(job_id)
+
+    def gangs(self) -> Iterator[entitlements.RunningGang]:
+        """Return all gangs."""
+        yield from self._gangs.values()
+
+    def gangs_of(self, team: str) -> tuple[entitlements.RunningGang, ...]:
+        """Return the gangs of a team, in order of their jobs."""
+        return tuple(self._gangs[job_id] for job_id in sorted(self._jobs_of.get(team, ())))
+
+    def accelerators_of(self, team: str) -> int:
+        """Return how many accelerators a team holds."""
+        return self._accelerators.get(team, 0)
+
+    def holders(self, worker: str, jobs: set[str]) -> dict[int, entitlements.RunningGang]:
+        """Return the gang on each accelerator of a worker that one holds.
+
+        :param worker: name of the worker.
+        :param jobs: jobs that have a gang there.
+        """
+        found: dict[int, entitlements.RunningGang] = {}
+        for job_id in sorted(jobs):
+            for use in self._uses[job_id][worker]:
+                found.update(dict.fromkeys(use.accelerators, self._gangs[job_id]))
+        return found
+
+    def set_use(
+        self, job_id: str, worker: str, uses: tuple[workers.GangUse, ...], now_s: float
+    ) -> str | None:
+        """Set what a job holds on one worker.
+
+        :param job_id: the job.
+        :param worker: name of the worker.
+        :param uses: what it holds there; empty for nothing.
+        :param now_s: reading of the clock of the view.
+        :return: the team whose use changed, or ``None`` if nothing did.
+        """
+        by_worker = self._uses.setdefault(job_id, {})
+        if _is_same_use(by_worker.get(worker, ()), uses):
+            return None
+        by_worker.pop(worker, None)
+        if uses:
+            by_worker[worker] = uses
+        before = self._gangs.pop(job_id, None)
+        if before is not None:
+            self._account(before, -1)
+        if not by_worker:
+            del self._uses[job_id]
+            self._started_s.pop(job_id, None)
+            return None if before is None else before.team
+        merged = self._merge(job_id, by_worker, now_s)
+        self._gangs[job_id] = merged
+        self._account(merged, 1)
+        return merged.team
+
+    def _account(self, gang: entitlements.RunningGang, sign: int) -> None:
+        total = self._accelerators.get(gang.team, 0) + sign * gang.accelerators
+        self._accelerators[gang.team] = total
+        jobs = self._jobs_of.setdefault(gang.team, set())
+        jobs.discard(gang.name.job_id)
+        if sign > 0:
+            jobs.add(gang.name.job_id)
+
+    def _merge(
+        self, job_id: str, by_worker: dict[str, tuple[workers.GangUse, ...]], now_s: float
+    ) -> entitlements.RunningGang:
+        newest = max((use for uses in by_worker.values() for use in uses), key=_attempt)
+        ranges: list[workers.AcceleratorRange] = []
+        for worker in sorted(by_worker):
+            held = {number for use in by_worker[worker] for number in use.accelerators}
+            ranges.append(workers.AcceleratorRange(worker, tuple(sorted(held))))
+        return entitlements.RunningGang(
+            name=entitlements.GangName(job_id, newest.attempt),
+            team=newest.team,
+            ranges=tuple(ranges),
+            stoppable=newest.stoppable,
+            checkpoint=newest.checkpoint,
+            started_s=self._started_s.setdefault(job_id, now_s - newest.elapsed_s),
+            remaining_s=newest.remaining_s,
+            lead_worker=newest.lead_worker,
+        )
+
+
+def _is_same_use(before: tuple[workers.GangUse, ...], after: tuple[workers.GangUse, ...]) -> bool:
+    if not before or len(before) != len(after):
+        return False
+    for old, new in zip(before, after, strict=True):
+        if (old.attempt, old.accelerators) != (new.attempt, new.accelerators):
+            return False
+        if (old.stoppable, old.checkpoint) != (new.stoppable, new.checkpoint):
+            return False
+    return True
+
+
+def _attempt(use: workers.GangUse) -> int:
+    return use.attempt
--- a/libs/placement/src/papayaspar_placement/queues.py
+++ b/libs/placement/src/papayaspar_placement/queues.py
@@ -86,10 +86,17 @@
 
     :param policy: chooses free accelerators.
     :param expected: expected ends of running gangs.
+    :param reclaim: chooses what makes room for claims within a guarantee.
     """
 
-    def __init__(self, policy: policies.PlacementPolicy, expected: ends.EndEstimator) -> None:
+    def __init__(
+        self,
+        policy: policies.PlacementPolicy,
+        expected: ends.EndEstimator,
+        reclaim: reclaims.ReclaimPolicy | None = None,
+    ) -> None:
         self._policy = policy
+        self._reclaim = reclaim or reclaims.LeastLostWork()
         self._expected = expected
         self._classes: dict[_Class, dict[str, _Waiting]] = {}
         self._class_of: dict[str, _Class] = {}
@@ -231,7 +238,7 @@
             placement = self._place(job, view)
             if placement is not None:
                 return reclaims.ReclaimPlan(placement)
-            return reclaims.plan(job, view)
+            return self._reclaim.plan(job, view)
         if hold is not None and hold.job_id == job.job_id:
             placement = self._place(job, view)
             if placement is not None:
--- a/libs/placement/src/papayaspar_placement/reclaims.py
+++ b/libs/placement/src/papayaspar_placement/reclaims.py
@@ -1,5 +1,6 @@
 """Reclaims: which gangs make room when a team claims a guaranteed shape."""
 
+import abc
 import enum
 
 import attrs
@@ -49,6 +50,7 @@
     :param team: whose work it is.
     :param lead_worker: worker whose agent leads the gang.
     :param workers: workers it stands on.
+    :param elapsed_s: seconds it has run.
     :param lost_work_s: accelerator-seconds of work that are lost.
     :param steps: what is asked of it, in order; it has stopped after the last.
     """
@@ -57,6 +59,7 @@
     team: str
     lead_worker: str
     workers: tuple[str, ...]
+    elapsed_s: float
     lost_work_s: float
     steps: tuple[Step, ...]
 
@@ -88,26 +91,121 @@
         return max((victim.within_s for victim in self.victims), default=0.0)
 
 
-def plan(job: work.Job, view: fleet.FleetView) -> ReclaimPlan | None:
-    """Choose the instance of the team's guarantee that is cheapest to free for a job.
+@attrs.frozen
+class _Seat:
+    """Accelerators for one task and the gangs that hold some of them."""
 
-    Only accelerators of the team's own homes are ever chosen, so claims of two teams never meet.
-    An instance with a worker that is gone, draining or ejected is left out.
+    seat: workers.AcceleratorRange
+    victims: tuple[Victim, ...]
 
-    :param job: a job that waits.
-    :param view: the fleet.
-    :return: the plan, or ``None`` if the job is beyond the guarantee or its workers don't stand.
-    """
-    best: ReclaimPlan | None = None
-    for room in view.entitlement(job.team).rooms:
-        if not room.fits(job.shape):
-            continue
-        found = _in_room(job, room, view)
-        if found is None:
-            continue
-        if best is None or _cost(found) < _cost(best):
-            best = found
-    return best
+
+class ReclaimPolicy(abc.ABC):
+    """A way to choose which instance of a guarantee is freed for a claim."""
+
+    name: str
+
+    @abc.abstractmethod
+    def cost(self, victims: tuple[Victim, ...]) -> float:
+        """Return what it costs to stop some gangs; the least costly are stopped.
+
+        :param victims: the gangs.
+        """
+
+    def plan(self, job: work.Job, view: fleet.FleetView) -> ReclaimPlan | None:
+        """Choose the instance of the team's guarantee that is cheapest to free for a job.
+
+        Only accelerators of the team's own homes are ever chosen, so claims of two teams never
+        meet. An instance with a worker that is gone, draining or ejected is left out.
+
+        :param job: a job that waits.
+        :param view: the fleet.
+        :return: the plan, or ``None`` if the job is beyond the guarantee or its workers don't
+            stand.
+        """
+        best: ReclaimPlan | None = None
+        for room in view.entitlement(job.team).rooms:
+            if not room.fits(job.shape):
+                continue
+            found = self._in_room(job, room, view)
+            if found is None:
+                continue
+            if best is None or self._rank(found) < self._rank(best):
+                best = found
+        return best
+
+    def _rank(self, found: ReclaimPlan) -> tuple[float, int, str, int]:
+        place = found.placement
+        return (self.cost(found.victims), len(found.victims), place.guarantee, place.instance)
+
+    def _in_room(
+        self, job: work.Job, room: entitlements.Room, view: fleet.FleetView
+    ) -> ReclaimPlan | None:
+        """Free as many seats as the job needs in one instance, the cheapest first."""
+        victims: dict[str, Victim] = {}
+        chosen: list[workers.AcceleratorRange] = []
+        seats = self._seats(job.shape, room, view)
+        while len(chosen) < job.shape.tasks:
+            if not seats:
+                return None
+            cheapest = min(seats, key=lambda seat: self._seat_rank(seat, victims))
+            seats.remove(cheapest)
+            chosen.append(cheapest.seat)
+            for victim in cheapest.victims:
+                victims[victim.gang.job_id] = victim
+        placement = workers.Placement(tuple(chosen), room.home.guarantee, room.home.instance)
+        order = sorted(victims.values(), key=lambda one: (one.lost_work_s, one.gang))
+        return ReclaimPlan(placement, tuple(order))
+
+    def _seat_rank(
+        self, seat: _Seat, already: dict[str, Victim]
+    ) -> tuple[float, int, str, tuple[int, ...]]:
+        further = tuple(one for one in seat.victims if one.gang.job_id not in already)
+        return (self.cost(further), len(further), seat.seat.worker, seat.seat.accelerators)
+
+    def _seats(
+        self, shape: work.Shape, room: entitlements.Room, view: fleet.FleetView
+    ) -> list[_Seat]:
+        found: list[_Seat] = []
+        size = shape.accelerators_per_task
+        for item in room.tasks:
+            worker = view.worker(item.worker)
+            if worker is None or not worker.is_open:
+                continue
+            gangs = view.holders(worker)
+            numbers = [number for number in item.accelerators if _may_take(gangs.get(number))]
+            held = [number for number in numbers if number in gangs]
+            leaving = {number: victim_of(gangs[number], view.now_s) for number in held}
+            numbers.sort(key=lambda number: self._order(number, leaving.get(number)))
+            for start in range(0, len(numbers) - size + 1, size):
+                chosen = tuple(sorted(numbers[start : start + size]))
+                seat = workers.AcceleratorRange(item.worker, chosen)
+                found.append(_Seat(seat, _distinct(leaving, chosen)))
+        return found
+
+    def _order(self, number: int, victim: Victim | None) -> tuple[float, str, int]:
+        if victim is None:
+            return (-1.0, "", number)
+        return (self.cost((victim,)), victim.gang.job_id, number)
+
+
+class LeastLostWork(ReclaimPolicy):
+    """Stop the gangs that lose the least work; those that checkpoint lose next to none."""
+
+    name = "least_lost_work"
+
+    def cost(self, victims: tuple[Victim, ...]) -> float:
+        """Return the accelerator-seconds lost."""
+        return sum(victim.lost_work_s for victim in victims)
+
+
+class YoungestFirst(ReclaimPolicy):
+    """Stop the gangs that started last."""
+
+    name = "youngest_first"
+
+    def cost(self, victims: tuple[Victim, ...]) -> float:
+        """Return the age of the oldest of them in seconds."""
+        return max((victim.elapsed_s for victim in victims), default=0.0)
 
 
 def victim_of(gang: entitlements.RunningGang, now_s: float) -> Victim:
@@ -116,85 +214,23 @@
     :param gang: the gang.
     :param now_s: reading of the clock of the view.
     """
-    lost_s = max(0.0, now_s - gang.started_s)
-    if gang.checkpoint:
-        lost_s = min(lost_s, CHECKPOINT_COST_S)
+    elapsed_s = max(0.0, now_s - gang.started_s)
+    lost_s = min(elapsed_s, CHECKPOINT_COST_S) if gang.checkpoint else elapsed_s
     return Victim(
         gang=gang.name,
         team=gang.team,
         lead_worker=gang.lead_worker,
         workers=tuple(item.worker for item in gang.ranges),
+        elapsed_s=elapsed_s,
         lost_work_s=lost_s * gang.accelerators,
         steps=SAVE_AND_STOP if gang.checkpoint else STOP_ONLY,
     )
 
 
-def _in_room(job: work.Job, room: entitlements.Room, view: fleet.FleetView) -> ReclaimPlan | None:
-    """Free as many seats as the job needs in one instance, the cheapest first."""
-    victims: dict[str, Victim] = {}
-    seats: list[workers.AcceleratorRange] = []
-    options = _seats(job.shape, room, view)
-    while len(seats) < job.shape.tasks:
-        if not options:
-            return None
-        cheapest = min(options, key=lambda one: one.cost(victims))
-        options.remove(cheapest)
-        seats.append(cheapest.seat)
-        for victim in cheapest.victims:
-            victims[victim.gang.job_id] = victim
-    placement = workers.Placement(tuple(seats), room.home.guarantee, room.home.instance)
-    order = sorted(victims.values(), key=lambda one: (one.lost_work_s, one.gang))
-    return ReclaimPlan(placement, tuple(order))
-
-
-@attrs.frozen
-class _Seat:
-    """Accelerators for one task and the gangs that hold some of them."""
-
-    seat: workers.AcceleratorRange
-    victims: tuple[Victim, ...]
-
-    def cost(self, already: dict[str, Victim]) -> tuple[float, int, str, tuple[int, ...]]:
-        further = [victim for victim in self.victims if victim.gang.job_id not in already]
-        lost_s = sum(victim.lost_work_s for victim in further)
-        return (lost_s, len(further), self.seat.worker, self.seat.accelerators)
-
-
-def _seats(shape: work.Shape, room: entitlements.Room, view: fleet.FleetView) -> list[_Seat]:
-    found: list[_Seat] = []
-    size = shape.accelerators_per_task
-    for item in room.tasks:
-        worker = view.worker(item.worker)
-        if worker is None or not worker.is_open:
-            continue
-        gangs = view.holders(worker)
-        numbers = [number for number in item.accelerators if _may_take(gangs.get(number))]
-        leaving = {
-            number: victim_of(gangs[number], view.now_s) for number in numbers if number in gangs
-        }
-        numbers.sort(key=lambda number: _order(number, leaving.get(number)))
-        for start in range(0, len(numbers) - size + 1, size):
-            chosen = tuple(sorted(numbers[start : start + size]))
-            seat = workers.AcceleratorRange(item.worker, chosen)
-            found.append(_Seat(seat, _distinct(leaving, chosen)))
-    return found
-
-
 def _may_take(gang: entitlements.RunningGang | None) -> bool:
     return gang is None or gang.stoppable
 
 
-def _order(number: int, victim: Victim | None) -> tuple[float, str, int]:
-    if victim is None:
-        return (-1.0, "", number)
-    return (victim.lost_work_s, victim.gang.job_id, number)
-
-
 def _distinct(leaving: dict[int, Victim], chosen: tuple[int, ...]) -> tuple[Victim, ...]:
     found = {leaving[number].gang: leaving[number] for number in chosen if number in leaving}
     return tuple(found[name] for name in sorted(found))
-
-
-def _cost(found: ReclaimPlan) -> tuple[float, int, str, int]:
-    place = found.placement
-    return (found.lost_work_s, len(found.victims), place.guarantee, place.instance)
--- a/libs/placement/tests/test_reclaims.py
+++ b/libs/placement/tests/test_reclaims.py
@@ -33,7 +33,7 @@
     borrow(view, put, job_of, workers_of(packing, "red", 0), checkpoint=False, idempotent=True)
     borrow(view, put, job_of, workers_of(packing, "red", 1))
     view.advance(500.0)
-    plan = reclaims.plan(job_of("claim", team="red", tasks=2, accelerators=8), view)
+    plan = reclaims.LeastLostWork().plan(job_of("claim", team="red", tasks=2, accelerators=8), view)
     assert plan.placement.instance == 1
     assert [step.action for step in plan.victims[0].steps] == list(reclaims.Action)
     assert plan.lost_work_s == 2 * 8 * reclaims.CHECKPOINT_COST_S
@@ -45,7 +45,7 @@
     view.advance(500.0)
     borrow(view, put, job_of, workers_of(packing, "red", 0), checkpoint=False, idempotent=True)
     view.advance(510.0)
-    plan = reclaims.plan(job_of("claim", team="red", tasks=2, accelerators=8), view)
+    plan = reclaims.LeastLostWork().plan(job_of("claim", team="red", tasks=2, accelerators=8), view)
     assert plan.placement.instance == 0
     assert [victim.lost_work_s for victim in plan.victims] == [80.0, 80.0]
 
@@ -56,25 +56,34 @@
     taken = set()
     for number, team in enumerate(["red", "blue", "red"]):
         job = job_of(f"claim-{number}", team=team, tasks=2, accelerators=8)
-        plan = reclaims.plan(job, view)
+        plan = reclaims.LeastLostWork().plan(job, view)
         view.assume(job, plan.placement)
         taken.update(item.worker for item in plan.placement.tasks)
         assert {victim.team for victim in plan.victims} == {"green"}
     assert len(taken) == 6
-    assert reclaims.plan(job_of("more", team="red", tasks=2, accelerators=8), view) is None
+    assert (
+        reclaims.LeastLostWork().plan(job_of("more", team="red", tasks=2, accelerators=8), view)
+        is None
+    )
 
 
 def test_instance_with_a_lost_worker_is_left_out(view, packing, job_of):
     view.forget(workers_of(packing, "red", 0)[0])
-    plan = reclaims.plan(job_of("claim", team="red", tasks=2, accelerators=8), view)
+    plan = reclaims.LeastLostWork().plan(job_of("claim", team="red", tasks=2, accelerators=8), view)
     assert plan.placement.instance == 1
     view.set_ejected(workers_of(packing, "red", 1)[:1])
-    assert reclaims.plan(job_of("claim", team="red", tasks=2, accelerators=8), view) is None
+    assert (
+        reclaims.LeastLostWork().plan(job_of("claim", team="red", tasks=2, accelerators=8), view)
+        is None
+    )
 
 
 def test_work_that_cannot_be_stopped_is_never_a_victim(view, packing, job_of, put):
     borrow(view, put, job_of, workers_of(packing, "blue"), checkpoint=False)
-    assert reclaims.plan(job_of("claim", team="blue", tasks=2, accelerators=8), view) is None
+    assert (
+        reclaims.LeastLostWork().plan(job_of("claim", team="blue", tasks=2, accelerators=8), view)
+        is None
+    )
 
 
 def test_smaller_claim_stops_one_whole_gang_and_leaves_the_rest(view, packing, job_of, put):
@@ -85,6 +94,6 @@
     put(view, small, (first, range(4, 8)))
     put(view, job_of("held", team="green", accelerators=4), (second, range(4, 8)))
     view.advance(1.0)
-    plan = reclaims.plan(job_of("claim", team="blue", accelerators=4), view)
+    plan = reclaims.LeastLostWork().plan(job_of("claim", team="blue", accelerators=4), view)
     (victim,) = plan.victims
     assert victim.gang.job_id in ("small", "held")
