Put rules in force over all processes, and admit requests by them

Cause: rules and admission stood as libraries only. Found: agents did not learn of an entry that started later (test failed with no workers seen within 30 s); entries now push their list when it changes.

--- a/libs/agent/src/papayaspar_agent/__init__.py
+++ b/libs/agent/src/papayaspar_agent/__init__.py
@@ -1,5 +1,5 @@
 """The agent daemon as a library: the one authority on its worker's slots and accelerators."""
 
-from papayaspar_agent import config, process, reports, requests, targets
+from papayaspar_agent import config, process, requests, settings, targets
 
-__all__ = ["config", "process", "reports", "requests", "targets"]
+__all__ = ["config", "process", "requests", "settings", "targets"]
--- a/libs/agent/src/papayaspar_agent/process.py
+++ b/libs/agent/src/papayaspar_agent/process.py
@@ -5,9 +5,9 @@
 import anyio
 import anyio.abc
 
-from papayaspar_agent import config, reports, requests, targets
+from papayaspar_agent import config, requests, rulings, targets
 from papayaspar_events import journal, lines, metrics
-from papayaspar_model import causality, clock, errors, workers
+from papayaspar_model import causality, clock, errors, signals, workers
 from papayaspar_settings import daemons
 from papayaspar_slots import ledger
 from papayaspar_wire import messages, peers, transports
@@ -37,6 +37,8 @@
         if isinstance(message, messages.DrainWorker):
             self._agent.drain()
             return messages.Done()
+        if isinstance(message, messages.RulesWanted):
+            return self._agent.rulings.newest()
         if isinstance(message, messages.EventsWanted):
             return self._agent.newest_events(message.limit)
         raise errors.ProtocolError(f"an agent does not answer {type(message).__name__}")
@@ -45,6 +47,8 @@
         """Take one notice of an entry."""
         if isinstance(message, messages.CancelRequest):
             self._runner.cancel(message)
+        if isinstance(message, messages.RulesInForce):
+            self._agent.rulings.take(message)
         if isinstance(message, messages.EntriesChanged):
             self._agent.learn_entries(message.entries)
 
@@ -70,7 +74,8 @@
             settings.worker, settings.data_centre, stamps, metrics.Metrics()
         )
         self._ledger = ledger.Ledger(settings.worker, settings.capacity, self._clock)
-        self._signal = reports.ReportSignal()
+        self.rulings = rulings.Rulings(self._ledger, self._journal)
+        self._signal = signals.ChangeSignal()
         self._target = target or targets.HttpTarget(settings.target, settings.capacity.connections)
         self._runner = requests.RequestRunner(
             self._ledger, self._target, self._clock, self._journal, self._signal
@@ -156,7 +161,9 @@
         stamps = self._journal.stamps
         async with peers.connected(stream, self._codec, self._handler, stamps) as peer:
             sent = self._signal.sequence
-            reply = await peer.call(messages.Hello(self.report()), HELLO_TIMEOUT_S)
+            reply = await peer.call(
+                messages.Hello(self.report(), self.rulings.revision), HELLO_TIMEOUT_S
+            )
             welcome = messages.expect(reply, messages.Welcome)
             self._journal.record(lines.EventKind.PEER_CONNECTED, detail=welcome.process)
             self.learn_entries(welcome.entries)
--- a/libs/agent/src/papayaspar_agent/requests.py
+++ b/libs/agent/src/papayaspar_agent/requests.py
@@ -5,9 +5,9 @@
 
 import anyio
 
-from papayaspar_agent import reports, targets
+from papayaspar_agent import targets
 from papayaspar_events import journal, lines
-from papayaspar_model import clock, errors
+from papayaspar_model import clock, errors, signals
 from papayaspar_slots import ledger
 from papayaspar_wire import messages
 
@@ -30,7 +30,7 @@
         target: targets.Target,
         clock_source: clock.Clock,
         record: journal.Journal,
-        signal: reports.ReportSignal,
+        signal: signals.ChangeSignal,
     ) -> None:
         self._ledger = slots
         self._target = target
--- a/libs/entry/src/papayaspar_entry/operators.py
+++ b/libs/entry/src/papayaspar_entry/operators.py
@@ -1,16 +1,21 @@
 """HTTP towards operators: status, metrics, drain, events."""
 
+import attrs
 from starlette import applications, requests, responses, routing
 
-from papayaspar_entry import sessions
+from papayaspar_entry import rulebook, sessions
 from papayaspar_events import journal, lines
 from papayaspar_membership import members
 from papayaspar_model import errors
-from papayaspar_web import problems
+from papayaspar_rules import faults as rule_faults
+from papayaspar_web import bodies, problems
 from papayaspar_wire import messages
 
 CALL_TIMEOUT_S = 3.0
 EVENTS_MAX = 4096
+PARENT_HEADER = "papayaspar-parent"
+PUBLISH_ID_HEADER = "papayaspar-publish-id"
+AUTHOR_HEADER = "papayaspar-author"
 
 
 class OperatorApi:
@@ -18,6 +23,7 @@
 
     :param table: the entry's view of the workers.
     :param links: streams to the agents.
+    :param book: the rules of this entry.
     :param record: the process's journal.
     """
 
@@ -25,10 +31,12 @@
         self,
         table: members.MemberTable,
         links: sessions.Sessions,
+        book: rulebook.Rulebook,
         record: journal.Journal,
     ) -> None:
         self._table = table
         self._sessions = links
+        self._book = book
         self._journal = record
 
     def application(self) -> applications.Starlette:
@@ -37,6 +45,9 @@
             routing.Route("/v1/status", self.get_status),
             routing.Route("/v1/events", self.get_events),
             routing.Route("/v1/workers/{worker}/drain", self.drain, methods=["POST"]),
+            routing.Route("/v1/rules", self.get_rules, methods=["GET"]),
+            routing.Route("/v1/rules", self.post_rules, methods=["POST"]),
+            routing.Route("/v1/rules/history", self.get_history),
             routing.Route("/metrics", self.get_metrics),
         ]
         handlers = {errors.PapayasparError: problems.handle}
@@ -48,7 +59,7 @@
         return responses.JSONResponse(
             {
                 "process": self._journal.process,
-                "revision": 0,
+                "revision": self._book.rules.revision,
                 "workers": rows,
                 "short_guarantees": [],
             }
@@ -61,6 +72,34 @@
             found.extend(await self._agent_lines(member.name))
         return responses.PlainTextResponse("\n".join(found) + "\n")
 
+    async def get_rules(self, http_request: requests.Request) -> responses.Response:
+        """Return the rules in force."""
+        rules = self._book.rules
+        return responses.JSONResponse(
+            {"revision": rules.revision, "publish_id": rules.publish_id, "text": rules.text}
+        )
+
+    async def post_rules(self, http_request: requests.Request) -> responses.Response:
+        """Publish a revision of the rules."""
+        body = await bodies.read(http_request)
+        headers = http_request.headers
+        try:
+            revision = await self._book.publish(
+                parent=_parent(headers.get(PARENT_HEADER, "")),
+                publish_id=headers.get(PUBLISH_ID_HEADER, ""),
+                author=headers.get(AUTHOR_HEADER, ""),
+                text=_text(body),
+            )
+        except rule_faults.InvalidRulesError as error:
+            return rule_problem(error)
+        publish_id = self._book.rules.publish_id
+        return responses.JSONResponse({"revision": revision, "publish_id": publish_id})
+
+    async def get_history(self, http_request: requests.Request) -> responses.Response:
+        """Return the revisions that were in force here, newest first."""
+        rows = [attrs.asdict(entry) for entry in self._book.history()]
+        return responses.JSONResponse({"revisions": rows})
+
     async def drain(self, http_request: requests.Request) -> responses.Response:
         """Tell a worker's agent to refuse new work."""
         worker = http_request.path_params["worker"]
@@ -98,3 +137,25 @@
         "free_accelerators": len(report.free_accelerators),
         "accelerators": report.capacity.accelerators,
     }
+
+
+def rule_problem(error: rule_faults.InvalidRulesError) -> responses.Response:
+    """Return the problem document that names every fault of refused rules."""
+    document = attrs.asdict(problems.from_error(error))
+    document["faults"] = [attrs.asdict(fault) for fault in error.faults]
+    return responses.JSONResponse(
+        document, status_code=error.status, media_type=problems.PROBLEM_TYPE
+    )
+
+
+def _parent(text: str) -> int:
+    if not text.isdecimal():
+        raise errors.InvalidRequestError("the parent is not a revision", field=PARENT_HEADER)
+    return int(text)
+
+
+def _text(body: bytes) -> str:
+    try:
+        return body.decode()
+    except UnicodeDecodeError as error:
+        raise errors.InvalidRequestError("the rules are not UTF-8", field="body") from error
--- a/libs/entry/src/papayaspar_entry/process.py
+++ b/libs/entry/src/papayaspar_entry/process.py
@@ -6,24 +6,40 @@
 import anyio.abc
 from starlette import applications as starlette_applications
 
-from papayaspar_entry import callers, config, dispatcher, operators, sessions
+from papayaspar_admission import budgets, queues
+from papayaspar_entry import (
+    callers,
+    config,
+    dispatcher,
+    entry_links,
+    operators,
+    rulebook,
+    sessions,
+)
 from papayaspar_events import journal, lines, metrics
 from papayaspar_membership import members
 from papayaspar_model import causality, clock
+from papayaspar_platform import http_logs, logs
 from papayaspar_settings import daemons
 from papayaspar_web import listeners
 from papayaspar_wire import transports
 
+CAPACITY_SPACING_S = 0.01
+
 
 class Entry(daemons.Daemon):
     """One entry.
 
     :param settings: checked settings.
+    :param log: client of the platform's log; HTTP by the settings when left out.
     :param clock_source: clock of the machine.
     """
 
     def __init__(
-        self, settings: config.EntryConfig, clock_source: clock.Clock | None = None
+        self,
+        settings: config.EntryConfig,
+        log: logs.Log | None = None,
+        clock_source: clock.Clock | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock_source or clock.BootClock()
@@ -32,12 +48,26 @@
             settings.name, settings.data_centre, stamps, metrics.Metrics()
         )
         self._table = members.MemberTable()
-        self._sessions = sessions.Sessions(settings.name, self._table, self._journal, self._clock)
+        self._log = log or http_logs.HttpLog(str(settings.log))
+        self._book = rulebook.Rulebook(self._log, self._journal, self._clock)
+        self._links = entry_links.EntryLinks(self._book, self._journal, settings.stream_tls)
+        self._sessions = sessions.Sessions(
+            settings.name, self._table, self._book, self._links, self._journal, self._clock
+        )
+        self._admission = queues.AdmissionQueue(self._clock)
+        self._retries = budgets.RetryBudget(self._clock)
         self._dispatcher = dispatcher.Dispatcher(
-            self._table, self._sessions, self._journal, self._clock
+            self._table,
+            self._sessions,
+            self._admission,
+            self._retries,
+            self._journal,
+            self._clock,
         )
         self._callers = callers.CallerApi(self._dispatcher, self._journal, self._clock)
-        self._operators = operators.OperatorApi(self._table, self._sessions, self._journal)
+        self._operators = operators.OperatorApi(
+            self._table, self._sessions, self._book, self._journal
+        )
         self._stopping = anyio.Event()
         self._closing = anyio.Event()
         self._http_done = anyio.Event()
@@ -48,10 +78,15 @@
         """Serve until :meth:`stop`, then until the requests in progress are answered."""
         self._journal.record(lines.EventKind.PROCESS_STARTED)
         streams = await transports.listen(self._settings.listen, self._settings.stream_tls)
-        self._sessions.entries = (str(streams.address),)
+        self._links.own_address = str(streams.address)
         async with anyio.create_task_group() as group:
             group.start_soon(streams.serve, self._sessions.serve)
             group.start_soon(self._serve_http, self._bind())
+            group.start_soon(self._links.run, tuple(map(str, self._settings.peers)))
+            group.start_soon(self._book.follow)
+            group.start_soon(self._book.keep_alive)
+            group.start_soon(self._apply_rules)
+            group.start_soon(self._follow_capacity)
             self._callers.is_ready = True
             task_status.started()
             await self._stopping.wait()
@@ -67,6 +102,23 @@
         self._journal.record(lines.EventKind.PROCESS_STOPPING)
         self._stopping.set()
 
+    async def _apply_rules(self) -> None:
+        seen = 0
+        while True:
+            seen = await self._book.changes.wait_beyond(seen)
+            self._admission.apply(self._book.rules)
+            self._retries.apply(self._book.rules.retry_budget)
+
+    async def _follow_capacity(self) -> None:
+        while True:
+            entries = len(self._links.live)
+            fair_slots = self._table.total_slots() // entries
+            open_slots = max(fair_slots, self._table.open_slots())
+            self._admission.set_capacity(open_slots, 1 / entries)
+            await self._table.wait_changed()
+            # Reports come in bursts; one recount serves a burst.
+            await anyio.sleep(CAPACITY_SPACING_S)
+
     def _bind(self) -> tuple[socket.socket, socket.socket]:
         callers_at = self._settings.callers
         operators_at = self._settings.operators
--- a/libs/entry/src/papayaspar_entry/sessions.py
+++ b/libs/entry/src/papayaspar_entry/sessions.py
@@ -1,8 +1,9 @@
-"""Streams from agents, one task each, as the entry sees them."""
+"""Streams from agents and other entries, one task each, as the entry serves them."""
 
 import anyio
 import anyio.abc
 
+from papayaspar_entry import entry_links, rulebook
 from papayaspar_events import journal, lines
 from papayaspar_membership import members
 from papayaspar_model import clock, errors, workers
@@ -11,8 +12,8 @@
 HELLO_TIMEOUT_S = 5.0
 
 
-class AgentHandler(peers.Handler):
-    """Takes what one agent says on one stream.
+class StreamHandler(peers.Handler):
+    """Takes what one agent, or one other entry, says on one stream.
 
     :param sessions: the entry's table of sessions.
     """
@@ -20,20 +21,29 @@
     def __init__(self, sessions: "Sessions") -> None:
         self._sessions = sessions
         self.identity: workers.WorkerIdentity | None = None
+        self.greeted = anyio.Event()
 
     async def call(self, peer: peers.Peer, message: object) -> object:
-        """Answer the agent's hello."""
+        """Answer the hello of an agent or of an entry."""
+        if isinstance(message, messages.EntryHello):
+            self.greeted.set()
+            return self._sessions.welcome_entry(message)
         if not isinstance(message, messages.Hello):
             raise errors.ProtocolError(f"an entry does not answer {type(message).__name__}")
         self._sessions.observe(message.report)
-        self.identity = message.report.identity
         self._sessions.attach(message.report.identity, peer)
+        self.identity = message.report.identity
+        if message.rules_revision > self._sessions.rules.rules.revision:
+            await self._sessions.fetch_rules(peer)
+        self.greeted.set()
         return self._sessions.welcome()
 
     async def notice(self, peer: peers.Peer, message: object) -> None:
-        """Take the agent's reports."""
+        """Take an agent's reports and an entry's rules."""
         if isinstance(message, messages.Report):
             self._sessions.observe(message.report)
+        if isinstance(message, messages.RulesInForce):
+            self._sessions.rules.adopt(message.record)
 
 
 class Sessions:
@@ -41,6 +51,8 @@
 
     :param name: name of this entry.
     :param table: the entry's view of the workers.
+    :param book: the rules of this entry.
+    :param links: streams to the other entries.
     :param record: the process's journal.
     :param clock_source: clock of the machine.
     """
@@ -49,22 +61,29 @@
         self,
         name: str,
         table: members.MemberTable,
+        book: rulebook.Rulebook,
+        links: entry_links.EntryLinks,
         record: journal.Journal,
         clock_source: clock.Clock,
     ) -> None:
         self._name = name
         self._table = table
+        self.rules = book
         self._journal = record
         self._clock = clock_source
         self._codec: codecs.Codec = messages.codec()
         self._peers: dict[str, peers.Peer] = {}
-        self.entries: tuple[str, ...] = ()
+        self.links = links
 
     async def serve(self, stream: anyio.abc.ByteStream) -> None:
         """Serve one stream until it ends; runs in a task of its own."""
-        handler = AgentHandler(self)
+        handler = StreamHandler(self)
         peer = peers.Peer(stream, self._codec, handler, self._journal.stamps)
-        await peer.run()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._push_rules, handler, peer)
+            group.start_soon(self._push_entries, handler, peer)
+            await peer.run()
+            group.cancel_scope.cancel()
         if handler.identity is not None:
             self._detach(handler.identity, peer)
 
@@ -80,7 +99,17 @@
 
     def welcome(self) -> messages.Welcome:
         """Return the answer to a hello."""
-        return messages.Welcome(self._name, self.entries)
+        return messages.Welcome(self._name, self.links.known)
+
+    def welcome_entry(self, hello: messages.EntryHello) -> messages.Welcome:
+        """Return the answer to another entry's hello, and remember that entry."""
+        self.links.learn((hello.address,))
+        return self.welcome()
+
+    async def fetch_rules(self, peer: peers.Peer) -> None:
+        """Adopt the rules of an agent that holds newer ones."""
+        reply = await peer.call(messages.RulesWanted(), HELLO_TIMEOUT_S)
+        self.rules.adopt(messages.expect(reply, messages.RulesInForce).record)
 
     def observe(self, report: workers.WorkerReport) -> None:
         """Take a report into the view and record what it changed."""
@@ -109,6 +138,27 @@
             raise members.StaleMemberError(identity.worker)
         self._peers[identity.worker] = peer
 
+    async def _push_rules(self, handler: StreamHandler, peer: peers.Peer) -> None:
+        await handler.greeted.wait()
+        while peer.is_open:
+            seen = self.rules.changes.sequence
+            message = messages.RulesInForce(self.rules.snapshot(), self.rules.rules.revision)
+            try:
+                await peer.notify(message)
+            except errors.PeerError:
+                return
+            await self.rules.changes.wait_beyond(seen)
+
+    async def _push_entries(self, handler: StreamHandler, peer: peers.Peer) -> None:
+        await handler.greeted.wait()
+        seen = self.links.changes.sequence
+        while peer.is_open:
+            seen = await self.links.changes.wait_beyond(seen)
+            try:
+                await peer.notify(messages.EntriesChanged(self.links.known))
+            except errors.PeerError:
+                return
+
     def _detach(self, identity: workers.WorkerIdentity, peer: peers.Peer) -> None:
         if self._peers.get(identity.worker) is not peer:
             return
--- a/libs/model/src/papayaspar_model/__init__.py
+++ b/libs/model/src/papayaspar_model/__init__.py
@@ -5,6 +5,24 @@
     from papayaspar_model import errors, work
 """
 
-from papayaspar_model import causality, clock, errors, identifiers, rulesets, work, workers
+from papayaspar_model import (
+    causality,
+    clock,
+    errors,
+    identifiers,
+    rulesets,
+    signals,
+    work,
+    workers,
+)
 
-__all__ = ["causality", "clock", "errors", "identifiers", "rulesets", "work", "workers"]
+__all__ = [
+    "causality",
+    "clock",
+    "errors",
+    "identifiers",
+    "rulesets",
+    "signals",
+    "work",
+    "workers",
+]
--- a/libs/wire/src/papayaspar_wire/messages.py
+++ b/libs/wire/src/papayaspar_wire/messages.py
@@ -15,9 +15,11 @@
     """First message of an agent on a stream.
 
     :param report: its worker as it stands.
+    :param rules_revision: newest revision of the rules the agent holds.
     """
 
     report: workers.WorkerReport
+    rules_revision: int = 0
 
 
 @attrs.frozen
@@ -80,6 +82,11 @@
     homes_revision: int = 0
 
 
+@attrs.frozen
+class RulesWanted:
+    """Ask an agent for the newest rules it holds; answered with :class:`RulesInForce`."""
+
+
 @attrs.frozen
 class RunRequest:
     """Run one attempt of a request on the agent's target.
@@ -173,6 +180,7 @@
     Report,
     EntriesChanged,
     RulesInForce,
+    RulesWanted,
     RunRequest,
     RequestAnswer,
     CancelRequest,
--- a/programs/standin/src/papayaspar_standin_main/main.py
+++ b/programs/standin/src/papayaspar_standin_main/main.py
@@ -100,3 +100,7 @@
 def main() -> NoReturn:
     """Run the program."""
     programs.run(PROGRAM)
+
+
+if __name__ == "__main__":
+    main()
