--- /dev/null
+++ b/libs/bench/src/papayaspar_bench/fleet_fakes.py
@@ -0,0 +1,166 @@
+"""A fake fleet: workers that hold gangs whole, fail, and report."""
+
+import attrs
+
+from papayaspar_model import errors, work, workers
+
+WORKERS_PER_RACK = 3
+DATA_CENTRES = 3
+
+
+class FleetConflictError(errors.PapayasparError):
+    """A gang was started on accelerators that are held or on a worker that is down."""
+
+    code = "fleet_conflict"
+    title = "The accelerators are not free"
+
+
+@attrs.frozen
+class RunningJob:
+    """A gang on the fake fleet.
+
+    :param job: the job.
+    :param attempt: which run, from 1.
+    :param placement: where it stands.
+    :param started_s: virtual time at which it started.
+    """
+
+    job: work.Job
+    attempt: int
+    placement: workers.Placement
+    started_s: float
+
+
+@attrs.define
+class FakeWorker:
+    """One worker.
+
+    :param identity: name, incarnation, rack and data centre.
+    :param holders: job by number of accelerator held.
+    :param sequence: number of the last report.
+    :param is_up: whether it runs.
+    """
+
+    identity: workers.WorkerIdentity
+    capacity: workers.Capacity = attrs.field(factory=workers.Capacity)
+    holders: dict[int, str] = attrs.field(factory=dict)
+    sequence: int = 0
+    is_up: bool = True
+
+    @property
+    def free(self) -> int:
+        """Accelerators that no gang holds."""
+        return self.capacity.accelerators - len(self.holders) if self.is_up else 0
+
+
+class FakeFleet:
+    """Workers three to a rack over three data centres.
+
+    :param count: number of workers.
+    """
+
+    def __init__(self, count: int) -> None:
+        self.workers: dict[str, FakeWorker] = {}
+        self.racks: dict[str, list[FakeWorker]] = {}
+        self.running: dict[str, RunningJob] = {}
+        for number in range(count):
+            rack_number = number // WORKERS_PER_RACK
+            rack = f"rack-{rack_number:03d}"
+            identity = workers.WorkerIdentity(
+                worker=f"worker-{number:03d}",
+                incarnation=1,
+                rack=rack,
+                data_centre=f"dc-{rack_number % DATA_CENTRES}",
+                region="region-1",
+            )
+            worker = FakeWorker(identity)
+            self.workers[identity.worker] = worker
+            self.racks.setdefault(rack, []).append(worker)
+
+    def start(
+        self, job: work.Job, attempt: int, placement: workers.Placement, now_s: float
+    ) -> None:
+        """Start a whole gang.
+
+        :param job: the job.
+        :param attempt: which run.
+        :param placement: where.
+        :param now_s: virtual time.
+        :raises FleetConflictError: if any accelerator is not free; then nothing starts.
+        """
+        for item in placement.tasks:
+            worker = self.workers[item.worker]
+            if not worker.is_up or not worker.holders.keys().isdisjoint(item.accelerators):
+                raise FleetConflictError(f"{item.worker} can't take {job.job_id}")
+        for item in placement.tasks:
+            holders = self.workers[item.worker].holders
+            holders.update(dict.fromkeys(item.accelerators, job.job_id))
+        self.running[job.job_id] = RunningJob(job, attempt, placement, now_s)
+
+    def stop(self, job_id: str) -> RunningJob | None:
+        """Stop a whole gang.
+
+        :param job_id: the job.
+        :return: what ran, or ``None``.
+        """
+        running = self.running.pop(job_id, None)
+        if running is None:
+            return None
+        for item in running.placement.tasks:
+            holders = self.workers[item.worker].holders
+            for number in item.accelerators:
+                holders.pop(number, None)
+        return running
+
+    def fail(self, name: str) -> tuple[RunningJob, ...]:
+        """Fail a worker; every gang with a part on it stops whole.
+
+        :param name: the worker.
+        :return: the gangs that stopped.
+        """
+        worker = self.workers[name]
+        worker.is_up = False
+        stopped = [self.stop(job_id) for job_id in sorted(set(worker.holders.values()))]
+        return tuple(running for running in stopped if running is not None)
+
+    def repair(self, name: str) -> None:
+        """Start a failed worker anew.
+
+        :param name: the worker.
+        """
+        worker = self.workers[name]
+        identity = attrs.evolve(worker.identity, incarnation=worker.identity.incarnation + 1)
+        worker.identity = identity
+        worker.sequence = 0
+        worker.is_up = True
+
+    def report(self, name: str, now_s: float) -> workers.WorkerReport:
+        """Return what the agent of a worker says.
+
+        :param name: the worker.
+        :param now_s: virtual time.
+        """
+        worker = self.workers[name]
+        worker.sequence += 1
+        held: dict[str, list[int]] = {}
+        for number, job_id in worker.holders.items():
+            held.setdefault(job_id, []).append(number)
+        gangs = tuple(self._use(job_id, held[job_id], now_s) for job_id in sorted(held))
+        return workers.WorkerReport(
+            worker.identity, worker.capacity, worker.sequence, 0, False, gangs
+        )
+
+    def _use(self, job_id: str, numbers: list[int], now_s: float) -> workers.GangUse:
+        running = self.running[job_id]
+        elapsed_s = now_s - running.started_s
+        return workers.GangUse(
+            job_id=job_id,
+            attempt=running.attempt,
+            team=running.job.team,
+            accelerators=tuple(sorted(numbers)),
+            stoppable=running.job.stoppable,
+            checkpoint=running.job.checkpoint,
+            elapsed_s=elapsed_s,
+            remaining_s=max(0.0, running.job.run_time_s - elapsed_s),
+            lead_worker=running.placement.tasks[0].worker,
+        )
--- /dev/null
+++ b/libs/bench/src/papayaspar_bench/fragmentation.py
@@ -0,0 +1,165 @@
+"""Fragmentation under churn: four placement policies on the same jobs."""
+
+import random
+
+import attrs
+
+from papayaspar_bench import experiments, fleet_fakes, fleet_runs, fleet_workloads
+from papayaspar_model import rulesets, work
+from papayaspar_placement import (
+    durations,
+    ends,
+    policies,
+    queues,
+    reclaims,
+    shape_keeping,
+)
+
+WARM_UP_S = 2 * 3600.0
+GANG_WIDTH = 8
+
+
+@attrs.frozen
+class Deployment:
+    """One fleet and the load on it.
+
+    :param name: name of the deployment.
+    :param workers: number of workers.
+    :param instances: instances of each guarantee.
+    :param until_s: virtual time at which the run ends.
+    :param load_ratio: share of accelerators that the jobs keep busy on average.
+    """
+
+    name: str
+    workers: int
+    instances: int
+    until_s: float
+    load_ratio: float
+
+
+DEPLOYMENTS = (
+    Deployment("today", 11, 1, 26 * 3600.0, 0.75),
+    Deployment("larger", 66, 6, 8 * 3600.0, 0.75),
+)
+
+
+class _Meter(fleet_runs.Watcher):
+    """Time integrals of what is held, free and stranded."""
+
+    def __init__(self, shape: work.Shape) -> None:
+        self._shape = shape
+        self.held_s = 0.0
+        self.free_s = 0.0
+        self.stranded_s = 0.0
+        self.gang_waits_s: list[float] = []
+
+    def advanced(self, run: fleet_runs.FleetRun, from_s: float, to_s: float) -> None:
+        """Add what is held, free and stranded."""
+        if to_s <= WARM_UP_S:
+            return
+        lasted_s = to_s - max(from_s, WARM_UP_S)
+        free = 0
+        usable = 0
+        for rack in run.fakes.racks.values():
+            counts = [worker.free for worker in rack]
+            free += sum(counts)
+            slots = sum(count // self._shape.accelerators_per_task for count in counts)
+            usable += slots // self._shape.tasks * self._shape.accelerators
+        total = sum(worker.capacity.accelerators for worker in run.fakes.workers.values())
+        self.held_s += (total - free) * lasted_s
+        self.free_s += free * lasted_s
+        self.stranded_s += (free - usable) * lasted_s
+
+    def started(
+        self,
+        run: fleet_runs.FleetRun,
+        record: fleet_runs.JobRecord,
+        decision: queues.Decision,
+    ) -> None:
+        """Note how long a wide gang waited."""
+        if record.attempt > 1 or record.submitted_s < WARM_UP_S:
+            return
+        if decision.job.shape.tasks == GANG_WIDTH:
+            self.gang_waits_s.append(run.now_s - record.submitted_s)
+
+
+class Fragmentation(experiments.Experiment):
+    """Churn of small and large work on both deployments."""
+
+    name = "fragmentation"
+    summary = "stranded accelerators, waits of 8-wide gangs and utilisation of four policies"
+
+    def run(self, seed: int) -> experiments.Outcome:
+        """Run each policy on the same jobs."""
+        figures: dict[str, float] = {}
+        violations: list[str] = []
+        for deployment in DEPLOYMENTS:
+            kinds = fleet_workloads.churn(random.Random(seed))
+            load = deployment.load_ratio * deployment.workers * 8
+            stream = fleet_workloads.arrivals(
+                random.Random(seed + 1), kinds, load, deployment.until_s
+            )
+            for name in ("shape_keeping", "first_fit", "best_fit", "random_of_two"):
+                run, meter = _run(deployment, stream, name, seed)
+                prefix = f"{deployment.name}_{name}"
+                figures.update(_figures(prefix, meter, run))
+                if run.conflicts:
+                    violations.append(f"{prefix}: {run.conflicts} starts on held accelerators")
+            figures.update(_compared(deployment.name, figures))
+        return experiments.Outcome(self.name, seed, figures, tuple(violations))
+
+
+def _run(
+    deployment: Deployment,
+    stream: tuple[fleet_workloads.Arrival, ...],
+    name: str,
+    seed: int,
+) -> tuple[fleet_runs.FleetRun, _Meter]:
+    expected = ends.EndEstimator(durations.DurationEstimator())
+    rivals: list[policies.PlacementPolicy] = [
+        policies.FirstFit(),
+        policies.BestFit(),
+        policies.RandomOfTwo(random.Random(seed)),
+        shape_keeping.ShapeKeeping(expected),
+    ]
+    policy = {rival.name: rival for rival in rivals}[name]
+    rules = rulesets.RuleSet(guarantees=fleet_workloads.guarantees(deployment.instances))
+    meter = _Meter(work.Shape(1, 8))
+    run = fleet_runs.FleetRun(
+        fleet_fakes.FakeFleet(deployment.workers),
+        rules,
+        policy,
+        expected,
+        reclaims.LeastLostWork(),
+        meter,
+        random.Random(seed),
+    )
+    for arrival in stream:
+        run.timeline.after(
+            arrival.at_s,
+            lambda one=arrival: run.submit(one.job, one.true_s),  # type: ignore[misc]
+        )
+    run.run(deployment.until_s)
+    return run, meter
+
+
+def _figures(prefix: str, meter: _Meter, run: fleet_runs.FleetRun) -> dict[str, float]:
+    waits_s = sorted(meter.gang_waits_s)
+    return {
+        f"{prefix}_stranded_ratio": meter.stranded_s / meter.free_s,
+        f"{prefix}_utilisation_ratio": meter.held_s / (meter.held_s + meter.free_s),
+        f"{prefix}_gang_wait_mean_s": sum(waits_s) / max(1, len(waits_s)),
+        f"{prefix}_gang_wait_p99_s": waits_s[int(0.99 * (len(waits_s) - 1))] if waits_s else 0.0,
+        f"{prefix}_waiting_at_end": float(len(run.queue)),
+        f"{prefix}_lost_work_s": run.lost_work_s,
+    }
+
+
+def _compared(name: str, figures: dict[str, float]) -> dict[str, float]:
+    ours = f"{name}_shape_keeping"
+    theirs = f"{name}_first_fit"
+    return {
+        f"{name}_{figure}_vs_first_fit_ratio": figures[f"{ours}_{figure}_ratio"]
+        / figures[f"{theirs}_{figure}_ratio"]
+        for figure in ("stranded", "utilisation")
+    }
--- a/libs/placement/src/papayaspar_placement/ends.py
+++ b/libs/placement/src/papayaspar_placement/ends.py
@@ -49,7 +49,7 @@
         elapsed_s = max(0.0, now_s - gang.started_s)
         job = self._jobs.get(gang.name.job_id)
         if job is None:
-            left_s = gang.remaining_s - elapsed_s
+            left_s = gang.declared_s - elapsed_s
             return left_s if left_s > 0 else elapsed_s
         return self.estimator.remaining_s(job, elapsed_s, quantile)
 
--- a/libs/placement/src/papayaspar_placement/entitlements.py
+++ b/libs/placement/src/papayaspar_placement/entitlements.py
@@ -28,7 +28,7 @@
     :param stoppable: whether a reclaim may stop it.
     :param checkpoint: whether it can save its work before it stops.
     :param started_s: reading of the view's clock when it started.
-    :param remaining_s: declared seconds left when it was last reported, a hint.
+    :param declared_s: declared run time, a hint.
     :param lead_worker: worker whose agent leads the gang.
     """
 
@@ -38,7 +38,7 @@
     stoppable: bool
     checkpoint: bool
     started_s: float = 0.0
-    remaining_s: float = 0.0
+    declared_s: float = 0.0
     lead_worker: str = ""
 
     @property
--- a/libs/placement/src/papayaspar_placement/fleet.py
+++ b/libs/placement/src/papayaspar_placement/fleet.py
@@ -212,6 +212,10 @@
         """Return how many accelerators a team holds."""
         return self._ledger.accelerators_of(team)
 
+    def all_homes(self) -> tuple[rulesets.Home, ...]:
+        """Return the homes in force."""
+        return self._homes
+
     def homes_of(self, team: str) -> tuple[rulesets.Home, ...]:
         """Return the homes of a team."""
         return self._homes_of.get(team, ())
--- a/libs/placement/src/papayaspar_placement/ledger.py
+++ b/libs/placement/src/papayaspar_placement/ledger.py
@@ -96,7 +96,7 @@
             stoppable=newest.stoppable,
             checkpoint=newest.checkpoint,
             started_s=self._started_s.setdefault(job_id, now_s - newest.elapsed_s),
-            remaining_s=newest.remaining_s,
+            declared_s=newest.elapsed_s + newest.remaining_s,
             lead_worker=newest.lead_worker,
         )
 
