Move small gangs that checkpoint to empty workers

Change: now and then the policy proposes moves that together empty one worker; a move is a decision whose one victim is the job itself.

--- a/libs/bench/src/papayaspar_bench/fleet_workloads.py
+++ b/libs/bench/src/papayaspar_bench/fleet_workloads.py
@@ -121,7 +121,7 @@
                     team=f"team-{team}",
                     name=f"kind-{number}",
                     shape=shape,
-                    mean_s=mean_s * rng.uniform(0.5, 1.5),
+                    mean_s=mean_s * math.exp(rng.uniform(-math.log(6), math.log(6))),
                     weight=weight,
                     checkpoint=checkpoint,
                     idempotent=rng.random() < 0.7 or shape.accelerators >= 4,
--- a/libs/placement/src/papayaspar_placement/__init__.py
+++ b/libs/placement/src/papayaspar_placement/__init__.py
@@ -1,6 +1,7 @@
 """Choice of workers and accelerators for work."""
 
 from papayaspar_placement import (
+    consolidation,
     durations,
     ends,
     entitlements,
@@ -15,6 +16,7 @@
 )
 
 __all__ = [
+    "consolidation",
     "durations",
     "ends",
     "entitlements",
--- /dev/null
+++ b/libs/placement/src/papayaspar_placement/consolidation.py
@@ -0,0 +1,126 @@
+"""Moves of small gangs that empty a worker for the largest guaranteed shapes."""
+
+import attrs
+
+from papayaspar_model import work, workers
+from papayaspar_placement import ends, entitlements, fleet, inventory, reclaims
+
+MOVE_EVERY_S = 10.0
+REST_BETWEEN_MOVES_S = 300.0
+SHORTEST_REMAINING_S = 60.0
+MAX_CANDIDATES = 24
+
+
+@attrs.frozen
+class Move:
+    """A gang that goes on elsewhere after a checkpoint.
+
+    :param job: its job.
+    :param plan: where it goes on; its only victim is the gang itself, where it runs now.
+    """
+
+    job: work.Job
+    plan: reclaims.ReclaimPlan
+
+
+class Consolidator:
+    """Chooses the worker that is emptied with the least work, now and then.
+
+    Only gangs that checkpoint and that this process started are moved, each at most once in a
+    while, and only into accelerators that are left over on workers already in use.
+
+    :param expected: expected ends of running gangs, and their jobs.
+    """
+
+    def __init__(self, expected: ends.EndEstimator) -> None:
+        self._expected = expected
+        self._next_s = 0.0
+
+    def propose(self, view: fleet.FleetView) -> tuple[Move, ...]:
+        """Return moves that together empty one worker, or none.
+
+        :param view: the fleet.
+        """
+        if view.now_s < self._next_s:
+            return ()
+        self._next_s = view.now_s + MOVE_EVERY_S
+        partly = self._partly_used(view)
+        candidates = [worker for worker in partly if self._is_movable(worker, view)]
+        candidates.sort(key=lambda one: (-len(one.free), one.name))
+        for worker in candidates[:MAX_CANDIDATES]:
+            moves = self._empty(worker, partly, view)
+            if moves:
+                return moves
+        return ()
+
+    def _partly_used(self, view: fleet.FleetView) -> list[inventory.WorkerView]:
+        found: list[inventory.WorkerView] = []
+        for rack in view.racks():
+            for worker in rack.workers.values():
+                if worker.jobs and worker.free and not worker.is_avoided:
+                    found.append(worker)
+        return found
+
+    def _is_movable(self, worker: inventory.WorkerView, view: fleet.FleetView) -> bool:
+        for job_id in worker.jobs:
+            gang = view.gang(job_id)
+            if gang is None or gang.name.attempt == 0 or len(gang.ranges) > 1:
+                return False
+            job = self._expected.job(job_id)
+            if job is None or not job.checkpoint or job.shape.tasks > 1:
+                return False
+            if view.now_s - gang.started_s < REST_BETWEEN_MOVES_S:
+                return False
+            if self._expected.remaining_s(gang, view.now_s) < SHORTEST_REMAINING_S:
+                return False
+        return True
+
+    def _empty(
+        self,
+        worker: inventory.WorkerView,
+        partly: list[inventory.WorkerView],
+        view: fleet.FleetView,
+    ) -> tuple[Move, ...]:
+        """Find room for every gang of a worker on others; all or nothing."""
+        gangs = [gang for gang in map(view.gang, worker.jobs) if gang is not None]
+        taken: dict[str, set[int]] = {}
+        moves: list[Move] = []
+        for gang in sorted(gangs, key=lambda one: (-one.accelerators, one.name)):
+            job = self._expected.job(gang.name.job_id)
+            if job is None:
+                return ()
+            seat = _tightest(job, [one for one in partly if one is not worker], taken)
+            if seat is None:
+                return ()
+            taken.setdefault(seat.worker, set()).update(seat.accelerators)
+            moves.append(_move(job, gang, seat, view))
+        return tuple(moves)
+
+
+def _tightest(
+    job: work.Job, targets: list[inventory.WorkerView], taken: dict[str, set[int]]
+) -> workers.AcceleratorRange | None:
+    size = job.shape.accelerators_per_task
+    best: tuple[int, str] | None = None
+    seat: workers.AcceleratorRange | None = None
+    for target in targets:
+        if len(target.free) < size:
+            continue
+        gone = taken.get(target.name, set())
+        left = [one for one in target.usable(job.team, job.stoppable) if one not in gone]
+        rank = (len(left), target.name)
+        if len(left) < size or (best is not None and rank >= best):
+            continue
+        best = rank
+        seat = workers.AcceleratorRange(target.name, tuple(sorted(left[:size])))
+    return seat
+
+
+def _move(
+    job: work.Job,
+    gang: entitlements.RunningGang,
+    seat: workers.AcceleratorRange,
+    view: fleet.FleetView,
+) -> Move:
+    leaving = reclaims.victim_of(gang, view.now_s)
+    return Move(job, reclaims.ReclaimPlan(workers.Placement((seat,)), (leaving,)))
--- a/libs/placement/src/papayaspar_placement/ends.py
+++ b/libs/placement/src/papayaspar_placement/ends.py
@@ -34,6 +34,10 @@
         if job is not None and observed_s is not None:
             self.estimator.observe(job, observed_s)
 
+    def job(self, job_id: str) -> work.Job | None:
+        """Return a job that runs and that this process knows, or ``None``."""
+        return self._jobs.get(job_id)
+
     def remaining_s(
         self,
         gang: entitlements.RunningGang,
--- a/libs/placement/src/papayaspar_placement/policies.py
+++ b/libs/placement/src/papayaspar_placement/policies.py
@@ -4,7 +4,7 @@
 import random
 
 from papayaspar_model import work, workers
-from papayaspar_placement import fleet, inventory, seating
+from papayaspar_placement import consolidation, fleet, inventory, seating
 
 
 class PlacementPolicy(abc.ABC):
@@ -25,6 +25,13 @@
         :return: one range a task, or ``None`` if the gang does not fit now.
         """
 
+    def moves(self, view: fleet.FleetView) -> tuple[consolidation.Move, ...]:
+        """Return gangs that should go on elsewhere; most policies move none.
+
+        :param view: the fleet.
+        """
+        return ()
+
 
 class FirstFit(PlacementPolicy):
     """The first accelerators in order of racks and workers."""
--- a/libs/placement/src/papayaspar_placement/queues.py
+++ b/libs/placement/src/papayaspar_placement/queues.py
@@ -24,12 +24,15 @@
     :param plan: where, and what has to leave first.
     :param since_s: when the job began to wait.
     :param is_guaranteed: whether it is within its team's guarantee.
+    :param is_move: whether the job runs already and goes on in another place; the one victim of
+        the plan is then the job itself.
     """
 
     job: work.Job
     plan: reclaims.ReclaimPlan
     since_s: float
     is_guaranteed: bool
+    is_move: bool = False
 
 
 @attrs.frozen
@@ -199,8 +202,17 @@
             if name in self._classes:
                 heapq.heappush(heap, (self._rank(name, view), index, name))
         self._hold_for_oldest(missed, view)
+        taken.extend(self._moves(view))
         return tuple(taken)
 
+    def _moves(self, view: fleet.FleetView) -> list[Decision]:
+        held = () if self._hold is None else self._hold.racks
+        found: list[Decision] = []
+        for move in self._policy.moves(view.hiding(held)):
+            view.assume(move.job, move.plan.placement)
+            found.append(Decision(move.job, move.plan, view.now_s, False, is_move=True))
+        return found
+
     def _rank(self, name: _Class, view: fleet.FleetView) -> _Rank:
         head = next(iter(self._classes[name].values()))
         promoted = int((view.now_s - head.since_s) / PROMOTE_AFTER_S)
--- a/libs/placement/src/papayaspar_placement/shape_keeping.py
+++ b/libs/placement/src/papayaspar_placement/shape_keeping.py
@@ -6,7 +6,15 @@
 import attrs
 
 from papayaspar_model import work, workers
-from papayaspar_placement import ends, entitlements, fleet, inventory, policies, seating
+from papayaspar_placement import (
+    consolidation,
+    ends,
+    entitlements,
+    fleet,
+    inventory,
+    policies,
+    seating,
+)
 
 MAX_SHAPES_KEPT = 3
 MAX_TIES = 48
@@ -68,12 +76,18 @@
     at which its workers become empty.
 
     :param expected: expected ends of running gangs.
+    :param consolidator: moves gangs to empty workers; none are moved without one.
     """
 
     name = "shape_keeping"
 
-    def __init__(self, expected: ends.EndEstimator) -> None:
+    def __init__(
+        self,
+        expected: ends.EndEstimator,
+        consolidator: consolidation.Consolidator | None = None,
+    ) -> None:
         self._expected = expected
+        self._consolidator = consolidator
         self._shapes: tuple[work.Shape, ...] = ()
         self._remembered: dict[str, _Remembered] = {}
 
@@ -87,6 +101,13 @@
             seats = self._over_racks(job, view)
         return seating.placement(seats, job, view)
 
+    def moves(self, view: fleet.FleetView) -> tuple[consolidation.Move, ...]:
+        """Return moves that empty a worker.
+
+        :param view: the fleet.
+        """
+        return () if self._consolidator is None else self._consolidator.propose(view)
+
     def _at_home(self, job: work.Job, view: fleet.FleetView) -> workers.Placement | None:
         """Return a free instance of exactly the job's size, if the team has one."""
         if not view.is_guaranteed(job):
