--- a/libs/placement/src/papayaspar_placement/ends.py
+++ b/libs/placement/src/papayaspar_placement/ends.py
@@ -34,6 +34,10 @@
         if job is not None and observed_s is not None:
             self.estimator.observe(job, observed_s)
 
+    def job(self, job_id: str) -> work.Job | None:
+        """Return a job that runs and that this process knows, or ``None``."""
+        return self._jobs.get(job_id)
+
     def remaining_s(
         self,
         gang: entitlements.RunningGang,
@@ -49,7 +53,7 @@
         elapsed_s = max(0.0, now_s - gang.started_s)
         job = self._jobs.get(gang.name.job_id)
         if job is None:
-            left_s = gang.remaining_s - elapsed_s
+            left_s = gang.declared_s - elapsed_s
             return left_s if left_s > 0 else elapsed_s
         return self.estimator.remaining_s(job, elapsed_s, quantile)
 
