Keep an assumed gang's places together and date a run by its attempt

Cause: a second start of the same job overwrote where the first was assumed, so accelerators stayed taken for ever; a moved gang kept its old start. Change: assumed places are a set that shrinks as workers report; no gang moves while a start of it is on its way; a new attempt has a new start.

--- a/libs/placement/src/papayaspar_placement/consolidation.py
+++ b/libs/placement/src/papayaspar_placement/consolidation.py
@@ -3,7 +3,7 @@
 import attrs
 
 from papayaspar_model import work, workers
-from papayaspar_placement import ends, entitlements, fleet, inventory, reclaims
+from papayaspar_placement import ends, entitlements, fleet, inventory, reclaims, seating
 
 MOVE_EVERY_S = 10.0
 REST_BETWEEN_MOVES_S = 300.0
@@ -64,10 +64,10 @@
     def _is_movable(self, worker: inventory.WorkerView, view: fleet.FleetView) -> bool:
         for job_id in worker.jobs:
             gang = view.gang(job_id)
-            if gang is None or gang.name.attempt == 0 or len(gang.ranges) > 1:
+            if gang is None or view.is_assumed(job_id):
                 return False
             job = self._expected.job(job_id)
-            if job is None or not job.checkpoint or job.shape.tasks > 1:
+            if job is None or not job.checkpoint:
                 return False
             if view.now_s - gang.started_s < REST_BETWEEN_MOVES_S:
                 return False
@@ -85,42 +85,62 @@
         gangs = [gang for gang in map(view.gang, worker.jobs) if gang is not None]
         taken: dict[str, set[int]] = {}
         moves: list[Move] = []
+        targets = [one for one in partly if one is not worker]
         for gang in sorted(gangs, key=lambda one: (-one.accelerators, one.name)):
             job = self._expected.job(gang.name.job_id)
-            if job is None:
+            seats = None if job is None else _seats(job, targets, taken)
+            if job is None or seats is None:
                 return ()
-            seat = _tightest(job, [one for one in partly if one is not worker], taken)
-            if seat is None:
-                return ()
-            taken.setdefault(seat.worker, set()).update(seat.accelerators)
-            moves.append(_move(job, gang, seat, view))
+            for seat in seats:
+                taken.setdefault(seat.worker, set()).update(seat.accelerators)
+            moves.append(_move(job, gang, seats, view))
         return tuple(moves)
 
 
-def _tightest(
+def _seats(
     job: work.Job, targets: list[inventory.WorkerView], taken: dict[str, set[int]]
-) -> workers.AcceleratorRange | None:
-    size = job.shape.accelerators_per_task
-    best: tuple[int, str] | None = None
-    seat: workers.AcceleratorRange | None = None
+) -> seating.Seats | None:
+    """Return seats for a whole gang on the fullest workers that have room, or ``None``."""
+    by_place: dict[str, list[inventory.WorkerView]] = {}
     for target in targets:
-        if len(target.free) < size:
-            continue
-        gone = taken.get(target.name, set())
-        left = [one for one in target.usable(job.team, job.stoppable) if one not in gone]
-        rank = (len(left), target.name)
-        if len(left) < size or (best is not None and rank >= best):
+        if len(target.free) < job.shape.accelerators_per_task:
             continue
-        best = rank
-        seat = workers.AcceleratorRange(target.name, tuple(sorted(left[:size])))
-    return seat
+        is_adjacent = job.shape.adjacency is work.Adjacency.RACK
+        place = target.report.identity.rack if is_adjacent else ""
+        by_place.setdefault(place, []).append(target)
+    for place in sorted(by_place):
+        seats: list[workers.AcceleratorRange] = []
+        for target in sorted(by_place[place], key=lambda one: _fullest_first(one, taken)):
+            seats.extend(_seats_on(target, job, taken)[: job.shape.tasks - len(seats)])
+            if len(seats) == job.shape.tasks:
+                return tuple(seats)
+    return None
+
+
+def _seats_on(
+    target: inventory.WorkerView, job: work.Job, taken: dict[str, set[int]]
+) -> list[workers.AcceleratorRange]:
+    size = job.shape.accelerators_per_task
+    gone = taken.get(target.name, set())
+    left = [one for one in target.usable(job.team, job.stoppable) if one not in gone]
+    return [
+        workers.AcceleratorRange(target.name, tuple(sorted(left[start : start + size])))
+        for start in range(0, len(left) - size + 1, size)
+    ]
+
+
+def _fullest_first(
+    target: inventory.WorkerView, taken: dict[str, set[int]]
+) -> tuple[bool, int, str]:
+    left = len(target.free) - len(taken.get(target.name, ()))
+    return (not target.is_anchored, left, target.name)
 
 
 def _move(
     job: work.Job,
     gang: entitlements.RunningGang,
-    seat: workers.AcceleratorRange,
+    seats: seating.Seats,
     view: fleet.FleetView,
 ) -> Move:
     leaving = reclaims.victim_of(gang, view.now_s)
-    return Move(job, reclaims.ReclaimPlan(workers.Placement((seat,)), (leaving,)))
+    return Move(job, reclaims.ReclaimPlan(workers.Placement(seats), (leaving,)))
--- a/libs/placement/src/papayaspar_placement/fleet.py
+++ b/libs/placement/src/papayaspar_placement/fleet.py
@@ -19,7 +19,7 @@
         self._workers: dict[str, inventory.WorkerView] = {}
         self._racks: dict[str, inventory.RackView] = {}
         self._ledger = ledger.GangLedger()
-        self._assumed: dict[str, tuple[str, ...]] = {}
+        self._assumed: dict[str, set[str]] = {}
         self._homes: tuple[rulesets.Home, ...] = ()
         self._homes_of: dict[str, tuple[rulesets.Home, ...]] = {}
         self._owners: dict[str, dict[int, inventory.Ownership]] = {}
@@ -60,7 +60,8 @@
             self._stand(known)
         known.report = report
         for gang in report.gangs:
-            known.assumed.pop(gang.job_id, None)
+            if known.assumed.pop(gang.job_id, None) is not None:
+                self._settle(gang.job_id, name)
         self._refresh(known)
         return True
 
@@ -74,6 +75,7 @@
             return
         self._leave(known)
         for job_id in sorted(known.jobs):
+            self._settle(job_id, worker)
             self._set_use(job_id, worker, ())
 
     def set_homes(self, all_homes: tuple[rulesets.Home, ...]) -> None:
@@ -133,7 +135,7 @@
         numbers: dict[str, list[int]] = {}
         for item in placement.tasks:
             numbers.setdefault(item.worker, []).extend(item.accelerators)
-        self._assumed[job.job_id] = tuple(numbers)
+        self._assumed.setdefault(job.job_id, set()).update(numbers)
         for name, held in numbers.items():
             worker = self._workers.get(name)
             if worker is None:
@@ -156,12 +158,16 @@
 
         :param job_id: the job.
         """
-        for name in self._assumed.pop(job_id, ()):
+        for name in sorted(self._assumed.pop(job_id, ())):
             worker = self._workers.get(name)
             if worker is None or worker.assumed.pop(job_id, None) is None:
                 continue
             self._refresh(worker)
 
+    def is_assumed(self, job_id: str) -> bool:
+        """Return whether a start of a job is on its way and not yet reported by all workers."""
+        return job_id in self._assumed
+
     def hiding(self, racks: Iterable[str]) -> "FleetView":
         """Return the same view without some racks; it stays valid until the next change.
 
@@ -307,6 +313,14 @@
         if not rack.workers:
             del self._racks[rack.name]
 
+    def _settle(self, job_id: str, worker: str) -> None:
+        waiting = self._assumed.get(job_id)
+        if waiting is None:
+            return
+        waiting.discard(worker)
+        if not waiting:
+            del self._assumed[job_id]
+
     def _refresh(self, worker: inventory.WorkerView) -> None:
         worker.refresh()
         self._racks[worker.report.identity.rack].refresh()
--- a/libs/placement/src/papayaspar_placement/inventory.py
+++ b/libs/placement/src/papayaspar_placement/inventory.py
@@ -28,6 +28,7 @@
     :param jobs: jobs that have a gang here.
     :param is_ejected: whether it is excluded because work fails there.
     :param is_avoided: whether it is chosen only when nothing else fits.
+    :param is_anchored: whether a gang here can't be moved, because it does not checkpoint.
     :param free: accelerators that no gang holds, ascending.
     :param common: those of them that are no one's home, ascending.
     """
@@ -38,6 +39,7 @@
     jobs: set[str] = attrs.field(factory=set)
     is_ejected: bool = False
     is_avoided: bool = False
+    is_anchored: bool = False
     free: tuple[int, ...] = ()
     common: tuple[int, ...] = ()
 
@@ -52,7 +54,9 @@
         return not (self.is_ejected or self.report.draining)
 
     def refresh(self) -> None:
-        """Compute anew what is free."""
+        """Compute anew what is free and whether the gangs here can be moved."""
+        gangs = (*self.report.gangs, *self.assumed.values())
+        self.is_anchored = any(not gang.checkpoint for gang in gangs)
         free = set(self.report.free_accelerators)
         for gang in self.assumed.values():
             free.difference_update(gang.accelerators)
--- a/libs/placement/src/papayaspar_placement/ledger.py
+++ b/libs/placement/src/papayaspar_placement/ledger.py
@@ -2,10 +2,20 @@
 
 from collections.abc import Iterator
 
+import attrs
+
 from papayaspar_model import workers
 from papayaspar_placement import entitlements
 
 
+@attrs.frozen
+class _Start:
+    """When a run of a job was first seen to have started."""
+
+    attempt: int
+    at_s: float
+
+
 class GangLedger:
     """Running gangs by job and team, and each team's present use."""
 
@@ -13,7 +23,7 @@
         self._uses: dict[str, dict[str, tuple[workers.GangUse, ...]]] = {}
         self._gangs: dict[str, entitlements.RunningGang] = {}
         self._jobs_of: dict[str, set[str]] = {}
-        self._started_s: dict[str, float] = {}
+        self._starts: dict[str, _Start] = {}
         self._accelerators: dict[str, int] = {}
 
     def gang(self, job_id: str) -> entitlements.RunningGang | None:
@@ -66,7 +76,7 @@
             self._account(before, -1)
         if not by_worker:
             del self._uses[job_id]
-            self._started_s.pop(job_id, None)
+            self._starts.pop(job_id, None)
             return None if before is None else before.team
         merged = self._merge(job_id, by_worker, now_s)
         self._gangs[job_id] = merged
@@ -81,6 +91,13 @@
         if sign > 0:
             jobs.add(gang.name.job_id)
 
+    def _start_of(self, newest: workers.GangUse, now_s: float) -> float:
+        known = self._starts.get(newest.job_id)
+        if known is None or known.attempt != newest.attempt:
+            known = _Start(newest.attempt, now_s - newest.elapsed_s)
+            self._starts[newest.job_id] = known
+        return known.at_s
+
     def _merge(
         self, job_id: str, by_worker: dict[str, tuple[workers.GangUse, ...]], now_s: float
     ) -> entitlements.RunningGang:
@@ -95,7 +112,7 @@
             ranges=tuple(ranges),
             stoppable=newest.stoppable,
             checkpoint=newest.checkpoint,
-            started_s=self._started_s.setdefault(job_id, now_s - newest.elapsed_s),
+            started_s=self._start_of(newest, now_s),
             declared_s=newest.elapsed_s + newest.remaining_s,
             lead_worker=newest.lead_worker,
         )
--- a/libs/placement/src/papayaspar_placement/shape_keeping.py
+++ b/libs/placement/src/papayaspar_placement/shape_keeping.py
@@ -26,15 +26,20 @@
     """What a placement in a rack costs; smaller is better, compared field by field.
 
     :param avoided: accelerators taken on workers to avoid.
+    :param at_risk: accelerators taken on homes of other teams by work that loses all its progress
+        in a reclaim.
     :param shapes: for each guaranteed shape, the largest first, how many fewer fit the rack.
     :param slots: for each such shape, how many fewer of its tasks fit the rack.
     :param homes: accelerators taken on homes of other teams.
+    :param loose: accelerators taken on workers that moves could still empty.
     """
 
     avoided: int
+    at_risk: int
     shapes: tuple[int, ...]
     slots: tuple[int, ...]
     homes: int
+    loose: int
 
 
 @attrs.frozen
@@ -52,11 +57,13 @@
 
     :param shape: shape of the job.
     :param stoppable: whether the job can be stopped.
+    :param checkpoint: whether it can checkpoint.
     :param team: its team if that has homes in the rack, else empty.
     """
 
     shape: work.Shape
     stoppable: bool
+    checkpoint: bool
     team: str
 
 
@@ -160,7 +167,7 @@
             known = _Remembered(rack, rack.version)
             self._remembered[rack.name] = known
         team = job.team if job.team in rack.owners else ""
-        question = _Question(job.shape, job.stoppable, team)
+        question = _Question(job.shape, job.stoppable, job.checkpoint, team)
         options = known.options.get(question)
         if options is not None:
             return options
@@ -253,9 +260,12 @@
     taken: dict[str, int] = {}
     avoided = 0
     foreign = 0
+    loose = 0
     for item in seats:
         worker = rack.workers[item.worker]
         taken[item.worker] = taken.get(item.worker, 0) + len(item.accelerators)
+        if not worker.is_anchored:
+            loose += len(item.accelerators)
         if worker.is_avoided:
             avoided += len(item.accelerators)
         for number in item.accelerators:
@@ -266,7 +276,14 @@
         count - taken.get(name, 0) for name, count in zip(rack.workers, rack.counts, strict=True)
     )
     lost = [_lost(rack.counts, after, shape) for shape in shapes]
-    return _Loss(avoided, tuple(one[0] for one in lost), tuple(one[1] for one in lost), foreign)
+    return _Loss(
+        avoided=avoided,
+        at_risk=0 if job.checkpoint else foreign,
+        shapes=tuple(one[0] for one in lost),
+        slots=tuple(one[1] for one in lost),
+        homes=foreign,
+        loose=loose,
+    )
 
 
 @functools.lru_cache(maxsize=65536)
@@ -277,5 +294,5 @@
     return (shapes, slots_before - slots_after)
 
 
-def _tight_first(worker: inventory.WorkerView) -> tuple[bool, int, str]:
-    return (worker.is_avoided, len(worker.free), worker.name)
+def _tight_first(worker: inventory.WorkerView) -> tuple[bool, bool, int, str]:
+    return (worker.is_avoided, not worker.is_anchored, len(worker.free), worker.name)
