--- /dev/null
+++ b/libs/dispatch/src/papayaspar_dispatch/shard_records.py
@@ -0,0 +1,106 @@
+"""Maps of claim shards as records of the log: JSON in UTF-8."""
+
+import json
+
+import attrs
+
+from papayaspar_dispatch import shards
+
+SHARDS_MAX = 65_536
+
+
+def encode(shard_map: shards.ShardMap) -> bytes:
+    """Return the record of a map; owners are listed once and named by index.
+
+    :param shard_map: the map.
+    """
+    listed: dict[tuple[str, int], int] = {}
+    rows: list[list[int]] = []
+    for owner in shard_map.owners:
+        index = listed.setdefault((owner.worker, owner.incarnation), len(listed))
+        rows.append([index, owner.epoch, owner.previous_epoch])
+    record = {
+        "revision": shard_map.revision,
+        "map_id": shard_map.map_id,
+        "parent_id": shard_map.parent_id,
+        "workers": [[worker, incarnation] for worker, incarnation in listed],
+        "shards": rows,
+        "evidence": [_evidence_fields(proof) for proof in shard_map.evidence],
+        "founded_by": shard_map.founded_by,
+        "restated_through": shard_map.restated_through,
+    }
+    return json.dumps(record, separators=(",", ":")).encode()
+
+
+def decode(data: bytes) -> shards.ShardMap:
+    """Return the map in a record.
+
+    :param data: the record.
+    :raises papayaspar_dispatch.shards.ShardMapError: if it is malformed.
+    """
+    try:
+        fields = json.loads(data)
+        listed = [(_text(worker), _number(life)) for worker, life in fields["workers"]]
+        owners: list[shards.ShardOwner] = []
+        for index, epoch, previous_epoch in fields["shards"]:
+            worker, incarnation = listed[_number(index)]
+            owners.append(
+                shards.ShardOwner(worker, incarnation, _number(epoch), _number(previous_epoch))
+            )
+        shard_map = shards.ShardMap(
+            revision=_number(fields["revision"]),
+            map_id=_text(fields["map_id"]),
+            parent_id=_text(fields["parent_id"]),
+            owners=tuple(owners),
+            evidence=tuple(_decode_evidence(item) for item in fields["evidence"]),
+            founded_by=_text(fields["founded_by"]),
+            restated_through=_optional_number(fields["restated_through"]),
+        )
+    except (ValueError, TypeError, KeyError, IndexError, RecursionError) as error:
+        raise shards.ShardMapError(f"malformed record: {error!r}") from error
+    if not 0 < len(shard_map.owners) <= SHARDS_MAX or shard_map.revision < 1:
+        raise shards.ShardMapError("malformed record: no shards or no revision")
+    return shard_map
+
+
+def _evidence_fields(proof: shards.Evidence) -> dict[str, object]:
+    """Return the JSON object of one evidence."""
+    fields = attrs.asdict(proof)
+    fields["kind"] = proof.kind.value
+    return fields
+
+
+def _decode_evidence(fields: dict[str, object]) -> shards.Evidence:
+    """Return the evidence in a JSON object."""
+    listed = fields["shards"]
+    if not isinstance(listed, list):
+        raise TypeError("shards")
+    return shards.Evidence(
+        kind=shards.EvidenceKind(fields["kind"]),
+        worker=_text(fields["worker"]),
+        incarnation=_number(fields["incarnation"]),
+        newer_incarnation=_number(fields["newer_incarnation"]),
+        operator=_text(fields["operator"]),
+        shards=tuple(_number(shard) for shard in listed),
+    )
+
+
+def _text(value: object) -> str:
+    """Return a text, or raise."""
+    if not isinstance(value, str):
+        raise TypeError("not a text")
+    return value
+
+
+def _number(value: object) -> int:
+    """Return a whole number that is not negative, or raise."""
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise TypeError("not a whole number")
+    return value
+
+
+def _optional_number(value: object) -> int | None:
+    """Return a whole number or nothing, or raise."""
+    if value is None:
+        return None
+    return _number(value)
--- /dev/null
+++ b/libs/dispatch/tests/test_claims_stateful.py
@@ -0,0 +1,297 @@
+"""At most once over the real claim tables and shard chains, under every interleaving of faults."""
+
+import random
+
+import attrs
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from papayaspar_dispatch import claim_tables, claims, shard_chains, shard_records, shards
+from papayaspar_model import clock, errors, workers
+
+WORKERS = ("w1", "w2", "w3")
+KEYS = ("a", "b", "c")
+SHARD_COUNT = 4
+ENTRIES = 2
+KEY = st.sampled_from(KEYS)
+NUMBER = st.integers(0, ENTRIES - 1)
+OUTCOME = st.sampled_from(["ran", "lost", "not run"])
+STEPS = st.sampled_from([0, 1, 2, 2])
+START_S = 1_000_000.0
+
+
+@attrs.define
+class Entry:
+    """An entry: its chain and how far it has read the log."""
+
+    chain: shard_chains.ShardChain = attrs.field(factory=shard_chains.ShardChain)
+    next_offset: int = 0
+
+
+@attrs.define
+class Flight:
+    """A sending that was granted: which entry carries it, and what became of it."""
+
+    entry: Entry
+    owner: str
+    claim: claims.Claim
+    outcome: str = "granted"
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Entries, agents and the log, with faults; the target's own counts are the judge."""
+
+    def __init__(self):
+        super().__init__()
+        self.rng = random.Random(5)
+        self.clock = clock.ManualClock(START_S)
+        self.log, self.first_offset, self.log_is_up = [], 0, True
+        self.lives = dict.fromkeys(WORKERS, 1)
+        self.tables = {worker: self.new_table(worker) for worker in WORKERS}
+        self.entries = [Entry() for _ in range(ENTRIES)]
+        self.flights, self.evidence, self.exports = [], [], []
+        self.first_sent_s, self.runs_by_key, self.runs_by_request = {}, {}, {}
+        self.refused, self.sent = set(), 0
+        self.append(shards.found(self.identities(), self.rng, SHARD_COUNT))
+        for number in range(ENTRIES):
+            self.spread(number, True, set(WORKERS))
+
+    def new_table(self, worker):
+        limits = claims.ClaimLimits(claims_max=6)
+        return claim_tables.ClaimTable(worker, self.lives[worker], self.clock, limits)
+
+    def identities(self):
+        return [
+            workers.WorkerIdentity(worker, self.lives[worker], "r1", "dc1", "region1")
+            for worker in WORKERS
+            if worker in self.tables
+        ]
+
+    def append(self, shard_map):
+        self.log.append(shard_records.encode(shard_map))
+
+    def claim(self, key, timed, entry):
+        """Claim a key for one more sending; return the flight if it was granted."""
+        now_s = self.clock.now_s()
+        name = f"{key}-{timed}"
+        first_s = self.first_sent_s.setdefault(name, now_s)
+        if not timed and now_s - first_s > claims.RETRY_HORIZON_S:
+            return None
+        self.sent += 1
+        claim = claims.Claim(
+            "photo", name, "digest", f"req-{self.sent}", 30.0, first_s if timed else None
+        )
+        link = entry.chain.link
+        table = owner = None
+        if link is not None:
+            owner = link.shard_map.owner_of("photo", name).worker
+            table = self.tables.get(owner)
+        if table is None:
+            self.refused.add(claim.request_id)
+            return None
+        try:
+            answer = table.claim(claim, link.shard_map.revision)
+        except errors.OverloadedError:
+            self.refused.add(claim.request_id)
+            return None
+        if answer.verdict is claims.Verdict.GRANTED:
+            return Flight(entry, owner, claim)
+        if answer.verdict in (claims.Verdict.FROZEN, claims.Verdict.NOT_OWNER):
+            self.refused.add(claim.request_id)
+        if answer.verdict is claims.Verdict.SETTLED:
+            assert answer.answer == name.encode()
+        return None
+
+    def run(self, flight, outcome):
+        """Send a granted request to the target."""
+        flight.outcome = outcome
+        if outcome == "not run":
+            return
+        claim = flight.claim
+        self.runs_by_key[claim.key] = self.runs_by_key.get(claim.key, 0) + 1
+        self.runs_by_request[claim.request_id] = 1
+
+    def tell(self, flight):
+        """Tell the owner how a granted request ended."""
+        claim = flight.claim
+        table = self.tables.get(flight.owner)
+        if flight.outcome == "not run":
+            self.refused.add(claim.request_id)
+        if table is None:
+            return
+        if flight.outcome == "not run":
+            table.release(claim)
+            return
+        table.settle(claim, claim.key.encode() if flight.outcome == "ran" else None)
+
+    @stateful.rule(key=KEY, timed=st.booleans(), number=NUMBER, outcome=OUTCOME, steps=STEPS)
+    def send(self, key, timed, number, outcome, steps):
+        flight = self.claim(key, timed, self.entries[number])
+        if flight is None:
+            return
+        if steps >= 1:
+            self.run(flight, outcome)
+        if steps >= 2:
+            self.tell(flight)
+        else:
+            self.flights.append(flight)
+
+    @stateful.rule(number=NUMBER)
+    def send_all_again(self, number):
+        for name in list(self.first_sent_s):
+            key, timed = name.split("-")
+            self.send(key, timed == "True", number, "ran", 2)
+
+    @stateful.rule()
+    def all_heals(self):
+        self.log_is_up = True
+        for worker in WORKERS:
+            if worker not in self.tables:
+                self.agent_is_replaced(worker)
+        for number in range(ENTRIES):
+            self.propose(number, 8, False)
+        for number in range(ENTRIES):
+            self.spread(number, True, set(WORKERS))
+
+    def teardown(self):
+        for number in range(ENTRIES):
+            self.all_heals()
+            self.send_all_again(number)
+            self.each_key_runs_at_most_once()
+            self.not_run_is_true()
+
+    @stateful.rule(pick=st.integers(0, 99), outcome=OUTCOME)
+    def go_on(self, pick, outcome):
+        if not self.flights:
+            return
+        flight = self.flights[pick % len(self.flights)]
+        if flight.outcome == "granted":
+            self.run(flight, outcome)
+            return
+        self.flights.remove(flight)
+        self.tell(flight)
+
+    @stateful.rule(number=NUMBER, asks=st.booleans())
+    def entry_dies(self, number, asks):
+        dead = self.entries[number]
+        self.flights = [flight for flight in self.flights if flight.entry is not dead]
+        self.entries[number] = Entry()
+        self.read_log(number)
+        for table in self.tables.values():
+            if asks and table.link is not None:
+                self.entries[number].chain.adopt(table.link)
+
+    @stateful.rule(worker=st.sampled_from(WORKERS))
+    def agent_is_replaced(self, worker):
+        self.lives[worker] += 1
+        self.tables[worker] = self.new_table(worker)
+
+    @stateful.rule(worker=st.sampled_from(WORKERS))
+    def agent_is_retired(self, worker):
+        if len(self.tables) == 1 or worker not in self.tables:
+            return
+        del self.tables[worker]
+        kind = shards.EvidenceKind.RETIRED
+        for life in range(1, self.lives[worker] + 1):
+            self.evidence.append(shards.Evidence(kind, worker, life, operator="ann"))
+
+    @stateful.rule(worker=st.sampled_from(WORKERS))
+    def agent_surrenders(self, worker):
+        table = self.tables.get(worker)
+        if table is None or not table.owned:
+            return
+        moved = table.owned
+        self.exports.extend(table.surrender())
+        kind = shards.EvidenceKind.SURRENDERED
+        self.evidence.append(shards.Evidence(kind, worker, self.lives[worker], shards=moved))
+
+    @stateful.rule(pick=st.integers(0, 99), worker=st.sampled_from(WORKERS))
+    def export_arrives(self, pick, worker):
+        if self.exports and worker in self.tables:
+            self.tables[worker].take_over(self.exports[pick % len(self.exports)])
+
+    @stateful.rule(number=NUMBER, seed=st.integers(0, 9), is_lagging=st.booleans())
+    def propose(self, number, seed, is_lagging):
+        if not is_lagging:
+            self.read_log(number)
+        link = self.entries[number].chain.link
+        if link is None or not self.log_is_up:
+            return
+        alive = self.identities()
+        known = [*self.evidence, *shards.replaced_owners(link.shard_map, alive)]
+        candidates = random.Random(seed).sample(alive, k=1 + seed % len(alive))
+        child = shards.reassign(link.shard_map, known, candidates, self.rng)
+        if child is not None:
+            self.append(child)
+
+    def read_log(self, number):
+        entry = self.entries[number]
+        if not self.log_is_up:
+            return
+        if entry.next_offset < self.first_offset:
+            entry.chain.observe_gap(self.first_offset)
+            entry.next_offset = self.first_offset
+        for offset in range(entry.next_offset, len(self.log)):
+            entry.chain.observe(offset, self.log[offset])
+        entry.next_offset = len(self.log)
+
+    @stateful.rule(number=NUMBER, reads=st.booleans(), tells=st.sets(st.sampled_from(WORKERS)))
+    def spread(self, number, reads, tells):
+        if reads:
+            self.read_log(number)
+        link = self.entries[number].chain.link
+        if link is None:
+            return
+        for worker in tells & set(self.tables):
+            self.tables[worker].adopt(link)
+        if reads:
+            self.entries[1 - number].chain.adopt(link)
+
+    @stateful.rule(number=NUMBER)
+    def restate(self, number):
+        record = self.entries[number].chain.restatement()
+        if record is not None and self.log_is_up:
+            self.append(record)
+
+    @stateful.rule(keep=st.integers(0, 3))
+    def trim(self, keep):
+        self.first_offset = max(self.first_offset, len(self.log) - keep)
+
+    @stateful.rule(is_up=st.sampled_from([True, True, False]))
+    def log_changes(self, is_up):
+        self.log_is_up = is_up
+
+    @stateful.rule(seconds=st.sampled_from([1.0, 40.0, 200.0, 800.0]))
+    def time_passes(self, seconds):
+        self.clock.advance(seconds)
+
+    @stateful.invariant()
+    def each_key_runs_at_most_once(self):
+        assert all(count <= 1 for count in self.runs_by_key.values()), self.runs_by_key
+
+    @stateful.invariant()
+    def not_run_is_true(self):
+        assert not self.refused & set(self.runs_by_request)
+
+    @stateful.invariant()
+    def settled_chains_agree(self):
+        heads = {}
+        for entry in self.entries:
+            link = entry.chain.link
+            if link is None:
+                continue
+            head = link.shard_map
+            assert heads.setdefault(head.revision, head.map_id) == head.map_id
+
+
+@pytest.fixture
+def options():
+    return hypothesis.settings(
+        max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+    )
+
+
+def test_each_key_runs_at_most_once_under_any_interleaving(options):
+    stateful.run_state_machine_as_test(ClaimMachine, settings=options)
