--- a/libs/placement/src/papayaspar_placement/fleet.py
+++ b/libs/placement/src/papayaspar_placement/fleet.py
@@ -207,8 +207,10 @@
         """Return a gang by its job, or ``None``."""
         return self._ledger.gang(job_id)
 
-    def holders(self, worker: inventory.WorkerView) -> dict[int, entitlements.RunningGang]:
-        """Return the gang on each accelerator of a worker that one holds.
+    def holders(
+        self, worker: inventory.WorkerView
+    ) -> dict[int, tuple[entitlements.RunningGang, ...]]:
+        """Return the gangs on each accelerator of a worker that one holds.
 
         :param worker: the worker.
         """
@@ -281,12 +283,13 @@
         self, worker: inventory.WorkerView, standing: set[homes.InstanceName]
     ) -> tuple[int, ...]:
         numbers = set(range(worker.report.capacity.accelerators))
-        for number, gang in self.holders(worker).items():
-            if gang.stoppable:
-                continue
+        for number, gangs in self.holders(worker).items():
             owner = worker.owners.get(number)
-            if owner is None or owner.team != gang.team or owner.instance not in standing:
-                numbers.discard(number)
+            for gang in gangs:
+                if gang.stoppable:
+                    continue
+                if owner is None or owner.team != gang.team or owner.instance not in standing:
+                    numbers.discard(number)
         return tuple(sorted(numbers))
 
     def _standing_homes(self) -> set[homes.InstanceName]:
--- a/libs/placement/src/papayaspar_placement/holds.py
+++ b/libs/placement/src/papayaspar_placement/holds.py
@@ -77,15 +77,16 @@
     victims: dict[str, reclaims.Victim] = {}
     for worker in [worker for rack in racks for worker in rack.workers.values()]:
         holders = {
-            number: gang
-            for number, gang in view.holders(worker).items()
-            if gang.stoppable and gang.name.job_id in backfilled
+            number: gangs
+            for number, gangs in view.holders(worker).items()
+            if all(gang.stoppable and gang.name.job_id in backfilled for gang in gangs)
+            and worker.may_hold(number, job.team, job.stoppable)
         }
         for seat in _seats_among(worker, job, holders)[: job.shape.tasks - len(seats)]:
             seats.append(seat)
             for number in holders.keys() & set(seat.accelerators):
-                victim = reclaims.victim_of(holders[number], view.now_s)
-                victims[victim.gang.job_id] = victim
+                for gang in holders[number]:
+                    victims[gang.name.job_id] = reclaims.victim_of(gang, view.now_s)
     if len(seats) < job.shape.tasks:
         return None
     ordered = sorted(victims.values(), key=lambda one: (one.lost_work_s, one.gang))
@@ -95,7 +96,7 @@
 def _seats_among(
     worker: inventory.WorkerView,
     job: work.Job,
-    holders: dict[int, entitlements.RunningGang],
+    holders: dict[int, tuple[entitlements.RunningGang, ...]],
 ) -> list[workers.AcceleratorRange]:
     if not worker.is_open:
         return []
@@ -131,12 +132,11 @@
     view: fleet.FleetView,
     expected: ends.EndEstimator,
 ) -> list[float]:
-    usable = set(range(worker.report.capacity.accelerators))
-    if not job.stoppable:
-        foreign = {number for number, owner in worker.owners.items() if owner.team != job.team}
-        usable -= foreign
+    numbers = range(worker.report.capacity.accelerators)
+    usable = [one for one in numbers if worker.may_hold(one, job.team, job.stoppable)]
     found = dict.fromkeys(usable, view.now_s)
-    for number, gang in view.holders(worker).items():
+    for number, gangs in view.holders(worker).items():
         if number in found:
-            found[number] = view.now_s + expected.remaining_s(gang, view.now_s)
+            left_s = max(expected.remaining_s(gang, view.now_s) for gang in gangs)
+            found[number] = view.now_s + left_s
     return sorted(found.values())
--- a/libs/placement/src/papayaspar_placement/inventory.py
+++ b/libs/placement/src/papayaspar_placement/inventory.py
@@ -63,18 +63,27 @@
         self.free = tuple(sorted(free)) if self.is_open else ()
         self.common = tuple(number for number in self.free if number not in self.owners)
 
+    def may_hold(self, number: int, team: str, stoppable: bool) -> bool:
+        """Return whether work may ever run on an accelerator, free or not.
+
+        :param number: number of the accelerator.
+        :param team: whose work.
+        :param stoppable: whether a reclaim may stop it; if not, homes of others are left out.
+        """
+        owner = self.owners.get(number)
+        return stoppable or owner is None or owner.team == team
+
     def usable(self, team: str, stoppable: bool) -> tuple[int, ...]:
         """Return free accelerators that work may take; those of no one's home come first.
 
         :param team: whose work.
-        :param stoppable: whether a reclaim may stop it; if not, homes of others are left out.
+        :param stoppable: whether a reclaim may stop it.
         """
         if len(self.common) == len(self.free):
             return self.free
-        owned = tuple(number for number in self.free if number in self.owners)
-        if not stoppable:
-            owned = tuple(number for number in owned if self.owners[number].team == team)
-        return self.common + owned
+        owned = (number for number in self.free if number in self.owners)
+        allowed = tuple(number for number in owned if self.may_hold(number, team, stoppable))
+        return self.common + allowed
 
 
 @attrs.define
--- a/libs/placement/src/papayaspar_placement/ledger.py
+++ b/libs/placement/src/papayaspar_placement/ledger.py
@@ -42,16 +42,21 @@
         """Return how many accelerators a team holds."""
         return self._accelerators.get(team, 0)
 
-    def holders(self, worker: str, jobs: set[str]) -> dict[int, entitlements.RunningGang]:
-        """Return the gang on each accelerator of a worker that one holds.
+    def holders(
+        self, worker: str, jobs: set[str]
+    ) -> dict[int, tuple[entitlements.RunningGang, ...]]:
+        """Return the gangs on each accelerator of a worker that one holds.
+
+        There are several on one while a gang is being stopped and the next is on its way.
 
         :param worker: name of the worker.
         :param jobs: jobs that have a gang there.
         """
-        found: dict[int, entitlements.RunningGang] = {}
+        found: dict[int, tuple[entitlements.RunningGang, ...]] = {}
         for job_id in sorted(jobs):
             for use in self._uses[job_id][worker]:
-                found.update(dict.fromkeys(use.accelerators, self._gangs[job_id]))
+                for number in use.accelerators:
+                    found[number] = (*found.get(number, ()), self._gangs[job_id])
         return found
 
     def set_use(
--- a/libs/placement/src/papayaspar_placement/queues.py
+++ b/libs/placement/src/papayaspar_placement/queues.py
@@ -57,8 +57,8 @@
 class _Rank:
     """Order of a class in one pass; the smallest goes first."""
 
-    urgency: int
     beyond_guarantee: bool
+    urgency: int
     use: float
     since_s: float
     job_id: str
@@ -83,8 +83,9 @@
 class JobQueue:
     """Waiting jobs of one entry.
 
-    The order is by urgency (a long wait raises it), then work within its team's guarantee, then
-    the team with the least present use for its weight, then age. Racks are held for the oldest
+    Work within its team's guarantee goes first, for it could take its place back at once. Then
+    the order is by urgency (a long wait raises it), then the team with the least present use for
+    its weight, then age. Racks are held for the oldest
     large gang, and others are let in there only if they end in time or can be stopped.
 
     :param policy: chooses free accelerators.
--- a/libs/placement/src/papayaspar_placement/reclaims.py
+++ b/libs/placement/src/papayaspar_placement/reclaims.py
@@ -171,21 +171,27 @@
             worker = view.worker(item.worker)
             if worker is None or not worker.is_open:
                 continue
-            gangs = view.holders(worker)
-            numbers = [number for number in item.accelerators if _may_take(gangs.get(number))]
-            held = [number for number in numbers if number in gangs]
-            leaving = {number: victim_of(gangs[number], view.now_s) for number in held}
-            numbers.sort(key=lambda number: self._order(number, leaving.get(number)))
+            holders = view.holders(worker)
+            numbers = [
+                number
+                for number in item.accelerators
+                if all(gang.stoppable for gang in holders.get(number, ()))
+            ]
+            leaving = {
+                number: tuple(victim_of(gang, view.now_s) for gang in holders.get(number, ()))
+                for number in numbers
+            }
+            numbers.sort(key=lambda number: self._order(number, leaving[number]))
             for start in range(0, len(numbers) - size + 1, size):
                 chosen = tuple(sorted(numbers[start : start + size]))
                 seat = workers.AcceleratorRange(item.worker, chosen)
                 found.append(_Seat(seat, _distinct(leaving, chosen)))
         return found
 
-    def _order(self, number: int, victim: Victim | None) -> tuple[float, str, int]:
-        if victim is None:
+    def _order(self, number: int, leaving: tuple[Victim, ...]) -> tuple[float, str, int]:
+        if not leaving:
             return (-1.0, "", number)
-        return (self.cost((victim,)), victim.gang.job_id, number)
+        return (self.cost(leaving), leaving[0].gang.job_id, number)
 
 
 class LeastLostWork(ReclaimPolicy):
@@ -227,10 +233,8 @@
     )
 
 
-def _may_take(gang: entitlements.RunningGang | None) -> bool:
-    return gang is None or gang.stoppable
-
-
-def _distinct(leaving: dict[int, Victim], chosen: tuple[int, ...]) -> tuple[Victim, ...]:
-    found = {leaving[number].gang: leaving[number] for number in chosen if number in leaving}
+def _distinct(
+    leaving: dict[int, tuple[Victim, ...]], chosen: tuple[int, ...]
+) -> tuple[Victim, ...]:
+    found = {victim.gang: victim for number in chosen for victim in leaving[number]}
     return tuple(found[name] for name in sorted(found))
