Keep a tenth of the slots at most free of borrowed work

Cause: holding back a quarter cost goodput in a flood and delayed small callers. Change: the cap falls from a quarter to a tenth, rounded up.

--- a/libs/admission/src/papayaspar_admission/reserves.py
+++ b/libs/admission/src/papayaspar_admission/reserves.py
@@ -10,7 +10,7 @@
 STEP_S = 5.0
 STEP_RATIO = 0.125
 TEAM_MIN_SLOTS = 1
-TOTAL_MAX_RATIO = 0.25
+TOTAL_MAX_RATIO = 0.1
 
 
 @attrs.define
@@ -45,7 +45,8 @@
         :param now_s: reading of the clock.
         """
         self._lower(now_s)
-        return min(self._total, math.floor(capacity * TOTAL_MAX_RATIO))
+        most = min(math.ceil(capacity * TOTAL_MAX_RATIO), capacity // 2)
+        return min(self._total, most)
 
     def update(
         self, team: str, in_flight: int, waiting: int, guaranteed: int, now_s: float
