--- a/libs/admission/src/papayaspar_admission/reserves.py
+++ b/libs/admission/src/papayaspar_admission/reserves.py
@@ -45,8 +45,7 @@
         :param now_s: reading of the clock.
         """
         self._lower(now_s)
-        most = min(math.ceil(capacity * TOTAL_MAX_RATIO), capacity // 2)
-        return min(self._total, most)
+        return min(self._total, math.floor(capacity * TOTAL_MAX_RATIO))
 
     def update(
         self, team: str, in_flight: int, waiting: int, guaranteed: int, now_s: float
