Cover guarantees over all entries, and name a quota that is reached

Cause: rounding down at each of three entries lost a slot of a guarantee of 10, and a queue that was full at the quota gave no reason. Change: parts of a guarantee round up and parts of a quota round down; QuotaExceededError. Conclusion: floors and ceilings hold over the entries together.

--- a/libs/admission/src/papayaspar_admission/queues.py
+++ b/libs/admission/src/papayaspar_admission/queues.py
@@ -130,6 +130,7 @@
         :return: the ticket, to be given to :meth:`release`.
         :raises UnknownTeamError: the rules know no such team.
         :raises OverloadedError: the queue is full, or drains too slowly for the deadline.
+        :raises QuotaExceededError: the queue is full because the team is at its quota.
         :raises DeadlineError: the deadline passed before a slot was free.
         """
         await anyio.lowlevel.checkpoint_if_cancelled()
@@ -210,10 +211,13 @@
             return
         displaced = lane.displaced_by(request.caller)
         detail = f"the queue of team {request.team} is full"
-        if displaced is None:
+        if displaced is not None:
+            team.remove(displaced)
+            displaced.refuse(_overloaded(detail, lane.drain.wait_s(now_s, len(lane))))
+        elif policy.is_capped(team.in_flight):
+            raise _overloaded(f"team {request.team} is at its quota", wait_s, over_quota=True)
+        else:
             raise _overloaded(detail, wait_s)
-        team.remove(displaced)
-        displaced.refuse(_overloaded(detail, lane.drain.wait_s(now_s, len(lane))))
 
     def _dispatch(self) -> None:
         now_s = self._clock.now_s()
@@ -280,8 +284,7 @@
         now_s = self._clock.now_s()
         self._reserve.update(name, team.in_flight, team.waiting, policy.guaranteed, now_s)
         head = team.head()
-        capped = policy.ceiling is not None and team.in_flight >= policy.ceiling
-        if head is None or capped:
+        if head is None or policy.is_capped(team.in_flight):
             self._below_guarantee.discard(name)
             self._borrowers.deactivate(name)
         elif team.in_flight < policy.guaranteed:
@@ -324,8 +327,12 @@
     return policy.weight * teams.BORROWED_WEIGHTS[request.urgency]
 
 
-def _overloaded(detail: str, wait_s: float | None) -> errors.OverloadedError:
+def _overloaded(
+    detail: str, wait_s: float | None, over_quota: bool = False
+) -> errors.OverloadedError:
     if wait_s is None:
         wait_s = RETRY_AFTER_UNKNOWN_S
     retry_after_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, wait_s))
+    if over_quota:
+        return errors.QuotaExceededError(detail, retry_after_s=retry_after_s)
     return errors.OverloadedError(detail, retry_after_s=retry_after_s)
--- a/libs/admission/src/papayaspar_admission/teams.py
+++ b/libs/admission/src/papayaspar_admission/teams.py
@@ -1,6 +1,7 @@
 """The waiting and running requests of one team."""
 
 import enum
+import math
 
 import attrs
 
@@ -32,6 +33,7 @@
     Order.NORMAL_FLOOR: work.Urgency.NORMAL,
     Order.BATCH_FLOOR: work.Urgency.BATCH,
 }
+ROUNDING_SLOTS = 1e-6
 DEFAULT_DEPTHS = {
     work.Urgency.URGENT: 256,
     work.Urgency.NORMAL: 256,
@@ -54,6 +56,10 @@
     ceiling: int | None = None
     depths: dict[work.Urgency, int] = attrs.field(factory=lambda: dict(DEFAULT_DEPTHS))
 
+    def is_capped(self, in_flight: int) -> bool:
+        """Return whether a team that holds this many slots may hold no more."""
+        return self.ceiling is not None and in_flight >= self.ceiling
+
 
 @attrs.frozen
 class Flow:
@@ -189,20 +195,26 @@
         policy = found.get(floor.team)
         if policy is None:
             continue
-        policy.guaranteed += _scaled(floor.slots, scale)
+        policy.guaranteed += _scaled_floor(floor.slots, scale)
     for quota in rules.quotas:
         policy = found.get(quota.team)
         if policy is None or quota.slots is None:
             continue
-        policy.ceiling = _scaled(quota.slots, share_ratio)
+        policy.ceiling = _scaled_ceiling(quota.slots, share_ratio)
     _set_depths(found, rules)
     return found
 
 
-def _scaled(slots: int, ratio: float) -> int:
+def _scaled_floor(slots: int, ratio: float) -> int:
+    """Scale a guarantee, rounded up so that the parts of all entries cover it."""
+    return math.ceil(slots * ratio - ROUNDING_SLOTS)
+
+
+def _scaled_ceiling(slots: int, ratio: float) -> int:
+    """Scale a quota, rounded down so that the parts of all entries stay within it."""
     if slots == 0 or ratio == 0:
         return 0
-    return max(1, int(slots * ratio))
+    return max(1, math.floor(slots * ratio + ROUNDING_SLOTS))
 
 
 def _set_depths(found: dict[str, TeamPolicy], rules: rulesets.RuleSet) -> None:
--- a/libs/admission/tests/test_queues.py
+++ b/libs/admission/tests/test_queues.py
@@ -302,6 +302,38 @@
     run(scenario)
 
 
+def test_a_queue_that_is_full_at_the_quota_says_so(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        limits = [rulesets.QueueLimit("q", NORMAL, 1, team="a")]
+        queue = make_queue(make_rules(limits=limits, a=(1, 0, 1)), capacity=8)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(3):
+                await sent.send(make_request())
+            assert [type(error) for _, error in sent.refused] == [errors.QuotaExceededError]
+
+    run(scenario)
+
+
+def test_the_parts_of_all_entries_cover_a_guarantee_and_keep_a_quota(
+    run, make_queue, make_rules, make_request, recorder
+):
+    async def scenario():
+        queue = make_queue(make_rules(a=(1, 10, 20), b=(1, 0, 1)), capacity=90)
+        queue.set_capacity(30, share_ratio=1 / 3)
+        async with trio.open_nursery() as nursery:
+            sent = recorder(nursery, queue)
+            for _ in range(10):
+                await sent.send(make_request("a"))
+                await sent.send(make_request("b"))
+            held = {status.team: (status.in_flight, status.guaranteed) for status in queue.status()}
+            assert held == {"a": (6, 4), "b": (1, 0)}
+
+    run(scenario)
+
+
 def test_rules_come_into_force_live_and_never_revert(
     run, make_queue, make_rules, make_request, recorder
 ):
