Count goodput within a flood, and let the largest team hold the large caller

Change: goodput counts answers given during the phase; the large caller is in the team with the largest guarantee.

--- a/libs/bench/src/papayaspar_bench/callers.py
+++ b/libs/bench/src/papayaspar_bench/callers.py
@@ -1,7 +1,5 @@
 """One caller asks a hundred times as much as each of the others."""
 
-import random
-
 import attrs
 
 from papayaspar_bench import deployments, experiments, fleets, loads, measures, policies
@@ -24,7 +22,7 @@
         figures: dict[str, float] = {}
         violations: list[str] = []
         for deployment in deployments.DEPLOYMENTS:
-            team = random.Random(seed).choice(deployment.guaranteed_teams)
+            team = deployment.largest_team
             small = loads.arrivals(deployment.streams, seed, 0.0, WARM_UP_S + MEASURED_S)
             large = _large_arrivals(deployment, team, seed)
             mixed = loads.merge(small, large)
--- a/libs/bench/src/papayaspar_bench/deployments.py
+++ b/libs/bench/src/papayaspar_bench/deployments.py
@@ -55,6 +55,11 @@
         """Teams that hold a guarantee."""
         return tuple(rule.team for rule in self.rules.slot_guarantees)
 
+    @property
+    def largest_team(self) -> str:
+        """The team with the largest guarantee."""
+        return max(self.rules.slot_guarantees, key=lambda rule: rule.slots).team
+
     def stream_of(self, team: str, urgency: work.Urgency) -> Stream:
         """Return what a team sends with one urgency."""
         for stream in self.streams:
--- a/libs/bench/src/papayaspar_bench/flood.py
+++ b/libs/bench/src/papayaspar_bench/flood.py
@@ -34,6 +34,14 @@
         """Return the answers to requests that came during the flood."""
         return [answer for answer in answers if self.start_s <= answer.at_s < self.end_s]
 
+    def finished(self, answers: Iterable[fleets.Answer]) -> list[fleets.Answer]:
+        """Return the answers in time that were given during the flood."""
+        found = []
+        for answer in measures.done(answers):
+            if self.start_s <= answer.at_s + answer.completion_s < self.end_s:
+                found.append(answer)
+        return found
+
 
 PHASES = (
     Phase(work.Urgency.BATCH, WARM_UP_S),
@@ -47,13 +55,13 @@
 
     :param quiet: answers of the quiet run.
     :param flooded: answers to the same requests in the flooded run.
-    :param flood: answers to the flood.
+    :param finished: answers in time that fell into the phase, with the flood's own.
     :param protected: teams within their guarantee.
     """
 
     quiet: list[fleets.Answer]
     flooded: list[fleets.Answer]
-    flood: list[fleets.Answer]
+    finished: list[fleets.Answer]
     protected: tuple[str, ...]
 
 
@@ -107,7 +115,7 @@
     return Comparison(
         quiet=phase.during(quiet.answers),
         flooded=[answer for answer in measured if not _is_flood(answer)],
-        flood=[answer for answer in measured if _is_flood(answer)],
+        finished=phase.finished(flooded.answers),
         protected=protected,
     )
 
@@ -130,7 +138,7 @@
         f"{label}_kept_min_ratio": min(kept_ratios),
         f"{label}_urgent_p99_max_ratio": max(p99_ratios),
         f"{label}_all_kept_ratio": measures.kept_ratio(runs.flooded, runs.quiet),
-        f"{label}_goodput_per_s": len(measures.done(runs.flooded + runs.flood)) / FLOOD_S,
+        f"{label}_goodput_per_s": len(runs.finished) / FLOOD_S,
     }
     for urgency in work.Urgency:
         times = measures.times(measures.of_urgency(runs.flooded, urgency))
