Run gangs under go-leases that their lead grants

Cause: a gang runs whole or not at all, whatever dies, is paused, or is cut off. Change: members pull go-leases from the agent of task 0. The lead grants only while each member's echo of the lead's own clock proves it alive lately, so a part runs without the others at most silence_s + lease_s. Reclaim lets whole gangs checkpoint, throttles, then stops them. Entries reserve in worker order with a seeded backoff, and retire an attempt before the next one. Conclusion: the protocol stands over the real classes and a faulty network in virtual time.

--- a/libs/slots/src/papayaspar_slots/fencing.py
+++ b/libs/slots/src/papayaspar_slots/fencing.py
@@ -2,11 +2,27 @@
 
 import collections
 
+import attrs
+
 from papayaspar_slots import claims
 
 MAX_JOBS = 4096
 
 
+@attrs.frozen
+class Ending:
+    """How the newest attempt of a job ended.
+
+    :param attempt: run of the job.
+    :param done: whether its tasks were done.
+    :param ended_s: reading of the machine's clock at its end.
+    """
+
+    attempt: int
+    done: bool
+    ended_s: float
+
+
 class FenceTable:
     """The newest attempt of each job that is over here; the least recent job is forgotten first.
 
@@ -15,16 +31,30 @@
 
     def __init__(self, max_jobs: int = MAX_JOBS) -> None:
         self._max_jobs = max_jobs
-        self._over: collections.OrderedDict[str, int] = collections.OrderedDict()
-
-    def note(self, fence: claims.Fence) -> None:
-        """Remember that an attempt is over, and with it all before it."""
-        newest = max(fence.attempt, self._over.get(fence.job_id, 0))
-        self._over[fence.job_id] = newest
-        self._over.move_to_end(fence.job_id)
-        if len(self._over) > self._max_jobs:
-            self._over.popitem(last=False)
+        self._endings: collections.OrderedDict[str, Ending] = collections.OrderedDict()
+
+    def note(self, fence: claims.Fence, now_s: float, *, done: bool = False) -> None:
+        """Remember that an attempt is over, and with it all before it.
+
+        :param fence: job and attempt; nothing changes if it is known to be over.
+        :param now_s: reading of the machine's clock.
+        :param done: whether its tasks were done.
+        """
+        if self.is_over(fence):
+            return
+        self._endings[fence.job_id] = Ending(fence.attempt, done, now_s)
+        self._endings.move_to_end(fence.job_id)
+        if len(self._endings) > self._max_jobs:
+            self._endings.popitem(last=False)
 
     def is_over(self, fence: claims.Fence) -> bool:
         """Return whether an attempt is known to be over."""
-        return fence.attempt <= self._over.get(fence.job_id, 0)
+        ending = self._endings.get(fence.job_id)
+        return ending is not None and fence.attempt <= ending.attempt
+
+    def find(self, fence: claims.Fence) -> Ending | None:
+        """Return how an attempt ended, if it was the newest one of its job to end."""
+        ending = self._endings.get(fence.job_id)
+        if ending is None or ending.attempt != fence.attempt:
+            return None
+        return ending
--- a/libs/slots/src/papayaspar_slots/ledger.py
+++ b/libs/slots/src/papayaspar_slots/ledger.py
@@ -117,7 +117,6 @@
         :raises DrainingError: the worker is leaving and the attempt was not armed before.
         :raises StaleAttemptError: nothing is held for the attempt.
         """
-        self._lapse()
         holding = self.find(fence)
         if holding.state is not claims.HoldState.RESERVED:
             self.counts.repeated_messages += 1
@@ -141,15 +140,16 @@
         holding.state = claims.HoldState.RUNNING
         holding.started_s = self._clock.now_s()
 
-    def release(self, fence: claims.Fence) -> bool:
+    def release(self, fence: claims.Fence, *, done: bool = False) -> bool:
         """Free what an attempt holds; its later messages are refused.
 
         Only whoever knows that no task of the attempt runs here may call it for an armed holding.
 
         :param fence: job and attempt.
+        :param done: whether its tasks were done.
         :return: whether anything was held.
         """
-        self._fences.note(fence)
+        self._fences.note(fence, self._clock.now_s(), done=done)
         holding = self._holdings.pop(fence, None)
         if holding is None:
             return False
@@ -179,18 +179,21 @@
 
         :raises StaleAttemptError: nothing is held for the attempt.
         """
+        self._lapse()
         holding = self._holdings.get(fence)
         if holding is None:
             self.counts.late_messages += 1
             raise refusals.StaleAttemptError(f"nothing is held for {fence.job_id}")
         return holding
 
-    def victims_of(self, fence: claims.Fence) -> tuple[claims.Holding, ...]:
-        """Return the holdings that must leave before an attempt can use its accelerators."""
-        holding = self._holdings.get(fence)
-        if holding is None:
-            return ()
-        return tuple(self._holdings[victim] for victim in sorted(holding.victims))
+    def holds(self, fence: claims.Fence) -> bool:
+        """Return whether anything is held for an attempt."""
+        self._lapse()
+        return fence in self._holdings
+
+    def ending(self, fence: claims.Fence) -> fencing.Ending | None:
+        """Return how an attempt ended here, if it is remembered."""
+        return self._fences.find(fence)
 
     def uses(self) -> tuple[workers.GangUse, ...]:
         """Return what each attempt holds here, for the worker's report."""
--- a/libs/slots/tests/conftest.py
+++ b/libs/slots/tests/conftest.py
@@ -1,29 +1,377 @@
-"""Shared fixtures of the tests of slots and gangs."""
+"""Shared fixtures: a ledger, and a small fleet of agents over a faulty network."""
 
+import collections
+import enum
+import itertools
+import random
+
+import anyio
+import attrs
 import pytest
+import trio
+import trio.testing
+
+from papayaspar_model import clock, errors, rulesets, work, workers
+from papayaspar_slots import (
+    agents,
+    claims,
+    inquiries,
+    launches,
+    ledger,
+    peers,
+    runners,
+    terms,
+)
+
+ANCHOR_HOME = rulesets.Home(
+    "anchor-4", "anchor", 0, (workers.AcceleratorRange("w0", (0, 1, 2, 3)),)
+)
+ROUNDING_S = 1e-6
+
+
+class Fault(enum.Enum):
+    """What happens to one message."""
+
+    LOSE = "lose"
+    LOSE_ANSWER = "lose_answer"
+    DELAY = "delay"
+    LONG_DELAY = "long_delay"
+    REPEAT = "repeat"
+
+
+@attrs.define
+class Run:
+    """One run of one task, as the runtime saw it."""
+
+    worker: str
+    order: runners.TaskOrder
+    started_s: float | None = None
+    until_s: float = 0.0
+    stopped_s: float = float("inf")
+
+    @property
+    def done_s(self):
+        return self.started_s + self.order.run_time_s
+
+    @property
+    def ended_s(self):
+        return min(self.until_s, self.stopped_s, self.done_s)
+
+    @property
+    def done(self):
+        return self.ended_s == self.done_s
+
+
+class MachineClock(clock.LoopClock):
+    """The clock as a process reads it, which sees nothing while it is frozen."""
+
+    def __init__(self):
+        self.frozen_s = None
+
+    def now_s(self):
+        return super().now_s() if self.frozen_s is None else self.frozen_s
+
+
+class FakeRuntime(runners.TaskRunner):
+    """Stops tasks at the end of their lease whatever becomes of the agent."""
+
+    def __init__(self, node):
+        self.node = node
+        self.runs = {}
+        self.refusing = set()
+
+    async def prepare(self, order):
+        await self._enter("prepare")
+        self.runs.setdefault((order.fence, order.share.task), Run(self.node.worker, order))
+
+    async def start(self, fence, task, lease_until_s):
+        await self._enter("start")
+        run = self.runs[fence, task]
+        if run.started_s is None and anyio.current_time() < min(lease_until_s, run.stopped_s):
+            run.started_s, run.until_s = anyio.current_time(), lease_until_s
+
+    async def renew(self, fence, task, lease_until_s):
+        await self._enter("renew")
+        run = self.runs[fence, task]
+        if run.started_s is None:
+            return runners.TaskState.STOPPED
+        if anyio.current_time() < run.ended_s:
+            run.until_s = max(run.until_s, lease_until_s)
+            return runners.TaskState.RUNNING
+        return runners.TaskState.DONE if run.done else runners.TaskState.STOPPED
+
+    async def throttle(self, fence, task, share_ratio):
+        await self._enter("throttle")
+
+    async def checkpoint(self, fence, task):
+        await self._enter("checkpoint")
+
+    async def stop(self, fence, task):
+        await self._enter("stop")
+        if (fence, task) in self.runs:
+            self.halt(self.runs[fence, task])
+
+    def halt(self, run):
+        run.stopped_s = min(run.stopped_s, anyio.current_time())
+
+    async def _enter(self, name):
+        await self.node.thawed()
+        if name in self.refusing:
+            raise errors.TargetError(name)
+
+
+def forward(name, side):
+    """Return a method that sends its message to one side of another agent."""
+
+    async def call(self, worker, message):
+        return await self.fleet.send(self, worker, name, side, message)
+
+    return call
+
+
+class Node(peers.GangPeers, peers.GangAgents):
+    """One process: an agent with its machine, or an entry without."""
+
+    def __init__(self, fleet, worker):
+        self.fleet, self.worker = fleet, worker
+        self.source = MachineClock()
+        self.thaw = anyio.Event()
+        self.runtime = FakeRuntime(self)
+        self.agent = self.scope = None
+
+    async def run_agent(self, previous_life_s):
+        with anyio.CancelScope() as self.scope:
+            async with anyio.create_task_group() as group:
+                capacity = workers.Capacity()
+                book = ledger.Ledger(self.worker, capacity, self.source, previous_life_s)
+                book.set_homes((ANCHOR_HOME,), 1)
+                self.agent = agents.GangAgent(
+                    book, self.runtime, self, self.source, group, self.fleet.times
+                )
+                await anyio.sleep_forever()
+
+    def freeze(self):
+        self.source.frozen_s = anyio.current_time()
+
+    def unfreeze(self):
+        self.source.frozen_s = None
+        self.thaw.set()
+        self.thaw = anyio.Event()
+
+    async def thawed(self):
+        while self.source.frozen_s is not None:
+            await self.thaw.wait()
 
-from papayaspar_model import clock, rulesets, workers
-from papayaspar_slots import claims, ledger
+    def kill_agent(self):
+        self.agent = None
+        if self.scope is not None:
+            self.scope.cancel()
+
+    def kill_machine(self):
+        self.kill_agent()
+        for run in self.runtime.runs.values():
+            self.runtime.halt(run)
+
+    arm = forward("arm", "members")
+    reserve = forward("reserve", "members")
+    unreserve = forward("unreserve", "members")
+    inquire_part = forward("inquire_part", "members")
+    renew = forward("renew", "lead")
+    give_way = forward("give_way", "lead")
+    launch = forward("launch", "lead")
+    inquire = forward("inquire", "lead")
+    cancel = forward("cancel", "lead")
+    acknowledge = forward("acknowledge", "lead")
+
+
+def overlaps(groups):
+    """Yield each two runs of a group that went on at the same time."""
+    for runs in groups.values():
+        for one, other in itertools.combinations(runs, 2):
+            overlap_s = min(one.ended_s, other.ended_s) - max(one.started_s, other.started_s)
+            if overlap_s > ROUNDING_S:
+                yield one, other
+
+
+def longest_alone_s(runs, fence, tasks):
+    """Return the longest time a task ran while another neither ran nor was done."""
+    by_task = {run.order.share.task: run for run in runs if run.order.fence == fence}
+    longest_s = 0.0
+    for run, task in itertools.product(by_task.values(), range(tasks)):
+        other = by_task.get(task)
+        if other is None:
+            longest_s = max(longest_s, run.ended_s - run.started_s)
+            continue
+        longest_s = max(longest_s, min(other.started_s, run.ended_s) - run.started_s)
+        if not other.done:
+            longest_s = max(longest_s, run.ended_s - max(other.ended_s, run.started_s))
+    return longest_s
+
+
+class Fleet:
+    """Agents and entries over a network that loses, delays and repeats what it is told to."""
+
+    def __init__(self, group, size, seed, times=None):
+        self.group, self.times = group, times or terms.Terms()
+        self.rng = random.Random(seed)
+        self.nodes = {f"w{index}": Node(self, f"w{index}") for index in range(size)}
+        self.faults = {}
+        self.cut = set()
+        self.lost_kinds = set()
+        self.sent = collections.Counter()
+        self.on_message = {}
+        self.on_answer = {}
+        self.gangs = {}
+        for node in self.nodes.values():
+            group.start_soon(node.run_agent, 0.0)
+
+    def entry(self, name="entry-1"):
+        node = Node(self, name)
+        launcher = launches.Launcher(name, node, random.Random(name), self.times)
+        return launcher, inquiries.Inquirer(node, self.times)
+
+    async def launch(self, job, placement, attempt=1, entry="entry-1"):
+        self.gangs[claims.Fence(job.job_id, attempt)] = job.shape.tasks
+        return await self.entry(entry)[0].launch(job, placement, attempt)
+
+    async def send(self, source, worker, name, side, message):
+        number = self.sent.total()
+        self.sent[name] += 1
+        if number in self.on_message:
+            self.on_message[number]()
+        await source.thawed()
+        answered, box = anyio.Event(), []
+        fault = self.faults.get(number)
+        call = (number, side, name, message)
+        for _ in range(2 if fault is Fault.REPEAT else 1):
+            self.group.start_soon(self._carry, source, worker, call, fault, box, answered)
+        await answered.wait()
+        await source.thawed()
+        answer, error = box[0]
+        if error is not None:
+            raise error
+        return answer
+
+    async def _carry(self, source, worker, call, fault, box, answered):
+        number, side, name, message = call
+        delays_s = {Fault.DELAY: 3.0, Fault.LONG_DELAY: 12.0}
+        await anyio.sleep(delays_s.get(fault, 0.0) + self.rng.uniform(0.0005, 0.002))
+        if fault is Fault.LOSE or name in self.lost_kinds or self._is_cut(source.worker, worker):
+            return
+        node = self.nodes[worker]
+        await node.thawed()
+        if node.agent is None:
+            return
+        try:
+            answer = getattr(getattr(node.agent, side), name)(message)
+            box.append((await answer if name == "inquire" else answer, None))
+        except errors.PapayasparError as error:
+            box.append((None, error))
+        await node.thawed()
+        if number in self.on_answer:
+            self.on_answer[number]()
+        await anyio.sleep(self.rng.uniform(0.0005, 0.002))
+        if fault is not Fault.LOSE_ANSWER and not self._is_cut(source.worker, worker):
+            answered.set()
+
+    def _is_cut(self, one, other):
+        return (one in self.cut) != (other in self.cut)
+
+    def runs(self, fence=None):
+        found = []
+        for node in self.nodes.values():
+            for run in node.runtime.runs.values():
+                if run.started_s is not None and fence in (None, run.order.fence):
+                    found.append(run)
+        return found
+
+    def running(self, fence):
+        return sum(run.ended_s > anyio.current_time() for run in self.runs(fence))
+
+    def held(self):
+        nodes = [node for node in self.nodes.values() if node.agent is not None]
+        return [use for node in nodes for use in node.agent.book.uses()]
+
+    def check(self):
+        """Check the promises on the runtimes' own records."""
+        by_job, by_worker = collections.defaultdict(list), collections.defaultdict(list)
+        for run in self.runs():
+            by_job[run.order.fence.job_id].append(run)
+            by_worker[run.worker].append(run)
+        for one, other in overlaps(by_job):
+            assert one.order.fence == other.order.fence, "two attempts of a job at once"
+        for one, other in overlaps(by_worker):
+            shared = set(one.order.share.accelerators) & set(other.order.share.accelerators)
+            assert not shared, "two tasks on one accelerator"
+        for fence, tasks in self.gangs.items():
+            alone_s = longest_alone_s(by_job[fence.job_id], fence, tasks)
+            assert alone_s <= self.times.term_s + ROUNDING_S
 
 
 @pytest.fixture
-def manual_clock():
-    return clock.ManualClock(1000.0)
+def fault_type():
+    return Fault
+
+
+@pytest.fixture
+def run_fleet(monkeypatch):
+    """Return a function that runs a scenario on a fleet in virtual time, then checks it."""
+
+    def run(scenario, size=4, seed=1, times=None):
+        async def main():
+            async with anyio.create_task_group() as group:
+                fleet = Fleet(group, size, seed, times)
+                await anyio.sleep(0.01)
+                await scenario(fleet)
+                fleet.check()
+                group.cancel_scope.cancel()
+            return fleet
+
+        # Trio shuffles the tasks that can run; a seeded shuffle makes each run repeatable.
+        monkeypatch.setattr(trio._core._run, "_ALLOW_DETERMINISTIC_SCHEDULING", True)
+        trio._core._run._r.seed(seed)
+        return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    return run
 
 
 @pytest.fixture
-def home():
-    """Return a home of team ``anchor`` on accelerators 0 to 3 of worker ``w0``."""
-    tasks = (workers.AcceleratorRange("w0", (0, 1, 2, 3)),)
-    return rulesets.Home("anchor-4", "anchor", 0, tasks)
+def make_gang():
+    """Return a function that makes a job and its placement over some workers."""
+
+    def make(job_id="job-1", on=("w0", "w1", "w2"), tasks_each=1, numbers=(0, 1), **changes):
+        fields = {
+            "job_id": job_id,
+            "team": "guest",
+            "kind": "train",
+            "urgency": work.Urgency.NORMAL,
+            "run_time_s": 30.0,
+            "checkpoint": True,
+            "idempotent": False,
+        }
+        guarantee = changes.pop("guarantee", "")
+        places = []
+        for worker, index in itertools.product(on, range(tasks_each)):
+            shifted = tuple(number + index * len(numbers) for number in numbers)
+            places.append(workers.AcceleratorRange(worker, shifted))
+        shape = work.Shape(len(places), len(numbers))
+        job = work.Job(shape=shape, **(fields | changes))
+        return job, workers.Placement(tuple(places), guarantee)
+
+    return make
+
+
+@pytest.fixture
+def manual_clock():
+    return clock.ManualClock(1000.0)
 
 
 @pytest.fixture
-def make_ledger(manual_clock, home):
+def make_ledger(manual_clock):
     def make(previous_life_s=0.0):
         capacity = workers.Capacity(slots=2, accelerators=8)
         made = ledger.Ledger("w0", capacity, manual_clock, previous_life_s)
-        made.set_homes((home,), 1)
+        made.set_homes((ANCHOR_HOME,), 1)
         return made
 
     return make
--- /dev/null
+++ b/libs/slots/tests/test_gang_faults.py
@@ -0,0 +1,262 @@
+"""Tests of gangs under faults; the promises are checked on the runtimes' own records."""
+
+import anyio
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from papayaspar_model import errors
+from papayaspar_slots import claims, launches, messages, terms
+
+FENCE = claims.Fence("job-1", 1)
+LAUNCH_MESSAGES = 24
+SETTLE_S = 40.0
+
+
+async def launch_anyhow(fleet, gang, attempt=1):
+    """Launch a gang and return what the entry knows of it, if anything."""
+    try:
+        return await fleet.launch(*gang, attempt)
+    except errors.PapayasparError:
+        return None
+
+
+async def rerun_when_safe(fleet, gang, failed_attempt, other_gang=None):
+    """Run another attempt as soon as the protocol allows it."""
+    job, placement = gang
+    members = tuple(dict.fromkeys(place.worker for place in placement.tasks))
+    fence = claims.Fence(job.job_id, failed_attempt)
+    inquirer = fleet.entry("entry-2")[1]
+    while True:
+        try:
+            status = await inquirer.retire(fence, members)
+            break
+        except errors.OutcomeUnknownError:
+            await anyio.sleep(1.0)
+    if status.state is messages.GangState.DONE:
+        return
+    await anyio.sleep(status.safe_after_s)
+    await launch_anyhow(fleet, other_gang or gang, failed_attempt + 1)
+
+
+@pytest.mark.parametrize("step", range(LAUNCH_MESSAGES))
+@pytest.mark.parametrize("victim", ["w0", "w1"])
+@pytest.mark.parametrize("machine", [False, True])
+def test_a_death_at_any_step_leaves_no_part_alone(run_fleet, make_gang, step, victim, machine):
+    async def scenario(fleet):
+        node = fleet.nodes[victim]
+        kill = node.kill_machine if machine else node.kill_agent
+        fleet.on_message[step] = kill
+        await launch_anyhow(fleet, make_gang(run_time_s=600.0))
+        await anyio.sleep(SETTLE_S)
+        assert node.agent is None
+        assert fleet.running(FENCE) == 0
+        assert not fleet.held()
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("step", range(LAUNCH_MESSAGES))
+def test_the_entry_dies_at_any_step_and_the_gang_runs_whole_or_not(run_fleet, make_gang, step):
+    async def scenario(fleet):
+        with anyio.CancelScope() as entry:
+            fleet.on_message[step] = entry.cancel
+            await launch_anyhow(fleet, make_gang(run_time_s=600.0))
+            await anyio.sleep_forever()
+        await anyio.sleep(SETTLE_S)
+        whole = fleet.running(FENCE) == 3
+        assert whole or not fleet.held()
+        if not whole:
+            return
+        status = await fleet.entry("entry-2")[1].retire(FENCE, ("w0", "w1", "w2"))
+        await anyio.sleep(status.safe_after_s)
+        assert fleet.running(FENCE) == 0
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("worker", ["w0", "w1"])
+@pytest.mark.parametrize("paused_s", [3.0, 6.0, 30.0])
+@pytest.mark.parametrize("start_s", [0.004, 0.3, 0.3055, 5.0, 5.5])
+def test_a_pause_past_the_lease_stops_the_gang(run_fleet, make_gang, worker, paused_s, start_s):
+    async def scenario(fleet):
+        gang = make_gang(run_time_s=60.0)
+        async with anyio.create_task_group() as group:
+            group.start_soon(launch_anyhow, fleet, gang)
+            await anyio.sleep(start_s)
+            fleet.nodes[worker].freeze()
+            await anyio.sleep(paused_s)
+            if paused_s > fleet.times.lease_s and start_s > 1.0:
+                assert fleet.running(FENCE) <= 2
+            fleet.nodes[worker].unfreeze()
+        await anyio.sleep(SETTLE_S)
+        assert fleet.running(FENCE) in (0, 3)
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("worker", ["w0", "w1"])
+def test_a_split_stops_the_gang_and_another_attempt_is_safe(run_fleet, make_gang, worker):
+    async def scenario(fleet):
+        gang = make_gang(run_time_s=600.0)
+        await fleet.launch(*gang)
+        await anyio.sleep(7.0)
+        fleet.cut.add(worker)
+        await anyio.sleep(fleet.times.term_s)
+        assert fleet.running(FENCE) == 0
+        fleet.cut.clear()
+        await rerun_when_safe(fleet, gang, 1)
+        await anyio.sleep(5.0)
+        assert fleet.running(claims.Fence("job-1", 2)) == 3
+
+    run_fleet(scenario)
+
+
+def test_an_agent_that_restarts_waits_for_the_leases_of_its_previous_life(run_fleet, make_gang):
+    async def scenario(fleet):
+        await fleet.launch(*make_gang(run_time_s=600.0))
+        await anyio.sleep(7.0)
+        node = fleet.nodes["w1"]
+        node.kill_agent()
+        fleet.group.start_soon(node.run_agent, fleet.times.lease_s)
+        for attempt in range(1, 40):
+            gang = make_gang("job-2", ("w1",), run_time_s=600.0)
+            await launch_anyhow(fleet, gang, attempt)
+            await anyio.sleep(0.5)
+        assert sum(fleet.running(claims.Fence("job-2", attempt)) for attempt in range(40)) == 1
+
+    run_fleet(scenario)
+
+
+def test_a_member_whose_lead_is_gone_is_enough_to_run_again(run_fleet, make_gang):
+    async def scenario(fleet):
+        gang = make_gang(run_time_s=600.0)
+        await fleet.launch(*gang)
+        await anyio.sleep(7.0)
+        fleet.nodes["w0"].kill_machine()
+        with pytest.raises(errors.OutcomeUnknownError):
+            await fleet.entry()[1].retire(FENCE, ("w0", "w1", "w2"))
+        await anyio.sleep(10.0)
+        status = await fleet.entry()[1].retire(FENCE, ("w0", "w1", "w2"))
+        assert status.state is messages.GangState.LOST
+        assert status.safe_after_s <= fleet.times.term_s
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("step", range(LAUNCH_MESSAGES))
+def test_a_lease_is_not_lengthened_by_a_pause_before_its_answer(run_fleet, make_gang, step):
+    async def scenario(fleet):
+        node = fleet.nodes["w1"]
+        fleet.on_answer[step] = node.freeze
+        gang = make_gang(run_time_s=600.0)
+        other = make_gang(on=("w0", "w2", "w3"), run_time_s=600.0)
+        await launch_anyhow(fleet, gang)
+        await anyio.sleep(12.0)
+        runs = fleet.runs(FENCE)
+        if len(runs) < 3:
+            bound_s = fleet.times.silence_s + fleet.times.first_lease_s
+            assert all(run.ended_s - run.started_s <= bound_s for run in runs)
+        await rerun_when_safe(fleet, gang, 1, other)
+        await anyio.sleep(10.0)
+        node.unfreeze()
+        await anyio.sleep(SETTLE_S)
+        assert fleet.running(claims.Fence("job-1", 2)) == 3
+
+    run_fleet(scenario, times=terms.Terms(answer_s=60.0))
+
+
+def test_a_launch_that_arrives_late_is_refused(run_fleet, make_gang, fault_type):
+    async def scenario(fleet):
+        lose = fault_type.LOSE
+        fleet.faults = {3: fault_type.LONG_DELAY, 4: lose, 5: lose, 6: lose}
+        gang = make_gang(run_time_s=600.0)
+        with pytest.raises(launches.LaunchUnknownError):
+            await fleet.launch(*gang)
+        await rerun_when_safe(fleet, gang, 1)
+        await anyio.sleep(5.0)
+        assert fleet.running(claims.Fence("job-1", 2)) == 3
+
+    run_fleet(scenario)
+
+
+def test_accelerators_are_not_passed_on_while_a_task_may_run(run_fleet, make_gang):
+    async def scenario(fleet):
+        await fleet.launch(*make_gang(run_time_s=600.0))
+        await anyio.sleep(7.0)
+        fleet.nodes["w1"].runtime.refusing.add("stop")
+        await fleet.entry()[1].retire(FENCE, ("w0", "w1", "w2"))
+        for attempt in range(1, 40):
+            await launch_anyhow(fleet, make_gang("job-2", ("w1",), run_time_s=600.0), attempt)
+            await anyio.sleep(0.5)
+        assert sum(fleet.running(claims.Fence("job-2", attempt)) for attempt in range(40)) == 1
+
+    run_fleet(scenario)
+
+
+def test_one_member_tells_when_the_others_beyond_a_split_have_ended(run_fleet, make_gang):
+    async def scenario(fleet):
+        gang = make_gang(run_time_s=600.0)
+        other = make_gang(on=("w3", "w4"), run_time_s=600.0)
+        await fleet.launch(*gang)
+        await anyio.sleep(7.0)
+        fleet.cut.update(["w0", "w2"])
+        await rerun_when_safe(fleet, gang, 1, other)
+        await anyio.sleep(5.0)
+        assert fleet.running(claims.Fence("job-1", 2)) == 2
+
+    run_fleet(scenario, size=5)
+
+
+def test_any_faults_leave_no_part_alone_and_no_two_attempts(run_fleet, make_gang, fault_type):
+    faults = strategies.dictionaries(
+        strategies.integers(0, 120), strategies.sampled_from(list(fault_type)), max_size=25
+    )
+    workers = strategies.sampled_from(["w0", "w1", "w2"])
+    times_s = strategies.floats(0.0, 15.0)
+    events = strategies.lists(
+        strategies.tuples(
+            times_s, workers, strategies.sampled_from(["freeze", "cut", "kill"]), times_s
+        ),
+        max_size=3,
+    )
+
+    async def disturb(fleet, event):
+        after_s, worker, what, for_s = event
+        node = fleet.nodes[worker]
+        await anyio.sleep(after_s)
+        if what == "kill":
+            node.kill_agent()
+            await anyio.sleep(for_s)
+            if node.agent is None:
+                fleet.group.start_soon(node.run_agent, fleet.times.lease_s)
+            return
+        if what == "cut":
+            fleet.cut.add(worker)
+            await anyio.sleep(for_s)
+            fleet.cut.discard(worker)
+            return
+        node.freeze()
+        await anyio.sleep(for_s)
+        node.unfreeze()
+
+    @hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
+    @hypothesis.given(faults=faults, events=events, seed=strategies.integers(0, 1000))
+    def check(faults, events, seed):
+        async def scenario(fleet):
+            fleet.faults = faults
+            gang = make_gang(run_time_s=12.0)
+            rival = make_gang("job-9", on=("w1", "w2", "w3"), numbers=(1, 2), run_time_s=5.0)
+            async with anyio.create_task_group() as group:
+                for event in events:
+                    group.start_soon(disturb, fleet, event)
+                await launch_anyhow(fleet, gang)
+                await anyio.sleep(4.0)
+                await launch_anyhow(fleet, rival)
+                await rerun_when_safe(fleet, gang, 1)
+            await anyio.sleep(90.0)
+            assert not fleet.held()
+
+        run_fleet(scenario, seed=seed)
+
+    check()
--- /dev/null
+++ b/libs/slots/tests/test_gangs.py
@@ -0,0 +1,169 @@
+"""Tests of gangs without faults, of reclaim, and of many gangs at once."""
+
+import anyio
+import pytest
+
+from papayaspar_model import errors
+from papayaspar_slots import claims, messages, terms
+
+FENCE = claims.Fence("job-1", 1)
+
+
+def test_a_gang_starts_whole_and_is_done_when_all_tasks_are(run_fleet, make_gang):
+    async def scenario(fleet):
+        job, placement = make_gang(tasks_each=2)
+        await fleet.launch(job, placement)
+        inquirer = fleet.entry("entry-2")[1]
+        status = await inquirer.follow(FENCE, "w0", messages.GangState.ARMING, 5.0)
+        assert status.state is messages.GangState.RUNNING
+        await anyio.sleep(2.0)
+        assert fleet.running(FENCE) == 6
+        assert {use.lead_worker for use in fleet.held()} == {"w0"}
+        await anyio.sleep(40.0)
+        status = await inquirer.follow(FENCE, "w0")
+        assert (status.state, status.safe_after_s) == (messages.GangState.DONE, 0.0)
+        assert not fleet.held()
+        await inquirer.acknowledge(FENCE, "w0")
+        with pytest.raises(errors.NotFoundError):
+            await inquirer.follow(FENCE, "w0")
+
+    run_fleet(scenario)
+
+
+def test_a_failed_task_fails_the_gang_whole(run_fleet, make_gang):
+    async def scenario(fleet):
+        await fleet.launch(*make_gang())
+        await anyio.sleep(5.0)
+        run = fleet.runs(FENCE)[1]
+        fleet.nodes[run.worker].runtime.halt(run)
+        await anyio.sleep(5.0)
+        status = await fleet.entry()[1].follow(FENCE, "w0")
+        assert (status.state, status.safe_after_s) == (messages.GangState.FAILED, 0.0)
+        assert not fleet.held()
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("method", ["prepare", "start"])
+def test_nothing_runs_for_long_if_one_runtime_refuses(run_fleet, make_gang, method):
+    async def scenario(fleet):
+        fleet.nodes["w2"].runtime.refusing.add(method)
+        await fleet.launch(*make_gang())
+        await anyio.sleep(12.0)
+        status = await fleet.entry()[1].follow(FENCE, "w0")
+        assert status.state is messages.GangState.FAILED
+        assert not fleet.held()
+        assert len(fleet.runs(FENCE)) <= (0 if method == "prepare" else 2)
+
+    run_fleet(scenario)
+
+
+def test_a_runtime_that_stops_answering_stops_the_gang(run_fleet, make_gang):
+    async def scenario(fleet):
+        await fleet.launch(*make_gang(run_time_s=60.0))
+        await anyio.sleep(5.0)
+        fleet.nodes["w2"].runtime.refusing.update(["renew", "stop"])
+        await anyio.sleep(20.0)
+        assert fleet.running(FENCE) == 0
+        assert not fleet.held()
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("checkpoint", [True, False])
+@pytest.mark.parametrize("trouble", ["none", "lead cut", "lead not told"])
+def test_reclaim_takes_the_whole_gang_in_bounded_time(run_fleet, make_gang, checkpoint, trouble):
+    async def scenario(fleet):
+        borrower = make_gang(on=("w1", "w0"), run_time_s=600.0, checkpoint=checkpoint)
+        if not checkpoint:
+            borrower = make_gang(on=("w1", "w0"), run_time_s=600.0, idempotent=True)
+        await fleet.launch(*borrower)
+        await anyio.sleep(20.0)
+        fleet.cut.update(["w1"] if trouble == "lead cut" else [])
+        fleet.lost_kinds.update(["give_way"] if trouble == "lead not told" else [])
+        anchor = make_gang(
+            "job-2", ("w0",), numbers=(0, 1, 2, 3), team="anchor", guarantee="anchor-4"
+        )
+        started_s = anyio.current_time()
+        await fleet.launch(*anchor)
+        await anyio.sleep(30.0)
+        (run,) = fleet.runs(claims.Fence("job-2", 1))
+        assert run.started_s - started_s < 7.3
+        assert fleet.running(FENCE) == 0
+
+    run_fleet(scenario)
+
+
+def test_a_gang_that_is_not_armed_in_time_gives_everything_back(run_fleet, make_gang):
+    async def scenario(fleet):
+        await fleet.launch(*make_gang(on=("w0",), run_time_s=600.0))
+        await anyio.sleep(5.0)
+        fleet.lost_kinds.add("give_way")
+        anchor = make_gang("job-2", ("w0",), team="anchor", guarantee="anchor-4")
+        await fleet.launch(*anchor)
+        await anyio.sleep(2.0)
+        status = await fleet.entry()[1].follow(claims.Fence("job-2", 1), "w0")
+        assert status.state is messages.GangState.FAILED
+        assert "job-2" not in {use.job_id for use in fleet.held()}
+
+    run_fleet(scenario, times=terms.Terms(arm_s=1.0))
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_entries_that_want_the_same_workers_all_get_on(run_fleet, make_gang, seed):
+    async def launch(fleet, on, attempts):
+        job, placement = make_gang(f"job-{on[0]}-{seed}", on, run_time_s=1.0)
+        fleet.gangs[claims.Fence(job.job_id, 1)] = job.shape.tasks
+        launcher = fleet.entry(job.job_id)[0]
+        status = await launcher.launch_with_backoff(job, placement, range(1, 40))
+        attempts.append(status.fence.attempt)
+
+    async def scenario(fleet):
+        attempts = []
+        async with anyio.create_task_group() as group:
+            for first in range(3):
+                on = [f"w{(first + index) % 4}" for index in range(4)]
+                group.start_soon(launch, fleet, on, attempts)
+        assert attempts[0] == 1
+        assert max(attempts) <= 12
+
+    run_fleet(scenario, seed=seed)
+
+
+def test_a_gang_of_512_tasks_on_64_workers(run_fleet, make_gang):
+    async def scenario(fleet):
+        on = tuple(f"w{index}" for index in range(64))
+        await fleet.launch(*make_gang(on=on, tasks_each=8, numbers=(0,), run_time_s=20.0))
+        await anyio.sleep(3.0)
+        assert fleet.running(FENCE) == 512
+        await anyio.sleep(30.0)
+        status = await fleet.entry()[1].follow(FENCE, "w0")
+        assert status.state is messages.GangState.DONE
+
+    run_fleet(scenario, size=64)
+
+
+@pytest.mark.parametrize("crowd", [100, 1000])
+def test_a_wave_of_cancels_costs_each_its_own_size(run_fleet, make_gang, crowd):
+    async def scenario(fleet):
+        fences = []
+        async with anyio.create_task_group() as group:
+            for index in range(crowd):
+                first = index // 8 * 2
+                on = (f"w{first}", f"w{first + 1}")
+                gang = make_gang(f"job-{index}", on, numbers=(index % 8,), run_time_s=900.0)
+                group.start_soon(fleet.launch, *gang)
+                fences.append((claims.Fence(f"job-{index}", 1), on))
+        await anyio.sleep(1.0)
+        assert len(fleet.held()) == 2 * crowd
+        fleet.sent.clear()
+        inquirer = fleet.entry()[1]
+        async with anyio.create_task_group() as group:
+            for fence, on in fences:
+                group.start_soon(inquirer.retire, fence, on)
+        await anyio.sleep(2 * fleet.times.renew_s)
+        assert not fleet.held()
+        assert fleet.sent["cancel"] == crowd
+        assert fleet.sent.total() <= 8 * crowd
+
+    run_fleet(scenario, size=crowd // 4 + 2)
