--- a/libs/rules/src/papayaspar_rules/records.py
+++ b/libs/rules/src/papayaspar_rules/records.py
@@ -8,7 +8,7 @@
 
 from papayaspar_rules import faults
 
-RECORD_MAX_BYTES = 4 * 1024 * 1024
+RECORD_MAX_BYTES = 16 * 1024 * 1024
 
 
 @attrs.frozen
--- a/libs/rules/src/papayaspar_rules/revisions.py
+++ b/libs/rules/src/papayaspar_rules/revisions.py
@@ -17,6 +17,7 @@
 
 HISTORY_MAX_REVISIONS = 1000
 OUTCOMES_MAX = 4096
+CHANGES_MAX = 256
 PENDING_MAX_CHARS = 4 * 1024 * 1024
 NO_RECORD = records.RevisionRecord(0, 0, "", "", "", 0.0)
 
@@ -80,6 +81,9 @@
         self._from_offset = 0
         self._next_offset = 0
         self._snapshot_offset: int | None = None
+        self._changes: collections.deque[records.RevisionRecord] = collections.deque(
+            maxlen=CHANGES_MAX
+        )
         self._pending: collections.deque[tuple[int, records.RevisionRecord]] = collections.deque()
         self._pending_chars = 0
         self._outcomes: collections.OrderedDict[str, Settlement] = collections.OrderedDict()
@@ -151,7 +155,7 @@
     def adopt(self, record: records.RevisionRecord) -> Verdict:
         """Take in the head of a peer; the newest one counts.
 
-        :param record: what the peer's :meth:`snapshot` or :meth:`latest` returned.
+        :param record: what the peer's :meth:`snapshot` or :meth:`since` returned.
         :return: ``ACCEPTED`` if it told this chain something new; ``PENDING`` if it holds changes
             to a revision that this chain does not have, so that the snapshot is needed.
         """
@@ -173,7 +177,7 @@
         return Verdict.ACCEPTED
 
     def snapshot(self) -> records.RevisionRecord:
-        """Return the head as a record to append again, or to pass to any peer."""
+        """Return the head as a record to append to the log again, or to pass to a peer."""
         return attrs.evolve(
             self._head.record,
             text=self.rules.text,
@@ -182,9 +186,19 @@
             as_of_offset=self._known_offset,
         )
 
-    def latest(self) -> records.RevisionRecord:
-        """Return the head as it was published, to pass to a peer that has its parent."""
-        return attrs.evolve(self._head.record, as_of_offset=self._known_offset)
+    def since(self, revision: int) -> tuple[records.RevisionRecord, ...]:
+        """Return what a peer has to adopt, one after the other, to come to the head.
+
+        :param revision: the revision the peer has; 0 for none.
+        :return: the changes since then, or the snapshot if that is shorter or they are forgotten.
+        """
+        if revision >= self.rules.revision:
+            return ()
+        missing = [record for record in self._changes if record.revision > revision]
+        chars = sum(len(record.text) for record in missing)
+        if not missing or missing[0].parent != revision or chars > len(self.rules.text):
+            return (self.snapshot(),)
+        return tuple(missing)
 
     def settle(self, publish_id: str) -> Settlement:
         """Return what became of a publish whose acknowledgement was lost.
@@ -214,6 +228,7 @@
         :raises LogUnavailableError: if the head is not known for certain yet.
         """
         book = parsing.parse_book(text)
+        text = book.ruleset().text
         if not self.is_current:
             raise errors.LogUnavailableError("the head of the rules is not known yet")
         if parent != self.rules.revision:
@@ -232,6 +247,12 @@
         self._snapshot_offset = offset
         return self.adopt(record)
 
+    def _keep_change(self, record: records.RevisionRecord) -> None:
+        if not record.is_change or record.parent != self.rules.revision:
+            self._changes.clear()
+            return
+        self._changes.append(attrs.evolve(record, as_of_offset=self._known_offset))
+
     def _restart(self, offset: int) -> None:
         self._from_offset = offset
         self._next_offset = offset
@@ -282,6 +303,7 @@
         record = head.record
         if record.revision <= self._head.record.revision:
             return
+        self._keep_change(record)
         self._head = head
         self._note(record.publish_id, Settlement.WON)
         self._history.append(
--- a/libs/rules/tests/test_revisions.py
+++ b/libs/rules/tests/test_revisions.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from papayaspar_model import errors
-from papayaspar_rules import faults, records, revisions
+from papayaspar_rules import faults, records, relays, revisions
 
 WIDE = "team a weight=1 # asked by A\nteam b weight=1 # asked by A\n"
 TEXT = "team a weight={} # asked by A\n"
@@ -139,9 +139,28 @@
     reader = revisions.Chain()
     reader.adopt(chain.snapshot())
     offer(chain, change)
-    assert reader.adopt(chain.latest()) is revisions.Verdict.ACCEPTED
+    (passed_on,) = chain.since(1)
+    assert reader.adopt(passed_on) is revisions.Verdict.ACCEPTED
     assert reader.rules == chain.rules
-    assert revisions.Chain().adopt(chain.latest()) is revisions.Verdict.PENDING
+    assert revisions.Chain().adopt(passed_on) is revisions.Verdict.PENDING
+    assert (chain.since(0), chain.since(2)) == ((chain.snapshot(),), ())
+
+
+def test_relay_passes_on_what_it_heard_and_folds_many_changes(chain, monkeypatch):
+    monkeypatch.setattr(relays, "CHANGES_MAX", 3)
+    relay = relays.Relay()
+    offer(chain, chain.propose(0, "p0", "ann", WIDE, 1.0))
+    for number in range(1, 8):
+        for item in chain.since(relay.revision):
+            assert relay.take(item)
+            assert not relay.take(item)
+        assert len(relay.all()) <= 3
+        reader = revisions.Chain()
+        for item in relay.all():
+            reader.adopt(item)
+        assert (reader.rules, reader.is_current) == (chain.rules, True)
+        text = WIDE.replace("b weight=1", f"b weight={number + 1}")
+        offer(chain, chain.propose(number, f"p{number}", "ann", text, 1.0))
 
 
 @pytest.mark.parametrize(
@@ -233,12 +252,18 @@
         truth.offer(offset, data)
         snapshots.append(truth.snapshot())
     reader = revisions.Chain()
+    peer = revisions.Chain()
     risen_to = 0
     while reader.next_offset < len(log):
         action = rng.random()
-        if action < 0.2:
+        if peer.next_offset < len(log) and rng.random() < 0.5:
+            peer.offer(peer.next_offset, log[peer.next_offset])
+        if action < 0.1:
             reader.adopt(rng.choice(snapshots))
         elif action < 0.3:
+            for item in peer.since(reader.rules.revision):
+                reader.adopt(item)
+        elif action < 0.4:
             reader.trimmed(rng.randrange(len(log)))
         else:
             reader.offer(reader.next_offset, log[reader.next_offset])
