Read the log on from its own position after hearing rules from a peer

Cause: a chain that adopted a peer's head skipped the records before it, so the loser of a race whose winner a peer passed on first was never settled: its publisher would have waited and been told that the outcome is unknown. Change: the revision in force and the position on the log move by themselves; all records are still read in their order, or recognised by the history. Conclusion: a loser is told revision_conflict whichever way it hears first.

--- a/libs/rules/src/papayaspar_rules/revisions.py
+++ b/libs/rules/src/papayaspar_rules/revisions.py
@@ -73,11 +73,17 @@
 
 
 class Chain:
-    """The revisions as one reader of the log knows them; the one in force only rises."""
+    """The revisions as one reader of the log knows them; the one in force only rises.
+
+    Two positions move by themselves: the revision in force, which is known to be the head after
+    all records before ``_known_offset`` and may come from a peer; and the tip, which is the head
+    at ``next_offset`` by the records read here, and is ``None`` while that can't be told.
+    """
 
     def __init__(self) -> None:
         self._head = Head(NO_RECORD, books.EMPTY, rulesets.RuleSet())
         self._known_offset = 0
+        self._tip: Head | None = self._head
         self._from_offset = 0
         self._next_offset = 0
         self._snapshot_offset: int | None = None
@@ -103,8 +109,8 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether the rules in force are known to be the head at ``next_offset``."""
-        return self._known_offset == self._next_offset
+        """Whether the rules in force are known to be the head at ``next_offset`` or later."""
+        return self._known_offset >= self._next_offset
 
     @property
     def snapshot_offset(self) -> int | None:
@@ -133,23 +139,13 @@
         if offset < self._next_offset:
             return Verdict.DUPLICATE
         self.trimmed(offset)
-        was_current = self.is_current
         self._next_offset = offset + 1
         try:
             record = records.decode(data)
         except faults.InvalidRecordError:
             record = None
-        if was_current:
-            self._known_offset = self._next_offset
-        if record is None:
-            return Verdict.INVALID
-        if record.reappended:
-            return self._offer_snapshot(offset, record)
-        if not was_current:
-            self._keep_pending(offset, record)
-            return Verdict.PENDING
-        head, verdict = self._advance(self._head, record)
-        self._put_in_force(head)
+        verdict = Verdict.INVALID if record is None else self._read(offset, record)
+        self._find_tip()
         return verdict
 
     def adopt(self, record: records.RevisionRecord) -> Verdict:
@@ -159,21 +155,17 @@
         :return: ``ACCEPTED`` if it told this chain something new; ``PENDING`` if it holds changes
             to a revision that this chain does not have, so that the snapshot is needed.
         """
-        as_of = record.as_of_offset
-        if as_of <= self._known_offset:
+        if record.as_of_offset <= self._known_offset:
             return Verdict.DUPLICATE
-        if record.is_change and record.parent != self.rules.revision:
-            return Verdict.PENDING
-        head = _head_of(record, self._head)
+        head: Head | None = self._head
+        if record.revision != self.rules.revision:
+            if record.is_change and record.parent != self.rules.revision:
+                return Verdict.PENDING
+            head = _head_of(record, self._head)
         if head is None:
             return Verdict.INVALID
-        if as_of > self._next_offset:
-            self._restart(as_of)
-        self._known_offset = as_of
-        if as_of >= self._from_offset:
-            head = self._replay(head, as_of)
-            self._known_offset = self._next_offset
-        self._put_in_force(head)
+        self._put_in_force(head, record.as_of_offset)
+        self._find_tip()
         return Verdict.ACCEPTED
 
     def snapshot(self) -> records.RevisionRecord:
@@ -241,11 +233,37 @@
             return record
         return attrs.evolve(record, text=changes, is_change=True)
 
-    def _offer_snapshot(self, offset: int, record: records.RevisionRecord) -> Verdict:
-        if record.as_of_offset > offset or record.is_change:
-            return Verdict.INVALID
-        self._snapshot_offset = offset
-        return self.adopt(record)
+    def _read(self, offset: int, record: records.RevisionRecord) -> Verdict:
+        if record.reappended:
+            if record.as_of_offset > offset or record.is_change:
+                return Verdict.INVALID
+            self._snapshot_offset = offset
+            return self.adopt(record)
+        if self._tip is not None:
+            self._tip, verdict = self._advance(self._tip, record)
+            return verdict
+        if offset < self._known_offset:
+            return self._recognise(record)
+        self._keep_pending(offset, record)
+        return Verdict.PENDING
+
+    def _find_tip(self) -> None:
+        """Find the tip again from the revision in force, and bring that up to the tip."""
+        if self._tip is None:
+            if not self._from_offset <= self._known_offset <= self._next_offset:
+                return
+            self._tip = self._replay(self._head, self._known_offset)
+        self._put_in_force(self._tip, self._next_offset)
+
+    def _recognise(self, record: records.RevisionRecord) -> Verdict:
+        """Settle a record that stands before the revision in force, as far as it is remembered."""
+        for entry in self._history:
+            if entry.revision != record.revision:
+                continue
+            if entry.publish_id == record.publish_id:
+                return Verdict.DUPLICATE
+            return self._reject(record.publish_id)
+        return Verdict.PENDING
 
     def _keep_change(self, record: records.RevisionRecord) -> None:
         if not record.is_change or record.parent != self.rules.revision:
@@ -254,6 +272,7 @@
         self._changes.append(attrs.evolve(record, as_of_offset=self._known_offset))
 
     def _restart(self, offset: int) -> None:
+        self._tip = None
         self._from_offset = offset
         self._next_offset = offset
         self._pending.clear()
@@ -280,7 +299,8 @@
         is_child = record.parent == head.record.revision and record.revision == record.parent + 1
         if not is_child:
             return head, self._reject(record.publish_id)
-        child = _head_of(record, head)
+        is_in_force = self._head.record == record
+        child = self._head if is_in_force else _head_of(record, head)
         if child is None:
             self._note(record.publish_id, Settlement.LOST)
             return head, Verdict.INVALID
@@ -299,8 +319,9 @@
         while len(self._outcomes) > OUTCOMES_MAX:
             self._outcomes.popitem(last=False)
 
-    def _put_in_force(self, head: Head) -> None:
+    def _put_in_force(self, head: Head, as_of: int) -> None:
         record = head.record
+        self._known_offset = max(self._known_offset, as_of)
         if record.revision <= self._head.record.revision:
             return
         self._keep_change(record)
@@ -325,4 +346,5 @@
             book = parsing.parse_book(record.text)
     except faults.InvalidRulesError:
         return None
-    return Head(record, book, book.ruleset(record.revision, record.publish_id))
+    rules = book.ruleset(record.revision, record.publish_id)
+    return Head(attrs.evolve(record, as_of_offset=0), book, rules)
