Give the chain's remembered records a module of their own

Change: trails.py keeps the records that wait for a known head and the newest changes; no change of behaviour. Conclusion: the chain reads as the rule of the log and no more.

--- a/libs/rules/src/papayaspar_rules/revisions.py
+++ b/libs/rules/src/papayaspar_rules/revisions.py
@@ -13,12 +13,10 @@
 import attrs
 
 from papayaspar_model import errors, rulesets
-from papayaspar_rules import books, faults, parsing, records
+from papayaspar_rules import books, faults, parsing, records, trails
 
 HISTORY_MAX_REVISIONS = 1000
 OUTCOMES_MAX = 4096
-CHANGES_MAX = 256
-PENDING_MAX_CHARS = 4 * 1024 * 1024
 NO_RECORD = records.RevisionRecord(0, 0, "", "", "", 0.0)
 
 
@@ -84,14 +82,10 @@
         self._head = Head(NO_RECORD, books.EMPTY, rulesets.RuleSet())
         self._known_offset = 0
         self._tip: Head | None = self._head
-        self._from_offset = 0
         self._next_offset = 0
         self._snapshot_offset: int | None = None
-        self._changes: collections.deque[records.RevisionRecord] = collections.deque(
-            maxlen=CHANGES_MAX
-        )
-        self._pending: collections.deque[tuple[int, records.RevisionRecord]] = collections.deque()
-        self._pending_chars = 0
+        self._changes = trails.ChangeTrail()
+        self._pending = trails.PendingRecords()
         self._outcomes: collections.OrderedDict[str, Settlement] = collections.OrderedDict()
         self._history: collections.deque[HistoryEntry] = collections.deque(
             maxlen=HISTORY_MAX_REVISIONS
@@ -127,7 +121,9 @@
         :param first_offset: offset of the oldest record.
         """
         if first_offset > self._next_offset:
-            self._restart(first_offset)
+            self._tip = None
+            self._next_offset = first_offset
+            self._pending.restart(first_offset)
 
     def offer(self, offset: int, data: bytes) -> Verdict:
         """Take in the next record of the log.
@@ -186,11 +182,11 @@
         """
         if revision >= self.rules.revision:
             return ()
-        missing = [record for record in self._changes if record.revision > revision]
+        missing = self._changes.since(revision)
         chars = sum(len(record.text) for record in missing)
-        if not missing or missing[0].parent != revision or chars > len(self.rules.text):
+        if not missing or chars > len(self.rules.text):
             return (self.snapshot(),)
-        return tuple(missing)
+        return missing
 
     def settle(self, publish_id: str) -> Settlement:
         """Return what became of a publish whose acknowledgement was lost.
@@ -244,15 +240,15 @@
             return verdict
         if offset < self._known_offset:
             return self._recognise(record)
-        self._keep_pending(offset, record)
+        self._pending.keep(offset, record)
         return Verdict.PENDING
 
     def _find_tip(self) -> None:
         """Find the tip again from the revision in force, and bring that up to the tip."""
         if self._tip is None:
-            if not self._from_offset <= self._known_offset <= self._next_offset:
+            if not self._pending.from_offset <= self._known_offset <= self._next_offset:
                 return
-            self._tip = self._replay(self._head, self._known_offset)
+            self._tip = self._replay()
         self._put_in_force(self._tip, self._next_offset)
 
     def _recognise(self, record: records.RevisionRecord) -> Verdict:
@@ -265,34 +261,11 @@
             return self._reject(record.publish_id)
         return Verdict.PENDING
 
-    def _keep_change(self, record: records.RevisionRecord) -> None:
-        if not record.is_change or record.parent != self.rules.revision:
-            self._changes.clear()
-            return
-        self._changes.append(attrs.evolve(record, as_of_offset=self._known_offset))
-
-    def _restart(self, offset: int) -> None:
-        self._tip = None
-        self._from_offset = offset
-        self._next_offset = offset
-        self._pending.clear()
-        self._pending_chars = 0
-
-    def _keep_pending(self, offset: int, record: records.RevisionRecord) -> None:
-        self._pending.append((offset, record))
-        self._pending_chars += len(record.text)
-        while self._pending_chars > PENDING_MAX_CHARS:
-            dropped_offset, dropped = self._pending.popleft()
-            self._pending_chars -= len(dropped.text)
-            self._from_offset = dropped_offset + 1
-
-    def _replay(self, head: Head, as_of: int) -> Head:
-        for offset, record in self._pending:
-            if offset < as_of:
-                continue
+    def _replay(self) -> Head:
+        head = self._head
+        for record in self._pending.since(self._known_offset):
             head, _ = self._advance(head, record)
-        self._pending.clear()
-        self._pending_chars = 0
+        self._pending.restart(self._next_offset)
         return head
 
     def _advance(self, head: Head, record: records.RevisionRecord) -> tuple[Head, Verdict]:
@@ -324,7 +297,7 @@
         self._known_offset = max(self._known_offset, as_of)
         if record.revision <= self._head.record.revision:
             return
-        self._keep_change(record)
+        self._changes.add(record, self.rules.revision, self._known_offset)
         self._head = head
         self._note(record.publish_id, Settlement.WON)
         self._history.append(
