--- a/libs/dispatch/tests/test_claims_stateful.py
+++ b/libs/dispatch/tests/test_claims_stateful.py
@@ -144,6 +144,12 @@
             key, timed = name.split("-")
             self.send(key, timed == "True", number, "ran", 2)
 
+    @stateful.rule(timed=st.booleans(), number=NUMBER)
+    def send_fresh_through_both(self, timed, number):
+        key = f"n{self.sent}"
+        self.send(key, timed, number, "ran", 2)
+        self.send(key, timed, 1 - number, "ran", 2)
+
     @stateful.rule()
     def all_heals(self):
         self.log_is_up = True
@@ -246,7 +252,11 @@
             return
         for worker in tells & set(self.tables):
             self.tables[worker].adopt(link)
-        if reads:
+
+    @stateful.rule(number=NUMBER)
+    def tell_peer(self, number):
+        link = self.entries[number].chain.link
+        if link is not None:
             self.entries[1 - number].chain.adopt(link)
 
     @stateful.rule(number=NUMBER)
