Eject failing workers on outcomes, and try them again

Cause: a worker that fails everything it starts answers fast and would draw load. Change: OutlierDetector ejects on consecutive failures or a failure ratio, only beside a fleet that does not fail, up to a share of 34%; single idempotent trials after waits that double; load() lets the failure ratio count as load before and without an ejection.

--- a/libs/membership/src/papayaspar_membership/__init__.py
+++ b/libs/membership/src/papayaspar_membership/__init__.py
@@ -1,5 +1,5 @@
 """View of the workers: who is there, in which life, and what each reports."""
 
-from papayaspar_membership import members
+from papayaspar_membership import ejection, members
 
-__all__ = ["members"]
+__all__ = ["ejection", "members"]
--- /dev/null
+++ b/libs/membership/tests/test_ejection.py
@@ -0,0 +1,127 @@
+"""Ejection on outcomes: who is taken out, how many at most, and how they come back."""
+
+import random
+
+import pytest
+
+from papayaspar_membership import ejection
+from papayaspar_model import clock
+
+FAILURE, SUCCESS = ejection.Outcome.FAILURE, ejection.Outcome.SUCCESS
+Standing = ejection.Standing
+
+
+@pytest.fixture
+def source():
+    return clock.ManualClock(50.0)
+
+
+@pytest.fixture
+def detector(source):
+    made = ejection.OutlierDetector(source, rng=random.Random(1))
+    for number in range(9):
+        made.join(f"w{number}", 1)
+    return made
+
+
+@pytest.fixture
+def finish(detector):
+    """Return a function that ends requests at a worker."""
+
+    def ended(worker, outcome, times=1):
+        for _ in range(times):
+            detector.finish(detector.begin(worker), outcome)
+
+    return ended
+
+
+def test_consecutive_failures_eject_and_a_success_breaks_the_run(detector, finish):
+    finish("w0", FAILURE, 4)
+    finish("w0", SUCCESS)
+    finish("w0", FAILURE, 4)
+    assert detector.admits("w0", idempotent=True)
+    finish("w0", FAILURE)
+    assert detector.standing("w0") is Standing.EJECTED
+    assert not detector.admits("w0", idempotent=True)
+
+
+def test_a_ratio_of_failures_ejects(detector, finish):
+    for _ in range(5):
+        finish("w0", SUCCESS)
+        finish("w0", FAILURE)
+    assert detector.standing("w0") is Standing.EJECTED
+
+
+def test_refusals_tell_nothing(detector, finish):
+    finish("w0", ejection.Outcome.NEUTRAL, 20)
+    assert detector.standing("w0") is Standing.ADMITTED
+
+
+def test_the_ejected_share_is_capped(detector, finish):
+    for number in range(1, 9):
+        finish(f"w{number}", SUCCESS, 20)
+    for number in range(5):
+        finish(f"w{number}", FAILURE, 25)
+    ejected = [n for n in range(9) if detector.standing(f"w{n}") is Standing.EJECTED]
+    assert ejected == [0, 1, 2]
+
+
+def test_nobody_is_an_outlier_when_the_whole_fleet_fails(detector, finish):
+    for _ in range(30):
+        for number in range(9):
+            finish(f"w{number}", FAILURE)
+    out = [n for n in range(9) if detector.standing(f"w{n}") is not Standing.ADMITTED]
+    assert len(out) <= 1
+
+
+def test_trials_are_single_idempotent_and_wait_longer_each_time(detector, finish, source):
+    finish("w0", FAILURE, 5)
+    waits_s = []
+    for _ in range(9):
+        waited_s = 0.0
+        while detector.standing("w0") is Standing.EJECTED:
+            source.advance(0.5)
+            waited_s += 0.5
+        waits_s.append(waited_s)
+        assert not detector.admits("w0", idempotent=False)
+        assert detector.admits("w0", idempotent=True)
+        trial = detector.begin("w0")
+        assert not detector.admits("w0", idempotent=True)
+        detector.finish(trial, FAILURE)
+    assert waits_s[:6] == sorted(waits_s[:6])
+    assert waits_s[0] <= 6.5
+    assert 300.0 <= waits_s[-1] <= 375.5
+
+
+def test_what_was_sent_before_the_ejection_is_no_trial(detector, finish, source):
+    under_way = [detector.begin("w0") for _ in range(4)]
+    finish("w0", FAILURE, 5)
+    source.advance(7.0)
+    assert detector.standing("w0") is Standing.ON_TRIAL
+    for sending in under_way:
+        detector.finish(sending, SUCCESS)
+    assert detector.standing("w0") is Standing.ON_TRIAL
+
+
+def test_successes_on_trial_admit_again(detector, finish, source):
+    finish("w0", FAILURE, 5)
+    source.advance(7.0)
+    finish("w0", SUCCESS, 2)
+    assert detector.standing("w0") is Standing.ON_TRIAL
+    finish("w0", SUCCESS)
+    assert detector.standing("w0") is Standing.ADMITTED
+
+
+def test_a_new_incarnation_starts_clean_and_old_outcomes_do_not_touch_it(detector, finish):
+    under_way = [detector.begin("w0") for _ in range(9)]
+    finish("w0", FAILURE, 5)
+    detector.join("w0", 2)
+    for sending in under_way:
+        detector.finish(sending, FAILURE)
+    assert detector.standing("w0") is Standing.ADMITTED
+
+
+def test_failing_fast_draws_no_load_before_ejection(detector, finish):
+    finish("w0", FAILURE, 4)
+    finish("w1", SUCCESS, 4)
+    assert detector.load("w0", 0, 8) > detector.load("w1", 7, 8)
