--- a/libs/agent/src/papayaspar_agent/process.py
+++ b/libs/agent/src/papayaspar_agent/process.py
@@ -5,11 +5,23 @@
 import anyio
 import anyio.abc
 
-from papayaspar_agent import config, requests, rulings, targets
+from papayaspar_agent import (
+    agent_links,
+    claim_service,
+    config,
+    gang_peers,
+    gang_service,
+    requests,
+    rulings,
+    targets,
+)
+from papayaspar_dispatch import calls as dispatch_calls
+from papayaspar_dispatch import claim_tables
 from papayaspar_events import journal, lines, metrics
-from papayaspar_model import causality, clock, errors, signals, workers
+from papayaspar_model import causality, clock, errors, workers
+from papayaspar_platform import http_runtimes, runtimes
 from papayaspar_settings import daemons
-from papayaspar_slots import ledger
+from papayaspar_slots import agents, calls, ledger, terms
 from papayaspar_wire import messages, peers, transports
 
 REPORT_SPACING_S = 0.02
@@ -41,7 +53,9 @@
             return self._agent.rulings.newest()
         if isinstance(message, messages.EventsWanted):
             return self._agent.newest_events(message.limit)
-        raise errors.ProtocolError(f"an agent does not answer {type(message).__name__}")
+        if self._agent.claims.handles(message):
+            return self._agent.claims.answer(message)
+        return await self._agent.answer_gang(message)
 
     async def notice(self, peer: peers.Peer, message: object) -> None:
         """Take one notice of an entry."""
@@ -49,6 +63,8 @@
             self._runner.cancel(message)
         if isinstance(message, messages.RulesInForce):
             self._agent.rulings.take(message)
+        if isinstance(message, dispatch_calls.ShardsInForce):
+            self._agent.claims.take(message)
         if isinstance(message, messages.EntriesChanged):
             self._agent.learn_entries(message.entries)
 
@@ -58,6 +74,7 @@
 
     :param settings: checked settings.
     :param target: client of the target; HTTP by the settings when left out.
+    :param runtime: client of the worker runtime; HTTP by the settings when left out.
     :param clock_source: clock of the machine.
     """
 
@@ -65,6 +82,7 @@
         self,
         settings: config.AgentConfig,
         target: targets.Target | None = None,
+        runtime: runtimes.Runtime | None = None,
         clock_source: clock.Clock | None = None,
     ) -> None:
         self._settings = settings
@@ -75,13 +93,21 @@
         )
         self._ledger = ledger.Ledger(settings.worker, settings.capacity, self._clock)
         self.rulings = rulings.Rulings(self._ledger, self._journal)
-        self._signal = signals.ChangeSignal()
+        table = claim_tables.ClaimTable(settings.worker, settings.incarnation, self._clock)
+        self.claims = claim_service.ClaimService(table, self._journal)
         self._target = target or targets.HttpTarget(settings.target, settings.capacity.connections)
         self._runner = requests.RequestRunner(
-            self._ledger, self._target, self._clock, self._journal, self._signal
+            self._ledger, self._target, self._clock, self._journal
         )
         self._handler = AgentHandler(self._runner, self)
-        self._codec = messages.codec()
+        self._codec = messages.codec(*calls.ALL, *dispatch_calls.ALL)
+        self._times = terms.Terms()
+        self._agent_links = agent_links.AgentLinks(
+            self._handler, self._codec, self._journal, settings.tls
+        )
+        self._runtime = runtime or _runtime_of(settings)
+        self._gangs: gang_service.GangService | None = None
+        self._address = ""
         self._known_entries: set[str] = set()
         self._group: anyio.abc.TaskGroup | None = None
         self._stopping = anyio.Event()
@@ -91,15 +117,29 @@
     ) -> None:
         """Serve until :meth:`stop`, then until the requests in progress are finished."""
         self._journal.record(lines.EventKind.PROCESS_STARTED, worker=self._settings.worker)
+        listener = await transports.listen(self._settings.listen, self._settings.tls)
+        self._address = str(listener.address)
+        try:
+            await self._serve(listener, task_status)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._target.aclose()
+                await self._runtime.close()
+        self._journal.record(lines.EventKind.PROCESS_STOPPED, worker=self._settings.worker)
+
+    async def _serve(
+        self, listener: transports.Listener, task_status: anyio.abc.TaskStatus[None]
+    ) -> None:
         async with anyio.create_task_group() as group:
             self._group = group
+            self._gangs = self._make_gangs(group)
+            group.start_soon(listener.serve, self._serve_peer)
+            group.start_soon(self._agent_links.run)
             self.learn_entries(tuple(str(address) for address in self._settings.entries))
             task_status.started()
             await self._stopping.wait()
             await self._finish()
             group.cancel_scope.cancel()
-        await self._target.aclose()
-        self._journal.record(lines.EventKind.PROCESS_STOPPED, worker=self._settings.worker)
 
     def stop(self) -> None:
         """Drain and leave once the work in progress is done."""
@@ -110,7 +150,6 @@
     def drain(self) -> None:
         """Refuse new work from this moment and say so to every entry."""
         self._ledger.drain()
-        self._signal.changed()
         self._journal.record(lines.EventKind.WORKER_DRAINING, worker=self._settings.worker)
 
     def newest_events(self, limit: int) -> messages.EventLines:
@@ -136,12 +175,33 @@
         return workers.WorkerReport(
             identity=self._settings.identity,
             capacity=self._settings.capacity,
-            sequence=self._signal.sequence,
+            sequence=self._ledger.changes.sequence,
             busy_slots=self._ledger.slots.busy,
             draining=self._ledger.draining,
-            agent_address=str(self._settings.listen),
+            gangs=self._ledger.uses(),
+            agent_address=self._address,
         )
 
+    async def answer_gang(self, message: object) -> object:
+        """Answer a gang message of an entry or another agent.
+
+        :raises ProtocolError: when it is none.
+        """
+        if self._gangs is None:
+            raise errors.PeerError("the agent is not running")
+        return await self._gangs.answer(message)
+
+    def _make_gangs(self, group: anyio.abc.TaskGroup) -> gang_service.GangService:
+        worker = self._settings.worker
+        others = gang_peers.StreamGangPeers(worker, self._agent_links, self._times)
+        runner = gang_peers.PlatformTaskRunner(self._runtime)
+        gangs = agents.GangAgent(self._ledger, runner, others, self._clock, group, self._times)
+        others.service = gang_service.GangService(gangs, self._agent_links)
+        return others.service
+
+    async def _serve_peer(self, stream: anyio.abc.ByteStream) -> None:
+        await peers.Peer(stream, self._codec, self._handler, self._journal.stamps).run()
+
     async def _keep_entry(self, address: transports.Address) -> None:
         wait_s = RECONNECT_MIN_S
         while True:
@@ -160,7 +220,7 @@
     async def _talk_to_entry(self, stream: anyio.abc.ByteStream) -> None:
         stamps = self._journal.stamps
         async with peers.connected(stream, self._codec, self._handler, stamps) as peer:
-            sent = self._signal.sequence
+            sent = self._ledger.changes.sequence
             reply = await peer.call(
                 messages.Hello(self.report(), self.rulings.revision), HELLO_TIMEOUT_S
             )
@@ -168,7 +228,7 @@
             self._journal.record(lines.EventKind.PEER_CONNECTED, detail=welcome.process)
             self.learn_entries(welcome.entries)
             while True:
-                sent = await self._signal.wait_beyond(sent)
+                sent = await self._ledger.changes.wait_beyond(sent)
                 await peer.notify(messages.Report(self.report()))
                 await anyio.sleep(REPORT_SPACING_S)
 
@@ -177,3 +237,9 @@
             # Entries learn of the drain before the last stream closes.
             await anyio.sleep(DRAIN_NOTICE_S)
             await self._runner.wait_idle()
+
+
+def _runtime_of(settings: config.AgentConfig) -> runtimes.Runtime:
+    if settings.runtime is None:
+        return gang_peers.NoRuntime()
+    return http_runtimes.HttpRuntime(str(settings.runtime))
--- a/libs/agent/src/papayaspar_agent/requests.py
+++ b/libs/agent/src/papayaspar_agent/requests.py
@@ -1,13 +1,10 @@
 """Requests on the agent: a slot, the target, the answer."""
 
-import contextlib
-from collections.abc import Iterator
-
 import anyio
 
 from papayaspar_agent import targets
 from papayaspar_events import journal, lines
-from papayaspar_model import clock, errors, signals
+from papayaspar_model import clock, errors
 from papayaspar_slots import ledger
 from papayaspar_wire import messages
 
@@ -21,7 +18,6 @@
     :param target: client of the target.
     :param clock_source: clock of the machine.
     :param record: the process's journal.
-    :param signal: told when a slot is taken or freed.
     """
 
     def __init__(
@@ -30,13 +26,11 @@
         target: targets.Target,
         clock_source: clock.Clock,
         record: journal.Journal,
-        signal: signals.ChangeSignal,
     ) -> None:
         self._ledger = slots
         self._target = target
         self._clock = clock_source
         self._journal = record
-        self._signal = signal
         self._scopes: dict[str, anyio.CancelScope] = {}
 
     async def run(self, request: messages.RunRequest) -> messages.RequestAnswer:
@@ -49,7 +43,7 @@
         if request.remaining_ms <= 0:
             raise errors.DeadlineError("the deadline passed on the way to the worker")
         token = f"{request.request_id}/{request.attempt}"
-        with self._slot(token):
+        with self._ledger.slots.hold(token):
             started_s = self._clock.now_s()
             self._record(lines.EventKind.REQUEST_STARTED, request)
             answer = await self._ask_target(token, request)
@@ -59,9 +53,9 @@
 
     async def wait_idle(self) -> None:
         """Wait until no request holds a slot."""
-        sequence = self._signal.sequence
+        changes = self._ledger.changes
         while self._ledger.slots.busy > 0:
-            sequence = await self._signal.wait_beyond(sequence)
+            await changes.wait_beyond(changes.sequence)
 
     def cancel(self, message: messages.CancelRequest) -> None:
         """Give up an attempt whose caller has gone; its outcome is lost with it."""
@@ -69,13 +63,6 @@
         if scope is not None:
             scope.cancel()
 
-    @contextlib.contextmanager
-    def _slot(self, token: str) -> Iterator[None]:
-        with self._ledger.slots.hold(token):
-            self._signal.changed()
-            yield
-        self._signal.changed()
-
     async def _ask_target(self, token: str, request: messages.RunRequest) -> messages.RequestAnswer:
         with anyio.move_on_after(request.remaining_ms / MILLISECONDS_PER_SECOND) as scope:
             if request.idempotent:
--- a/libs/control/src/papayaspar_control/answers.py
+++ b/libs/control/src/papayaspar_control/answers.py
@@ -111,12 +111,14 @@
     :param revision: revision of the rules it goes by.
     :param workers: the workers.
     :param short_guarantees: instances without a home.
+    :param shards_revision: revision of the owners of idempotency keys, 0 before the first.
     """
 
     process: str
     revision: int
     workers: tuple[WorkerRow, ...]
     short_guarantees: tuple[ShortGuarantee, ...] = ()
+    shards_revision: int = 0
 
 
 @attrs.frozen
--- a/libs/control/src/papayaspar_control/client.py
+++ b/libs/control/src/papayaspar_control/client.py
@@ -99,6 +99,10 @@
         """
         await self._ask("POST", f"/v1/workers/{_quoted(worker)}/retire")
 
+    async def event_lines(self) -> tuple[str, ...]:
+        """Return the newest events of the entry and its agents, as key=value lines."""
+        return tuple((await self._ask("GET", "/v1/events")).decode().splitlines())
+
     async def job(self, job_id: str) -> tuple[answers.JobField, ...]:
         """Return what is known of a job.
 
--- a/libs/dispatch/src/papayaspar_dispatch/attempts.py
+++ b/libs/dispatch/src/papayaspar_dispatch/attempts.py
@@ -18,12 +18,14 @@
     :param worker: the worker.
     :param ran: whether it may have run; unknown until its end is known.
     :param has_failed: whether it ended in failure.
+    :param is_withdrawn: whether the worker refused it for want of a slot, which is no failure.
     """
 
     number: int
     worker: str
     ran: errors.Ran = errors.Ran.UNKNOWN
     has_failed: bool = False
+    is_withdrawn: bool = False
 
 
 class Attempts:
@@ -59,8 +61,8 @@
 
     @property
     def count(self) -> int:
-        """How often it was sent."""
-        return len(self._attempts)
+        """How often it was sent to a worker that took it."""
+        return sum(not attempt.is_withdrawn for attempt in self._attempts)
 
     def remaining_ms(self, now_s: float) -> int:
         """Return the time left, which travels with each attempt.
@@ -104,7 +106,7 @@
         :return: the attempt; end it with :meth:`fail` or :meth:`succeed`.
         """
         self.check_may_send(now_s)
-        attempt = Attempt(self.count + 1, worker)
+        attempt = Attempt(len(self._attempts) + 1, worker)
         self._attempts.append(attempt)
         return attempt
 
@@ -117,6 +119,14 @@
         attempt.ran = ran
         attempt.has_failed = True
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """End an attempt that the worker had no slot for; it counts as never sent.
+
+        :param attempt: the attempt.
+        """
+        attempt.ran = errors.Ran.NO
+        attempt.is_withdrawn = True
+
     def succeed(self, attempt: Attempt) -> None:
         """End an attempt whose whole answer is here."""
         attempt.ran = errors.Ran.YES
--- a/libs/entry/src/papayaspar_entry/callers.py
+++ b/libs/entry/src/papayaspar_entry/callers.py
@@ -4,15 +4,16 @@
 
 from starlette import applications, requests, responses, routing
 
-from papayaspar_entry import dispatcher, parsing
+from papayaspar_entry import answers, claimant, dispatcher, job_board, job_table, parsing
 from papayaspar_events import journal, lines
 from papayaspar_model import clock, errors, work
-from papayaspar_web import bodies, problems
+from papayaspar_web import bodies, connections, problems
 
 MILLISECONDS_PER_SECOND = 1000
 CALLER_HEADER = "papayaspar-caller"
 KEY_HEADER = "idempotency-key"
 CALLER_MAX_CHARS = 100
+JOB_WAIT_MAX_S = 60.0
 
 
 def caller_name(request: requests.Request) -> str:
@@ -27,14 +28,23 @@
     """The callers' endpoints.
 
     :param run: takes requests to workers.
+    :param claims: sees to it that a key runs at most once.
+    :param jobs: takes jobs to their end.
     :param record: the process's journal.
     :param clock_source: clock of the machine.
     """
 
     def __init__(
-        self, run: dispatcher.Dispatcher, record: journal.Journal, clock_source: clock.Clock
+        self,
+        run: dispatcher.Dispatcher,
+        claims: claimant.Claimant,
+        jobs: job_board.JobBoard,
+        record: journal.Journal,
+        clock_source: clock.Clock,
     ) -> None:
         self._dispatcher = run
+        self._claimant = claims
+        self._jobs = jobs
         self._journal = record
         self._clock = clock_source
         self.is_ready = False
@@ -43,6 +53,9 @@
         """Return the ASGI application."""
         routes = [
             routing.Route("/v1/requests", self.post_request, methods=["POST"]),
+            routing.Route("/v1/jobs", self.post_job, methods=["POST"]),
+            routing.Route("/v1/jobs/{job_id}", self.get_job, methods=["GET"]),
+            routing.Route("/v1/jobs/{job_id}", self.delete_job, methods=["DELETE"]),
             routing.Route("/healthz", self.healthz),
             routing.Route("/readyz", self.readyz),
         ]
@@ -67,7 +80,7 @@
         request = parsing.request(body, caller_name(http_request), key, arrived_s)
         self._record(lines.EventKind.REQUEST_RECEIVED, request)
         try:
-            answer = await self._answer(request)
+            answer = await connections.run_while_connected(http_request, self._answer, request)
             result = _parse_result(answer.body)
         except errors.PapayasparError as error:
             self._finish(request, arrived_s, error.code)
@@ -81,8 +94,29 @@
         }
         return responses.JSONResponse(document, headers={"papayaspar-ran": "yes"})
 
-    async def _answer(self, request: work.Request) -> dispatcher.Answer:
-        return await self._dispatcher.run(request)
+    async def post_job(self, http_request: requests.Request) -> responses.Response:
+        """Accept a job: it outlives this process once this is answered."""
+        body = await bodies.read(http_request)
+        job = parsing.job(body, caller_name(http_request))
+        await self._jobs.submit(job)
+        return responses.JSONResponse({"job_id": job.job_id}, status_code=202)
+
+    async def get_job(self, http_request: requests.Request) -> responses.Response:
+        """Return where a job stands, waiting for its end if asked to."""
+        wait_s = _wait_s(http_request.query_params.get("wait_s", "0"))
+        known = await self._jobs.wait_for_end(http_request.path_params["job_id"], wait_s)
+        return responses.JSONResponse(job_document(known, self._jobs.state(known)))
+
+    async def delete_job(self, http_request: requests.Request) -> responses.Response:
+        """Take a job back."""
+        job_id = http_request.path_params["job_id"]
+        await self._jobs.cancel(job_id)
+        return responses.JSONResponse({"job_id": job_id}, status_code=202)
+
+    async def _answer(self, request: work.Request) -> answers.Answer:
+        if request.idempotent or request.key is None:
+            return await self._dispatcher.run(request)
+        return await self._claimant.run(request, request.key, self._dispatcher.run)
 
     def _finish(self, request: work.Request, arrived_s: float, code: str) -> None:
         took_s = self._clock.now_s() - arrived_s
@@ -106,6 +140,31 @@
         )
 
 
+def job_document(known: job_table.KnownJob, state: work.JobState) -> dict[str, object]:
+    """Return the JSON document of a job."""
+    document: dict[str, object] = {
+        "job_id": known.job.job_id,
+        "team": known.job.team,
+        "state": state.value,
+        "tasks": known.job.shape.tasks,
+    }
+    if known.ended is not None and known.ended.code:
+        document["code"] = known.ended.code
+    if state is work.JobState.UNKNOWN:
+        document["ran"] = errors.Ran.UNKNOWN.value
+    return document
+
+
+def _wait_s(text: str) -> float:
+    try:
+        wait_s = float(text)
+    except ValueError as error:
+        raise errors.InvalidRequestError("wait_s is not a number", field="wait_s") from error
+    if not 0.0 <= wait_s <= JOB_WAIT_MAX_S:
+        raise errors.InvalidRequestError(f"wait_s is not up to {JOB_WAIT_MAX_S:g}", field="wait_s")
+    return wait_s
+
+
 def _parse_result(body: bytes) -> object:
     try:
         return json.loads(body)
--- a/libs/entry/src/papayaspar_entry/dispatcher.py
+++ b/libs/entry/src/papayaspar_entry/dispatcher.py
@@ -5,38 +5,21 @@
 from collections.abc import AsyncIterator
 
 import anyio
-import attrs
 
 from papayaspar_admission import budgets, limits, queues
-from papayaspar_entry import sessions
+from papayaspar_dispatch import attempts
+from papayaspar_entry import answers, sessions
 from papayaspar_events import journal, lines
 from papayaspar_membership import members
 from papayaspar_model import clock, errors, work, workers
-from papayaspar_wire import messages
+from papayaspar_wire import messages, peers
 
 MILLISECONDS_PER_SECOND = 1000
 ATTEMPTS_MAX = 4
 ANSWER_SLACK_S = 1.0
 BUSY_PAUSE_S = 0.005
 NO_WORKER_RETRY_S = 1.0
-
-
-@attrs.frozen
-class Answer:
-    """The one answer to a request.
-
-    :param request_id: the request.
-    :param worker: worker that ran it.
-    :param attempts: attempts sent.
-    :param status: HTTP status of the target.
-    :param body: the target's body, whole.
-    """
-
-    request_id: str
-    worker: str
-    attempts: int
-    status: int
-    body: bytes
+CANCEL_NOTICE_S = 0.5
 
 
 class Dispatcher:
@@ -67,7 +50,7 @@
         self._clock = clock_source
         self._limits: dict[workers.WorkerIdentity, limits.ConcurrencyLimit] = {}
 
-    async def run(self, request: work.Request) -> Answer:
+    async def run(self, request: work.Request) -> answers.Answer:
         """Return the answer to a request.
 
         :param request: what the caller wants.
@@ -76,42 +59,61 @@
         if self._table.total_slots() == 0:
             raise errors.UnavailableError("no worker is up", retry_after_s=NO_WORKER_RETRY_S)
         self._retries.record_request()
-        async with self._admission.slot(request):
+        ticket = await self._admission.acquire(request)
+        try:
+            return await self._run_shielded(request)
+        finally:
+            self._admission.release(ticket)
+
+    async def _run_shielded(self, request: work.Request) -> answers.Answer:
+        """Run a request; once non-idempotent work may have been sent its outcome is learnt.
+
+        That holds also when the caller has gone.
+        """
+        if request.idempotent:
             return await self._run_admitted(request)
+        found: list[answers.Answer] = []
+        with anyio.CancelScope(shield=True):
+            found.append(await self._run_admitted(request))
+        return found[0]
 
-    async def _run_admitted(self, request: work.Request) -> Answer:
-        excluded: set[str] = set()
-        attempt = 0
+    async def _run_admitted(self, request: work.Request) -> answers.Answer:
+        sent = attempts.Attempts(request.idempotent, request.deadline_s, ATTEMPTS_MAX)
         while True:
-            member = await self._choose(request, excluded)
-            attempt += 1
+            member = await self._choose(request, sent)
+            attempt = sent.begin(member.name, self._clock.now_s())
             try:
-                return await self._attempt(request, attempt, member)
+                answer = await self._attempt(request, attempt, member)
             except (errors.BusyError, errors.DrainingError):
                 # Refused in a race for the slot, not failed: no retry is spent.
+                sent.withdraw(attempt)
                 await anyio.sleep(BUSY_PAUSE_S * random.random())
                 continue
             except errors.PapayasparError as error:
-                excluded.add(member.name)
-                if not self._may_retry(request, error, attempt):
-                    raise
-                self._record(lines.EventKind.REQUEST_RETRIED, request, attempt, code=error.code)
-
-    def _may_retry(
-        self, request: work.Request, error: errors.PapayasparError, attempt: int
-    ) -> bool:
-        if error.ran is not errors.Ran.NO and not request.idempotent:
-            return False
-        if attempt >= ATTEMPTS_MAX or self._clock.now_s() >= request.deadline_s:
-            return False
-        return self._retries.try_spend()
-
-    async def _attempt(self, request: work.Request, attempt: int, member: members.Member) -> Answer:
+                sent.fail(attempt, error.ran)
+                self._check_retry(request, sent, error)
+                continue
+            sent.succeed(attempt)
+            return answer
+
+    def _check_retry(
+        self, request: work.Request, sent: attempts.Attempts, error: errors.PapayasparError
+    ) -> None:
+        """Raise the error to answer with unless a retry may be sent."""
+        if not sent.may_send(self._clock.now_s()) or not self._retries.try_spend():
+            error.ran = sent.ran
+            raise error
+        kind = lines.EventKind.REQUEST_RETRIED
+        self._record(kind, request, sent.count, code=error.code)
+
+    async def _attempt(
+        self, request: work.Request, attempt: attempts.Attempt, member: members.Member
+    ) -> answers.Answer:
         peer = self._sessions.peer(member.name)
         remaining_s = request.deadline_s - self._clock.now_s()
         message = messages.RunRequest(
             request_id=request.request_id,
-            attempt=attempt,
+            attempt=attempt.number,
             team=request.team,
             kind=request.kind,
             urgency=request.urgency,
@@ -120,14 +122,37 @@
             payload=request.payload,
             key=request.key,
         )
-        self._record(lines.EventKind.REQUEST_DISPATCHED, request, attempt, worker=member.name)
+        self._record(
+            lines.EventKind.REQUEST_DISPATCHED, request, attempt.number, worker=member.name
+        )
         async with self._place(member, request.kind):
-            reply = await peer.call(message, max(0.0, remaining_s) + ANSWER_SLACK_S)
+            reply = await self._call(peer, message, max(0.0, remaining_s))
         answer = messages.expect(reply, messages.RequestAnswer)
-        if (answer.request_id, answer.attempt) != (request.request_id, attempt):
-            self._record(lines.EventKind.ANSWER_DROPPED, request, attempt, worker=member.name)
+        if (answer.request_id, answer.attempt) != (request.request_id, attempt.number):
+            self._record(
+                lines.EventKind.ANSWER_DROPPED, request, attempt.number, worker=member.name
+            )
             raise errors.ProtocolError("the answer is to another request", ran=errors.Ran.UNKNOWN)
-        return Answer(request.request_id, member.name, attempt, answer.status, answer.body)
+        return answers.Answer(
+            request.request_id, member.name, attempt.number, answer.status, answer.body
+        )
+
+    async def _call(
+        self, peer: peers.Peer, message: messages.RunRequest, remaining_s: float
+    ) -> object:
+        """Send an attempt; if its caller goes, tell the agent not to bother."""
+        try:
+            return await peer.call(message, remaining_s + ANSWER_SLACK_S)
+        except anyio.get_cancelled_exc_class():
+            with anyio.move_on_after(CANCEL_NOTICE_S, shield=True):
+                await self._tell_cancelled(peer, message)
+            raise
+
+    async def _tell_cancelled(self, peer: peers.Peer, message: messages.RunRequest) -> None:
+        try:
+            await peer.notify(messages.CancelRequest(message.request_id, message.attempt))
+        except errors.PeerError:
+            return
 
     @contextlib.asynccontextmanager
     async def _place(self, member: members.Member, kind: str) -> AsyncIterator[None]:
@@ -160,22 +185,22 @@
     def _is_free(self, member: members.Member) -> bool:
         return member.free_slots > 0 and self._limit(member).free > 0
 
-    async def _choose(self, request: work.Request, excluded: set[str]) -> members.Member:
+    async def _choose(self, request: work.Request, sent: attempts.Attempts) -> members.Member:
         with anyio.move_on_after(max(0.0, request.deadline_s - self._clock.now_s())):
             while True:
                 usable = [
                     member
                     for member in self._table.all()
-                    if member.is_usable and member.name not in excluded
+                    if member.is_usable and member.name not in sent.excluded
                 ]
                 if not usable:
-                    raise errors.UnavailableError("no worker can take the request")
+                    raise errors.UnavailableError("no worker can take the request", ran=sent.ran)
                 free = [member for member in usable if self._is_free(member)]
                 if free:
                     pair = random.sample(free, min(2, len(free)))
                     return max(pair, key=lambda member: member.free_slots)
                 await self._table.wait_changed()
-        raise errors.DeadlineError("no worker was free before the deadline")
+        raise errors.DeadlineError("no worker was free before the deadline", ran=sent.ran)
 
     def _record(
         self,
--- a/libs/entry/src/papayaspar_entry/entry_links.py
+++ b/libs/entry/src/papayaspar_entry/entry_links.py
@@ -5,6 +5,7 @@
 import anyio
 import anyio.abc
 
+from papayaspar_dispatch import calls as dispatch_calls
 from papayaspar_entry import rulebook
 from papayaspar_events import journal, lines
 from papayaspar_model import errors, signals
@@ -52,7 +53,7 @@
         self._handler = RulesHandler(book)
         self._journal = record
         self._tls = tls
-        self._codec = messages.codec()
+        self._codec = messages.codec(*dispatch_calls.ALL)
         self._known: set[str] = set()
         self._open: set[str] = set()
         self._group: anyio.abc.TaskGroup | None = None
--- /dev/null
+++ b/libs/entry/src/papayaspar_entry/gang_calls.py
@@ -0,0 +1,71 @@
+"""Gang messages from this entry to agents, over the streams that agents hold to it."""
+
+from papayaspar_entry import sessions
+from papayaspar_membership import members
+from papayaspar_model import errors
+from papayaspar_slots import calls, claims, messages, peers, terms
+from papayaspar_wire import messages as wire_messages
+
+
+class StreamGangAgents(peers.GangAgents):
+    """The agents as gangs need them.
+
+    :param links: streams to the agents.
+    :param table: the entry's view of the workers, for their agents' addresses.
+    :param times: times of the gang protocol.
+    """
+
+    def __init__(
+        self, links: sessions.Sessions, table: members.MemberTable, times: terms.Terms
+    ) -> None:
+        self._sessions = links
+        self._table = table
+        self._times = times
+
+    async def reserve(self, worker: str, claim: claims.Claim) -> claims.Reservation:
+        """Reserve a member's accelerators."""
+        message = calls.Reserve(claim, self._address(claim.lead_worker))
+        return wire_messages.expect(await self._call(worker, message), claims.Reservation)
+
+    async def unreserve(self, worker: str, fence: claims.Fence) -> None:
+        """Give a reservation back that was not armed."""
+        await self._call(worker, calls.Unreserve(fence))
+
+    async def launch(self, worker: str, launch: messages.Launch) -> messages.GangStatus:
+        """Tell the lead to launch a gang whose members are reserved."""
+        addresses = tuple(self._address(member) for member in launch.members)
+        message = calls.LaunchGang(launch, addresses)
+        return wire_messages.expect(await self._call(worker, message), messages.GangStatus)
+
+    async def inquire(self, worker: str, inquiry: messages.Inquiry) -> messages.GangStatus:
+        """Ask the lead about a gang."""
+        timeout_s = inquiry.wait_s + self._times.answer_s
+        reply = await self._sessions.peer(worker).call(inquiry, timeout_s)
+        return wire_messages.expect(reply, messages.GangStatus)
+
+    async def cancel(self, worker: str, fence: claims.Fence) -> messages.GangStatus:
+        """Tell the lead to end a gang, or never to launch it."""
+        reply = await self._call(worker, calls.CancelGang(fence))
+        return wire_messages.expect(reply, messages.GangStatus)
+
+    async def acknowledge(self, worker: str, fence: claims.Fence) -> None:
+        """Tell the lead that the end of a gang was recorded."""
+        await self._call(worker, calls.AcknowledgeGang(fence))
+
+    async def inquire_part(self, worker: str, fence: claims.Fence) -> messages.PartStatus:
+        """Ask a member's agent about its part of a gang."""
+        reply = await self._call(worker, calls.InquirePart(fence))
+        return wire_messages.expect(reply, messages.PartStatus)
+
+    async def give_way(self, worker: str, fence: claims.Fence) -> None:
+        """Ask the lead of a gang to leave its accelerators."""
+        await self._call(worker, messages.GiveWay(fence))
+
+    async def _call(self, worker: str, message: object) -> object:
+        return await self._sessions.peer(worker).call(message, self._times.answer_s)
+
+    def _address(self, worker: str) -> str:
+        member = self._table.get(worker)
+        if member is None:
+            raise errors.PeerError(f"no address of {worker}")
+        return member.report.agent_address
--- a/libs/entry/src/papayaspar_entry/operators.py
+++ b/libs/entry/src/papayaspar_entry/operators.py
@@ -3,7 +3,7 @@
 import attrs
 from starlette import applications, requests, responses, routing
 
-from papayaspar_entry import rulebook, sessions
+from papayaspar_entry import callers, homekeeper, job_board, rulebook, sessions, shardkeeper
 from papayaspar_events import journal, lines
 from papayaspar_membership import members
 from papayaspar_model import errors
@@ -24,6 +24,9 @@
     :param table: the entry's view of the workers.
     :param links: streams to the agents.
     :param book: the rules of this entry.
+    :param keeper: the homes of guarantees.
+    :param shards: owners of the shards of keys.
+    :param jobs: the jobs.
     :param record: the process's journal.
     """
 
@@ -32,11 +35,17 @@
         table: members.MemberTable,
         links: sessions.Sessions,
         book: rulebook.Rulebook,
+        keeper: homekeeper.Homekeeper,
+        shards: shardkeeper.Shardkeeper,
+        jobs: job_board.JobBoard,
         record: journal.Journal,
     ) -> None:
         self._table = table
         self._sessions = links
         self._book = book
+        self._keeper = keeper
+        self._shards = shards
+        self._jobs = jobs
         self._journal = record
 
     def application(self) -> applications.Starlette:
@@ -45,9 +54,12 @@
             routing.Route("/v1/status", self.get_status),
             routing.Route("/v1/events", self.get_events),
             routing.Route("/v1/workers/{worker}/drain", self.drain, methods=["POST"]),
+            routing.Route("/v1/workers/{worker}/retire", self.retire, methods=["POST"]),
             routing.Route("/v1/rules", self.get_rules, methods=["GET"]),
             routing.Route("/v1/rules", self.post_rules, methods=["POST"]),
             routing.Route("/v1/rules/history", self.get_history),
+            routing.Route("/v1/jobs/{job_id}", self.get_job, methods=["GET"]),
+            routing.Route("/v1/jobs/{job_id}", self.delete_job, methods=["DELETE"]),
             routing.Route("/metrics", self.get_metrics),
         ]
         handlers = {errors.PapayasparError: problems.handle}
@@ -60,8 +72,9 @@
             {
                 "process": self._journal.process,
                 "revision": self._book.rules.revision,
+                "shards_revision": self._shards.revision,
                 "workers": rows,
-                "short_guarantees": [],
+                "short_guarantees": [_short_row(name) for name in self._keeper.packed.short],
             }
         )
 
@@ -100,6 +113,17 @@
         rows = [attrs.asdict(entry) for entry in self._book.history()]
         return responses.JSONResponse({"revisions": rows})
 
+    async def get_job(self, http_request: requests.Request) -> responses.Response:
+        """Return where a job stands."""
+        known = await self._jobs.wait_for_end(http_request.path_params["job_id"], 0.0)
+        return responses.JSONResponse(callers.job_document(known, self._jobs.state(known)))
+
+    async def delete_job(self, http_request: requests.Request) -> responses.Response:
+        """Take a job back on its team's behalf."""
+        job_id = http_request.path_params["job_id"]
+        await self._jobs.cancel(job_id)
+        return responses.JSONResponse({"job_id": job_id}, status_code=202)
+
     async def drain(self, http_request: requests.Request) -> responses.Response:
         """Tell a worker's agent to refuse new work."""
         worker = http_request.path_params["worker"]
@@ -108,6 +132,16 @@
         await self._sessions.peer(worker).call(messages.DrainWorker(), CALL_TIMEOUT_S)
         return responses.JSONResponse({"worker": worker, "state": "draining"})
 
+    async def retire(self, http_request: requests.Request) -> responses.Response:
+        """Take an operator's word that a worker's agent is gone for good."""
+        worker = http_request.path_params["worker"]
+        member = self._table.get(worker)
+        if member is not None and member.is_connected:
+            raise errors.ConflictError(f"{worker} is up; drain it", field="worker")
+        operator = http_request.headers.get(AUTHOR_HEADER, "operator")
+        self._shards.retire(worker, operator)
+        return responses.JSONResponse({"worker": worker, "state": "retired"})
+
     async def get_metrics(self, http_request: requests.Request) -> responses.Response:
         """Return the metrics of this process."""
         self._journal.metrics.set_state("workers", len(self._table))
@@ -124,6 +158,11 @@
             return ()
 
 
+def _short_row(name: str) -> dict[str, object]:
+    guarantee, _, instance = name.rpartition("/")
+    return {"guarantee": guarantee, "instance": int(instance)}
+
+
 def _worker_row(member: members.Member) -> dict[str, object]:
     report = member.report
     state = "draining" if report.draining else "up"
--- a/libs/entry/src/papayaspar_entry/parsing.py
+++ b/libs/entry/src/papayaspar_entry/parsing.py
@@ -4,7 +4,7 @@
 from papayaspar_model import errors, identifiers, work
 
 DEADLINE_DEFAULT_MS = 30_000
-DEADLINE_MAX_MS = 3_600_000
+DEADLINE_MAX_MS = 300_000
 RUN_TIME_MAX_S = 30 * 24 * 3600
 TASKS_MAX = 512
 ACCELERATORS_MAX = 64
--- a/libs/entry/src/papayaspar_entry/process.py
+++ b/libs/entry/src/papayaspar_entry/process.py
@@ -1,5 +1,6 @@
 """The entry as a whole: its listeners, and a shutdown that cuts no request."""
 
+import random
 import socket
 
 import anyio
@@ -9,22 +10,32 @@
 from papayaspar_admission import budgets, queues
 from papayaspar_entry import (
     callers,
+    claimant,
     config,
     dispatcher,
     entry_links,
+    gang_calls,
+    gang_runs,
+    homekeeper,
+    job_board,
     operators,
     rulebook,
     sessions,
+    shardkeeper,
 )
 from papayaspar_events import journal, lines, metrics
 from papayaspar_membership import members
 from papayaspar_model import causality, clock
+from papayaspar_placement import durations, ends, fleet, shape_keeping
+from papayaspar_placement import queues as job_queues
 from papayaspar_platform import http_logs, logs
 from papayaspar_settings import daemons
+from papayaspar_slots import launches, terms
 from papayaspar_web import listeners
 from papayaspar_wire import transports
 
 CAPACITY_SPACING_S = 0.01
+FORGET_AFTER_S = 10.0
 
 
 class Entry(daemons.Daemon):
@@ -47,13 +58,28 @@
         self._journal = journal.Journal(
             settings.name, settings.data_centre, stamps, metrics.Metrics()
         )
-        self._table = members.MemberTable()
         self._log = log or http_logs.HttpLog(str(settings.log))
+        self._table = members.MemberTable()
+        self._view = fleet.FleetView()
         self._book = rulebook.Rulebook(self._log, self._journal, self._clock)
         self._links = entry_links.EntryLinks(self._book, self._journal, settings.stream_tls)
+        self._keeper = homekeeper.Homekeeper(
+            self._log, self._book, self._view, self._links, self._journal
+        )
+        self._book.checks.append(self._keeper.check)
+        self._shards = shardkeeper.Shardkeeper(self._log, self._table, self._links, self._journal)
         self._sessions = sessions.Sessions(
-            settings.name, self._table, self._book, self._links, self._journal, self._clock
+            settings.name,
+            self._table,
+            self._view,
+            self._book,
+            self._links,
+            self._keeper,
+            self._shards,
+            self._journal,
+            self._clock,
         )
+        self._claimant = claimant.Claimant(self._sessions, self._shards, self._clock)
         self._admission = queues.AdmissionQueue(self._clock)
         self._retries = budgets.RetryBudget(self._clock)
         self._dispatcher = dispatcher.Dispatcher(
@@ -64,9 +90,18 @@
             self._journal,
             self._clock,
         )
-        self._callers = callers.CallerApi(self._dispatcher, self._journal, self._clock)
+        self._jobs = self._make_job_board()
+        self._callers = callers.CallerApi(
+            self._dispatcher, self._claimant, self._jobs, self._journal, self._clock
+        )
         self._operators = operators.OperatorApi(
-            self._table, self._sessions, self._book, self._journal
+            self._table,
+            self._sessions,
+            self._book,
+            self._keeper,
+            self._shards,
+            self._jobs,
+            self._journal,
         )
         self._stopping = anyio.Event()
         self._closing = anyio.Event()
@@ -79,13 +114,29 @@
         self._journal.record(lines.EventKind.PROCESS_STARTED)
         streams = await transports.listen(self._settings.listen, self._settings.stream_tls)
         self._links.own_address = str(streams.address)
+        try:
+            await self._serve(streams, task_status)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._log.close()
+        self._journal.record(lines.EventKind.PROCESS_STOPPED)
+
+    async def _serve(
+        self, streams: transports.Listener, task_status: anyio.abc.TaskStatus[None]
+    ) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(streams.serve, self._sessions.serve)
             group.start_soon(self._serve_http, self._bind())
             group.start_soon(self._links.run, tuple(map(str, self._settings.peers)))
             group.start_soon(self._book.follow)
             group.start_soon(self._book.keep_alive)
+            group.start_soon(self._shards.follow)
+            group.start_soon(self._shards.propose)
+            group.start_soon(self._keeper.follow)
+            group.start_soon(self._keeper.pack)
+            group.start_soon(self._jobs.run)
             group.start_soon(self._apply_rules)
+            group.start_soon(self._follow_members)
             group.start_soon(self._follow_capacity)
             self._callers.is_ready = True
             task_status.started()
@@ -95,13 +146,43 @@
             self._closing.set()
             await self._http_done.wait()
             group.cancel_scope.cancel()
-        self._journal.record(lines.EventKind.PROCESS_STOPPED)
 
     def stop(self) -> None:
         """Turn unready, stop accepting, finish, leave."""
         self._journal.record(lines.EventKind.PROCESS_STOPPING)
         self._stopping.set()
 
+    def _make_job_board(self) -> job_board.JobBoard:
+        times = terms.Terms()
+        expected = ends.EndEstimator(durations.DurationEstimator())
+        agents = gang_calls.StreamGangAgents(self._sessions, self._table, times)
+        launcher = launches.Launcher(self._settings.name, agents, random.Random(), times)
+        runs = gang_runs.GangRuns(agents, launcher, expected, self._journal, times)
+        queue = job_queues.JobQueue(shape_keeping.ShapeKeeping(expected), expected)
+        return job_board.JobBoard(
+            self._log,
+            self._book,
+            self._keeper,
+            self._links,
+            self._view,
+            queue,
+            runs,
+            self._journal,
+            self._clock,
+        )
+
+    async def _follow_members(self) -> None:
+        """Keep lost workers out of placement, and forget them after a while."""
+        while True:
+            lost = [member for member in self._table.all() if not member.is_connected]
+            self._view.set_ejected(member.name for member in lost)
+            for member in lost:
+                if self._clock.now_s() - (member.lost_at_s or 0.0) > FORGET_AFTER_S:
+                    self._view.forget(member.name)
+            with anyio.move_on_after(FORGET_AFTER_S):
+                await self._table.wait_changed()
+            await anyio.sleep(CAPACITY_SPACING_S)
+
     async def _apply_rules(self) -> None:
         seen = 0
         while True:
--- a/libs/entry/src/papayaspar_entry/rulebook.py
+++ b/libs/entry/src/papayaspar_entry/rulebook.py
@@ -1,5 +1,7 @@
 """The rules in force in this entry: followed on the log, published to it, kept alive on it."""
 
+from collections.abc import Callable
+
 import anyio
 
 from papayaspar_events import journal, lines
@@ -34,6 +36,7 @@
         self._chain = revisions.Chain()
         self._read = signals.ChangeSignal()
         self.changes = signals.ChangeSignal()
+        self.checks: list[Callable[[rulesets.RuleSet], None]] = []
         self.is_reachable = False
 
     @property
@@ -100,6 +103,8 @@
         publish_id = publish_id or identifiers.new_id("pub")
         if self._chain.settle(publish_id) is revisions.Settlement.WON:
             return self._revision_of(publish_id)
+        for check in self.checks:
+            check(parsing.parse(text))
         wall_s = self._clock.wall_s()
         record = self._chain.propose(parent, publish_id, author, text, wall_s)
         try:
@@ -109,13 +114,6 @@
                 raise
         return await self._settle(publish_id)
 
-    def check(self, text: str) -> rulesets.RuleSet:
-        """Return the rules in a text.
-
-        :raises RulesError: naming every fault.
-        """
-        return parsing.parse(text)
-
     async def _settle(self, publish_id: str) -> int:
         seen = self._read.sequence
         with anyio.move_on_after(SETTLE_TIMEOUT_S):
--- a/libs/entry/src/papayaspar_entry/sessions.py
+++ b/libs/entry/src/papayaspar_entry/sessions.py
@@ -3,10 +3,13 @@
 import anyio
 import anyio.abc
 
-from papayaspar_entry import entry_links, rulebook
+from papayaspar_dispatch import calls as dispatch_calls
+from papayaspar_entry import entry_links, homekeeper, rulebook, shardkeeper
 from papayaspar_events import journal, lines
 from papayaspar_membership import members
-from papayaspar_model import clock, errors, workers
+from papayaspar_model import clock, errors, rulesets, workers
+from papayaspar_placement import fleet
+from papayaspar_slots import calls
 from papayaspar_wire import codecs, messages, peers
 
 HELLO_TIMEOUT_S = 5.0
@@ -33,8 +36,7 @@
         self._sessions.observe(message.report)
         self._sessions.attach(message.report.identity, peer)
         self.identity = message.report.identity
-        if message.rules_revision > self._sessions.rules.rules.revision:
-            await self._sessions.fetch_rules(peer)
+        await self._sessions.catch_up(peer, message)
         self.greeted.set()
         return self._sessions.welcome()
 
@@ -44,6 +46,10 @@
             self._sessions.observe(message.report)
         if isinstance(message, messages.RulesInForce):
             self._sessions.rules.adopt(message.record)
+        if isinstance(message, dispatch_calls.ShardsInForce):
+            self._sessions.shards.adopt(message.link)
+        if isinstance(message, dispatch_calls.ShardsSurrendered):
+            self._sessions.shards.surrender(message)
 
 
 class Sessions:
@@ -51,8 +57,11 @@
 
     :param name: name of this entry.
     :param table: the entry's view of the workers.
+    :param view: the fleet as placement sees it, fed by the same reports.
     :param book: the rules of this entry.
     :param links: streams to the other entries.
+    :param keeper: the homes of guarantees.
+    :param shards: owners of the shards of keys.
     :param record: the process's journal.
     :param clock_source: clock of the machine.
     """
@@ -61,19 +70,25 @@
         self,
         name: str,
         table: members.MemberTable,
+        view: fleet.FleetView,
         book: rulebook.Rulebook,
         links: entry_links.EntryLinks,
+        keeper: homekeeper.Homekeeper,
+        shards: shardkeeper.Shardkeeper,
         record: journal.Journal,
         clock_source: clock.Clock,
     ) -> None:
         self._name = name
         self._table = table
+        self._view = view
         self.rules = book
         self._journal = record
         self._clock = clock_source
-        self._codec: codecs.Codec = messages.codec()
+        self._codec: codecs.Codec = messages.codec(*calls.ALL, *dispatch_calls.ALL)
         self._peers: dict[str, peers.Peer] = {}
         self.links = links
+        self._keeper = keeper
+        self.shards = shards
 
     async def serve(self, stream: anyio.abc.ByteStream) -> None:
         """Serve one stream until it ends; runs in a task of its own."""
@@ -81,6 +96,7 @@
         peer = peers.Peer(stream, self._codec, handler, self._journal.stamps)
         async with anyio.create_task_group() as group:
             group.start_soon(self._push_rules, handler, peer)
+            group.start_soon(self._push_shards, handler, peer)
             group.start_soon(self._push_entries, handler, peer)
             await peer.run()
             group.cancel_scope.cancel()
@@ -106,10 +122,14 @@
         self.links.learn((hello.address,))
         return self.welcome()
 
-    async def fetch_rules(self, peer: peers.Peer) -> None:
-        """Adopt the rules of an agent that holds newer ones."""
-        reply = await peer.call(messages.RulesWanted(), HELLO_TIMEOUT_S)
-        self.rules.adopt(messages.expect(reply, messages.RulesInForce).record)
+    async def catch_up(self, peer: peers.Peer, hello: messages.Hello) -> None:
+        """Adopt what an agent knows and this entry does not, as after a start without the log."""
+        if hello.rules_revision > self.rules.rules.revision:
+            reply = await peer.call(messages.RulesWanted(), HELLO_TIMEOUT_S)
+            self.rules.adopt(messages.expect(reply, messages.RulesInForce).record)
+        if self.shards.link is None:
+            reply = await peer.call(dispatch_calls.ShardsWanted(), HELLO_TIMEOUT_S)
+            self.shards.adopt(messages.expect(reply, dispatch_calls.ShardsHeld).link)
 
     def observe(self, report: workers.WorkerReport) -> None:
         """Take a report into the view and record what it changed."""
@@ -118,6 +138,7 @@
         change = self._table.observe(report)
         if change is members.Change.STALE:
             return
+        self._view.observe(report, self._clock.now_s())
         kinds = {
             members.Change.JOINED: lines.EventKind.WORKER_JOINED,
             members.Change.RETURNED: lines.EventKind.WORKER_JOINED,
@@ -142,13 +163,32 @@
         await handler.greeted.wait()
         while peer.is_open:
             seen = self.rules.changes.sequence
-            message = messages.RulesInForce(self.rules.snapshot(), self.rules.rules.revision)
             try:
-                await peer.notify(message)
+                await peer.notify(self._rules_for(handler))
             except errors.PeerError:
                 return
             await self.rules.changes.wait_beyond(seen)
 
+    def _rules_for(self, handler: StreamHandler) -> messages.RulesInForce:
+        packed = self._keeper.packed
+        worker = handler.identity.worker if handler.identity is not None else ""
+        own = tuple(home for home in packed.homes if _stands_on(home, worker))
+        return messages.RulesInForce(
+            self.rules.snapshot(), self.rules.rules.revision, own, packed.revision
+        )
+
+    async def _push_shards(self, handler: StreamHandler, peer: peers.Peer) -> None:
+        await handler.greeted.wait()
+        while peer.is_open:
+            seen = self.shards.changes.sequence
+            link = self.shards.link
+            try:
+                if link is not None:
+                    await peer.notify(dispatch_calls.ShardsInForce(link))
+            except errors.PeerError:
+                return
+            await self.shards.changes.wait_beyond(seen)
+
     async def _push_entries(self, handler: StreamHandler, peer: peers.Peer) -> None:
         await handler.greeted.wait()
         seen = self.links.changes.sequence
@@ -165,3 +205,7 @@
         del self._peers[identity.worker]
         if self._table.lose(identity, self._clock.now_s()):
             self._journal.record(lines.EventKind.WORKER_LOST, worker=identity.worker)
+
+
+def _stands_on(home: rulesets.Home, worker: str) -> bool:
+    return any(task.worker == worker for task in home.tasks)
--- a/libs/local/src/papayaspar_local/__init__.py
+++ b/libs/local/src/papayaspar_local/__init__.py
@@ -1,1 +1,5 @@
-"""The whole system in one process."""
+"""The whole system in one process on loopback, for a first look and for embedding."""
+
+from papayaspar_local import demo, layouts, systems
+
+__all__ = ["demo", "layouts", "systems"]
--- a/libs/placement/src/papayaspar_placement/queues.py
+++ b/libs/placement/src/papayaspar_placement/queues.py
@@ -138,6 +138,14 @@
         self._racks = racks
         self._homes = homes
 
+    def check(self, job: work.Job) -> None:
+        """Refuse a job that nothing which could exist can hold.
+
+        :param job: the job.
+        :raises UnplaceableError: with the reason.
+        """
+        feasibility.check(job, self._racks, self._homes, self._quotas.get(job.team))
+
     def submit(self, job: work.Job, since_s: float) -> None:
         """Add a job, or put back one that had to leave its place.
 
@@ -145,7 +153,7 @@
         :param since_s: when it began to wait; a job put back keeps its first time.
         :raises UnplaceableError: if nothing that could exist can hold the job.
         """
-        feasibility.check(job, self._racks, self._homes, self._quotas.get(job.team))
+        self.check(job)
         name = _class_of(job)
         waiting = self._classes.setdefault(name, {})
         entry = _Waiting(job, since_s)
--- a/libs/platform/src/papayaspar_platform/logs.py
+++ b/libs/platform/src/papayaspar_platform/logs.py
@@ -57,3 +57,6 @@
         :param wait_s: how long the service may wait for a first record.
         :return: a page, empty when the wait ended without a record.
         """
+
+    async def close(self) -> None:  # noqa: B027 - most clients hold nothing to close
+        """Close what the client holds open."""
--- a/libs/platform/src/papayaspar_platform/runtimes.py
+++ b/libs/platform/src/papayaspar_platform/runtimes.py
@@ -96,3 +96,6 @@
     @abc.abstractmethod
     async def status(self, task_id: str) -> TaskStatus:
         """Return the status of a task; an unknown one reads as stopped."""
+
+    async def close(self) -> None:  # noqa: B027 - most clients hold nothing to close
+        """Close what the client holds open."""
--- a/libs/slots/src/papayaspar_slots/ledger.py
+++ b/libs/slots/src/papayaspar_slots/ledger.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from papayaspar_model import clock, errors, rulesets, workers
+from papayaspar_model import clock, errors, rulesets, signals, workers
 from papayaspar_slots import claims, fencing, homes, refusals, requests
 
 RESERVATION_TTL_S = 15.0
@@ -30,7 +30,7 @@
 
 
 class Ledger:
-    """Slots and accelerators of one worker.
+    """Slots and accelerators of one worker; ``changes`` wakes whoever reports them.
 
     :param worker: name of the worker.
     :param capacity: what it can hold.
@@ -47,7 +47,8 @@
         previous_life_s: float = PREVIOUS_LIFE_S,
     ) -> None:
         self.worker = worker
-        self.slots = requests.RequestSlots(capacity.slots)
+        self.changes = signals.ChangeSignal()
+        self.slots = requests.RequestSlots(capacity.slots, self.changes)
         self.counts = LedgerCounts()
         self._capacity = capacity
         self._clock = source
@@ -139,6 +140,7 @@
             return
         holding.state = claims.HoldState.RUNNING
         holding.started_s = self._clock.now_s()
+        self.changes.changed()
 
     def release(self, fence: claims.Fence, *, done: bool = False) -> bool:
         """Free what an attempt holds; its later messages are refused.
@@ -158,6 +160,7 @@
             self._pass_on(number, fence)
         for other in self._holdings.values():
             other.victims.discard(fence)
+        self.changes.changed()
         return True
 
     def cancel_reservation(self, fence: claims.Fence) -> bool:
@@ -283,6 +286,7 @@
             table[number] = claim.fence
         self.counts.reservations += 1
         self.counts.reclaims += bool(victims)
+        self.changes.changed()
         return self._answer(holding)
 
     def _answer(self, holding: claims.Holding) -> claims.Reservation:
--- a/libs/slots/src/papayaspar_slots/requests.py
+++ b/libs/slots/src/papayaspar_slots/requests.py
@@ -3,7 +3,7 @@
 import contextlib
 from collections import abc
 
-from papayaspar_model import errors
+from papayaspar_model import errors, signals
 from papayaspar_slots import refusals
 
 
@@ -11,10 +11,12 @@
     """Slots in which the target serves requests.
 
     :param slots: requests served at once.
+    :param changes: told when a slot is taken or freed.
     """
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, changes: signals.ChangeSignal) -> None:
         self._slots = slots
+        self._changes = changes
         self._taken: set[str] = set()
         self._draining = False
 
@@ -31,6 +33,7 @@
     def drain(self) -> None:
         """Refuse new work from now on; requests in progress go on."""
         self._draining = True
+        self._changes.changed()
 
     def take(self, request_id: str) -> None:
         """Take a slot.
@@ -47,6 +50,7 @@
         if len(self._taken) >= self._slots:
             raise errors.BusyError
         self._taken.add(request_id)
+        self._changes.changed()
 
     def release(self, request_id: str) -> bool:
         """Give a slot back.
@@ -57,6 +61,7 @@
         if request_id not in self._taken:
             return False
         self._taken.remove(request_id)
+        self._changes.changed()
         return True
 
     @contextlib.contextmanager
--- a/libs/standin/src/papayaspar_standin/log_apps.py
+++ b/libs/standin/src/papayaspar_standin/log_apps.py
@@ -6,7 +6,9 @@
 from starlette import applications, requests, responses, routing
 
 from papayaspar_model import errors
+from papayaspar_platform import logs
 from papayaspar_standin import bodies, faults, memory_logs
+from papayaspar_web import connections
 
 READ_WAIT_MAX_S = 30.0
 
@@ -43,9 +45,7 @@
 
     async def read(self, request: requests.Request) -> responses.Response:
         """Answer ``GET /streams/{stream}/records?offset=&wait_s=``."""
-        offset = int(_query_number(request, "offset"))
-        wait_s = min(_query_number(request, "wait_s"), READ_WAIT_MAX_S)
-        page = await self.log.read(request.path_params["stream"], offset, wait_s)
+        page = await connections.run_while_connected(request, self._read, request)
         records = [base64.b64encode(record.data).decode("ascii") for record in page.records]
         return responses.JSONResponse(
             {
@@ -55,6 +55,11 @@
             }
         )
 
+    async def _read(self, request: requests.Request) -> logs.Page:
+        offset = int(_query_number(request, "offset"))
+        wait_s = min(_query_number(request, "wait_s"), READ_WAIT_MAX_S)
+        return await self.log.read(request.path_params["stream"], offset, wait_s)
+
     async def trim(self, request: requests.Request) -> responses.Response:
         """Answer ``POST /streams/{stream}/trim``."""
         body = await bodies.read_body(request)
--- a/libs/standin/src/papayaspar_standin/serving.py
+++ b/libs/standin/src/papayaspar_standin/serving.py
@@ -1,18 +1,13 @@
 """Serves the stand-ins over HTTP on asyncio, inside a task group."""
 
-import socket
-
 import anyio
 import anyio.abc
-import hypercorn.asyncio
-import hypercorn.config
 from starlette import applications
 
-from papayaspar_model import errors
 from papayaspar_standin import log_apps, memory_logs, memory_runtimes, targets, worker_apps
+from papayaspar_web import listeners
 
-GRACEFUL_TIMEOUT_S = 0.5
-KEEP_ALIVE_TIMEOUT_S = 75.0
+GRACE_S = 1.0
 
 
 async def serve_log(
@@ -58,28 +53,8 @@
     task_status: anyio.abc.TaskStatus[str],
 ) -> None:
     """Serve an application on a socket that accepts before the server runs."""
-    listener = _listen(address)
-    host, port = listener.getsockname()[:2]
-    config = hypercorn.config.Config()
-    config.bind = [f"fd://{listener.detach()}"]
-    config.graceful_timeout = GRACEFUL_TIMEOUT_S
-    config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
-    config.errorlog = None
-    task_status.started(f"{host}:{port}")
-    await hypercorn.asyncio.serve(app, config, shutdown_trigger=stopping.wait)  # type: ignore[arg-type]
-
-
-def _listen(address: str) -> socket.socket:
-    """Return a listening socket.
-
-    :param address: ``ip:port``.
-    """
     host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
-        raise errors.SettingsError(f"{address} is not ip:port", field="address")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host.strip("[]"), int(port)))
-    listener.listen()
-    return listener
+    bound = listeners.bind(host.strip("[]"), int(port))
+    host, number = bound.getsockname()[:2]
+    task_status.started(f"{host}:{number}")
+    await listeners.serve(app, bound, stopping.wait, grace_s=GRACE_S)
--- a/libs/wire/src/papayaspar_wire/messages.py
+++ b/libs/wire/src/papayaspar_wire/messages.py
@@ -205,6 +205,9 @@
     return message
 
 
-def codec() -> codecs.Codec:
-    """Return the codec of every message between the system's processes."""
-    return codecs.Codec(ALL)
+def codec(*others: type) -> codecs.Codec:
+    """Return the codec of every message between the system's processes.
+
+    :param others: message types of the libraries that the two ends share.
+    """
+    return codecs.Codec((*ALL, *others))
