Pass rules on as changes, and answer every failure with a problem document

Change: entries send what a peer lacks (Chain.since), agents keep a relay; the head is repeated by the first entry that wakes, with jitter; 404 and 405 are problems.

--- a/libs/entry/src/papayaspar_entry/callers.py
+++ b/libs/entry/src/papayaspar_entry/callers.py
@@ -59,8 +59,7 @@
             routing.Route("/healthz", self.healthz),
             routing.Route("/readyz", self.readyz),
         ]
-        handlers = {errors.PapayasparError: problems.handle}
-        return applications.Starlette(routes=routes, exception_handlers=handlers)
+        return problems.application(routes)
 
     async def healthz(self, http_request: requests.Request) -> responses.Response:
         """Answer that the process lives."""
--- a/libs/entry/src/papayaspar_entry/entry_links.py
+++ b/libs/entry/src/papayaspar_entry/entry_links.py
@@ -32,7 +32,7 @@
     async def notice(self, peer: peers.Peer, message: object) -> None:
         """Adopt newer rules."""
         if isinstance(message, messages.RulesInForce):
-            self._book.adopt(message.record)
+            self._book.adopt(message.records)
 
 
 class EntryLinks:
@@ -119,10 +119,9 @@
             self.learn(welcome.entries)
             detail = f"entry {welcome.process}"
             self._journal.record(lines.EventKind.PEER_CONNECTED, detail=detail)
+            sent = 0
             while True:
                 seen = self._book.changes.sequence
-                await peer.notify(self._rules())
+                await peer.notify(messages.RulesInForce(self._book.records_since(sent)))
+                sent = self._book.rules.revision
                 await self._book.changes.wait_beyond(seen)
-
-    def _rules(self) -> messages.RulesInForce:
-        return messages.RulesInForce(self._book.snapshot(), self._book.rules.revision)
--- a/libs/entry/src/papayaspar_entry/operators.py
+++ b/libs/entry/src/papayaspar_entry/operators.py
@@ -1,4 +1,6 @@
-"""HTTP towards operators: status, metrics, drain, events."""
+"""HTTP towards operators: status, rules, workers, jobs, metrics, events."""
+
+from urllib import parse
 
 import attrs
 from starlette import applications, requests, responses, routing
@@ -6,7 +8,7 @@
 from papayaspar_entry import callers, homekeeper, job_board, rulebook, sessions, shardkeeper
 from papayaspar_events import journal, lines
 from papayaspar_membership import members
-from papayaspar_model import errors
+from papayaspar_model import errors, identifiers
 from papayaspar_rules import faults as rule_faults
 from papayaspar_web import bodies, problems
 from papayaspar_wire import messages
@@ -16,6 +18,7 @@
 PARENT_HEADER = "papayaspar-parent"
 PUBLISH_ID_HEADER = "papayaspar-publish-id"
 AUTHOR_HEADER = "papayaspar-author"
+UNNAMED_AUTHOR = "unnamed"
 
 
 class OperatorApi:
@@ -62,8 +65,7 @@
             routing.Route("/v1/jobs/{job_id}", self.delete_job, methods=["DELETE"]),
             routing.Route("/metrics", self.get_metrics),
         ]
-        handlers = {errors.PapayasparError: problems.handle}
-        return applications.Starlette(routes=routes, exception_handlers=handlers)
+        return problems.application(routes)
 
     async def get_status(self, http_request: requests.Request) -> responses.Response:
         """Return what this entry sees."""
@@ -96,16 +98,16 @@
         """Publish a revision of the rules."""
         body = await bodies.read(http_request)
         headers = http_request.headers
+        publish_id = headers.get(PUBLISH_ID_HEADER) or identifiers.new_id("pub")
         try:
             revision = await self._book.publish(
                 parent=_parent(headers.get(PARENT_HEADER, "")),
-                publish_id=headers.get(PUBLISH_ID_HEADER, ""),
-                author=headers.get(AUTHOR_HEADER, ""),
+                publish_id=publish_id,
+                author=_author(http_request),
                 text=_text(body),
             )
         except rule_faults.InvalidRulesError as error:
             return rule_problem(error)
-        publish_id = self._book.rules.publish_id
         return responses.JSONResponse({"revision": revision, "publish_id": publish_id})
 
     async def get_history(self, http_request: requests.Request) -> responses.Response:
@@ -138,8 +140,7 @@
         member = self._table.get(worker)
         if member is not None and member.is_connected:
             raise errors.ConflictError(f"{worker} is up; drain it", field="worker")
-        operator = http_request.headers.get(AUTHOR_HEADER, "operator")
-        self._shards.retire(worker, operator)
+        self._shards.retire(worker, _author(http_request))
         return responses.JSONResponse({"worker": worker, "state": "retired"})
 
     async def get_metrics(self, http_request: requests.Request) -> responses.Response:
@@ -187,6 +188,11 @@
     )
 
 
+def _author(http_request: requests.Request) -> str:
+    """Return who operates; the header carries the name percent-encoded."""
+    return parse.unquote(http_request.headers.get(AUTHOR_HEADER, "")) or UNNAMED_AUTHOR
+
+
 def _parent(text: str) -> int:
     if not text.isdecimal():
         raise errors.InvalidRequestError("the parent is not a revision", field=PARENT_HEADER)
--- a/libs/entry/src/papayaspar_entry/rulebook.py
+++ b/libs/entry/src/papayaspar_entry/rulebook.py
@@ -1,5 +1,6 @@
 """The rules in force in this entry: followed on the log, published to it, kept alive on it."""
 
+import random
 from collections.abc import Callable
 
 import anyio
@@ -48,21 +49,24 @@
         """Return the revisions that were in force here, newest first."""
         return self._chain.history()
 
-    def snapshot(self) -> bytes:
-        """Return the head as a record that another process can adopt."""
-        return records.encode(self._chain.snapshot())
+    def records_since(self, revision: int) -> tuple[bytes, ...]:
+        """Return what brings a process from a revision to the one in force here.
 
-    def adopt(self, data: bytes) -> None:
-        """Take in a snapshot from a peer; garbage and older ones change nothing.
+        :param revision: what the process has; 0 for nothing.
+        """
+        return tuple(records.encode(record) for record in self._chain.since(revision))
+
+    def adopt(self, found: tuple[bytes, ...]) -> None:
+        """Take in records from a peer; garbage and older ones change nothing.
 
-        :param data: what another process's :meth:`snapshot` returned.
+        :param found: what another process's :meth:`records_since` returned.
         """
         before = self.rules.revision
         try:
-            self._chain.adopt(records.decode(data))
+            for data in found:
+                self._chain.adopt(records.decode(data))
         except errors.RulesError as error:
             self._journal.record(lines.EventKind.RULES_REFUSED, code=error.code)
-            return
         self._note_change(before, "from a peer")
 
     async def follow(self) -> None:
@@ -71,6 +75,7 @@
         while True:
             batch = await follower.next_batch()
             before = self.rules.revision
+            self._chain.trimmed(follower.next_offset - len(batch.records))
             for item in batch.records:
                 self._chain.offer(item.offset, item.data)
             self._note_change(before, "from the log")
@@ -78,13 +83,17 @@
             self._read.changed()
 
     async def keep_alive(self) -> None:
-        """Append the head again before the log forgets it; runs in a task of its own."""
+        """Append the head again before the log forgets it; runs in a task of its own.
+
+        Of several entries the first to wake repeats it; the others see that and let it be.
+        """
         while True:
-            await anyio.sleep(REAPPEND_INTERVAL_S)
-            if self.rules.revision == 0 or not self._chain.is_current:
+            seen = self._chain.snapshot_offset
+            await anyio.sleep(REAPPEND_INTERVAL_S * random.uniform(0.5, 1.0))
+            if self._chain.snapshot_offset != seen or not self._chain.is_current:
                 continue
             try:
-                await self._log.append(STREAM, (self.snapshot(),))
+                await self._log.append(STREAM, (records.encode(self._chain.snapshot()),))
             except errors.LogUnavailableError:
                 continue
 
--- a/libs/entry/src/papayaspar_entry/sessions.py
+++ b/libs/entry/src/papayaspar_entry/sessions.py
@@ -24,6 +24,7 @@
     def __init__(self, sessions: "Sessions") -> None:
         self._sessions = sessions
         self.identity: workers.WorkerIdentity | None = None
+        self.rules_revision = 0
         self.greeted = anyio.Event()
 
     async def call(self, peer: peers.Peer, message: object) -> object:
@@ -36,6 +37,7 @@
         self._sessions.observe(message.report)
         self._sessions.attach(message.report.identity, peer)
         self.identity = message.report.identity
+        self.rules_revision = message.rules_revision
         await self._sessions.catch_up(peer, message)
         self.greeted.set()
         return self._sessions.welcome()
@@ -45,7 +47,7 @@
         if isinstance(message, messages.Report):
             self._sessions.observe(message.report)
         if isinstance(message, messages.RulesInForce):
-            self._sessions.rules.adopt(message.record)
+            self._sessions.rules.adopt(message.records)
         if isinstance(message, dispatch_calls.ShardsInForce):
             self._sessions.shards.adopt(message.link)
         if isinstance(message, dispatch_calls.ShardsSurrendered):
@@ -126,7 +128,7 @@
         """Adopt what an agent knows and this entry does not, as after a start without the log."""
         if hello.rules_revision > self.rules.rules.revision:
             reply = await peer.call(messages.RulesWanted(), HELLO_TIMEOUT_S)
-            self.rules.adopt(messages.expect(reply, messages.RulesInForce).record)
+            self.rules.adopt(messages.expect(reply, messages.RulesInForce).records)
         if self.shards.link is None:
             reply = await peer.call(dispatch_calls.ShardsWanted(), HELLO_TIMEOUT_S)
             self.shards.adopt(messages.expect(reply, dispatch_calls.ShardsHeld).link)
@@ -161,21 +163,22 @@
 
     async def _push_rules(self, handler: StreamHandler, peer: peers.Peer) -> None:
         await handler.greeted.wait()
+        sent = handler.rules_revision
         while peer.is_open:
             seen = self.rules.changes.sequence
+            message = self._rules_for(handler, sent)
+            sent = self.rules.rules.revision
             try:
-                await peer.notify(self._rules_for(handler))
+                await peer.notify(message)
             except errors.PeerError:
                 return
             await self.rules.changes.wait_beyond(seen)
 
-    def _rules_for(self, handler: StreamHandler) -> messages.RulesInForce:
+    def _rules_for(self, handler: StreamHandler, sent: int) -> messages.RulesInForce:
         packed = self._keeper.packed
         worker = handler.identity.worker if handler.identity is not None else ""
         own = tuple(home for home in packed.homes if _stands_on(home, worker))
-        return messages.RulesInForce(
-            self.rules.snapshot(), self.rules.rules.revision, own, packed.revision
-        )
+        return messages.RulesInForce(self.rules.records_since(sent), own, packed.revision)
 
     async def _push_shards(self, handler: StreamHandler, peer: peers.Peer) -> None:
         await handler.greeted.wait()
--- a/libs/web/src/papayaspar_web/problems.py
+++ b/libs/web/src/papayaspar_web/problems.py
@@ -2,15 +2,25 @@
 
 import json
 import math
+from collections.abc import Awaitable, Callable, Sequence
 
 import attrs
-from starlette import requests, responses
+from starlette import applications, requests, responses, routing
+from starlette import exceptions as starlette_exceptions
 
 from papayaspar_model import errors
 
 PROBLEM_TYPE = "application/problem+json"
 
 
+class MethodNotAllowedError(errors.InvalidRequestError):
+    """The path knows no such method."""
+
+    code = "method_not_allowed"
+    status = 405
+    title = "The path knows no such method"
+
+
 @attrs.frozen
 class Problem:
     """A problem document.
@@ -59,10 +69,33 @@
     )
 
 
-async def handle(request: requests.Request, error: Exception) -> responses.Response:
-    """Answer an error that a Starlette endpoint raised."""
-    if isinstance(error, errors.PapayasparError):
-        return response(error)
-    return response(
-        errors.PapayasparError("an error that should not happen", ran=errors.Ran.UNKNOWN)
-    )
+def application(routes: Sequence[routing.Route]) -> applications.Starlette:
+    """Return an ASGI application whose every failure is a problem document.
+
+    :param routes: its endpoints, which may raise ``PapayasparError``.
+    """
+    handlers: dict[type[Exception], Callable[..., Awaitable[responses.Response]]] = {
+        errors.PapayasparError: _answer_error,
+        starlette_exceptions.HTTPException: _answer_unrouted,
+        Exception: _answer_unexpected,
+    }
+    return applications.Starlette(routes=routes, exception_handlers=handlers)
+
+
+async def _answer_error(
+    request: requests.Request, error: errors.PapayasparError
+) -> responses.Response:
+    return response(error)
+
+
+async def _answer_unrouted(
+    request: requests.Request, error: starlette_exceptions.HTTPException
+) -> responses.Response:
+    if error.status_code == MethodNotAllowedError.status:
+        return response(MethodNotAllowedError(f"{request.method} is not for {request.url.path}"))
+    return response(errors.NotFoundError(f"nothing at {request.url.path}"))
+
+
+async def _answer_unexpected(request: requests.Request, error: Exception) -> responses.Response:
+    detail = f"an error that should not happen: {type(error).__name__}"
+    return response(errors.PapayasparError(detail, ran=errors.Ran.UNKNOWN))
--- a/libs/wire/src/papayaspar_wire/messages.py
+++ b/libs/wire/src/papayaspar_wire/messages.py
@@ -68,16 +68,14 @@
 
 @attrs.frozen
 class RulesInForce:
-    """The newest rules record, passed on to agents and entries.
+    """Rules passed on to agents and entries: a whole revision, or the changes since one.
 
-    :param record: the record of the log, as it stands there.
-    :param homes: homes of guarantees packed from it.
+    :param records: records of the rules library, to be adopted one after the other.
+    :param homes: homes of guarantees on the receiver's worker.
     :param homes_revision: revision of the homes; only newer ones count.
-    :param revision: revision of the rules.
     """
 
-    record: bytes
-    revision: int
+    records: tuple[bytes, ...]
     homes: tuple[rulesets.Home, ...] = ()
     homes_revision: int = 0
 
