--- a/libs/placement/src/papayaspar_placement/durations.py
+++ b/libs/placement/src/papayaspar_placement/durations.py
@@ -23,12 +23,41 @@
     kind: str
 
 
+class _Sketch:
+    """A quantile sketch that remembers its quantiles until the next value."""
+
+    def __init__(self) -> None:
+        self._sketch = ddsketch.LogCollapsingLowestDenseDDSketch(
+            RELATIVE_ACCURACY_RATIO, BINS_PER_SKETCH
+        )
+        self._quantiles: dict[float, float] = {}
+
+    @property
+    def count(self) -> float:
+        return float(self._sketch.count)
+
+    def add(self, value: float) -> None:
+        self._sketch.add(value)
+        self._quantiles.clear()
+
+    def quantile(self, quantile: float) -> float:
+        known = self._quantiles.get(quantile)
+        if known is None:
+            value = self._sketch.get_quantile_value(quantile)
+            known = SHORTEST_S if value is None else float(value)
+            self._quantiles[quantile] = known
+        return known
+
+    def spread(self) -> float:
+        return self.quantile(HIGH_QUANTILE) / self.quantile(LOW_QUANTILE)
+
+
 class _Observed:
     """Run times of one kind of work, and their ratios to the declared ones."""
 
     def __init__(self) -> None:
-        self.durations_s = _sketch()
-        self.ratios = _sketch()
+        self.durations_s = _Sketch()
+        self.ratios = _Sketch()
 
     def add(self, declared_s: float, observed_s: float) -> None:
         observed_s = max(observed_s, SHORTEST_S)
@@ -36,13 +65,13 @@
         self.ratios.add(observed_s / max(declared_s, SHORTEST_S))
 
     def quantile_s(self, declared_s: float, quantile: float) -> float:
-        if _spread(self.ratios) < _spread(self.durations_s):
-            return max(declared_s, SHORTEST_S) * _quantile(self.ratios, quantile)
-        return _quantile(self.durations_s, quantile)
+        if self.ratios.spread() < self.durations_s.spread():
+            return max(declared_s, SHORTEST_S) * self.ratios.quantile(quantile)
+        return self.durations_s.quantile(quantile)
 
     @property
     def count(self) -> float:
-        return float(self.durations_s.count)
+        return self.durations_s.count
 
 
 class DurationEstimator:
@@ -105,16 +134,3 @@
 
     def __len__(self) -> int:
         return len(self._kinds)
-
-
-def _sketch() -> ddsketch.LogCollapsingLowestDenseDDSketch:
-    return ddsketch.LogCollapsingLowestDenseDDSketch(RELATIVE_ACCURACY_RATIO, BINS_PER_SKETCH)
-
-
-def _quantile(sketch: ddsketch.LogCollapsingLowestDenseDDSketch, quantile: float) -> float:
-    value = sketch.get_quantile_value(quantile)
-    return SHORTEST_S if value is None else float(value)
-
-
-def _spread(sketch: ddsketch.LogCollapsingLowestDenseDDSketch) -> float:
-    return _quantile(sketch, HIGH_QUANTILE) / _quantile(sketch, LOW_QUANTILE)
