--- a/libs/placement/src/papayaspar_placement/queues.py
+++ b/libs/placement/src/papayaspar_placement/queues.py
@@ -53,15 +53,8 @@
     since_s: float
 
 
-@attrs.frozen(order=True)
-class _Rank:
-    """Order of a class in one pass; the smallest goes first."""
-
-    beyond_guarantee: bool
-    urgency: int
-    use: float
-    since_s: float
-    job_id: str
+# Whether beyond the guarantee, urgency, use for its weight, age and job: the smallest goes first.
+_Rank = tuple[bool, int, float, float, str]
 
 
 @attrs.frozen
@@ -194,7 +187,7 @@
             if current > rank:
                 heapq.heappush(heap, (current, index, name))
                 continue
-            decision = self._try(name, not current.beyond_guarantee, view)
+            decision = self._try(name, not current[0], view)
             if decision is None:
                 if not self._is_over_quota(name, view):
                     missed.append(next(iter(self._classes[name].values())))
@@ -217,12 +210,12 @@
     def _rank(self, name: _Class, view: fleet.FleetView) -> _Rank:
         head = next(iter(self._classes[name].values()))
         promoted = int((view.now_s - head.since_s) / PROMOTE_AFTER_S)
-        return _Rank(
-            urgency=max(0, URGENCY_RANKS[name.urgency] - promoted),
-            beyond_guarantee=not view.is_guaranteed(head.job),
-            use=view.team_accelerators(name.team) / max(1, self._weights.get(name.team, 1)),
-            since_s=head.since_s,
-            job_id=head.job.job_id,
+        return (
+            not view.is_guaranteed(head.job),
+            max(0, URGENCY_RANKS[name.urgency] - promoted),
+            view.team_accelerators(name.team) / max(1, self._weights.get(name.team, 1)),
+            head.since_s,
+            head.job.job_id,
         )
 
     def _try(self, name: _Class, is_guaranteed: bool, view: fleet.FleetView) -> Decision | None:
