Weigh lasting losses of work that can't be moved; count useful work only

Cause: gangs that do not checkpoint were spread over several workers that moves could have emptied; utilisation counted work done twice.

--- a/libs/bench/src/papayaspar_bench/fleet_runs.py
+++ b/libs/bench/src/papayaspar_bench/fleet_runs.py
@@ -57,7 +57,8 @@
     """What became of one job.
 
     :param job: the job, as declared.
-    :param left_s: true seconds of work that are left.
+    :param true_s: its true run time.
+    :param left_s: seconds of that which are left.
     :param submitted_s: virtual time of its arrival.
     :param started_s: virtual time of its first start, or ``None``.
     :param attempt: runs so far.
@@ -66,6 +67,7 @@
     """
 
     job: work.Job
+    true_s: float
     left_s: float
     submitted_s: float
     started_s: float | None = None
@@ -161,7 +163,7 @@
         :param job: the job, as declared.
         :param true_s: its true run time.
         """
-        self.records[job.job_id] = JobRecord(job, true_s, self.now_s)
+        self.records[job.job_id] = JobRecord(job, true_s, true_s, self.now_s)
         self.queue.submit(job, self.now_s)
         self._pass_soon()
 
--- a/libs/bench/src/papayaspar_bench/fleet_workloads.py
+++ b/libs/bench/src/papayaspar_bench/fleet_workloads.py
@@ -9,6 +9,7 @@
 
 MOST_OFF_RATIO = 10.0
 RUN_TIME_SIGMA = 0.5
+LONGEST_RUN_S = 2 * 3600.0
 DECLARED_SIGMA = 0.3
 STEADY_SHARE_RATIO = 0.7
 
@@ -76,6 +77,7 @@
 
 def _arrival(rng: random.Random, kind: Kind, at_s: float, number: int) -> Arrival:
     true_s = kind.mean_s * rng.lognormvariate(-(RUN_TIME_SIGMA**2) / 2, RUN_TIME_SIGMA)
+    true_s = min(true_s, LONGEST_RUN_S)
     if kind.bias_ratio > 0:
         off_ratio = kind.bias_ratio * rng.lognormvariate(0.0, DECLARED_SIGMA)
     else:
--- a/libs/placement/src/papayaspar_placement/consolidation.py
+++ b/libs/placement/src/papayaspar_placement/consolidation.py
@@ -7,7 +7,7 @@
 
 MOVE_EVERY_S = 10.0
 REST_BETWEEN_MOVES_S = 300.0
-SHORTEST_REMAINING_S = 60.0
+LARGEST_LOSS_RATIO = 0.05
 MAX_CANDIDATES = 24
 
 
@@ -26,8 +26,9 @@
 class Consolidator:
     """Chooses the worker that is emptied with the least work, now and then.
 
-    Only gangs that checkpoint and that this process started are moved, each at most once in a
-    while, and only into accelerators that are left over on workers already in use.
+    Only gangs that this process started are moved, each at most once in a while, if what they
+    lose is little beside what they still have to do, and only into accelerators that are left
+    over on workers already in use.
 
     :param expected: expected ends of running gangs, and their jobs.
     """
@@ -64,17 +65,20 @@
     def _is_movable(self, worker: inventory.WorkerView, view: fleet.FleetView) -> bool:
         for job_id in worker.jobs:
             gang = view.gang(job_id)
-            if gang is None or view.is_assumed(job_id):
+            if gang is None or view.is_assumed(job_id) or self._expected.job(job_id) is None:
                 return False
-            job = self._expected.job(job_id)
-            if job is None or not job.checkpoint:
+            if not gang.stoppable or self._rests(gang, view.now_s):
                 return False
-            if view.now_s - gang.started_s < REST_BETWEEN_MOVES_S:
-                return False
-            if self._expected.remaining_s(gang, view.now_s) < SHORTEST_REMAINING_S:
+            lost_s = reclaims.victim_of(gang, view.now_s).lost_work_s / gang.accelerators
+            remaining_s = self._expected.remaining_s(gang, view.now_s)
+            if lost_s > LARGEST_LOSS_RATIO * remaining_s:
                 return False
         return True
 
+    def _rests(self, gang: entitlements.RunningGang, now_s: float) -> bool:
+        """Return whether a gang that was stopped before has run too short since."""
+        return gang.name.attempt > 1 and now_s - gang.started_s < REST_BETWEEN_MOVES_S
+
     def _empty(
         self,
         worker: inventory.WorkerView,
--- a/libs/placement/src/papayaspar_placement/inventory.py
+++ b/libs/placement/src/papayaspar_placement/inventory.py
@@ -28,7 +28,7 @@
     :param jobs: jobs that have a gang here.
     :param is_ejected: whether it is excluded because work fails there.
     :param is_avoided: whether it is chosen only when nothing else fits.
-    :param is_anchored: whether a gang here can't be moved, because it does not checkpoint.
+    :param movable: accelerators that are free or held by gangs that checkpoint.
     :param free: accelerators that no gang holds, ascending.
     :param common: those of them that are no one's home, ascending.
     """
@@ -39,7 +39,7 @@
     jobs: set[str] = attrs.field(factory=set)
     is_ejected: bool = False
     is_avoided: bool = False
-    is_anchored: bool = False
+    movable: int = 0
     free: tuple[int, ...] = ()
     common: tuple[int, ...] = ()
 
@@ -53,10 +53,16 @@
         """Whether it takes new work."""
         return not (self.is_ejected or self.report.draining)
 
+    @property
+    def is_anchored(self) -> bool:
+        """Whether a gang here does not checkpoint, so that moves can't empty the worker."""
+        return self.movable < self.report.capacity.accelerators
+
     def refresh(self) -> None:
         """Compute anew what is free and whether the gangs here can be moved."""
         gangs = (*self.report.gangs, *self.assumed.values())
-        self.is_anchored = any(not gang.checkpoint for gang in gangs)
+        fixed = {number for gang in gangs if not gang.checkpoint for number in gang.accelerators}
+        self.movable = self.report.capacity.accelerators - len(fixed) if self.is_open else 0
         free = set(self.report.free_accelerators)
         for gang in self.assumed.values():
             free.difference_update(gang.accelerators)
--- a/libs/placement/src/papayaspar_placement/shape_keeping.py
+++ b/libs/placement/src/papayaspar_placement/shape_keeping.py
@@ -28,6 +28,8 @@
     :param avoided: accelerators taken on workers to avoid.
     :param at_risk: accelerators taken on homes of other teams by work that loses all its progress
         in a reclaim.
+    :param lasting: for each guaranteed shape, the largest first, how many fewer fit the rack even
+        after moves; only work that does not checkpoint has such a cost.
     :param shapes: for each guaranteed shape, the largest first, how many fewer fit the rack.
     :param slots: for each such shape, how many fewer of its tasks fit the rack.
     :param homes: accelerators taken on homes of other teams.
@@ -36,6 +38,7 @@
 
     avoided: int
     at_risk: int
+    lasting: tuple[int, ...]
     shapes: tuple[int, ...]
     slots: tuple[int, ...]
     homes: int
@@ -243,7 +246,11 @@
     if job.shape.tasks == 1:
         tried = [[worker] for worker in rack.workers.values()]
     else:
-        tried = [sorted(rack.workers.values(), key=_tight_first)]
+        tight = sorted(rack.workers.values(), key=_tight_first)
+        tried = [tight]
+        if not job.checkpoint:
+            for first in tight:
+                tried.append([first, *(other for other in tight if other is not first)])
     for order in tried:
         seats = seating.fill(order, job)
         if seats is not None:
@@ -272,13 +279,16 @@
             owner = worker.owners.get(number)
             if owner is not None and owner.team != job.team:
                 foreign += 1
-    after = tuple(
-        count - taken.get(name, 0) for name, count in zip(rack.workers, rack.counts, strict=True)
+    lost = _lost_shapes(rack.counts, tuple(taken.get(name, 0) for name in rack.workers), shapes)
+    lasting = _lost_shapes(
+        tuple(worker.movable for worker in rack.workers.values()),
+        tuple(0 if job.checkpoint else taken.get(name, 0) for name in rack.workers),
+        shapes,
     )
-    lost = [_lost(rack.counts, after, shape) for shape in shapes]
     return _Loss(
         avoided=avoided,
         at_risk=0 if job.checkpoint else foreign,
+        lasting=tuple(one[0] + one[1] for one in lasting),
         shapes=tuple(one[0] for one in lost),
         slots=tuple(one[1] for one in lost),
         homes=foreign,
@@ -286,6 +296,13 @@
     )
 
 
+def _lost_shapes(
+    before: tuple[int, ...], taken: tuple[int, ...], shapes: tuple[work.Shape, ...]
+) -> list[tuple[int, int]]:
+    after = tuple(count - gone for count, gone in zip(before, taken, strict=True))
+    return [_lost(before, after, shape) for shape in shapes]
+
+
 @functools.lru_cache(maxsize=65536)
 def _lost(before: tuple[int, ...], after: tuple[int, ...], shape: work.Shape) -> tuple[int, int]:
     slots_before = sum(count // shape.accelerators_per_task for count in before)
