--- a/libs/placement/src/papayaspar_placement/consolidation.py
+++ b/libs/placement/src/papayaspar_placement/consolidation.py
@@ -5,9 +5,10 @@
 from papayaspar_model import work, workers
 from papayaspar_placement import ends, entitlements, fleet, inventory, reclaims, seating
 
-MOVE_EVERY_S = 10.0
-REST_BETWEEN_MOVES_S = 300.0
-LARGEST_LOSS_RATIO = 0.05
+MOVE_EVERY_S = 5.0
+REST_BETWEEN_MOVES_S = 120.0
+LARGEST_LOSS_RATIO = 0.02
+SHORTEST_GAIN_S = 300.0
 MAX_CANDIDATES = 24
 
 
@@ -52,8 +53,39 @@
             moves = self._empty(worker, partly, view)
             if moves:
                 return moves
+        for worker in candidates[:MAX_CANDIDATES]:
+            moves = self._shorten(worker, partly, view)
+            if moves:
+                return moves
         return ()
 
+    def _shorten(
+        self,
+        worker: inventory.WorkerView,
+        partly: list[inventory.WorkerView],
+        view: fleet.FleetView,
+    ) -> tuple[Move, ...]:
+        """Move the gang that ends last, if the worker is then empty much sooner."""
+        gangs = [gang for gang in map(view.gang, worker.jobs) if gang is not None]
+        if len(gangs) < 2:
+            return ()
+        ends_s = {gang.name: self._expected.remaining_s(gang, view.now_s) for gang in gangs}
+        gangs.sort(key=lambda one: (-ends_s[one.name], one.name))
+        last = gangs[0]
+        job = self._expected.job(last.name.job_id)
+        if job is None or ends_s[last.name] - ends_s[gangs[1].name] < SHORTEST_GAIN_S:
+            return ()
+        targets = [
+            one
+            for one in partly
+            if one is not worker and self._outlasts(one, ends_s[last.name], view)
+        ]
+        seats = _seats(job, targets, {})
+        return () if seats is None else (_move(job, last, seats, view),)
+
+    def _outlasts(self, worker: inventory.WorkerView, end_s: float, view: fleet.FleetView) -> bool:
+        return self._expected.worker_remaining_s(worker, view) >= end_s
+
     def _partly_used(self, view: fleet.FleetView) -> list[inventory.WorkerView]:
         found: list[inventory.WorkerView] = []
         for rack in view.racks():
