--- a/libs/bench/src/papayaspar_bench/fleet_runs.py
+++ b/libs/bench/src/papayaspar_bench/fleet_runs.py
@@ -61,6 +61,7 @@
     :param left_s: seconds of that which are left.
     :param submitted_s: virtual time of its arrival.
     :param started_s: virtual time of its first start, or ``None``.
+    :param finished_s: virtual time at which it was done, or ``None``.
     :param attempt: runs so far.
     :param pending: the decision by which it is about to start, or ``None``.
     :param is_between_places: whether it was stopped to go on elsewhere.
@@ -71,6 +72,7 @@
     left_s: float
     submitted_s: float
     started_s: float | None = None
+    finished_s: float | None = None
     attempt: int = 0
     pending: queues.Decision | None = None
     is_between_places: bool = False
@@ -307,6 +309,7 @@
         self.fakes.stop(job_id)
         record = self.records[job_id]
         record.left_s = 0.0
+        record.finished_s = self.now_s
         record.pending = None
         is_whole_run = attempt == 1
         observed_s = self.now_s - running.started_s
--- a/libs/bench/src/papayaspar_bench/fragmentation.py
+++ b/libs/bench/src/papayaspar_bench/fragmentation.py
@@ -150,6 +150,7 @@
         f"{prefix}_utilisation_ratio": _useful_s(run) / _offered_s(run),
         f"{prefix}_gang_wait_mean_s": sum(waits_s) / max(1, len(waits_s)),
         f"{prefix}_gang_wait_p99_s": waits_s[int(0.99 * (len(waits_s) - 1))] if waits_s else 0.0,
+        f"{prefix}_completion_mean_s": _completion_mean_s(run),
         f"{prefix}_waiting_at_end": float(len(run.queue)),
         f"{prefix}_lost_work_s": run.lost_work_s,
     }
@@ -165,6 +166,16 @@
     return done_s
 
 
+def _completion_mean_s(run: fleet_runs.FleetRun) -> float:
+    """Return the mean time from arrival to the end of the jobs that were done."""
+    took_s = [
+        record.finished_s - record.submitted_s
+        for record in run.records.values()
+        if record.finished_s is not None
+    ]
+    return sum(took_s) / max(1, len(took_s))
+
+
 def _offered_s(run: fleet_runs.FleetRun) -> float:
     """Return accelerator-seconds that the fleet had."""
     total = sum(worker.capacity.accelerators for worker in run.fakes.workers.values())
--- a/libs/placement/src/papayaspar_placement/consolidation.py
+++ b/libs/placement/src/papayaspar_placement/consolidation.py
@@ -7,7 +7,8 @@
 
 MOVE_EVERY_S = 5.0
 REST_BETWEEN_MOVES_S = 120.0
-LARGEST_LOSS_RATIO = 0.02
+SHORTEST_REMAINING_S = 30.0
+LARGEST_LOSS_RATIO = 0.1
 SHORTEST_GAIN_S = 300.0
 MAX_CANDIDATES = 24
 
@@ -103,7 +104,7 @@
                 return False
             lost_s = reclaims.victim_of(gang, view.now_s).lost_work_s / gang.accelerators
             remaining_s = self._expected.remaining_s(gang, view.now_s)
-            if lost_s > LARGEST_LOSS_RATIO * remaining_s:
+            if remaining_s < SHORTEST_REMAINING_S or lost_s > LARGEST_LOSS_RATIO * remaining_s:
                 return False
         return True
 
--- /dev/null
+++ b/libs/placement/tests/test_consolidation.py
@@ -0,0 +1,99 @@
+"""Tests of moves that empty workers."""
+
+import pytest
+
+from papayaspar_model import rulesets, workers
+from papayaspar_placement import consolidation, entitlements, queues, shape_keeping
+
+
+@pytest.fixture
+def run(expected, report_of):
+    """Return a function that lets a job run, as its agent reports it."""
+
+    def start(view, job, worker, accelerators, sequence, attempt=1):
+        expected.started(job)
+        use = workers.GangUse(
+            job.job_id,
+            attempt,
+            job.team,
+            tuple(accelerators),
+            job.stoppable,
+            job.checkpoint,
+            0.0,
+            job.run_time_s,
+            worker,
+        )
+        view.observe(report_of(worker, sequence, gangs=[use]), view.now_s)
+
+    return start
+
+
+@pytest.fixture
+def consolidator(expected):
+    return consolidation.Consolidator(expected)
+
+
+def test_worker_is_emptied_into_room_that_others_leave(view_of, job_of, run, consolidator):
+    view = view_of("r0")
+    run(view, job_of("small", accelerators=2, run_time_s=900.0), "r0-w0", (3, 5), 2)
+    run(view, job_of("large", accelerators=5, run_time_s=900.0), "r0-w1", range(5), 2)
+    (move,) = consolidator.propose(view)
+    assert move.job.job_id == "small"
+    assert move.plan.placement.tasks == (workers.AcceleratorRange("r0-w1", (5, 6)),)
+    assert [one.gang for one in move.plan.victims] == [entitlements.GangName("small", 1)]
+
+
+@pytest.mark.parametrize(
+    "facts",
+    [
+        {"checkpoint": False},
+        {"run_time_s": 10.0},
+        {"accelerators": 4},
+    ],
+)
+def test_gang_that_loses_much_or_fits_nowhere_stays(view_of, job_of, run, consolidator, facts):
+    view = view_of("r0")
+    small = job_of("small", **{"accelerators": 2, "run_time_s": 900.0, **facts})
+    run(view, small, "r0-w0", range(small.shape.accelerators), 2)
+    fixed = job_of("large", accelerators=5, run_time_s=900.0, checkpoint=False)
+    run(view, fixed, "r0-w1", range(5), 2)
+    assert consolidator.propose(view) == ()
+
+
+def test_gang_rests_between_moves(view_of, job_of, run, consolidator):
+    view = view_of("r0")
+    run(view, job_of("small", accelerators=2, run_time_s=9000.0), "r0-w0", (0, 1), 2, attempt=2)
+    fixed = job_of("large", accelerators=5, run_time_s=9000.0, checkpoint=False)
+    run(view, fixed, "r0-w1", range(5), 2)
+    assert consolidator.propose(view) == ()
+    view.advance(consolidation.REST_BETWEEN_MOVES_S)
+    assert len(consolidator.propose(view)) == 1
+
+
+def test_queue_moves_a_gang_once_and_counts_both_places(view_of, job_of, run, expected, report_of):
+    consolidator = consolidation.Consolidator(expected)
+    queue = queues.JobQueue(shape_keeping.ShapeKeeping(expected, consolidator), expected)
+    view = view_of("r0")
+    small = job_of("small", accelerators=2, run_time_s=9000.0)
+    run(view, small, "r0-w0", (0, 1), 2)
+    run(view, job_of("large", accelerators=5, run_time_s=9000.0), "r0-w1", range(5), 2)
+    (decision,) = queue.schedule(view, 0.0)
+    assert decision.is_move
+    assert view.team_accelerators("blue") == 9
+    assert queue.schedule(view, 100.0) == ()
+    view.observe(report_of("r0-w0", 3), 101.0)
+    run(view, small, "r0-w1", (5, 6), 3, attempt=2)
+    assert view.gang("small").started_s == 101.0
+    assert not view.is_assumed("small")
+
+
+def test_work_that_cannot_move_is_kept_together(view_of, job_of, run, expected):
+    home = rulesets.Home("red", "red", 0, (workers.AcceleratorRange("r9-w0", tuple(range(8))),))
+    policy = shape_keeping.ShapeKeeping(expected)
+    view = view_of("r0", homes=(home,))
+    for number in range(2):
+        job = job_of(f"m{number}", accelerators=4, run_time_s=900.0)
+        run(view, job, f"r0-w{number}", range(4), 2)
+    wide = job_of("wide", tasks=6, adjacency="rack", checkpoint=False)
+    placement = policy.place(wide, view)
+    assert {item.worker for item in placement.tasks} == {"r0-w2"}
--- a/libs/placement/tests/test_queues.py
+++ b/libs/placement/tests/test_queues.py
@@ -122,6 +122,23 @@
     assert [victim.gang.job_id for victim in decision.plan.victims] == ["saved"]
 
 
+def test_gang_that_cannot_be_stopped_does_not_clear_its_hold_onto_a_home(
+    queue, view_of, rack_of, guarantee_of, job_of, put
+):
+    packing = homes.pack((guarantee_of("red", 1, 8),), (rack_of("r0"),))
+    view = view_of("r0", homes=packing.homes)
+    (home,) = packing.homes
+    put(view, job_of("old", run_time_s=100.0, checkpoint=False), ("r0-w2", (0,)))
+    queue.submit(job_of("wide", tasks=2, accelerators=8, checkpoint=False), 0.0)
+    assert started(queue, view) == []
+    queue.submit(job_of("saved", tasks=3, accelerators=5), 1.0)
+    assert started(queue, view, 1.0) == ["saved"]
+    view.release("old")
+    (decision,) = queue.schedule(view, 90.0)
+    assert decision.job.job_id == "wide"
+    assert home.tasks[0].worker not in {item.worker for item in decision.plan.placement.tasks}
+
+
 def test_long_wait_raises_urgency(queue, view_of, job_of):
     view = view_of("r0")
     queue.submit(job_of("batch", urgency=work.Urgency.BATCH, accelerators=8), 0.0)
--- a/libs/placement/tests/test_reclaims.py
+++ b/libs/placement/tests/test_reclaims.py
@@ -97,3 +97,29 @@
     plan = reclaims.LeastLostWork().plan(job_of("claim", team="blue", accelerators=4), view)
     (victim,) = plan.victims
     assert victim.gang.job_id in ("small", "held")
+
+
+def test_every_gang_on_a_place_leaves(view, packing, job_of, put):
+    first, _ = workers_of(packing, "blue")
+    put(view, job_of("leaving", team="green", accelerators=8), (first, range(8)))
+    put(view, job_of("coming", team="green", accelerators=8), (first, range(8)))
+    plan = reclaims.LeastLostWork().plan(
+        job_of("claim", team="blue", tasks=2, accelerators=8), view
+    )
+    assert {victim.gang.job_id for victim in plan.victims} == {"leaving", "coming"}
+
+
+def test_homes_are_not_packed_on_work_that_cannot_be_stopped(view, packing, job_of, put):
+    first, second = workers_of(packing, "blue")
+    put(view, job_of("fixed", team="green", checkpoint=False), ("r3-w2", (7,)))
+    put(view, job_of("own", team="blue", checkpoint=False), (first, (0,)))
+    known = {
+        item.worker: len(item.accelerators)
+        for rack in view.packable_racks()
+        for item in rack.workers
+    }
+    assert (known["r3-w2"], known[first]) == (7, 8)
+    view.set_ejected({second})
+    known = {item.worker: item.accelerators for r in view.packable_racks() for item in r.workers}
+    assert second not in known
+    assert 0 not in known[first]
