--- a/libs/bench/tests/test_fleet_experiments.py
+++ b/libs/bench/tests/test_fleet_experiments.py
@@ -44,6 +44,6 @@
 def test_starts_on_held_accelerators_are_noticed(short, monkeypatch):
     monkeypatch.setattr(fleet.FleetView, "assume", lambda *_: None)
     monkeypatch.setattr(queues.JobQueue, "_moves", lambda *_: [])
-    monkeypatch.setattr(guarantees, "UNTIL_S", 300.0)
+    monkeypatch.setattr(guarantees, "UNTIL_S", 1500.0)
     violations = guarantees.Guarantees().run(7).violations
     assert any("held accelerators" in text for text in violations)
