--- a/libs/bench/src/papayaspar_bench/catalog.py
+++ b/libs/bench/src/papayaspar_bench/catalog.py
@@ -1,10 +1,12 @@
 """All experiments, one line each."""
 
-from papayaspar_bench import callers, experiments, flood
+from papayaspar_bench import callers, experiments, flood, fragmentation, guarantees
 
 EXPERIMENTS: tuple[experiments.Experiment, ...] = (
     flood.Flood(),
     callers.Callers(),
+    guarantees.Guarantees(),
+    fragmentation.Fragmentation(),
 )
 
 
--- a/libs/bench/src/papayaspar_bench/fragmentation.py
+++ b/libs/bench/src/papayaspar_bench/fragmentation.py
@@ -46,17 +46,18 @@
 
 
 class _Meter(fleet_runs.Watcher):
-    """Time integrals of what is free and stranded while jobs arrive."""
+    """Time integrals of what is held, free and stranded while jobs arrive."""
 
     def __init__(self, shape: work.Shape, until_s: float) -> None:
         self._shape = shape
         self._until_s = until_s
+        self.held_s = 0.0
         self.free_s = 0.0
         self.stranded_s = 0.0
         self.gang_waits_s: list[float] = []
 
     def advanced(self, run: fleet_runs.FleetRun, from_s: float, to_s: float) -> None:
-        """Add what is free and stranded."""
+        """Add what is held, free and stranded."""
         lasted_s = min(to_s, self._until_s) - max(from_s, WARM_UP_S)
         if lasted_s <= 0:
             return
@@ -67,6 +68,7 @@
             free += sum(counts)
             slots = sum(count // self._shape.accelerators_per_task for count in counts)
             usable += slots // self._shape.tasks * self._shape.accelerators
+        self.held_s += sum(len(one.holders) for one in run.fakes.workers.values()) * lasted_s
         self.free_s += free * lasted_s
         self.stranded_s += (free - usable) * lasted_s
 
@@ -147,6 +149,7 @@
     waits_s = sorted(meter.gang_waits_s)
     return {
         f"{prefix}_stranded_ratio": meter.stranded_s / meter.free_s,
+        f"{prefix}_held_ratio": meter.held_s / (meter.held_s + meter.free_s),
         f"{prefix}_utilisation_ratio": _useful_s(run) / _offered_s(run),
         f"{prefix}_gang_wait_mean_s": sum(waits_s) / max(1, len(waits_s)),
         f"{prefix}_gang_wait_p99_s": waits_s[int(0.99 * (len(waits_s) - 1))] if waits_s else 0.0,
