--- a/libs/bench/src/papayaspar_bench/catalog.py
+++ b/libs/bench/src/papayaspar_bench/catalog.py
@@ -1,10 +1,11 @@
 """All experiments, one line each."""
 
-from papayaspar_bench import callers, experiments, flood
+from papayaspar_bench import callers, experiments, flood, outage
 
 EXPERIMENTS: tuple[experiments.Experiment, ...] = (
     flood.Flood(),
     callers.Callers(),
+    outage.Outage(),
 )
 
 
--- /dev/null
+++ b/libs/bench/src/papayaspar_bench/outage.py
@@ -0,0 +1,214 @@
+"""Goodput by kind of work before, during and after 60 s without the log."""
+
+import collections
+import enum
+import random
+
+import anyio
+import attrs
+import trio
+import trio.testing
+
+from papayaspar_bench import experiments, outage_parts
+from papayaspar_dispatch import shard_records, shards
+from papayaspar_model import errors
+from papayaspar_standin import faults, memory_logs
+
+WORKERS = 11
+ENTRIES = 4
+PHASE_S = 60.0
+WARM_UP_S = 5.0
+CALL_TIMEOUT_S = 3.0
+SERVICE_MEAN_S = 0.2
+IDEMPOTENT_PER_S = 20.0
+NON_IDEMPOTENT_PER_S = 10.0
+LOST_REPLY_RATIO = 0.03
+RESEND_WAIT_S = 0.2
+SLOW_LOG_S = 5.0
+ENTRY_DIES_S = 10.0
+AGENT_DIES_S = 20.0
+REPLACED_AFTER_S = 10.0
+
+
+class Phase(enum.Enum):
+    """When a call comes."""
+
+    BEFORE = "before"
+    DURING = "during"
+    AFTER = "after"
+
+
+@attrs.frozen
+class Scenario:
+    """What goes wrong.
+
+    :param name: start of the names of its figures.
+    :param log_faults: faults of the log for the phase of the outage.
+    :param has_losses: whether one entry and one agent die during the outage as well.
+    """
+
+    name: str
+    log_faults: faults.LogFaults
+    has_losses: bool
+
+
+SCENARIOS = (
+    Scenario("down", faults.LogFaults(down=True), has_losses=False),
+    Scenario("slow", faults.LogFaults(slow_s=SLOW_LOG_S), has_losses=False),
+    Scenario("down_with_losses", faults.LogFaults(down=True), has_losses=True),
+)
+
+
+@attrs.define
+class Tally:
+    """Calls of one kind in one phase.
+
+    :param sent: calls.
+    :param done: calls that had their result before the deadline.
+    """
+
+    sent: int = 0
+    done: int = 0
+
+
+class Outage(experiments.Experiment):
+    """Non-idempotent requests go on being served while the log is away."""
+
+    name = "outage"
+    summary = "goodput by kind of work before, during and after 60 s without the log"
+
+    def run(self, seed: int) -> experiments.Outcome:
+        """Run every scenario in virtual time."""
+        figures: dict[str, float] = {}
+        violations: list[str] = []
+        for scenario in SCENARIOS:
+            run = _Run(scenario, seed)
+            trio.run(run.simulate, clock=trio.testing.MockClock(autojump_threshold=0))
+            figures.update(run.figures())
+            violations.extend(run.violations())
+        return experiments.Outcome(self.name, seed, figures, tuple(violations))
+
+
+class _Run:
+    """One scenario with one seed."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self._scenario = scenario
+        self._rng = random.Random(f"{seed}-{scenario.name}")
+        self._log = memory_logs.MemoryLog()
+        self._executions: collections.Counter[str] = collections.Counter()
+        self._refused: set[str] = set()
+        self._tallies = {
+            (phase, idempotent): Tally() for phase in Phase for idempotent in (True, False)
+        }
+        self._agents: dict[str, outage_parts.Agent] = {}
+        self._entries: list[outage_parts.Entry] = []
+
+    async def simulate(self) -> None:
+        """Run the three phases."""
+        for number in range(WORKERS):
+            name = f"w{number}"
+            self._agents[name] = outage_parts.Agent(name, 1, self._executions)
+        identities = [agent.identity for agent in self._agents.values()]
+        founding = shards.found(identities, self._rng)
+        await self._log.append(shards.STREAM, (shard_records.encode(founding),))
+        async with anyio.create_task_group() as background:
+            for _ in range(ENTRIES):
+                self._start_entry(background)
+            async with anyio.create_task_group() as calls:
+                calls.start_soon(self._break_things, background)
+                calls.start_soon(self._load, calls, True, IDEMPOTENT_PER_S)
+                calls.start_soon(self._load, calls, False, NON_IDEMPOTENT_PER_S)
+            background.cancel_scope.cancel()
+
+    def figures(self) -> dict[str, float]:
+        """Return the goodput as a share of what was sent."""
+        found: dict[str, float] = {}
+        for (phase, idempotent), tally in self._tallies.items():
+            kind = "idempotent" if idempotent else "non_idempotent"
+            name = f"{self._scenario.name}_{kind}_{phase.value}_ratio"
+            found[name] = tally.done / max(1, tally.sent)
+        return found
+
+    def violations(self) -> list[str]:
+        """Return what the targets' own counts say against the promises."""
+        found: list[str] = []
+        for key, count in self._executions.items():
+            if key.startswith("print") and count > 1:
+                found.append(f"{self._scenario.name}: {key} ran {count} times")
+        for key in sorted(self._refused & set(self._executions)):
+            found.append(f"{self._scenario.name}: {key} was refused as not run, and ran")
+        return found
+
+    def _start_entry(self, background: anyio.abc.TaskGroup) -> None:
+        """Start an entry, which learns the map from the log or from the agents."""
+        client = outage_parts.ImpatientLog(self._log)
+        rng = random.Random(self._rng.random())
+        entry = outage_parts.Entry(client, self._agents, rng)
+        for agent in self._agents.values():
+            if agent.table.link is not None:
+                entry.chain.adopt(agent.table.link)
+        self._entries.append(entry)
+        background.start_soon(entry.follow)
+        background.start_soon(entry.keep_up)
+
+    async def _break_things(self, background: anyio.abc.TaskGroup) -> None:
+        """Take the log away for one phase, and maybe an entry and an agent."""
+        await anyio.sleep_until(WARM_UP_S + PHASE_S)
+        self._log.faults = self._scenario.log_faults
+        if self._scenario.has_losses:
+            await anyio.sleep(ENTRY_DIES_S)
+            self._entries.pop(0).kill()
+            await anyio.sleep(AGENT_DIES_S - ENTRY_DIES_S)
+            self._agents["w0"].kill()
+            self._start_entry(background)
+            await anyio.sleep(REPLACED_AFTER_S)
+            self._agents["w0"] = outage_parts.Agent("w0", 2, self._executions)
+        await anyio.sleep_until(WARM_UP_S + 2 * PHASE_S)
+        self._log.faults = faults.LogFaults()
+
+    async def _load(self, calls: anyio.abc.TaskGroup, idempotent: bool, rate_per_s: float) -> None:
+        """Send calls of one kind at a Poisson rate."""
+        at_s = WARM_UP_S
+        kind = "check" if idempotent else "print"
+        for number in range(int(3 * PHASE_S * rate_per_s * 2)):
+            at_s += self._rng.expovariate(rate_per_s)
+            if at_s >= WARM_UP_S + 3 * PHASE_S:
+                return
+            await anyio.sleep_until(at_s)
+            service_s = self._rng.expovariate(1.0 / SERVICE_MEAN_S)
+            call = outage_parts.Call(
+                f"{kind}-{number}", idempotent, at_s, min(service_s, 1.0), at_s + CALL_TIMEOUT_S
+            )
+            calls.start_soon(self._call, call)
+
+    async def _call(self, call: outage_parts.Call) -> None:
+        """Send a call, again as long as that is right and the deadline allows it."""
+        phase = list(Phase)[int((call.at_s - WARM_UP_S) // PHASE_S)]
+        tally = self._tallies[(phase, call.idempotent)]
+        tally.sent += 1
+        reply: outage_parts.Reply | None = None
+        may_have_run = False
+        with anyio.move_on_after(call.deadline_s - anyio.current_time()):
+            while True:
+                entry = self._rng.choice(self._entries)
+                doubted_before = may_have_run
+                may_have_run = True
+                reply = await entry.serve(call)
+                if reply is not None and reply.ran is errors.Ran.NO:
+                    may_have_run = doubted_before
+                is_lost = self._rng.random() < LOST_REPLY_RATIO
+                if reply is not None and not is_lost and _is_final(call, reply):
+                    break
+                await anyio.sleep(RESEND_WAIT_S)
+        if reply is not None and reply.is_done:
+            tally.done += 1
+        if not may_have_run:
+            self._refused.add(call.key)
+
+
+def _is_final(call: outage_parts.Call, reply: outage_parts.Reply) -> bool:
+    """Return whether a caller takes a reply for its answer."""
+    if reply.is_done:
+        return True
+    return not call.idempotent and reply.ran is not errors.Ran.NO
