Measure how fast bad workers are noticed, and at what cost

Change: experiment detection: five ways a worker goes wrong under up to six policies, over the real OutlierDetector and Attempts, in virtual time.

--- a/libs/bench/src/papayaspar_bench/catalog.py
+++ b/libs/bench/src/papayaspar_bench/catalog.py
@@ -1,11 +1,12 @@
 """All experiments, one line each."""
 
-from papayaspar_bench import callers, experiments, flood, outage
+from papayaspar_bench import callers, detection, experiments, flood, outage
 
 EXPERIMENTS: tuple[experiments.Experiment, ...] = (
     flood.Flood(),
     callers.Callers(),
     outage.Outage(),
+    detection.Detection(),
 )
 
 
