--- a/libs/bench/src/papayaspar_bench/catalog.py
+++ b/libs/bench/src/papayaspar_bench/catalog.py
@@ -1,12 +1,22 @@
 """All experiments, one line each."""
 
-from papayaspar_bench import callers, experiments, flood, fragmentation, guarantees
+from papayaspar_bench import (
+    callers,
+    detection,
+    experiments,
+    flood,
+    fragmentation,
+    guarantees,
+    outage,
+)
 
 EXPERIMENTS: tuple[experiments.Experiment, ...] = (
     flood.Flood(),
     callers.Callers(),
     guarantees.Guarantees(),
     fragmentation.Fragmentation(),
+    outage.Outage(),
+    detection.Detection(),
 )
 
 
