--- a/libs/entry/src/papayaspar_entry/entry_links.py
+++ b/libs/entry/src/papayaspar_entry/entry_links.py
@@ -5,6 +5,7 @@
 import anyio
 import anyio.abc
 
+from papayaspar_dispatch import calls as dispatch_calls
 from papayaspar_entry import rulebook
 from papayaspar_events import journal, lines
 from papayaspar_model import errors, signals
@@ -31,7 +32,7 @@
     async def notice(self, peer: peers.Peer, message: object) -> None:
         """Adopt newer rules."""
         if isinstance(message, messages.RulesInForce):
-            self._book.adopt(message.record)
+            self._book.adopt(message.records)
 
 
 class EntryLinks:
@@ -52,7 +53,7 @@
         self._handler = RulesHandler(book)
         self._journal = record
         self._tls = tls
-        self._codec = messages.codec()
+        self._codec = messages.codec(*dispatch_calls.ALL)
         self._known: set[str] = set()
         self._open: set[str] = set()
         self._group: anyio.abc.TaskGroup | None = None
@@ -118,10 +119,9 @@
             self.learn(welcome.entries)
             detail = f"entry {welcome.process}"
             self._journal.record(lines.EventKind.PEER_CONNECTED, detail=detail)
+            sent = 0
             while True:
                 seen = self._book.changes.sequence
-                await peer.notify(self._rules())
+                await peer.notify(messages.RulesInForce(self._book.records_since(sent)))
+                sent = self._book.rules.revision
                 await self._book.changes.wait_beyond(seen)
-
-    def _rules(self) -> messages.RulesInForce:
-        return messages.RulesInForce(self._book.snapshot(), self._book.rules.revision)
--- a/libs/entry/src/papayaspar_entry/operators.py
+++ b/libs/entry/src/papayaspar_entry/operators.py
@@ -1,12 +1,14 @@
-"""HTTP towards operators: status, metrics, drain, events."""
+"""HTTP towards operators: status, rules, workers, jobs, metrics, events."""
+
+from urllib import parse
 
 import attrs
 from starlette import applications, requests, responses, routing
 
-from papayaspar_entry import rulebook, sessions
+from papayaspar_entry import callers, homekeeper, job_board, rulebook, sessions, shardkeeper
 from papayaspar_events import journal, lines
 from papayaspar_membership import members
-from papayaspar_model import errors
+from papayaspar_model import errors, identifiers
 from papayaspar_rules import faults as rule_faults
 from papayaspar_web import bodies, problems
 from papayaspar_wire import messages
@@ -16,6 +18,7 @@
 PARENT_HEADER = "papayaspar-parent"
 PUBLISH_ID_HEADER = "papayaspar-publish-id"
 AUTHOR_HEADER = "papayaspar-author"
+UNNAMED_AUTHOR = "unnamed"
 
 
 class OperatorApi:
@@ -24,6 +27,9 @@
     :param table: the entry's view of the workers.
     :param links: streams to the agents.
     :param book: the rules of this entry.
+    :param keeper: the homes of guarantees.
+    :param shards: owners of the shards of keys.
+    :param jobs: the jobs.
     :param record: the process's journal.
     """
 
@@ -32,11 +38,17 @@
         table: members.MemberTable,
         links: sessions.Sessions,
         book: rulebook.Rulebook,
+        keeper: homekeeper.Homekeeper,
+        shards: shardkeeper.Shardkeeper,
+        jobs: job_board.JobBoard,
         record: journal.Journal,
     ) -> None:
         self._table = table
         self._sessions = links
         self._book = book
+        self._keeper = keeper
+        self._shards = shards
+        self._jobs = jobs
         self._journal = record
 
     def application(self) -> applications.Starlette:
@@ -45,13 +57,15 @@
             routing.Route("/v1/status", self.get_status),
             routing.Route("/v1/events", self.get_events),
             routing.Route("/v1/workers/{worker}/drain", self.drain, methods=["POST"]),
+            routing.Route("/v1/workers/{worker}/retire", self.retire, methods=["POST"]),
             routing.Route("/v1/rules", self.get_rules, methods=["GET"]),
             routing.Route("/v1/rules", self.post_rules, methods=["POST"]),
             routing.Route("/v1/rules/history", self.get_history),
+            routing.Route("/v1/jobs/{job_id}", self.get_job, methods=["GET"]),
+            routing.Route("/v1/jobs/{job_id}", self.delete_job, methods=["DELETE"]),
             routing.Route("/metrics", self.get_metrics),
         ]
-        handlers = {errors.PapayasparError: problems.handle}
-        return applications.Starlette(routes=routes, exception_handlers=handlers)
+        return problems.application(routes)
 
     async def get_status(self, http_request: requests.Request) -> responses.Response:
         """Return what this entry sees."""
@@ -60,8 +74,9 @@
             {
                 "process": self._journal.process,
                 "revision": self._book.rules.revision,
+                "shards_revision": self._shards.revision,
                 "workers": rows,
-                "short_guarantees": [],
+                "short_guarantees": [_short_row(name) for name in self._keeper.packed.short],
             }
         )
 
@@ -83,16 +98,16 @@
         """Publish a revision of the rules."""
         body = await bodies.read(http_request)
         headers = http_request.headers
+        publish_id = headers.get(PUBLISH_ID_HEADER) or identifiers.new_id("pub")
         try:
             revision = await self._book.publish(
                 parent=_parent(headers.get(PARENT_HEADER, "")),
-                publish_id=headers.get(PUBLISH_ID_HEADER, ""),
-                author=headers.get(AUTHOR_HEADER, ""),
+                publish_id=publish_id,
+                author=_author(http_request),
                 text=_text(body),
             )
         except rule_faults.InvalidRulesError as error:
             return rule_problem(error)
-        publish_id = self._book.rules.publish_id
         return responses.JSONResponse({"revision": revision, "publish_id": publish_id})
 
     async def get_history(self, http_request: requests.Request) -> responses.Response:
@@ -100,6 +115,17 @@
         rows = [attrs.asdict(entry) for entry in self._book.history()]
         return responses.JSONResponse({"revisions": rows})
 
+    async def get_job(self, http_request: requests.Request) -> responses.Response:
+        """Return where a job stands."""
+        known = await self._jobs.wait_for_end(http_request.path_params["job_id"], 0.0)
+        return responses.JSONResponse(callers.job_document(known, self._jobs.state(known)))
+
+    async def delete_job(self, http_request: requests.Request) -> responses.Response:
+        """Take a job back on its team's behalf."""
+        job_id = http_request.path_params["job_id"]
+        await self._jobs.cancel(job_id)
+        return responses.JSONResponse({"job_id": job_id}, status_code=202)
+
     async def drain(self, http_request: requests.Request) -> responses.Response:
         """Tell a worker's agent to refuse new work."""
         worker = http_request.path_params["worker"]
@@ -108,6 +134,15 @@
         await self._sessions.peer(worker).call(messages.DrainWorker(), CALL_TIMEOUT_S)
         return responses.JSONResponse({"worker": worker, "state": "draining"})
 
+    async def retire(self, http_request: requests.Request) -> responses.Response:
+        """Take an operator's word that a worker's agent is gone for good."""
+        worker = http_request.path_params["worker"]
+        member = self._table.get(worker)
+        if member is not None and member.is_connected:
+            raise errors.ConflictError(f"{worker} is up; drain it", field="worker")
+        self._shards.retire(worker, _author(http_request))
+        return responses.JSONResponse({"worker": worker, "state": "retired"})
+
     async def get_metrics(self, http_request: requests.Request) -> responses.Response:
         """Return the metrics of this process."""
         self._journal.metrics.set_state("workers", len(self._table))
@@ -124,6 +159,11 @@
             return ()
 
 
+def _short_row(name: str) -> dict[str, object]:
+    guarantee, _, instance = name.rpartition("/")
+    return {"guarantee": guarantee, "instance": int(instance)}
+
+
 def _worker_row(member: members.Member) -> dict[str, object]:
     report = member.report
     state = "draining" if report.draining else "up"
@@ -148,6 +188,11 @@
     )
 
 
+def _author(http_request: requests.Request) -> str:
+    """Return who operates; the header carries the name percent-encoded."""
+    return parse.unquote(http_request.headers.get(AUTHOR_HEADER, "")) or UNNAMED_AUTHOR
+
+
 def _parent(text: str) -> int:
     if not text.isdecimal():
         raise errors.InvalidRequestError("the parent is not a revision", field=PARENT_HEADER)
--- a/libs/slots/src/papayaspar_slots/ledger.py
+++ b/libs/slots/src/papayaspar_slots/ledger.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from papayaspar_model import clock, errors, rulesets, workers
+from papayaspar_model import clock, errors, rulesets, signals, workers
 from papayaspar_slots import claims, fencing, homes, refusals, requests
 
 RESERVATION_TTL_S = 15.0
@@ -30,7 +30,7 @@
 
 
 class Ledger:
-    """Slots and accelerators of one worker.
+    """Slots and accelerators of one worker; ``changes`` wakes whoever reports them.
 
     :param worker: name of the worker.
     :param capacity: what it can hold.
@@ -47,7 +47,8 @@
         previous_life_s: float = PREVIOUS_LIFE_S,
     ) -> None:
         self.worker = worker
-        self.slots = requests.RequestSlots(capacity.slots)
+        self.changes = signals.ChangeSignal()
+        self.slots = requests.RequestSlots(capacity.slots, self.changes)
         self.counts = LedgerCounts()
         self._capacity = capacity
         self._clock = source
@@ -117,7 +118,6 @@
         :raises DrainingError: the worker is leaving and the attempt was not armed before.
         :raises StaleAttemptError: nothing is held for the attempt.
         """
-        self._lapse()
         holding = self.find(fence)
         if holding.state is not claims.HoldState.RESERVED:
             self.counts.repeated_messages += 1
@@ -140,16 +140,18 @@
             return
         holding.state = claims.HoldState.RUNNING
         holding.started_s = self._clock.now_s()
+        self.changes.changed()
 
-    def release(self, fence: claims.Fence) -> bool:
+    def release(self, fence: claims.Fence, *, done: bool = False) -> bool:
         """Free what an attempt holds; its later messages are refused.
 
         Only whoever knows that no task of the attempt runs here may call it for an armed holding.
 
         :param fence: job and attempt.
+        :param done: whether its tasks were done.
         :return: whether anything was held.
         """
-        self._fences.note(fence)
+        self._fences.note(fence, self._clock.now_s(), done=done)
         holding = self._holdings.pop(fence, None)
         if holding is None:
             return False
@@ -158,6 +160,7 @@
             self._pass_on(number, fence)
         for other in self._holdings.values():
             other.victims.discard(fence)
+        self.changes.changed()
         return True
 
     def cancel_reservation(self, fence: claims.Fence) -> bool:
@@ -179,18 +182,21 @@
 
         :raises StaleAttemptError: nothing is held for the attempt.
         """
+        self._lapse()
         holding = self._holdings.get(fence)
         if holding is None:
             self.counts.late_messages += 1
             raise refusals.StaleAttemptError(f"nothing is held for {fence.job_id}")
         return holding
 
-    def victims_of(self, fence: claims.Fence) -> tuple[claims.Holding, ...]:
-        """Return the holdings that must leave before an attempt can use its accelerators."""
-        holding = self._holdings.get(fence)
-        if holding is None:
-            return ()
-        return tuple(self._holdings[victim] for victim in sorted(holding.victims))
+    def holds(self, fence: claims.Fence) -> bool:
+        """Return whether anything is held for an attempt."""
+        self._lapse()
+        return fence in self._holdings
+
+    def ending(self, fence: claims.Fence) -> fencing.Ending | None:
+        """Return how an attempt ended here, if it is remembered."""
+        return self._fences.find(fence)
 
     def uses(self) -> tuple[workers.GangUse, ...]:
         """Return what each attempt holds here, for the worker's report."""
@@ -280,6 +286,7 @@
             table[number] = claim.fence
         self.counts.reservations += 1
         self.counts.reclaims += bool(victims)
+        self.changes.changed()
         return self._answer(holding)
 
     def _answer(self, holding: claims.Holding) -> claims.Reservation:
