--- /dev/null
+++ b/programs/bench/tests/test_bench_main.py
@@ -0,0 +1,58 @@
+"""Tests of the command line of papayaspar-bench."""
+
+import json
+
+import cappa
+import pytest
+
+from papayaspar_bench import catalog, experiments, runner
+from papayaspar_bench_main import main
+
+
+@pytest.fixture
+def invoke():
+    """Run the program with arguments and return its exit status."""
+
+    def run(*arguments):
+        try:
+            cappa.invoke(main.Bench, argv=list(arguments))
+        except cappa.Exit as ended:
+            return ended.code
+        return 0
+
+    return run
+
+
+@pytest.fixture
+def fixed_result(monkeypatch):
+    """Let every experiment give one value against a bound of at least 1."""
+
+    def fix(value):
+        outcome = experiments.Outcome("trial", 3, {"kept_ratio": value})
+        result = runner.Result(outcome, (experiments.Bound("kept_ratio", at_least=1.0),))
+        monkeypatch.setattr(runner, "run", lambda name, seed: result)
+
+    return fix
+
+
+def test_list_names_every_experiment(invoke, capsys):
+    assert invoke("list", "--json") == 0
+    listed = json.loads(capsys.readouterr().out)
+    assert [item["name"] for item in listed] == [item.name for item in catalog.EXPERIMENTS]
+
+
+@pytest.mark.parametrize(("value", "status"), [(1.0, 0), (0.5, 1)])
+def test_run_prints_json_and_exits_1_past_a_bound(invoke, capsys, fixed_result, value, status):
+    fixed_result(value)
+    assert invoke("run", "trial", "--seed", "3", "--json", "-") == status
+    assert json.loads(capsys.readouterr().out)["figures"] == {"kept_ratio": value}
+
+
+def test_all_exits_1_past_a_bound(invoke, capsys, fixed_result, tmp_path):
+    fixed_result(0.5)
+    assert invoke("all", "--plots", str(tmp_path)) == 1
+    assert "MISSED" in capsys.readouterr().out
+
+
+def test_an_unknown_experiment_is_a_usage_error(invoke):
+    assert invoke("run", "no-such-experiment") == 2
