Take failing workers out of use on the outcomes of requests

Cause: a worker that fails fast has free slots all the time and drew requests. Change: the dispatcher reports outcomes to the outlier detector, chooses by its load and skips ejected workers; placement of gangs skips them too.

--- a/libs/bench/src/papayaspar_bench/plots.py
+++ b/libs/bench/src/papayaspar_bench/plots.py
@@ -44,7 +44,7 @@
                 continue
             for value in (bound.at_least, bound.at_most):
                 if value is not None:
-                    axis.plot(value, bound.figure, marker="|", markersize=14, color="red")
+                    axis.plot([value], [bound.figure], marker="|", markersize=14, color="red")
     figure.suptitle(f"{result.outcome.name}, seed {result.outcome.seed}")
     path = folder / f"{result.outcome.name}.png"
     figure.savefig(path, dpi=RESOLUTION_DPI)
--- a/libs/entry/src/papayaspar_entry/dispatcher.py
+++ b/libs/entry/src/papayaspar_entry/dispatcher.py
@@ -10,7 +10,7 @@
 from papayaspar_dispatch import attempts
 from papayaspar_entry import answers, sessions
 from papayaspar_events import journal, lines
-from papayaspar_membership import members
+from papayaspar_membership import ejection, members
 from papayaspar_model import clock, errors, work, workers
 from papayaspar_wire import messages, peers
 
@@ -29,6 +29,7 @@
     :param links: streams to the agents.
     :param admission: decides whose turn it is.
     :param retries: budget of retries.
+    :param outliers: takes failing workers out of use.
     :param record: the process's journal.
     :param clock_source: clock of the machine.
     """
@@ -39,6 +40,7 @@
         links: sessions.Sessions,
         admission: queues.AdmissionQueue,
         retries: budgets.RetryBudget,
+        outliers: ejection.OutlierDetector,
         record: journal.Journal,
         clock_source: clock.Clock,
     ) -> None:
@@ -46,6 +48,7 @@
         self._sessions = links
         self._admission = admission
         self._retries = retries
+        self._outliers = outliers
         self._journal = record
         self._clock = clock_source
         self._limits: dict[workers.WorkerIdentity, limits.ConcurrencyLimit] = {}
@@ -156,23 +159,42 @@
 
     @contextlib.asynccontextmanager
     async def _place(self, member: members.Member, kind: str) -> AsyncIterator[None]:
-        """Hold one place on a worker for the length of a block."""
+        """Hold one place on a worker for the length of a block, and learn how it ended."""
         limit = self._limit(member)
         limit.try_acquire()
         member.assigned_slots += 1
         started_s = self._clock.now_s()
+        sending = self._outliers.begin(member.name)
         signal = limits.Signal.IGNORED
+        outcome = ejection.Outcome.NEUTRAL
         try:
             yield
             signal = limits.Signal.DONE
+            outcome = ejection.Outcome.SUCCESS
         except errors.BusyError:
             signal = limits.Signal.BUSY
             raise
+        except errors.DrainingError:
+            raise
+        except errors.PapayasparError:
+            outcome = ejection.Outcome.FAILURE
+            raise
         finally:
             member.assigned_slots -= 1
             limit.release(signal, kind, self._clock.now_s() - started_s)
+            self._finish(sending, outcome)
             self._table.notice_slots()
 
+    def _finish(self, sending: ejection.Sending, outcome: ejection.Outcome) -> None:
+        before = self._outliers.standing(sending.worker)
+        after = self._outliers.finish(sending, outcome)
+        if after is before:
+            return
+        if after is ejection.Standing.EJECTED:
+            self._journal.record(lines.EventKind.WORKER_EJECTED, worker=sending.worker)
+        if after is ejection.Standing.ADMITTED:
+            self._journal.record(lines.EventKind.WORKER_READMITTED, worker=sending.worker)
+
     def _limit(self, member: members.Member) -> limits.ConcurrencyLimit:
         identity = member.report.identity
         limit = self._limits.get(identity)
@@ -188,20 +210,32 @@
     async def _choose(self, request: work.Request, sent: attempts.Attempts) -> members.Member:
         with anyio.move_on_after(max(0.0, request.deadline_s - self._clock.now_s())):
             while True:
-                usable = [
-                    member
-                    for member in self._table.all()
-                    if member.is_usable and member.name not in sent.excluded
-                ]
+                usable = self._usable(request, sent)
                 if not usable:
                     raise errors.UnavailableError("no worker can take the request", ran=sent.ran)
                 free = [member for member in usable if self._is_free(member)]
                 if free:
                     pair = random.sample(free, min(2, len(free)))
-                    return max(pair, key=lambda member: member.free_slots)
+                    return min(pair, key=self._load)
                 await self._table.wait_changed()
         raise errors.DeadlineError("no worker was free before the deadline", ran=sent.ran)
 
+    def _usable(self, request: work.Request, sent: attempts.Attempts) -> list[members.Member]:
+        """Return the workers a request may be sent to; ejected ones only if all others are gone."""
+        up = [
+            member
+            for member in self._table.all()
+            if member.is_usable and member.name not in sent.excluded
+        ]
+        admitted = [
+            member for member in up if self._outliers.admits(member.name, request.idempotent)
+        ]
+        return admitted or up
+
+    def _load(self, member: members.Member) -> float:
+        slots = member.report.capacity.slots
+        return self._outliers.load(member.name, slots - member.free_slots, slots)
+
     def _record(
         self,
         kind: lines.EventKind,
--- a/libs/entry/src/papayaspar_entry/process.py
+++ b/libs/entry/src/papayaspar_entry/process.py
@@ -24,7 +24,7 @@
     shardkeeper,
 )
 from papayaspar_events import journal, lines, metrics
-from papayaspar_membership import members
+from papayaspar_membership import ejection, members
 from papayaspar_model import causality, clock
 from papayaspar_placement import durations, ends, fleet, shape_keeping
 from papayaspar_placement import queues as job_queues
@@ -82,11 +82,13 @@
         self._claimant = claimant.Claimant(self._sessions, self._shards, self._clock)
         self._admission = queues.AdmissionQueue(self._clock)
         self._retries = budgets.RetryBudget(self._clock)
+        self._outliers = ejection.OutlierDetector(self._clock)
         self._dispatcher = dispatcher.Dispatcher(
             self._table,
             self._sessions,
             self._admission,
             self._retries,
+            self._outliers,
             self._journal,
             self._clock,
         )
@@ -174,15 +176,29 @@
     async def _follow_members(self) -> None:
         """Keep lost workers out of placement, and forget them after a while."""
         while True:
-            lost = [member for member in self._table.all() if not member.is_connected]
-            self._view.set_ejected(member.name for member in lost)
-            for member in lost:
-                if self._clock.now_s() - (member.lost_at_s or 0.0) > FORGET_AFTER_S:
-                    self._view.forget(member.name)
+            for member in self._table.all():
+                self._outliers.join(member.name, member.report.identity.incarnation)
+            self._view.set_ejected(self._out_of_use())
+            self._forget_lost()
             with anyio.move_on_after(FORGET_AFTER_S):
                 await self._table.wait_changed()
             await anyio.sleep(CAPACITY_SPACING_S)
 
+    def _out_of_use(self) -> list[str]:
+        names = []
+        for member in self._table.all():
+            is_ejected = self._outliers.standing(member.name) is ejection.Standing.EJECTED
+            if is_ejected or not member.is_connected:
+                names.append(member.name)
+        return names
+
+    def _forget_lost(self) -> None:
+        now_s = self._clock.now_s()
+        for member in self._table.all():
+            if member.lost_at_s is None or now_s - member.lost_at_s < FORGET_AFTER_S:
+                continue
+            self._view.forget(member.name)
+
     async def _apply_rules(self) -> None:
         seen = 0
         while True:
