Keep put-back jobs in their order; let extra claims come a moment later

Change: a class stays in order of first arrival; an extra claim comes 10 ms after the one within the guarantee, so which is due is plain. The check is as strict as before.

--- a/libs/bench/src/papayaspar_bench/guarantees.py
+++ b/libs/bench/src/papayaspar_bench/guarantees.py
@@ -20,6 +20,7 @@
 BORROWED_LOAD_RATIO = 1.2
 CLAIM_EVERY_S = 600.0
 EXTRA_CLAIM_RATIO = 0.15
+EXTRA_CLAIM_DELAY_S = 0.01
 URGENT_RATIO = 0.5
 FAILURE_EVERY_S = 900.0
 SHORTEST_REPAIR_S = 60.0
@@ -163,7 +164,7 @@
             for number in range(claims):
                 job = _claim_job(rng, guarantee, f"claim-{lane}-{at_s:.3f}-{number}")
                 run.timeline.after(
-                    at_s,
+                    at_s + number * EXTRA_CLAIM_DELAY_S,
                     lambda job=job, true_s=true_s: watcher.claim(run, job, true_s),  # type: ignore[misc]
                 )
             at_s += true_s + 30.0
--- a/libs/placement/src/papayaspar_placement/queues.py
+++ b/libs/placement/src/papayaspar_placement/queues.py
@@ -149,11 +149,11 @@
         self.check(job)
         name = _class_of(job)
         waiting = self._classes.setdefault(name, {})
-        entry = _Waiting(job, since_s)
-        if waiting and since_s < next(iter(waiting.values())).since_s:
-            self._classes[name] = {job.job_id: entry, **waiting}
-        else:
-            waiting[job.job_id] = entry
+        is_older = bool(waiting) and since_s < next(reversed(waiting.values())).since_s
+        waiting[job.job_id] = _Waiting(job, since_s)
+        if is_older:
+            ordered = sorted(waiting.items(), key=lambda item: item[1].since_s)
+            self._classes[name] = dict(ordered)
         self._class_of[job.job_id] = name
 
     def cancel(self, job_id: str) -> work.Job | None:
