--- a/libs/slots/src/papayaspar_slots/launches.py
+++ b/libs/slots/src/papayaspar_slots/launches.py
@@ -124,12 +124,17 @@
     ) -> messages.GangStatus:
         members = (lead, *(worker for worker in wanted if worker != lead))
         launch = messages.Launch(fence, members, checkpoint)
-        for _ in range(LAUNCH_TRIES):
+        for sending in range(LAUNCH_TRIES):
             try:
                 with anyio.fail_after(self._times.answer_s):
                     return await self._agents.launch(lead, launch)
             except (TimeoutError, errors.PeerError):
                 await anyio.sleep(self._times.poll_s)
+            except errors.PapayasparError:
+                if sending == 0:
+                    raise
+                # An earlier sending may have reached the lead in its previous life.
+                break
         raise LaunchUnknownError(fence.job_id)
 
     async def _give_back(self, fence: claims.Fence, wanted: dict[str, claims.Claim]) -> None:
