Cut a fleet three ways to test what one member's word is worth

Cause: with the wait for a term switched off, a member's word that its part ended let another attempt start, and no test failed, because a reachable lead had ended the others by then. Change: the fake network splits into sides, and the test cuts the third member off later.

--- a/libs/slots/tests/conftest.py
+++ b/libs/slots/tests/conftest.py
@@ -216,7 +216,7 @@
         self.rng = random.Random(seed)
         self.nodes = {f"w{index}": Node(self, f"w{index}") for index in range(size)}
         self.faults = {}
-        self.cut = set()
+        self.sides = collections.Counter()
         self.lost_kinds = set()
         self.sent = collections.Counter()
         self.on_message = {}
@@ -275,7 +275,7 @@
             answered.set()
 
     def _is_cut(self, one, other):
-        return (one in self.cut) != (other in self.cut)
+        return self.sides[one] != self.sides[other]
 
     def runs(self, fence=None):
         found = []
--- a/libs/slots/tests/test_gang_faults.py
+++ b/libs/slots/tests/test_gang_faults.py
@@ -105,10 +105,10 @@
         gang = make_gang(run_time_s=600.0)
         await fleet.launch(*gang)
         await anyio.sleep(7.0)
-        fleet.cut.add(worker)
+        fleet.sides[worker] = 1
         await anyio.sleep(fleet.times.term_s)
         assert fleet.running(FENCE) == 0
-        fleet.cut.clear()
+        fleet.sides.clear()
         again = await rerun_when_safe(fleet, gang, 1)
         await anyio.sleep(5.0)
         assert fleet.running(again) == 3
@@ -199,12 +199,17 @@
 
 @pytest.mark.parametrize("cut_s", [7.0, 7.4, 7.8])
 def test_one_member_tells_when_those_beyond_a_split_have_ended(run_fleet, make_gang, cut_s):
+    async def cut_later(fleet):
+        await anyio.sleep(2.5)
+        fleet.sides["w2"] = 2
+
     async def scenario(fleet):
         gang = make_gang(run_time_s=600.0)
         other = make_gang(on=("w3", "w4"), run_time_s=600.0)
         await fleet.launch(*gang)
         await anyio.sleep(cut_s)
-        fleet.cut.update(["w0", "w2"])
+        fleet.sides.update({"w0": 1, "w2": 1})
+        fleet.group.start_soon(cut_later, fleet)
         again = await rerun_when_safe(fleet, gang, 1, other)
         await anyio.sleep(5.0)
         assert fleet.running(again) == 2
@@ -246,9 +251,9 @@
                 fleet.group.start_soon(node.run_agent, fleet.times.lease_s)
             return
         if what == "cut":
-            fleet.cut.add(worker)
+            fleet.sides[worker] = 1
             await anyio.sleep(for_s)
-            fleet.cut.discard(worker)
+            fleet.sides[worker] = 0
             return
         node.freeze()
         await anyio.sleep(for_s)
--- a/libs/slots/tests/test_gangs.py
+++ b/libs/slots/tests/test_gangs.py
@@ -79,7 +79,7 @@
             borrower = make_gang(on=("w1", "w0"), run_time_s=600.0, idempotent=True)
         await fleet.launch(*borrower)
         await anyio.sleep(20.0)
-        fleet.cut.update(["w1"] if trouble == "lead cut" else [])
+        fleet.sides["w1"] = int(trouble == "lead cut")
         fleet.lost_kinds.update(["give_way"] if trouble == "lead not told" else [])
         anchor = make_gang(
             "job-2", ("w0",), numbers=(0, 1, 2, 3), team="anchor", guarantee="anchor-4"
