--- a/libs/bench/src/papayaspar_bench/catalog.py
+++ b/libs/bench/src/papayaspar_bench/catalog.py
@@ -1,8 +1,23 @@
 """All experiments, one line each."""
 
-from papayaspar_bench import experiments
+from papayaspar_bench import (
+    callers,
+    detection,
+    experiments,
+    flood,
+    fragmentation,
+    guarantees,
+    outage,
+)
 
-EXPERIMENTS: tuple[experiments.Experiment, ...] = ()
+EXPERIMENTS: tuple[experiments.Experiment, ...] = (
+    flood.Flood(),
+    callers.Callers(),
+    guarantees.Guarantees(),
+    fragmentation.Fragmentation(),
+    outage.Outage(),
+    detection.Detection(),
+)
 
 
 def find(name: str) -> experiments.Experiment:
--- a/libs/placement/src/papayaspar_placement/inventory.py
+++ b/libs/placement/src/papayaspar_placement/inventory.py
@@ -28,6 +28,7 @@
     :param jobs: jobs that have a gang here.
     :param is_ejected: whether it is excluded because work fails there.
     :param is_avoided: whether it is chosen only when nothing else fits.
+    :param movable: accelerators that are free or held by gangs that checkpoint.
     :param free: accelerators that no gang holds, ascending.
     :param common: those of them that are no one's home, ascending.
     """
@@ -38,6 +39,7 @@
     jobs: set[str] = attrs.field(factory=set)
     is_ejected: bool = False
     is_avoided: bool = False
+    movable: int = 0
     free: tuple[int, ...] = ()
     common: tuple[int, ...] = ()
 
@@ -51,26 +53,43 @@
         """Whether it takes new work."""
         return not (self.is_ejected or self.report.draining)
 
+    @property
+    def is_anchored(self) -> bool:
+        """Whether a gang here does not checkpoint, so that moves can't empty the worker."""
+        return self.movable < self.report.capacity.accelerators
+
     def refresh(self) -> None:
-        """Compute anew what is free."""
+        """Compute anew what is free and whether the gangs here can be moved."""
+        gangs = (*self.report.gangs, *self.assumed.values())
+        fixed = {number for gang in gangs if not gang.checkpoint for number in gang.accelerators}
+        self.movable = self.report.capacity.accelerators - len(fixed) if self.is_open else 0
         free = set(self.report.free_accelerators)
         for gang in self.assumed.values():
             free.difference_update(gang.accelerators)
         self.free = tuple(sorted(free)) if self.is_open else ()
         self.common = tuple(number for number in self.free if number not in self.owners)
 
+    def may_hold(self, number: int, team: str, stoppable: bool) -> bool:
+        """Return whether work may ever run on an accelerator, free or not.
+
+        :param number: number of the accelerator.
+        :param team: whose work.
+        :param stoppable: whether a reclaim may stop it; if not, homes of others are left out.
+        """
+        owner = self.owners.get(number)
+        return stoppable or owner is None or owner.team == team
+
     def usable(self, team: str, stoppable: bool) -> tuple[int, ...]:
         """Return free accelerators that work may take; those of no one's home come first.
 
         :param team: whose work.
-        :param stoppable: whether a reclaim may stop it; if not, homes of others are left out.
+        :param stoppable: whether a reclaim may stop it.
         """
         if len(self.common) == len(self.free):
             return self.free
-        owned = tuple(number for number in self.free if number in self.owners)
-        if not stoppable:
-            owned = tuple(number for number in owned if self.owners[number].team == team)
-        return self.common + owned
+        owned = (number for number in self.free if number in self.owners)
+        allowed = tuple(number for number in owned if self.may_hold(number, team, stoppable))
+        return self.common + allowed
 
 
 @attrs.define
--- a/libs/placement/src/papayaspar_placement/ledger.py
+++ b/libs/placement/src/papayaspar_placement/ledger.py
@@ -2,10 +2,20 @@
 
 from collections.abc import Iterator
 
+import attrs
+
 from papayaspar_model import workers
 from papayaspar_placement import entitlements
 
 
+@attrs.frozen
+class _Start:
+    """When a run of a job was first seen to have started."""
+
+    attempt: int
+    at_s: float
+
+
 class GangLedger:
     """Running gangs by job and team, and each team's present use."""
 
@@ -13,7 +23,7 @@
         self._uses: dict[str, dict[str, tuple[workers.GangUse, ...]]] = {}
         self._gangs: dict[str, entitlements.RunningGang] = {}
         self._jobs_of: dict[str, set[str]] = {}
-        self._started_s: dict[str, float] = {}
+        self._starts: dict[str, _Start] = {}
         self._accelerators: dict[str, int] = {}
 
     def gang(self, job_id: str) -> entitlements.RunningGang | None:
@@ -32,16 +42,21 @@
         """Return how many accelerators a team holds."""
         return self._accelerators.get(team, 0)
 
-    def holders(self, worker: str, jobs: set[str]) -> dict[int, entitlements.RunningGang]:
-        """Return the gang on each accelerator of a worker that one holds.
+    def holders(
+        self, worker: str, jobs: set[str]
+    ) -> dict[int, tuple[entitlements.RunningGang, ...]]:
+        """Return the gangs on each accelerator of a worker that one holds.
+
+        There are several on one while a gang is being stopped and the next is on its way.
 
         :param worker: name of the worker.
         :param jobs: jobs that have a gang there.
         """
-        found: dict[int, entitlements.RunningGang] = {}
+        found: dict[int, tuple[entitlements.RunningGang, ...]] = {}
         for job_id in sorted(jobs):
             for use in self._uses[job_id][worker]:
-                found.update(dict.fromkeys(use.accelerators, self._gangs[job_id]))
+                for number in use.accelerators:
+                    found[number] = (*found.get(number, ()), self._gangs[job_id])
         return found
 
     def set_use(
@@ -66,7 +81,7 @@
             self._account(before, -1)
         if not by_worker:
             del self._uses[job_id]
-            self._started_s.pop(job_id, None)
+            self._starts.pop(job_id, None)
             return None if before is None else before.team
         merged = self._merge(job_id, by_worker, now_s)
         self._gangs[job_id] = merged
@@ -81,6 +96,13 @@
         if sign > 0:
             jobs.add(gang.name.job_id)
 
+    def _start_of(self, newest: workers.GangUse, now_s: float) -> float:
+        known = self._starts.get(newest.job_id)
+        if known is None or known.attempt != newest.attempt:
+            known = _Start(newest.attempt, now_s - newest.elapsed_s)
+            self._starts[newest.job_id] = known
+        return known.at_s
+
     def _merge(
         self, job_id: str, by_worker: dict[str, tuple[workers.GangUse, ...]], now_s: float
     ) -> entitlements.RunningGang:
@@ -95,8 +117,8 @@
             ranges=tuple(ranges),
             stoppable=newest.stoppable,
             checkpoint=newest.checkpoint,
-            started_s=self._started_s.setdefault(job_id, now_s - newest.elapsed_s),
-            remaining_s=newest.remaining_s,
+            started_s=self._start_of(newest, now_s),
+            declared_s=newest.elapsed_s + newest.remaining_s,
             lead_worker=newest.lead_worker,
         )
 
--- a/libs/placement/src/papayaspar_placement/queues.py
+++ b/libs/placement/src/papayaspar_placement/queues.py
@@ -24,12 +24,15 @@
     :param plan: where, and what has to leave first.
     :param since_s: when the job began to wait.
     :param is_guaranteed: whether it is within its team's guarantee.
+    :param is_move: whether the job runs already and goes on in another place; the one victim of
+        the plan is then the job itself.
     """
 
     job: work.Job
     plan: reclaims.ReclaimPlan
     since_s: float
     is_guaranteed: bool
+    is_move: bool = False
 
 
 @attrs.frozen
@@ -50,15 +53,8 @@
     since_s: float
 
 
-@attrs.frozen(order=True)
-class _Rank:
-    """Order of a class in one pass; the smallest goes first."""
-
-    urgency: int
-    beyond_guarantee: bool
-    use: float
-    since_s: float
-    job_id: str
+# Whether beyond the guarantee, urgency, use for its weight, age and job: the smallest goes first.
+_Rank = tuple[bool, int, float, float, str]
 
 
 @attrs.frozen
@@ -80,8 +76,9 @@
 class JobQueue:
     """Waiting jobs of one entry.
 
-    The order is by urgency (a long wait raises it), then work within its team's guarantee, then
-    the team with the least present use for its weight, then age. Racks are held for the oldest
+    Work within its team's guarantee goes first, for it could take its place back at once. Then
+    the order is by urgency (a long wait raises it), then the team with the least present use for
+    its weight, then age. Racks are held for the oldest
     large gang, and others are let in there only if they end in time or can be stopped.
 
     :param policy: chooses free accelerators.
@@ -134,6 +131,14 @@
         self._racks = racks
         self._homes = homes
 
+    def check(self, job: work.Job) -> None:
+        """Refuse a job that nothing which could exist can hold.
+
+        :param job: the job.
+        :raises UnplaceableError: with the reason.
+        """
+        feasibility.check(job, self._racks, self._homes, self._quotas.get(job.team))
+
     def submit(self, job: work.Job, since_s: float) -> None:
         """Add a job, or put back one that had to leave its place.
 
@@ -141,7 +146,7 @@
         :param since_s: when it began to wait; a job put back keeps its first time.
         :raises UnplaceableError: if nothing that could exist can hold the job.
         """
-        feasibility.check(job, self._racks, self._homes, self._quotas.get(job.team))
+        self.check(job)
         name = _class_of(job)
         waiting = self._classes.setdefault(name, {})
         entry = _Waiting(job, since_s)
@@ -190,7 +195,7 @@
             if current > rank:
                 heapq.heappush(heap, (current, index, name))
                 continue
-            decision = self._try(name, not current.beyond_guarantee, view)
+            decision = self._try(name, not current[0], view)
             if decision is None:
                 if not self._is_over_quota(name, view):
                     missed.append(next(iter(self._classes[name].values())))
@@ -199,17 +204,26 @@
             if name in self._classes:
                 heapq.heappush(heap, (self._rank(name, view), index, name))
         self._hold_for_oldest(missed, view)
+        taken.extend(self._moves(view))
         return tuple(taken)
 
+    def _moves(self, view: fleet.FleetView) -> list[Decision]:
+        held = () if self._hold is None else self._hold.racks
+        found: list[Decision] = []
+        for move in self._policy.moves(view.hiding(held)):
+            view.assume(move.job, move.plan.placement)
+            found.append(Decision(move.job, move.plan, view.now_s, False, is_move=True))
+        return found
+
     def _rank(self, name: _Class, view: fleet.FleetView) -> _Rank:
         head = next(iter(self._classes[name].values()))
         promoted = int((view.now_s - head.since_s) / PROMOTE_AFTER_S)
-        return _Rank(
-            urgency=max(0, URGENCY_RANKS[name.urgency] - promoted),
-            beyond_guarantee=not view.is_guaranteed(head.job),
-            use=view.team_accelerators(name.team) / max(1, self._weights.get(name.team, 1)),
-            since_s=head.since_s,
-            job_id=head.job.job_id,
+        return (
+            not view.is_guaranteed(head.job),
+            max(0, URGENCY_RANKS[name.urgency] - promoted),
+            view.team_accelerators(name.team) / max(1, self._weights.get(name.team, 1)),
+            head.since_s,
+            head.job.job_id,
         )
 
     def _try(self, name: _Class, is_guaranteed: bool, view: fleet.FleetView) -> Decision | None:
--- a/libs/placement/src/papayaspar_placement/shape_keeping.py
+++ b/libs/placement/src/papayaspar_placement/shape_keeping.py
@@ -6,7 +6,15 @@
 import attrs
 
 from papayaspar_model import work, workers
-from papayaspar_placement import ends, entitlements, fleet, inventory, policies, seating
+from papayaspar_placement import (
+    consolidation,
+    ends,
+    entitlements,
+    fleet,
+    inventory,
+    policies,
+    seating,
+)
 
 MAX_SHAPES_KEPT = 3
 MAX_TIES = 48
@@ -18,15 +26,23 @@
     """What a placement in a rack costs; smaller is better, compared field by field.
 
     :param avoided: accelerators taken on workers to avoid.
+    :param at_risk: accelerators taken on homes of other teams by work that loses all its progress
+        in a reclaim.
+    :param lasting: for each guaranteed shape, the largest first, how many fewer fit the rack even
+        after moves; only work that does not checkpoint has such a cost.
     :param shapes: for each guaranteed shape, the largest first, how many fewer fit the rack.
     :param slots: for each such shape, how many fewer of its tasks fit the rack.
     :param homes: accelerators taken on homes of other teams.
+    :param loose: accelerators taken on workers that moves could still empty.
     """
 
     avoided: int
+    at_risk: int
+    lasting: tuple[int, ...]
     shapes: tuple[int, ...]
     slots: tuple[int, ...]
     homes: int
+    loose: int
 
 
 @attrs.frozen
@@ -44,11 +60,13 @@
 
     :param shape: shape of the job.
     :param stoppable: whether the job can be stopped.
+    :param checkpoint: whether it can checkpoint.
     :param team: its team if that has homes in the rack, else empty.
     """
 
     shape: work.Shape
     stoppable: bool
+    checkpoint: bool
     team: str
 
 
@@ -68,12 +86,18 @@
     at which its workers become empty.
 
     :param expected: expected ends of running gangs.
+    :param consolidator: moves gangs to empty workers; none are moved without one.
     """
 
     name = "shape_keeping"
 
-    def __init__(self, expected: ends.EndEstimator) -> None:
+    def __init__(
+        self,
+        expected: ends.EndEstimator,
+        consolidator: consolidation.Consolidator | None = None,
+    ) -> None:
         self._expected = expected
+        self._consolidator = consolidator
         self._shapes: tuple[work.Shape, ...] = ()
         self._remembered: dict[str, _Remembered] = {}
 
@@ -87,6 +111,13 @@
             seats = self._over_racks(job, view)
         return seating.placement(seats, job, view)
 
+    def moves(self, view: fleet.FleetView) -> tuple[consolidation.Move, ...]:
+        """Return moves that empty a worker.
+
+        :param view: the fleet.
+        """
+        return () if self._consolidator is None else self._consolidator.propose(view)
+
     def _at_home(self, job: work.Job, view: fleet.FleetView) -> workers.Placement | None:
         """Return a free instance of exactly the job's size, if the team has one."""
         if not view.is_guaranteed(job):
@@ -139,7 +170,7 @@
             known = _Remembered(rack, rack.version)
             self._remembered[rack.name] = known
         team = job.team if job.team in rack.owners else ""
-        question = _Question(job.shape, job.stoppable, team)
+        question = _Question(job.shape, job.stoppable, job.checkpoint, team)
         options = known.options.get(question)
         if options is not None:
             return options
@@ -215,7 +246,11 @@
     if job.shape.tasks == 1:
         tried = [[worker] for worker in rack.workers.values()]
     else:
-        tried = [sorted(rack.workers.values(), key=_tight_first)]
+        tight = sorted(rack.workers.values(), key=_tight_first)
+        tried = [tight]
+        if not job.checkpoint:
+            for first in tight:
+                tried.append([first, *(other for other in tight if other is not first)])
     for order in tried:
         seats = seating.fill(order, job)
         if seats is not None:
@@ -232,20 +267,40 @@
     taken: dict[str, int] = {}
     avoided = 0
     foreign = 0
+    loose = 0
     for item in seats:
         worker = rack.workers[item.worker]
         taken[item.worker] = taken.get(item.worker, 0) + len(item.accelerators)
+        if not worker.is_anchored:
+            loose += len(item.accelerators)
         if worker.is_avoided:
             avoided += len(item.accelerators)
         for number in item.accelerators:
             owner = worker.owners.get(number)
             if owner is not None and owner.team != job.team:
                 foreign += 1
-    after = tuple(
-        count - taken.get(name, 0) for name, count in zip(rack.workers, rack.counts, strict=True)
+    lost = _lost_shapes(rack.counts, tuple(taken.get(name, 0) for name in rack.workers), shapes)
+    lasting = _lost_shapes(
+        tuple(worker.movable for worker in rack.workers.values()),
+        tuple(0 if job.checkpoint else taken.get(name, 0) for name in rack.workers),
+        shapes,
+    )
+    return _Loss(
+        avoided=avoided,
+        at_risk=0 if job.checkpoint else foreign,
+        lasting=tuple(one[0] + one[1] for one in lasting),
+        shapes=tuple(one[0] for one in lost),
+        slots=tuple(one[1] for one in lost),
+        homes=foreign,
+        loose=loose,
     )
-    lost = [_lost(rack.counts, after, shape) for shape in shapes]
-    return _Loss(avoided, tuple(one[0] for one in lost), tuple(one[1] for one in lost), foreign)
+
+
+def _lost_shapes(
+    before: tuple[int, ...], taken: tuple[int, ...], shapes: tuple[work.Shape, ...]
+) -> list[tuple[int, int]]:
+    after = tuple(count - gone for count, gone in zip(before, taken, strict=True))
+    return [_lost(before, after, shape) for shape in shapes]
 
 
 @functools.lru_cache(maxsize=65536)
@@ -256,5 +311,5 @@
     return (shapes, slots_before - slots_after)
 
 
-def _tight_first(worker: inventory.WorkerView) -> tuple[bool, int, str]:
-    return (worker.is_avoided, len(worker.free), worker.name)
+def _tight_first(worker: inventory.WorkerView) -> tuple[bool, bool, int, str]:
+    return (worker.is_avoided, not worker.is_anchored, len(worker.free), worker.name)
--- a/libs/rules/src/papayaspar_rules/revisions.py
+++ b/libs/rules/src/papayaspar_rules/revisions.py
@@ -13,11 +13,10 @@
 import attrs
 
 from papayaspar_model import errors, rulesets
-from papayaspar_rules import faults, parsing, records
+from papayaspar_rules import books, faults, parsing, records, trails
 
 HISTORY_MAX_REVISIONS = 1000
 OUTCOMES_MAX = 4096
-PENDING_MAX_CHARS = 4 * 1024 * 1024
 NO_RECORD = records.RevisionRecord(0, 0, "", "", "", 0.0)
 
 
@@ -62,23 +61,31 @@
     """A revision with its rules.
 
     :param record: the record that brought it.
-    :param rules: its rules.
+    :param book: its rules, for making the next revision of them.
+    :param rules: its rules, for everything else.
     """
 
     record: records.RevisionRecord
+    book: books.Book
     rules: rulesets.RuleSet
 
 
 class Chain:
-    """The revisions as one reader of the log knows them; the one in force only rises."""
+    """The revisions as one reader of the log knows them; the one in force only rises.
+
+    Two positions move by themselves: the revision in force, which is known to be the head after
+    all records before ``_known_offset`` and may come from a peer; and the tip, which is the head
+    at ``next_offset`` by the records read here, and is ``None`` while that can't be told.
+    """
 
     def __init__(self) -> None:
-        self._head = Head(NO_RECORD, rulesets.RuleSet())
+        self._head = Head(NO_RECORD, books.EMPTY, rulesets.RuleSet())
         self._known_offset = 0
-        self._from_offset = 0
+        self._tip: Head | None = self._head
         self._next_offset = 0
-        self._pending: collections.deque[tuple[int, records.RevisionRecord]] = collections.deque()
-        self._pending_chars = 0
+        self._snapshot_offset: int | None = None
+        self._changes = trails.ChangeTrail()
+        self._pending = trails.PendingRecords()
         self._outcomes: collections.OrderedDict[str, Settlement] = collections.OrderedDict()
         self._history: collections.deque[HistoryEntry] = collections.deque(
             maxlen=HISTORY_MAX_REVISIONS
@@ -96,8 +103,13 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether the rules in force are known to be the head at ``next_offset``."""
-        return self._known_offset == self._next_offset
+        """Whether the rules in force are known to be the head at ``next_offset`` or later."""
+        return self._known_offset >= self._next_offset
+
+    @property
+    def snapshot_offset(self) -> int | None:
+        """Offset of the newest snapshot seen on the log, to leave out one that others wrote."""
+        return self._snapshot_offset
 
     def history(self) -> tuple[HistoryEntry, ...]:
         """Return the revisions that were in force here, newest first."""
@@ -109,7 +121,9 @@
         :param first_offset: offset of the oldest record.
         """
         if first_offset > self._next_offset:
-            self._restart(first_offset)
+            self._tip = None
+            self._next_offset = first_offset
+            self._pending.restart(first_offset)
 
     def offer(self, offset: int, data: bytes) -> Verdict:
         """Take in the next record of the log.
@@ -121,49 +135,58 @@
         if offset < self._next_offset:
             return Verdict.DUPLICATE
         self.trimmed(offset)
-        was_current = self.is_current
         self._next_offset = offset + 1
         try:
             record = records.decode(data)
         except faults.InvalidRecordError:
             record = None
-        if was_current:
-            self._known_offset = self._next_offset
-        if record is None:
-            return Verdict.INVALID
-        if record.reappended:
-            return self._offer_snapshot(offset, record)
-        if not was_current:
-            self._keep_pending(offset, record)
-            return Verdict.PENDING
-        head, verdict = self._advance(self._head, record)
-        self._put_in_force(head)
+        verdict = Verdict.INVALID if record is None else self._read(offset, record)
+        self._find_tip()
         return verdict
 
     def adopt(self, record: records.RevisionRecord) -> Verdict:
-        """Take in a snapshot from a peer; the newest one counts.
+        """Take in the head of a peer; the newest one counts.
 
-        :param record: what the peer's :meth:`snapshot` returned.
-        :return: ``ACCEPTED`` if it told this chain something new.
+        :param record: what the peer's :meth:`snapshot` or :meth:`since` returned.
+        :return: ``ACCEPTED`` if it told this chain something new; ``PENDING`` if it holds changes
+            to a revision that this chain does not have, so that the snapshot is needed.
         """
-        as_of = record.as_of_offset
-        if as_of <= self._known_offset:
+        if record.as_of_offset <= self._known_offset:
             return Verdict.DUPLICATE
-        head = _head_of(record)
+        head: Head | None = self._head
+        if record.revision != self.rules.revision:
+            if record.is_change and record.parent != self.rules.revision:
+                return Verdict.PENDING
+            head = _head_of(record, self._head)
         if head is None:
             return Verdict.INVALID
-        if as_of > self._next_offset:
-            self._restart(as_of)
-        self._known_offset = as_of
-        if as_of >= self._from_offset:
-            head = self._replay(head, as_of)
-            self._known_offset = self._next_offset
-        self._put_in_force(head)
+        self._put_in_force(head, record.as_of_offset)
+        self._find_tip()
         return Verdict.ACCEPTED
 
     def snapshot(self) -> records.RevisionRecord:
-        """Return the head as a record to append again, or to pass to a peer."""
-        return attrs.evolve(self._head.record, reappended=True, as_of_offset=self._known_offset)
+        """Return the head as a record to append to the log again, or to pass to a peer."""
+        return attrs.evolve(
+            self._head.record,
+            text=self.rules.text,
+            is_change=False,
+            reappended=True,
+            as_of_offset=self._known_offset,
+        )
+
+    def since(self, revision: int) -> tuple[records.RevisionRecord, ...]:
+        """Return what a peer has to adopt, one after the other, to come to the head.
+
+        :param revision: the revision the peer has; 0 for none.
+        :return: the changes since then, or the snapshot if that is shorter or they are forgotten.
+        """
+        if revision >= self.rules.revision:
+            return ()
+        missing = self._changes.since(revision)
+        chars = sum(len(record.text) for record in missing)
+        if not missing or chars > len(self.rules.text):
+            return (self.snapshot(),)
+        return missing
 
     def settle(self, publish_id: str) -> Settlement:
         """Return what became of a publish whose acknowledgement was lost.
@@ -192,48 +215,65 @@
         :raises RevisionConflictError: if the parent is not the head.
         :raises LogUnavailableError: if the head is not known for certain yet.
         """
-        parsing.parse(text)
+        book = parsing.parse_book(text)
+        text = book.ruleset().text
         if not self.is_current:
             raise errors.LogUnavailableError("the head of the rules is not known yet")
         if parent != self.rules.revision:
             raise errors.RevisionConflictError(
                 f"revision {self.rules.revision} is in force, not {parent}", field="parent"
             )
-        return records.RevisionRecord(parent + 1, parent, publish_id, author, text, wall_s)
+        record = records.RevisionRecord(parent + 1, parent, publish_id, author, text, wall_s)
+        changes = self._head.book.changes_to(book)
+        if len(changes) >= len(text):
+            return record
+        return attrs.evolve(record, text=changes, is_change=True)
 
-    def _offer_snapshot(self, offset: int, record: records.RevisionRecord) -> Verdict:
-        if record.as_of_offset > offset:
-            return Verdict.INVALID
-        return self.adopt(record)
-
-    def _restart(self, offset: int) -> None:
-        self._from_offset = offset
-        self._next_offset = offset
-        self._pending.clear()
-        self._pending_chars = 0
-
-    def _keep_pending(self, offset: int, record: records.RevisionRecord) -> None:
-        self._pending.append((offset, record))
-        self._pending_chars += len(record.text)
-        while self._pending_chars > PENDING_MAX_CHARS:
-            dropped_offset, dropped = self._pending.popleft()
-            self._pending_chars -= len(dropped.text)
-            self._from_offset = dropped_offset + 1
-
-    def _replay(self, head: Head, as_of: int) -> Head:
-        for offset, record in self._pending:
-            if offset < as_of:
+    def _read(self, offset: int, record: records.RevisionRecord) -> Verdict:
+        if record.reappended:
+            if record.as_of_offset > offset or record.is_change:
+                return Verdict.INVALID
+            self._snapshot_offset = offset
+            return self.adopt(record)
+        if self._tip is not None:
+            self._tip, verdict = self._advance(self._tip, record)
+            return verdict
+        if offset < self._known_offset:
+            return self._recognise(record)
+        self._pending.keep(offset, record)
+        return Verdict.PENDING
+
+    def _find_tip(self) -> None:
+        """Find the tip again from the revision in force, and bring that up to the tip."""
+        if self._tip is None:
+            if not self._pending.from_offset <= self._known_offset <= self._next_offset:
+                return
+            self._tip = self._replay()
+        self._put_in_force(self._tip, self._next_offset)
+
+    def _recognise(self, record: records.RevisionRecord) -> Verdict:
+        """Settle a record that stands before the revision in force, as far as it is remembered."""
+        for entry in self._history:
+            if entry.revision != record.revision:
                 continue
+            if entry.publish_id == record.publish_id:
+                return Verdict.DUPLICATE
+            return self._reject(record.publish_id)
+        return Verdict.PENDING
+
+    def _replay(self) -> Head:
+        head = self._head
+        for record in self._pending.since(self._known_offset):
             head, _ = self._advance(head, record)
-        self._pending.clear()
-        self._pending_chars = 0
+        self._pending.restart(self._next_offset)
         return head
 
     def _advance(self, head: Head, record: records.RevisionRecord) -> tuple[Head, Verdict]:
         is_child = record.parent == head.record.revision and record.revision == record.parent + 1
         if not is_child:
             return head, self._reject(record.publish_id)
-        child = _head_of(record)
+        is_in_force = self._head.record == record
+        child = self._head if is_in_force else _head_of(record, head)
         if child is None:
             self._note(record.publish_id, Settlement.LOST)
             return head, Verdict.INVALID
@@ -252,10 +292,12 @@
         while len(self._outcomes) > OUTCOMES_MAX:
             self._outcomes.popitem(last=False)
 
-    def _put_in_force(self, head: Head) -> None:
+    def _put_in_force(self, head: Head, as_of: int) -> None:
         record = head.record
+        self._known_offset = max(self._known_offset, as_of)
         if record.revision <= self._head.record.revision:
             return
+        self._changes.add(record, self.rules.revision, self._known_offset)
         self._head = head
         self._note(record.publish_id, Settlement.WON)
         self._history.append(
@@ -269,10 +311,13 @@
         )
 
 
-def _head_of(record: records.RevisionRecord) -> Head | None:
+def _head_of(record: records.RevisionRecord, parent: Head) -> Head | None:
     try:
-        rules = parsing.parse(record.text)
+        if record.is_change:
+            book = parent.book.changed(record.text)
+        else:
+            book = parsing.parse_book(record.text)
     except faults.InvalidRulesError:
         return None
-    in_force = attrs.evolve(rules, revision=record.revision, publish_id=record.publish_id)
-    return Head(record, in_force)
+    rules = book.ruleset(record.revision, record.publish_id)
+    return Head(attrs.evolve(record, as_of_offset=0), book, rules)
--- a/libs/rules/tests/test_rules_file.py
+++ b/libs/rules/tests/test_rules_file.py
@@ -1,5 +1,7 @@
 """The rules file: faults with their places, canonical form, and no other error for any text."""
 
+import pathlib
+import re
 import string
 
 import pytest
@@ -7,7 +9,7 @@
 from hypothesis import strategies as st
 
 from papayaspar_model import rulesets, work
-from papayaspar_rules import differences, faults, parsing, printing
+from papayaspar_rules import faults, parsing, printing
 
 GOOD = """\
 # The photo service.
@@ -56,6 +58,9 @@
 CEILINGS = st.none() | st.integers(10**6, 10**7)
 
 
+PAGE = pathlib.Path(__file__).parents[3] / "docs" / "RULES.md"
+
+
 def fault_of(text: str) -> list[tuple[int, int, str]]:
     with pytest.raises(faults.InvalidRulesError) as caught:
         parsing.parse(text)
@@ -119,6 +124,14 @@
     assert "share=7.5% floor=2/s # asked by Ms. Sen; ticket #12\n" in rules.text
 
 
+def test_examples_on_the_page_are_good_and_its_codes_complete():
+    page = PAGE.read_text()
+    examples = re.findall(r"```rules\n(.*?)```", page, re.DOTALL)
+    assert [len(parsing.parse(example).teams) for example in examples] == [2, 3]
+    for _, _, code in FAULTS:
+        assert f"`{code}`" in page
+
+
 @pytest.mark.parametrize(("line", "column", "code"), FAULTS)
 def test_fault_names_its_line_column_and_code(line, column, code):
     assert fault_of(f"\n{line}\n") == [(2, column, code)]
@@ -155,10 +168,10 @@
         printing.print_rules(rulesets.RuleSet(teams=(rulesets.Team("a"),)))
 
 
-def test_changes_name_new_gone_and_altered_rules():
-    before = parsing.parse("team a weight=1 # asked by A\nteam b weight=1 # asked by A")
-    after = parsing.parse("team b weight=2 # asked by A\nteam c weight=1 # asked by A")
-    found = [(change.before, change.after) for change in differences.changes(before, after)]
+def test_differences_name_new_gone_and_altered_rules():
+    before = parsing.parse_book("team a weight=1 # asked by A\nteam b weight=1 # asked by A")
+    after = parsing.parse_book("team b weight=2 # asked by A\nteam c weight=1 # asked by A")
+    found = [(change.before, change.after) for change in before.differences(after)]
     assert found == [
         ("team a weight=1 # asked by A", None),
         ("team b weight=1 # asked by A", "team b weight=2 # asked by A"),
@@ -172,6 +185,14 @@
     assert parsing.parse(rules.text) == rules
 
 
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(rulesets_of_any_size(), rulesets_of_any_size())
+def test_changes_turn_any_rules_into_any_others(before, after):
+    book = parsing.parse_book(before.text)
+    changes = book.changes_to(parsing.parse_book(after.text))
+    assert book.changed(changes).ruleset() == after
+
+
 WORDS = st.sampled_from(
     [*"#= \t\n\r%/0.", "team", "retry", "default", "share=", "weight=", "1/s", "# asked by A", "="]
 )
--- a/libs/wire/src/papayaspar_wire/messages.py
+++ b/libs/wire/src/papayaspar_wire/messages.py
@@ -15,9 +15,11 @@
     """First message of an agent on a stream.
 
     :param report: its worker as it stands.
+    :param rules_revision: newest revision of the rules the agent holds.
     """
 
     report: workers.WorkerReport
+    rules_revision: int = 0
 
 
 @attrs.frozen
@@ -66,20 +68,23 @@
 
 @attrs.frozen
 class RulesInForce:
-    """The newest rules record, passed on to agents and entries.
+    """Rules passed on to agents and entries: a whole revision, or the changes since one.
 
-    :param record: the record of the log, as it stands there.
-    :param homes: homes of guarantees packed from it.
+    :param records: records of the rules library, to be adopted one after the other.
+    :param homes: homes of guarantees on the receiver's worker.
     :param homes_revision: revision of the homes; only newer ones count.
-    :param revision: revision of the rules.
     """
 
-    record: bytes
-    revision: int
+    records: tuple[bytes, ...]
     homes: tuple[rulesets.Home, ...] = ()
     homes_revision: int = 0
 
 
+@attrs.frozen
+class RulesWanted:
+    """Ask an agent for the newest rules it holds; answered with :class:`RulesInForce`."""
+
+
 @attrs.frozen
 class RunRequest:
     """Run one attempt of a request on the agent's target.
@@ -173,6 +178,7 @@
     Report,
     EntriesChanged,
     RulesInForce,
+    RulesWanted,
     RunRequest,
     RequestAnswer,
     CancelRequest,
@@ -197,6 +203,9 @@
     return message
 
 
-def codec() -> codecs.Codec:
-    """Return the codec of every message between the system's processes."""
-    return codecs.Codec(ALL)
+def codec(*others: type) -> codecs.Codec:
+    """Return the codec of every message between the system's processes.
+
+    :param others: message types of the libraries that the two ends share.
+    """
+    return codecs.Codec((*ALL, *others))
