Bind a surrender and a retirement to the epochs they speak of

Cause: evidence outlives the move it was made for. A worker that surrendered a shard and was given it again could lose it by the old evidence while it granted; a retired worker that still announced itself was given its own shards again, in a new map every interval. Change: Evidence.through_epoch; a retired incarnation is no candidate; the entry's shardkeeper, the one caller, fills the field in. Conclusion: old evidence moves nothing.

--- a/libs/dispatch/src/papayaspar_dispatch/shard_records.py
+++ b/libs/dispatch/src/papayaspar_dispatch/shard_records.py
@@ -82,6 +82,7 @@
         newer_incarnation=_number(fields["newer_incarnation"]),
         operator=_text(fields["operator"]),
         shards=tuple(_number(shard) for shard in listed),
+        through_epoch=_number(fields["through_epoch"]),
     )
 
 
--- a/libs/dispatch/src/papayaspar_dispatch/shards.py
+++ b/libs/dispatch/src/papayaspar_dispatch/shards.py
@@ -46,6 +46,8 @@
     :param newer_incarnation: of the same worker, when it was replaced.
     :param operator: who retired it, when an operator did.
     :param shards: the shards it surrendered, when it did.
+    :param through_epoch: for a surrender or a retirement, the newest epoch of ownership that it
+        speaks of; what the same incarnation is given later, it does not cover.
     """
 
     kind: EvidenceKind
@@ -54,6 +56,7 @@
     newer_incarnation: int = 0
     operator: str = ""
     shards: tuple[int, ...] = ()
+    through_epoch: int = NO_EPOCH
 
     def covers(self, shard: int, owner: "ShardOwner") -> bool:
         """Return whether a shard may move away from an owner.
@@ -63,10 +66,12 @@
         """
         if (self.worker, self.incarnation) != (owner.worker, owner.incarnation):
             return False
-        if self.kind is EvidenceKind.SURRENDERED:
-            return shard in self.shards
         if self.kind is EvidenceKind.REPLACED:
             return self.newer_incarnation > owner.incarnation
+        if owner.epoch > self.through_epoch:
+            return False
+        if self.kind is EvidenceKind.SURRENDERED:
+            return shard in self.shards
         return bool(self.operator)
 
 
@@ -160,6 +165,12 @@
     :param rng: source of the map's name.
     :return: the child, or ``None`` when nothing moves or nobody can take it.
     """
+    retired = {
+        (proof.worker, proof.incarnation)
+        for proof in evidence
+        if proof.kind is EvidenceKind.RETIRED
+    }
+    candidates = [one for one in candidates if (one.worker, one.incarnation) not in retired]
     if not candidates:
         return None
     revision = head.revision + 1
--- a/libs/dispatch/tests/conftest.py
+++ b/libs/dispatch/tests/conftest.py
@@ -65,7 +65,13 @@
 
     def make(head, worker="w2", kind=shards.EvidenceKind.RETIRED):
         proof = shards.Evidence(
-            kind, "w1", 1, 2, operator="ann", shards=tuple(range(len(head.owners)))
+            kind,
+            "w1",
+            1,
+            2,
+            operator="ann",
+            shards=tuple(range(len(head.owners))),
+            through_epoch=head.revision,
         )
         return shards.reassign(head, [proof], [identity(worker)], random.Random(2))
 
--- a/libs/dispatch/tests/test_claims.py
+++ b/libs/dispatch/tests/test_claims.py
@@ -103,7 +103,7 @@
 ):
     exports = owner.surrender()
     second = successor(founding, "w2")
-    proof = shards.Evidence(shards.EvidenceKind.RETIRED, "w2", 1, operator="ann")
+    proof = shards.Evidence(shards.EvidenceKind.RETIRED, "w2", 1, operator="ann", through_epoch=2)
     third = shards.reassign(second, [proof], [identity("w3")])
     table = new_table("w3")
     table.adopt(shard_chains.ChainLink(third, 3))
--- a/libs/dispatch/tests/test_claims_stateful.py
+++ b/libs/dispatch/tests/test_claims_stateful.py
@@ -201,17 +201,27 @@
         del self.tables[worker]
         kind = shards.EvidenceKind.RETIRED
         for life in range(1, self.lives[worker] + 1):
-            self.evidence.append(shards.Evidence(kind, worker, life, operator="ann"))
+            self.evidence.append(
+                shards.Evidence(kind, worker, life, operator="ann", through_epoch=len(self.log))
+            )
 
     @stateful.rule(worker=st.sampled_from(WORKERS))
     def agent_surrenders(self, worker):
         table = self.tables.get(worker)
         if table is None or not table.owned:
             return
-        moved = table.owned
-        self.exports.extend(table.surrender())
-        kind = shards.EvidenceKind.SURRENDERED
-        self.evidence.append(shards.Evidence(kind, worker, self.lives[worker], shards=moved))
+        exports = table.surrender()
+        self.exports.extend(exports)
+        for export in exports:
+            self.evidence.append(
+                shards.Evidence(
+                    shards.EvidenceKind.SURRENDERED,
+                    worker,
+                    self.lives[worker],
+                    shards=(export.shard,),
+                    through_epoch=export.epoch,
+                )
+            )
 
     @stateful.rule(pick=st.integers(0, 99), worker=st.sampled_from(WORKERS))
     def export_arrives(self, pick, worker):
--- a/libs/dispatch/tests/test_shards.py
+++ b/libs/dispatch/tests/test_shards.py
@@ -31,12 +31,30 @@
     assert chain.observe(1, encode(stolen)) is None
     same_life = shards.Evidence(shards.EvidenceKind.REPLACED, "w1", 1, newer_incarnation=1)
     assert chain.observe(2, encode(attrs.evolve(stolen, evidence=(same_life,)))) is None
-    nobody = shards.Evidence(shards.EvidenceKind.RETIRED, "w1", 1)
+    nobody = shards.Evidence(shards.EvidenceKind.RETIRED, "w1", 1, through_epoch=1)
     assert chain.observe(3, encode(attrs.evolve(stolen, evidence=(nobody,)))) is None
-    partial = shards.Evidence(shards.EvidenceKind.SURRENDERED, "w1", 1, shards=(0,))
+    partial = shards.Evidence(
+        shards.EvidenceKind.SURRENDERED, "w1", 1, shards=(0,), through_epoch=1
+    )
     assert chain.observe(4, encode(attrs.evolve(stolen, evidence=(partial,)))) is None
 
 
+def test_a_surrender_says_nothing_of_what_its_worker_is_given_later(founding, identity):
+    surrendered = shards.Evidence(
+        shards.EvidenceKind.SURRENDERED, "w1", 1, shards=(0, 1, 2, 3), through_epoch=1
+    )
+    again = shards.reassign(founding, [surrendered], [identity("w1")])
+    assert {owner.epoch for owner in again.owners} == {2}
+    assert shards.reassign(again, [surrendered], [identity("w2")]) is None
+
+
+def test_a_retired_worker_is_no_candidate(founding, identity):
+    proof = shards.Evidence(shards.EvidenceKind.RETIRED, "w1", 1, operator="ann", through_epoch=1)
+    assert shards.reassign(founding, [proof], [identity("w1")]) is None
+    child = shards.reassign(founding, [proof], [identity("w1"), identity("w2")])
+    assert {owner.worker for owner in child.owners} == {"w2"}
+
+
 def test_a_newer_life_of_the_owner_is_evidence(founding, identity):
     assert shards.replaced_owners(founding, [identity("w1", 1)]) == ()
     (proof,) = shards.replaced_owners(founding, [identity("w1", 3), identity("w2")])
@@ -68,7 +86,7 @@
 
 def test_records_after_a_link_are_followed_once_it_is_known(founding, successor, identity):
     second = successor(founding)
-    proof = shards.Evidence(shards.EvidenceKind.RETIRED, "w2", 1, operator="ann")
+    proof = shards.Evidence(shards.EvidenceKind.RETIRED, "w2", 1, operator="ann", through_epoch=2)
     third = shards.reassign(second, [proof], [identity("w3")])
     late = shard_chains.ShardChain()
     late.observe_gap(2)
--- a/libs/entry/src/papayaspar_entry/shardkeeper.py
+++ b/libs/entry/src/papayaspar_entry/shardkeeper.py
@@ -95,18 +95,29 @@
         :param operator: who says so.
         :raises NotFoundError: it owns no shard.
         """
-        owners = self._chain.head.owners if self._chain.head is not None else ()
+        head = self._chain.head
+        owners = head.owners if head is not None else ()
         lives = {owner.incarnation for owner in owners if owner.worker == worker}
         if not lives:
             raise errors.NotFoundError(f"{worker} owns no shard of keys", field="worker")
         kind = shards.EvidenceKind.RETIRED
-        self._retired[worker] = shards.Evidence(kind, worker, max(lives), operator=operator)
+        through_epoch = max(owner.epoch for owner in owners)
+        self._retired[worker] = shards.Evidence(
+            kind, worker, max(lives), operator=operator, through_epoch=through_epoch
+        )
 
     def surrender(self, message: calls.ShardsSurrendered) -> None:
         """Take a leaving agent's word that it grants nothing any more, with what it remembers."""
         which = tuple(export.shard for export in message.exports)
         kind = shards.EvidenceKind.SURRENDERED
-        proof = shards.Evidence(kind, message.worker, message.incarnation, shards=which)
+        through_epoch = max((export.epoch for export in message.exports), default=shards.NO_EPOCH)
+        proof = shards.Evidence(
+            kind,
+            message.worker,
+            message.incarnation,
+            shards=which,
+            through_epoch=through_epoch,
+        )
         self._surrendered.append(proof)
         self._exports.extend(message.exports)
 
