--- a/libs/bench/src/papayaspar_bench/detection.py
+++ b/libs/bench/src/papayaspar_bench/detection.py
@@ -4,10 +4,8 @@
 
 import anyio
 import attrs
-import trio
-import trio.testing
 
-from papayaspar_bench import detection_parts, experiments
+from papayaspar_bench import detection_parts, experiments, virtual_time
 
 Fault = detection_parts.Fault
 Policy = detection_parts.Policy
@@ -58,7 +56,7 @@
         for fault, policies in POLICIES.items():
             for policy in policies:
                 run = _Run(fault, policy, seed)
-                trio.run(run.simulate, clock=trio.testing.MockClock(autojump_threshold=0))
+                virtual_time.run(run.simulate, f"{seed}-{fault.value}-{policy.name}")
                 figures.update(run.figures())
         return experiments.Outcome(self.name, seed, figures)
 
--- a/libs/bench/src/papayaspar_bench/outage.py
+++ b/libs/bench/src/papayaspar_bench/outage.py
@@ -6,10 +6,8 @@
 
 import anyio
 import attrs
-import trio
-import trio.testing
 
-from papayaspar_bench import experiments, outage_parts
+from papayaspar_bench import experiments, outage_parts, virtual_time
 from papayaspar_dispatch import shard_records, shards
 from papayaspar_model import errors
 from papayaspar_standin import faults, memory_logs
@@ -83,7 +81,7 @@
         violations: list[str] = []
         for scenario in SCENARIOS:
             run = _Run(scenario, seed)
-            trio.run(run.simulate, clock=trio.testing.MockClock(autojump_threshold=0))
+            virtual_time.run(run.simulate, f"{seed}-{scenario.name}")
             figures.update(run.figures())
             violations.extend(run.violations())
         return experiments.Outcome(self.name, seed, figures, tuple(violations))
@@ -103,6 +101,7 @@
         }
         self._agents: dict[str, outage_parts.Agent] = {}
         self._entries: list[outage_parts.Entry] = []
+        self._entries_started = 0
 
     async def simulate(self) -> None:
         """Run the three phases."""
@@ -144,7 +143,9 @@
         """Start an entry, which learns the map from the log or from the agents."""
         client = outage_parts.ImpatientLog(self._log)
         rng = random.Random(self._rng.random())
-        entry = outage_parts.Entry(client, self._agents, rng)
+        self._entries_started += 1
+        name = f"entry-{self._entries_started}"
+        entry = outage_parts.Entry(name, client, self._agents, rng)
         for agent in self._agents.values():
             if agent.table.link is not None:
                 entry.chain.adopt(agent.table.link)
--- a/libs/bench/src/papayaspar_bench/outage_parts.py
+++ b/libs/bench/src/papayaspar_bench/outage_parts.py
@@ -76,23 +76,23 @@
 
     def __init__(self) -> None:
         self.is_up = True
-        self._scopes: set[anyio.CancelScope] = set()
+        self._scopes: dict[int, anyio.CancelScope] = {}
 
     def kill(self) -> None:
         """End it and all it does."""
         self.is_up = False
-        for scope in self._scopes:
+        for scope in self._scopes.values():
             scope.cancel()
 
     def enter(self) -> anyio.CancelScope:
         """Return the scope of one piece of work."""
         scope = anyio.CancelScope()
-        self._scopes.add(scope)
+        self._scopes[id(scope)] = scope
         return scope
 
     def leave(self, scope: anyio.CancelScope) -> None:
         """End one piece of work."""
-        self._scopes.discard(scope)
+        self._scopes.pop(id(scope), None)
 
 
 class Agent(Process):
@@ -135,13 +135,17 @@
 class Entry(Process):
     """One entry: follows the shard map, claims, sends and answers.
 
+    :param name: its name.
     :param log: client of the log.
     :param agents: the agents by worker, as they are now.
     :param rng: source of its choices.
     """
 
-    def __init__(self, log: logs.Log, agents: dict[str, Agent], rng: random.Random) -> None:
+    def __init__(
+        self, name: str, log: logs.Log, agents: dict[str, Agent], rng: random.Random
+    ) -> None:
         super().__init__()
+        self._name = name
         self.chain = shard_chains.ShardChain()
         self._log = log
         self._agents = agents
@@ -202,7 +206,7 @@
             team=TEAM,
             key=call.key,
             digest=call.key,
-            request_id=f"{id(self)}-{self._serial}",
+            request_id=f"{self._name}-{self._serial}",
             remaining_s=call.deadline_s - anyio.current_time(),
             first_sent_s=call.at_s,
         )
