Hand the memory of claim shards over when an agent leaves

Cause: a drained agent took what it knew of keys along, so a key sent again after it left was answered unknown (test: 502 for keys of the leaving owner). Ruled out: a lost settlement; the new owner had the map before the memory. Change: the first live entry has leaving owners surrender while the log can take a new map, and takes their memory to the next owners at once; a claim waits 1.5 s before it takes unknown for an answer.

--- a/libs/agent/src/papayaspar_agent/claim_service.py
+++ b/libs/agent/src/papayaspar_agent/claim_service.py
@@ -2,18 +2,26 @@
 
 from papayaspar_dispatch import calls, claim_tables, claims
 from papayaspar_events import journal, lines
-from papayaspar_model import errors
+from papayaspar_model import errors, signals, workers
 
 
 class ClaimService:
     """Answers claims for the shards of keys that this agent owns.
 
+    :param identity: the worker in this life of its agent.
     :param table: the claims.
     :param record: the process's journal.
     """
 
-    def __init__(self, table: claim_tables.ClaimTable, record: journal.Journal) -> None:
+    def __init__(
+        self,
+        identity: workers.WorkerIdentity,
+        table: claim_tables.ClaimTable,
+        record: journal.Journal,
+    ) -> None:
+        self._identity = identity
         self._table = table
+        self._surrendered = signals.ChangeSignal()
         self._journal = record
 
     def handles(self, message: object) -> bool:
@@ -33,6 +41,8 @@
             return calls.ClaimNoted(self._table.release(message.claim))
         if isinstance(message, calls.TakeOverShard):
             return calls.ClaimNoted(self._table.take_over(message.export))
+        if isinstance(message, calls.SurrenderShards):
+            return self._surrender()
         if isinstance(message, calls.ShardsWanted):
             return calls.ShardsHeld(self._table.link)
         raise errors.ProtocolError(f"no answer to {type(message).__name__}")
@@ -45,11 +55,16 @@
             detail = f"revision {self._table.revision}, {len(self._table.owned)} owned"
             self._journal.record(lines.EventKind.SHARDS_IN_FORCE, detail=detail)
 
-    def surrender(self, worker: str, incarnation: int) -> calls.ShardsSurrendered | None:
+    async def wait_surrendered(self) -> None:
+        """Wait until this agent owns no shard that it would take along when it leaves."""
+        while self._table.owned:
+            await self._surrendered.wait_beyond(self._surrendered.sequence)
+
+    def _surrender(self) -> calls.ShardsSurrendered:
         """Stop granting for good, and return what the next owners need to know."""
-        if not self._table.owned:
-            return None
-        return calls.ShardsSurrendered(worker, incarnation, self._table.surrender())
+        exports = self._table.surrender()
+        self._surrendered.changed()
+        return calls.ShardsSurrendered(self._identity.worker, self._identity.incarnation, exports)
 
     def _claim(self, message: calls.ClaimKey) -> claims.ClaimAnswer:
         answer = self._table.claim(message.claim, message.map_revision)
--- a/libs/agent/src/papayaspar_agent/process.py
+++ b/libs/agent/src/papayaspar_agent/process.py
@@ -29,6 +29,7 @@
 RECONNECT_MAX_S = 2.0
 HELLO_TIMEOUT_S = 3.0
 DRAIN_NOTICE_S = 0.5
+HAND_OVER_S = 5.0
 
 
 class AgentHandler(peers.Handler):
@@ -94,7 +95,7 @@
         self._ledger = ledger.Ledger(settings.worker, settings.capacity, self._clock)
         self.rulings = rulings.Rulings(self._ledger, self._journal)
         table = claim_tables.ClaimTable(settings.worker, settings.incarnation, self._clock)
-        self.claims = claim_service.ClaimService(table, self._journal)
+        self.claims = claim_service.ClaimService(settings.identity, table, self._journal)
         self._target = target or targets.HttpTarget(settings.target, settings.capacity.connections)
         self._runner = requests.RequestRunner(
             self._ledger, self._target, self._clock, self._journal
@@ -237,6 +238,8 @@
             # Entries learn of the drain before the last stream closes.
             await anyio.sleep(DRAIN_NOTICE_S)
             await self._runner.wait_idle()
+        with anyio.move_on_after(HAND_OVER_S):
+            await self.claims.wait_surrendered()
 
 
 def _runtime_of(settings: config.AgentConfig) -> runtimes.Runtime:
--- a/libs/dispatch/src/papayaspar_dispatch/calls.py
+++ b/libs/dispatch/src/papayaspar_dispatch/calls.py
@@ -74,9 +74,17 @@
     link: shard_chains.ChainLink | None
 
 
+@attrs.frozen
+class SurrenderShards:
+    """An entry's call to a leaving agent while the log can take a new map.
+
+    Answered with :class:`ShardsSurrendered`.
+    """
+
+
 @attrs.frozen
 class ShardsSurrendered:
-    """A leaving agent's notice that it grants nothing any more.
+    """A leaving agent's answer: it grants nothing any more.
 
     :param worker: its worker.
     :param incarnation: its incarnation.
@@ -106,6 +114,7 @@
     ShardsInForce,
     ShardsWanted,
     ShardsHeld,
+    SurrenderShards,
     ShardsSurrendered,
     TakeOverShard,
     claims.ClaimAnswer,
--- a/libs/entry/src/papayaspar_entry/claimant.py
+++ b/libs/entry/src/papayaspar_entry/claimant.py
@@ -12,8 +12,9 @@
 from papayaspar_wire import messages
 
 CLAIM_TIMEOUT_S = 2.0
-SETTLE_TRIES = 3
+SETTLE_TRIES = 30
 PAUSE_S = 0.1
+UNKNOWN_PATIENCE_S = 1.5
 
 _CONVERTER = cattrs_json.make_converter()
 
@@ -70,6 +71,7 @@
     async def _claim(
         self, request: work.Request, key: str
     ) -> tuple[Claimed, answers.Answer | None]:
+        started_s = self._clock.now_s()
         while True:
             remaining_s = request.deadline_s - self._clock.now_s()
             if remaining_s <= 0:
@@ -80,13 +82,15 @@
                 return claimed, None
             if said.verdict is claims.Verdict.SETTLED:
                 return claimed, decode_answer(said.answer)
-            if said.verdict is claims.Verdict.UNKNOWN:
+            # A new owner of the shard may be about to hear from the one before.
+            is_patient = self._clock.now_s() - started_s < UNKNOWN_PATIENCE_S
+            if said.verdict is claims.Verdict.UNKNOWN and not is_patient:
                 raise errors.OutcomeUnknownError("an earlier sending of the key may have run")
             if said.verdict is claims.Verdict.CONFLICT:
                 raise errors.ConflictError(
                     "the key came with other content before", field="Idempotency-Key"
                 )
-            # Another sending is in progress, or the map of the shards is changing.
+            # Another sending is in progress, or the shard is changing hands.
             await anyio.sleep(PAUSE_S)
 
     async def _ask(self, claimed: Claimed) -> claims.ClaimAnswer:
--- a/libs/entry/src/papayaspar_entry/entry_links.py
+++ b/libs/entry/src/papayaspar_entry/entry_links.py
@@ -70,6 +70,11 @@
         """Addresses of the live entries, this one among them, sorted."""
         return tuple(sorted({self.own_address, *self._open}))
 
+    @property
+    def is_first(self) -> bool:
+        """Whether this is the first live entry, which proposes what all agree on by the log."""
+        return self.live[0] == self.own_address
+
     async def run(self, addresses: tuple[str, ...]) -> None:
         """Keep the streams until cancelled; runs in a task of its own.
 
--- a/libs/entry/src/papayaspar_entry/homekeeper.py
+++ b/libs/entry/src/papayaspar_entry/homekeeper.py
@@ -65,7 +65,7 @@
                 racks_before = racks
                 steady_since_s = now_s
             # A fleet that is still coming up would be packed again and again.
-            if now_s - steady_since_s < STEADY_S or not self._is_packer():
+            if now_s - steady_since_s < STEADY_S or not self._links.is_first:
                 continue
             due = self._due()
             if due is None and now_s - published_s > REPEAT_INTERVAL_S:
@@ -136,6 +136,3 @@
             self._journal.record(lines.EventKind.GUARANTEE_SHORT, detail=name)
         self._journal.metrics.set_state("short_guarantees", len(record.short))
         self._book.changes.changed()
-
-    def _is_packer(self) -> bool:
-        return self._links.live[0] == self._links.own_address
--- a/libs/entry/src/papayaspar_entry/process.py
+++ b/libs/entry/src/papayaspar_entry/process.py
@@ -16,6 +16,7 @@
     entry_links,
     gang_calls,
     gang_runs,
+    handovers,
     homekeeper,
     job_board,
     operators,
@@ -79,6 +80,7 @@
             self._journal,
             self._clock,
         )
+        self._handovers = handovers.Handovers(self._table, self._sessions, self._shards)
         self._claimant = claimant.Claimant(self._sessions, self._shards, self._clock)
         self._admission = queues.AdmissionQueue(self._clock)
         self._retries = budgets.RetryBudget(self._clock)
@@ -134,6 +136,7 @@
             group.start_soon(self._book.keep_alive)
             group.start_soon(self._shards.follow)
             group.start_soon(self._shards.propose)
+            group.start_soon(self._handovers.run)
             group.start_soon(self._keeper.follow)
             group.start_soon(self._keeper.pack)
             group.start_soon(self._jobs.run)
--- a/libs/entry/src/papayaspar_entry/sessions.py
+++ b/libs/entry/src/papayaspar_entry/sessions.py
@@ -50,8 +50,6 @@
             self._sessions.rules.adopt(message.records)
         if isinstance(message, dispatch_calls.ShardsInForce):
             self._sessions.shards.adopt(message.link)
-        if isinstance(message, dispatch_calls.ShardsSurrendered):
-            self._sessions.shards.surrender(message)
 
 
 class Sessions:
--- a/libs/entry/src/papayaspar_entry/shardkeeper.py
+++ b/libs/entry/src/papayaspar_entry/shardkeeper.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from papayaspar_dispatch import calls, claims, shard_chains, shard_records, shards
+from papayaspar_dispatch import calls, shard_chains, shard_records, shards
 from papayaspar_entry import entry_links
 from papayaspar_events import journal, lines
 from papayaspar_membership import members
@@ -12,7 +12,6 @@
 PROPOSE_INTERVAL_S = 0.5
 STEADY_S = 2.0
 RESTATE_INTERVAL_S = 300.0
-HAND_OVER_TIMEOUT_S = 2.0
 
 
 class Shardkeeper:
@@ -39,7 +38,6 @@
         self._follower = followers.Follower(log, shards.STREAM)
         self._retired: dict[str, shards.Evidence] = {}
         self._surrendered: list[shards.Evidence] = []
-        self._exports: list[claims.ShardExport] = []
         self.changes = signals.ChangeSignal()
 
     @property
@@ -52,6 +50,11 @@
         """Revision of the map to act on, 0 while none is known for certain."""
         return self.link.shard_map.revision if self.link is not None else 0
 
+    @property
+    def may_propose(self) -> bool:
+        """Whether this entry is the one to propose, and the log is there to take it."""
+        return self._follower.is_reachable and self._links.is_first
+
     def adopt(self, link: shard_chains.ChainLink | None) -> None:
         """Take the map that another process acts on."""
         if link is not None and self._chain.adopt(link) is not None:
@@ -79,7 +82,7 @@
             if names != names_before:
                 names_before = names
                 steady_since_s = now_s
-            if not self._follower.is_reachable or not self._is_proposer():
+            if not self._follower.is_reachable or not self._links.is_first:
                 continue
             due = self._due(is_steady=now_s - steady_since_s >= STEADY_S)
             if due is None and now_s - restated_s > RESTATE_INTERVAL_S:
@@ -119,13 +122,6 @@
             through_epoch=through_epoch,
         )
         self._surrendered.append(proof)
-        self._exports.extend(message.exports)
-
-    def take_exports(self) -> tuple[claims.ShardExport, ...]:
-        """Return what surrendered owners remembered, once, to be handed to the next owners."""
-        taken = tuple(self._exports)
-        self._exports.clear()
-        return taken
 
     def _due(self, is_steady: bool) -> shards.ShardMap | None:
         candidates = self._candidates()
@@ -156,9 +152,6 @@
     def _candidates(self) -> list[workers.WorkerIdentity]:
         return [member.report.identity for member in self._table.all() if member.is_usable]
 
-    def _is_proposer(self) -> bool:
-        return self._links.live[0] == self._links.own_address
-
     def _note_change(self) -> None:
         head = self._chain.head
         revision = head.revision if head is not None else 0
