Weigh seats once for racks that are alike

Cause: weighing more orders for work that can't move made the first placement of a shape slow at 2,100 workers. Change: the cost of seats depends on counts of a rack's workers only, in a module of its own; racks alike share the result, and seats are chosen only for the rack that is taken. A team's own homes come before those of others.

--- a/libs/placement/src/papayaspar_placement/inventory.py
+++ b/libs/placement/src/papayaspar_placement/inventory.py
@@ -80,16 +80,30 @@
         return stoppable or owner is None or owner.team == team
 
     def usable(self, team: str, stoppable: bool) -> tuple[int, ...]:
-        """Return free accelerators that work may take; those of no one's home come first.
+        """Return free accelerators that work may take: of no one's home, own, then of others.
 
         :param team: whose work.
         :param stoppable: whether a reclaim may stop it.
         """
         if len(self.common) == len(self.free):
             return self.free
-        owned = (number for number in self.free if number in self.owners)
-        allowed = tuple(number for number in owned if self.may_hold(number, team, stoppable))
-        return self.common + allowed
+        own = self.own(team)
+        if not stoppable:
+            return self.common + own
+        taken = {*self.common, *own}
+        return self.common + own + tuple(one for one in self.free if one not in taken)
+
+    def own(self, team: str) -> tuple[int, ...]:
+        """Return free accelerators on homes of a team, ascending.
+
+        :param team: the team.
+        """
+        found: list[int] = []
+        for number in self.free:
+            owner = self.owners.get(number)
+            if owner is not None and owner.team == team:
+                found.append(number)
+        return tuple(found)
 
 
 @attrs.define
--- a/libs/placement/src/papayaspar_placement/shape_keeping.py
+++ b/libs/placement/src/papayaspar_placement/shape_keeping.py
@@ -1,6 +1,5 @@
 """The placement policy that keeps the largest guaranteed shapes open."""
 
-import functools
 import heapq
 
 import attrs
@@ -14,6 +13,7 @@
     inventory,
     policies,
     seating,
+    weighing,
 )
 
 MAX_SHAPES_KEPT = 3
@@ -21,37 +21,17 @@
 MAX_REMEMBERED = 16
 
 
-@attrs.frozen(order=True)
-class _Loss:
-    """What a placement in a rack costs; smaller is better, compared field by field.
-
-    :param avoided: accelerators taken on workers to avoid.
-    :param at_risk: accelerators taken on homes of other teams by work that loses all its progress
-        in a reclaim.
-    :param lasting: for each guaranteed shape, the largest first, how many fewer fit the rack even
-        after moves; only work that does not checkpoint has such a cost.
-    :param shapes: for each guaranteed shape, the largest first, how many fewer fit the rack.
-    :param slots: for each such shape, how many fewer of its tasks fit the rack.
-    :param homes: accelerators taken on homes of other teams.
-    :param loose: accelerators taken on workers that moves could still empty.
-    """
-
-    avoided: int
-    at_risk: int
-    lasting: tuple[int, ...]
-    shapes: tuple[int, ...]
-    slots: tuple[int, ...]
-    homes: int
-    loose: int
-
-
 @attrs.frozen
 class _Option:
-    """Seats for a whole gang in one rack, and what they cost."""
+    """Workers of one rack that can seat a whole gang, and what that costs."""
 
-    loss: _Loss
+    order: weighing.Order
     rack: inventory.RackView
-    seats: seating.Seats
+
+    def workers(self) -> list[inventory.WorkerView]:
+        """Return the workers in the order in which they are filled."""
+        known = tuple(self.rack.workers.values())
+        return [known[index] for index in self.order.indices]
 
 
 @attrs.frozen
@@ -140,23 +120,24 @@
             if rack.free < need or rack.most_free < size:
                 continue
             options = self._cheapest(rack, job)
-            if not options or (best and options[0].loss > best[0].loss):
+            if not options or (best and options[0].order.loss > best[0].order.loss):
                 continue
-            if best and options[0].loss < best[0].loss:
+            if best and options[0].order.loss < best[0].order.loss:
                 best = []
             best.extend(options)
         if not best:
             return None
         if len(best) == 1:
-            return best[0].seats
+            return seating.fill(best[0].workers(), job)
         own_s = self._expected.estimator.estimate_s(job)
 
         def preference(option: _Option) -> tuple[float, int, str, str]:
             delay_s = self._delay_s(option, own_s, view)
-            return (delay_s, option.rack.free, option.rack.name, option.seats[0].worker)
+            first = option.workers()[0]
+            return (delay_s, option.rack.free, option.rack.name, first.name)
 
         tightest = heapq.nsmallest(MAX_TIES, best, key=lambda one: (one.rack.free, one.rack.name))
-        return min(tightest, key=preference).seats
+        return seating.fill(min(tightest, key=preference).workers(), job)
 
     def _keep_open(self, shapes: tuple[work.Shape, ...]) -> None:
         if shapes != self._shapes:
@@ -174,9 +155,12 @@
         options = known.options.get(question)
         if options is not None:
             return options
-        found = _options(rack, job, self._shapes)
-        least = min((option.loss for option in found), default=None)
-        options = [option for option in found if option.loss == least]
+        signature = tuple(_key(worker, team) for worker in rack.workers.values())
+        kind = weighing.GangKind(
+            job.shape.tasks, job.shape.accelerators_per_task, job.stoppable, job.checkpoint
+        )
+        orders = weighing.cheapest(signature, kind, self._shapes)
+        options = [_Option(order, rack) for order in orders]
         if len(known.options) == MAX_REMEMBERED:
             known.options.clear()
         known.options[question] = options
@@ -185,8 +169,7 @@
     def _delay_s(self, option: _Option, own_s: float, view: fleet.FleetView) -> float:
         """Return by how long the workers of an option become empty later, summed."""
         delay_s = 0.0
-        for name in {item.worker for item in option.seats}:
-            worker = option.rack.workers[name]
+        for worker in option.workers():
             until_s = self._expected.worker_remaining_s(worker, view)
             delay_s += max(0.0, own_s - until_s)
         return delay_s
@@ -239,76 +222,15 @@
     return True
 
 
-def _options(
-    rack: inventory.RackView, job: work.Job, shapes: tuple[work.Shape, ...]
-) -> list[_Option]:
-    found: list[_Option] = []
-    if job.shape.tasks == 1:
-        tried = [[worker] for worker in rack.workers.values()]
-    else:
-        tight = sorted(rack.workers.values(), key=_tight_first)
-        tried = [tight]
-        if not job.checkpoint:
-            for first in tight:
-                tried.append([first, *(other for other in tight if other is not first)])
-    for order in tried:
-        seats = seating.fill(order, job)
-        if seats is not None:
-            found.append(_Option(_loss(rack, seats, job, shapes), rack, seats))
-    return found
-
-
-def _loss(
-    rack: inventory.RackView,
-    seats: seating.Seats,
-    job: work.Job,
-    shapes: tuple[work.Shape, ...],
-) -> _Loss:
-    taken: dict[str, int] = {}
-    avoided = 0
-    foreign = 0
-    loose = 0
-    for item in seats:
-        worker = rack.workers[item.worker]
-        taken[item.worker] = taken.get(item.worker, 0) + len(item.accelerators)
-        if not worker.is_anchored:
-            loose += len(item.accelerators)
-        if worker.is_avoided:
-            avoided += len(item.accelerators)
-        for number in item.accelerators:
-            owner = worker.owners.get(number)
-            if owner is not None and owner.team != job.team:
-                foreign += 1
-    lost = _lost_shapes(rack.counts, tuple(taken.get(name, 0) for name in rack.workers), shapes)
-    lasting = _lost_shapes(
-        tuple(worker.movable for worker in rack.workers.values()),
-        tuple(0 if job.checkpoint else taken.get(name, 0) for name in rack.workers),
-        shapes,
+def _key(worker: inventory.WorkerView, team: str) -> weighing.WorkerKey:
+    return weighing.WorkerKey(
+        free=len(worker.free),
+        common=len(worker.common),
+        own=len(worker.own(team)) if team else 0,
+        movable=worker.movable,
+        is_anchored=worker.is_anchored,
+        is_avoided=worker.is_avoided,
     )
-    return _Loss(
-        avoided=avoided,
-        at_risk=0 if job.checkpoint else foreign,
-        lasting=tuple(one[0] + one[1] for one in lasting),
-        shapes=tuple(one[0] for one in lost),
-        slots=tuple(one[1] for one in lost),
-        homes=foreign,
-        loose=loose,
-    )
-
-
-def _lost_shapes(
-    before: tuple[int, ...], taken: tuple[int, ...], shapes: tuple[work.Shape, ...]
-) -> list[tuple[int, int]]:
-    after = tuple(count - gone for count, gone in zip(before, taken, strict=True))
-    return [_lost(before, after, shape) for shape in shapes]
-
-
-@functools.lru_cache(maxsize=65536)
-def _lost(before: tuple[int, ...], after: tuple[int, ...], shape: work.Shape) -> tuple[int, int]:
-    slots_before = sum(count // shape.accelerators_per_task for count in before)
-    slots_after = sum(count // shape.accelerators_per_task for count in after)
-    shapes = slots_before // shape.tasks - slots_after // shape.tasks
-    return (shapes, slots_before - slots_after)
 
 
 def _tight_first(worker: inventory.WorkerView) -> tuple[bool, bool, int, str]:
