--- a/libs/placement/src/papayaspar_placement/shape_keeping.py
+++ b/libs/placement/src/papayaspar_placement/shape_keeping.py
@@ -120,9 +120,9 @@
             if rack.free < need or rack.most_free < size:
                 continue
             options = self._cheapest(rack, job)
-            if not options or (best and options[0].order.loss > best[0].order.loss):
+            if not options or (best and options[0].order.rank > best[0].order.rank):
                 continue
-            if best and options[0].order.loss < best[0].order.loss:
+            if best and options[0].order.rank < best[0].order.rank:
                 best = []
             best.extend(options)
         if not best:
--- a/libs/placement/src/papayaspar_placement/weighing.py
+++ b/libs/placement/src/papayaspar_placement/weighing.py
@@ -9,7 +9,7 @@
 REMEMBERED_RACK_STATES = 16384
 
 
-@attrs.frozen(order=True)
+@attrs.frozen
 class Loss:
     """What a placement in a rack costs; smaller is better, compared field by field.
 
@@ -32,6 +32,18 @@
     homes: int
     loose: int
 
+    def rank(self) -> tuple[int, ...]:
+        """Return the fields in one row, for comparing losses over the same shapes."""
+        return (
+            self.avoided,
+            self.at_risk,
+            *self.lasting,
+            *self.shapes,
+            *self.slots,
+            self.homes,
+            self.loose,
+        )
+
 
 @attrs.frozen
 class WorkerKey:
@@ -73,11 +85,11 @@
 class Order:
     """Workers of a rack to fill in turn.
 
-    :param loss: what that costs.
+    :param rank: what that costs; the smaller is the better.
     :param indices: positions of the workers that get a task, in order of names in the rack.
     """
 
-    loss: Loss
+    rank: tuple[int, ...]
     indices: tuple[int, ...]
 
 
@@ -97,12 +109,12 @@
         taken = _fill(rack, gang, indices)
         if taken is None:
             continue
-        loss = _loss(rack, taken, gang, shapes)
-        if best and loss > best[0].loss:
+        rank = _loss(rack, taken, gang, shapes).rank()
+        if best and rank > best[0].rank:
             continue
-        if best and loss < best[0].loss:
+        if best and rank < best[0].rank:
             best = []
-        best.append(Order(loss, tuple(index for index in indices if taken[index])))
+        best.append(Order(rank, tuple(index for index in indices if taken[index])))
     return tuple(best)
 
 
