--- /dev/null
+++ b/libs/agent/tests/test_gang_streams.py
@@ -0,0 +1,196 @@
+"""Gangs over real agents that talk over streams on loopback, each with a runtime in memory."""
+
+import contextlib
+import random
+
+import anyio
+import anyio.lowlevel
+import pytest
+
+from papayaspar_agent import agent_links, config, gang_service, process
+from papayaspar_events import journal, metrics
+from papayaspar_model import causality, clock, errors, work, workers
+from papayaspar_slots import calls, claims, inquiries, launches, ledger, messages, peers, terms
+from papayaspar_standin import memory_runtimes
+from papayaspar_wire import messages as wire_messages
+from papayaspar_wire import peers as wire_peers
+from papayaspar_wire import transports
+
+FENCE = claims.Fence("job-1", 1)
+WORKERS = ("w0", "w1", "w2")
+
+
+class LaterClock(clock.BootClock):
+    """The machine's clock, moved on so that no test waits for leases of a previous life."""
+
+    shift_s = 0.0
+
+    def now_s(self):
+        return super().now_s() + self.shift_s
+
+
+class SilentHandler(wire_peers.Handler):
+    """Answers nothing; an entry's streams to agents carry its own calls only."""
+
+    async def call(self, peer, message):
+        raise errors.ProtocolError(type(message).__name__)
+
+    async def notice(self, peer, message):
+        """Take no notice."""
+
+
+class DirectAgents(peers.GangAgents):
+    """The agents as an entry sees them, over streams opened by the test."""
+
+    def __init__(self, links, addresses):
+        self.links, self.addresses = links, addresses
+        for worker, address in addresses.items():
+            links.learn(worker, address)
+
+    async def _call(self, worker, message):
+        return await self.links.call(worker, message, 15.0)
+
+    async def reserve(self, worker, claim):
+        return await self._call(worker, calls.Reserve(claim, self.addresses[claim.lead_worker]))
+
+    async def unreserve(self, worker, fence):
+        await self._call(worker, calls.Unreserve(fence))
+
+    async def launch(self, worker, launch):
+        found = tuple(self.addresses[member] for member in launch.members)
+        return await self._call(worker, calls.LaunchGang(launch, found))
+
+    async def inquire(self, worker, inquiry):
+        return await self._call(worker, inquiry)
+
+    async def cancel(self, worker, fence):
+        return await self._call(worker, calls.CancelGang(fence))
+
+    async def acknowledge(self, worker, fence):
+        await self._call(worker, calls.AcknowledgeGang(fence))
+
+    async def inquire_part(self, worker, fence):
+        return await self._call(worker, calls.InquirePart(fence))
+
+
+class Agents:
+    """Agents in one process, each with its runtime and a scope that ends it."""
+
+    def __init__(self, group):
+        self.group = group
+        self.source = LaterClock()
+        self.runtimes = {worker: memory_runtimes.MemoryRuntime(self.source) for worker in WORKERS}
+        self.scopes = {worker: anyio.CancelScope() for worker in WORKERS}
+        self.addresses = {}
+        self.times = terms.Terms()
+
+    async def start(self):
+        for worker in WORKERS:
+            await self.group.start(self._run, worker)
+        self.source.shift_s = ledger.PREVIOUS_LIFE_S
+        record = journal.Journal(
+            "entry", "dc-1", causality.HybridClock(self.source), metrics.Metrics()
+        )
+        codec = wire_messages.codec(*calls.ALL)
+        links = agent_links.AgentLinks(SilentHandler(), codec, record, None)
+        self.group.start_soon(links.run)
+        await anyio.lowlevel.checkpoint()
+        agents = DirectAgents(links, self.addresses)
+        self.launcher = launches.Launcher("entry", agents, random.Random(1), self.times)
+        self.inquirer = inquiries.Inquirer(agents, self.times)
+
+    async def _run(self, worker, *, task_status):
+        settings = config.AgentConfig(
+            worker, "rack-1", "dc-1", "region-1", 1, (), transports.Address("127.0.0.1", 1)
+        )
+        agent = process.Agent(settings, None, self.runtimes[worker], self.source)
+        with self.scopes[worker]:
+            async with anyio.create_task_group() as group:
+                await group.start(agent.run)
+                self.addresses[worker] = agent.report().agent_address
+                task_status.started()
+
+    async def launch(self, run_time_s):
+        tasks = tuple(workers.AcceleratorRange(worker, (0, 1)) for worker in WORKERS)
+        shape = work.Shape(len(tasks), 2)
+        job = work.Job(
+            "job-1", "guest", "train", work.Urgency.NORMAL, shape, run_time_s, True, True
+        )
+        return await self.launcher.launch(job, workers.Placement(tasks), FENCE.attempt)
+
+    def runs(self):
+        return [run for runtime in self.runtimes.values() for run in runtime.runs()]
+
+
+@pytest.fixture
+def run_agents():
+    """Return a function that runs a scenario on real agents."""
+
+    def run(scenario):
+        async def main():
+            async with anyio.create_task_group() as group:
+                agents = Agents(group)
+                await agents.start()
+                with anyio.fail_after(60.0):
+                    await scenario(agents)
+                group.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    return run
+
+
+def test_a_gang_runs_whole_over_streams_until_it_is_done(run_agents):
+    async def scenario(agents):
+        status = await agents.launch(run_time_s=1.0)
+        while not status.state.over:
+            status = await agents.inquirer.follow(FENCE, "w0", status.state, 10.0)
+        assert status.state is messages.GangState.DONE
+        runs = agents.runs()
+        assert len(runs) == len(WORKERS)
+        assert max(run.started_s for run in runs) < min(run.stopped_s for run in runs)
+
+    run_agents(scenario)
+
+
+@pytest.mark.parametrize("victim", WORKERS)
+def test_a_gang_ends_within_a_term_of_the_death_of_an_agent(run_agents, victim):
+    async def scenario(agents):
+        status = await agents.launch(run_time_s=600.0)
+        while status.started < len(WORKERS):
+            await anyio.sleep(0.05)
+            status = await agents.inquirer.follow(FENCE, "w0")
+        agents.scopes[victim].cancel()
+        died_s = agents.source.now_s()
+        while True:
+            with contextlib.suppress(errors.OutcomeUnknownError):
+                status = await agents.inquirer.retire(FENCE, WORKERS)
+                break
+        await anyio.sleep(status.safe_after_s)
+        runs = agents.runs()
+        assert len(runs) == len(WORKERS)
+        assert max(run.stopped_s for run in runs) <= died_s + agents.times.term_s
+
+    run_agents(scenario)
+
+
+def test_every_call_has_an_answer(run_agents):
+    async def scenario(agents):
+        unknown = claims.Fence("job-unknown", 1)
+        with pytest.raises(errors.NotFoundError):
+            await agents.inquirer.follow(unknown, "w1")
+        part = await agents.inquirer._agents.inquire_part("w1", unknown)
+        assert part == messages.PartStatus(unknown, False, False, False, 0.0)
+        retired = await agents.inquirer.retire(unknown, WORKERS)
+        assert retired.state is messages.GangState.CANCELLED
+        await agents.inquirer.acknowledge(unknown, "w0")
+
+    run_agents(scenario)
+
+
+def test_other_messages_are_refused():
+    async def answer():
+        await gang_service.GangService(None, None).answer(wire_messages.Done())
+
+    with pytest.raises(errors.ProtocolError):
+        anyio.run(answer)
