Count requests at the stand-in target by the header that agents send

Cause: agents name the request in papayaspar-request-id; the target read x-request-id, so its by_request counts held one empty name. Change: the target reads the agents' header, and its test sends that one. Figures: pytest libs/standin passes; the test fails with the former header. Conclusion: tests may judge by GET /counts by_request.

--- a/libs/standin/src/papayaspar_standin/worker_apps.py
+++ b/libs/standin/src/papayaspar_standin/worker_apps.py
@@ -10,7 +10,7 @@
 from papayaspar_platform import runtimes
 from papayaspar_standin import bodies, faults, memory_runtimes, targets
 
-REQUEST_ID_HEADER = "x-request-id"
+REQUEST_ID_HEADER = "papayaspar-request-id"
 KEY_HEADER = "idempotency-key"
 
 
--- a/libs/standin/tests/test_served_standins.py
+++ b/libs/standin/tests/test_served_standins.py
@@ -110,7 +110,7 @@
 def test_the_target_echoes_and_counts(serve):
     async def scenario():
         async with serve() as stage:
-            headers = {"X-Request-Id": "req-1", "Idempotency-Key": "print-1"}
+            headers = {"Papayaspar-Request-Id": "req-1", "Idempotency-Key": "print-1"}
             body = b'{"service_ms": 1, "page": 2}'
             answer = await stage.caller.post("/run", content=body, headers=headers)
             assert answer.json() == {
