--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures: the whole system as separate processes on loopback."""
 
+import concurrent.futures
 import contextlib
 import os
 import pathlib
@@ -55,6 +56,12 @@
         return self.log_path.read_text().splitlines()
 
 
+def new_client():
+    """Return a client for many threads; each request has a connection of its own."""
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
+    return httpx.Client(limits=limits, timeout=CALL_TIMEOUT_S, trust_env=False)
+
+
 @attrs.define
 class System:
     """Starts and holds the programs of one test."""
@@ -65,6 +72,7 @@
     agents: dict = attrs.field(factory=dict)
     workers: dict = attrs.field(factory=dict)
     log: Program | None = None
+    client: httpx.Client = attrs.field(factory=new_client)
 
     def start(self, name, program, *arguments):
         """Start one program; its log goes to a file."""
@@ -135,9 +143,7 @@
             "papayaspar-publish-id": publish_id,
             "papayaspar-author": "tests",
         }
-        return httpx.post(
-            url, content=text, headers=headers, timeout=CALL_TIMEOUT_S, trust_env=False
-        )
+        return self.client.post(url, content=text, headers=headers)
 
     def revision(self, entry):
         """Return the revision of the rules that an entry has in force."""
@@ -150,7 +156,7 @@
 
     def fail_log(self, **faults):
         """Switch faults of the log service on; those left out go off."""
-        httpx.post(f"http://{self.log.http}/faults", json=faults, trust_env=False)
+        self.client.post(f"http://{self.log.http}/faults", json=faults)
 
     def wait_workers(self, count):
         """Wait until every entry sees so many usable workers."""
@@ -167,20 +173,48 @@
         body = {"team": "booths", "kind": "check", "payload": {"n": 1}} | fields
         headers = {"idempotency-key": key} if key is not None else {}
         url = f"http://{entry.http}/v1/requests"
-        return httpx.post(url, json=body, headers=headers, timeout=CALL_TIMEOUT_S, trust_env=False)
+        return self.client.post(url, json=body, headers=headers)
+
+    def ask_all(self, asked):
+        """Send requests at once, each given as an entry and its fields; return the responses.
+
+        A connection that broke is returned as its error.
+        """
+        with concurrent.futures.ThreadPoolExecutor(max(1, len(asked))) as pool:
+            sent = [pool.submit(self._ask, entry, fields) for entry, fields in asked]
+        return [future.result() for future in sent]
+
+    def _ask(self, entry, fields):
+        try:
+            return self.request(entry, **fields)
+        except httpx.TransportError as error:
+            return error
+
+    def fail_worker(self, name, **faults):
+        """Switch faults of a worker on; those left out go off."""
+        url = f"http://{self.workers[name].http}/faults"
+        self.client.post(url, json=faults)
+
+    def counts(self, name):
+        """Return a worker's own counts of what it ran."""
+        return self.get(f"http://{self.workers[name].http}/counts").json()
 
     def executions(self, key):
         """Return how often requests with a key began to run, by the targets' own counts."""
         total = 0
-        for worker in self.workers.values():
-            counts = self.get(f"http://{worker.http}/counts").json()
-            total += counts["by_key"].get(key, 0)
+        for name in self.workers:
+            total += self.counts(name)["by_key"].get(key, 0)
         return total
 
-    @staticmethod
-    def get(url):
+    def wait_shards(self, revision=1):
+        """Wait until every entry knows who owns the shards of keys, by some revision."""
+        for entry in self.entries:
+            url = f"http://{entry.operators}/v1/status"
+            self.wait_until(lambda url=url: self.get(url).json()["shards_revision"] >= revision)
+
+    def get(self, url):
         """Return the response to a GET."""
-        return httpx.get(url, timeout=CALL_TIMEOUT_S, trust_env=False)
+        return self.client.get(url)
 
     @staticmethod
     def wait_until(condition, timeout_s=START_TIMEOUT_S):
@@ -195,6 +229,7 @@
 
     def close(self):
         """End every program that was started, by its process id."""
+        self.client.close()
         for program in self.programs:
             if program.process.poll() is not None:
                 continue
