Skip a capacity that did not change

Cause: an entry sets its capacity on every change of its view. Change: an unchanged capacity returns at once.

--- a/libs/admission/src/papayaspar_admission/queues.py
+++ b/libs/admission/src/papayaspar_admission/queues.py
@@ -104,9 +104,12 @@
         :param share_ratio: this entry's share of all guarantees and quotas, which hold over
             all entries together; unchanged when left out.
         """
+        if share_ratio is None:
+            share_ratio = self._share_ratio
+        if (slots, share_ratio) == (self._capacity, self._share_ratio):
+            return
         self._capacity = max(0, slots)
-        if share_ratio is not None:
-            self._share_ratio = share_ratio
+        self._share_ratio = share_ratio
         self._renew_policies()
 
     def apply(self, rules: rulesets.RuleSet) -> None:
--- a/libs/admission/src/papayaspar_admission/teams.py
+++ b/libs/admission/src/papayaspar_admission/teams.py
@@ -211,7 +211,7 @@
 
 
 def _scaled_ceiling(slots: int, ratio: float) -> int:
-    """Scale a quota, rounded down so that the parts of all entries stay within it."""
+    """Scale a quota, rounded down to stay within it, but to no less than one slot an entry."""
     if slots == 0 or ratio == 0:
         return 0
     return max(1, math.floor(slots * ratio + ROUNDING_SLOTS))
--- a/libs/bench/src/papayaspar_bench/policies.py
+++ b/libs/bench/src/papayaspar_bench/policies.py
@@ -64,8 +64,7 @@
 
     def set_capacity(self, slots: int) -> None:
         """Follow the view of the workers."""
-        if slots != self._queue.capacity:
-            self._queue.set_capacity(slots)
+        self._queue.set_capacity(slots)
 
     @property
     def in_flight(self) -> int:
