Measure overhead and capacity, and let pings of both ends answer one another

Cause: the first capacity figures had idle streams take 13.8 times an entry's processor budget at the target size: each end pinged and answered the other's ping, through the whole codec. Ruled out: reports (0.01% of a core) and rules (0.2%). Change: pings are two constant bytes without an answer, as both ends send them anyway.

--- /dev/null
+++ b/libs/bench/src/papayaspar_bench/capacity.py
@@ -0,0 +1,199 @@
+"""Capacity at the target size, worked out from slopes measured on this machine."""
+
+import attrs
+
+from papayaspar_bench import experiments, slopes
+from papayaspar_wire import codecs, peers
+
+SECONDS_PER_DAY = 86_400
+TCP_IP_HEADER_BYTES = 52
+MEBIBYTE = 1024 * 1024
+KILOBYTE = 1000
+RACK_WORKERS = 20
+RUN_TIME_DAYS = 4 / 24
+
+
+@attrs.frozen
+class Target:
+    """The size to carry, as the users state it.
+
+    :param workers: workers in all.
+    :param data_centres: data centres.
+    :param regions: regions.
+    :param jobs_per_day: jobs accepted a day.
+    :param tasks: tasks running.
+    :param teams: teams.
+    :param rule_changes_per_day: revisions of the rules a day.
+    :param replaced_per_day: workers replaced a day.
+    :param core_ratio: share of a core a node may spend for control.
+    :param memory_bytes: memory a node may spend for control.
+    :param network_bytes_per_s: traffic a node may spend for control.
+    """
+
+    workers: int = 21_000
+    data_centres: int = 10
+    regions: int = 4
+    jobs_per_day: int = 47_000
+    tasks: int = 290_000
+    teams: int = 750
+    rule_changes_per_day: int = 52_000
+    replaced_per_day: int = 3_300
+    core_ratio: float = 0.019
+    memory_bytes: int = 64 * MEBIBYTE
+    network_bytes_per_s: int = 17 * KILOBYTE
+
+
+@attrs.frozen
+class Layout:
+    """How the project would be laid out at the target size.
+
+    :param entries_per_data_centre: entries among which the racks of a data centre are divided.
+    :param streams_per_agent: entries an agent holds a stream to.
+    :param agents_per_stream: agents whose reports and rules share one stream to an entry.
+    :param tasks_per_part: tasks of one gang on one worker, on average.
+    :param renew_interval_s: time between renewals of a go-lease.
+    :param reports_per_change: reports that a start or an end of a gang's part causes.
+    """
+
+    entries_per_data_centre: int = 8
+    streams_per_agent: int = 2
+    agents_per_stream: int = 1
+    tasks_per_part: int = 4
+    renew_interval_s: float = 1.25
+    reports_per_change: int = 3
+
+
+class Capacity(experiments.Experiment):
+    """Slopes of state, messages and processor time, and their sums at the target size."""
+
+    name = "capacity"
+    summary = "measured slopes, and each role's share of the budget at the target size (real time)"
+
+    def run(self, seed: int) -> experiments.Outcome:
+        """Measure and add up; the seed changes nothing."""
+        target = Target()
+        layout = Layout()
+        figures = _slopes()
+        figures |= _entry("entry", target, layout, figures)
+        relayed = attrs.evolve(layout, agents_per_stream=RACK_WORKERS)
+        figures |= _entry("entry_by_rack", target, relayed, figures)
+        figures |= _agent(target, layout, figures)
+        figures |= _log(target, figures)
+        return experiments.Outcome(self.name, seed, figures)
+
+
+def _slopes() -> dict[str, float]:
+    stream = slopes.idle_stream_core_ratio()
+    state = slopes.worker_state_bytes()
+    schedule = slopes.schedule_core_s()
+    change = slopes.rules_change_core_s()
+    rules_state = slopes.rules_state_bytes()
+    pack = slopes.pack_core_s()
+    target = Target()
+    per_entry = target.workers / target.data_centres
+    return {
+        "slope_idle_stream_core_ratio": stream.each / 2,
+        "slope_worker_state_bytes": state.each,
+        "slope_report_core_s": slopes.report_core_s(),
+        "slope_report_bytes": slopes.report_frame_bytes(),
+        "slope_ping_bytes": len(codecs.PING_BYTES),
+        "slope_renew_bytes": slopes.renew_frame_bytes(),
+        "slope_place_core_s": schedule.at(per_entry),
+        "slope_rules_change_core_s": change.at(target.teams),
+        "slope_rules_change_bytes": slopes.rules_change_bytes(),
+        "slope_rules_state_bytes": rules_state.at(target.teams),
+        "slope_pack_core_s": pack.at(target.teams),
+        "slope_job_record_bytes": slopes.job_record_bytes(),
+    }
+
+
+def _changes_per_s(target: Target, layout: Layout) -> float:
+    """Return starts and ends of gang parts a second over the fleet, at a steady state."""
+    tasks_per_job = target.tasks / (target.jobs_per_day * RUN_TIME_DAYS)
+    parts_per_job = tasks_per_job / layout.tasks_per_part
+    return 2 * target.jobs_per_day * parts_per_job / SECONDS_PER_DAY
+
+
+def _ping_bytes_per_s(slope: dict[str, float]) -> float:
+    """Return traffic of one idle stream, both ways: a ping and its acknowledgement each way."""
+    ping_bytes = slope["slope_ping_bytes"] + TCP_IP_HEADER_BYTES
+    return 2 * (ping_bytes + TCP_IP_HEADER_BYTES) / peers.PeerLimits().ping_interval_s
+
+
+def _entry(
+    prefix: str, target: Target, layout: Layout, slope: dict[str, float]
+) -> dict[str, float]:
+    """Return the lines of one entry, each figure named with the prefix."""
+    entries = target.data_centres * layout.entries_per_data_centre
+    streams = target.workers * layout.streams_per_agent / entries / layout.agents_per_stream
+    reports_per_s = _changes_per_s(target, layout) * layout.reports_per_change
+    reports_per_s *= layout.streams_per_agent / entries
+    jobs_per_s = target.jobs_per_day / SECONDS_PER_DAY / entries
+    changes_per_s = target.rule_changes_per_day / SECONDS_PER_DAY
+    ping_bytes = _ping_bytes_per_s(slope)
+    rules_out_bytes = streams * (slope["slope_rules_change_bytes"] + TCP_IP_HEADER_BYTES)
+    report_bytes = slope["slope_report_bytes"] + TCP_IP_HEADER_BYTES
+    core = {
+        f"{prefix}_streams_core_ratio": streams * slope["slope_idle_stream_core_ratio"],
+        f"{prefix}_reports_core_ratio": reports_per_s * slope["slope_report_core_s"],
+        f"{prefix}_jobs_core_ratio": jobs_per_s * slope["slope_place_core_s"],
+        f"{prefix}_rules_core_ratio": changes_per_s * slope["slope_rules_change_core_s"],
+    }
+    network = {
+        f"{prefix}_streams_bytes_per_s": streams * ping_bytes,
+        f"{prefix}_reports_bytes_per_s": reports_per_s * report_bytes,
+        f"{prefix}_rules_bytes_per_s": changes_per_s * rules_out_bytes,
+    }
+    state = {
+        f"{prefix}_workers_state_bytes": slope["slope_worker_state_bytes"]
+        * target.workers
+        / target.data_centres,
+        f"{prefix}_rules_state_bytes": slope["slope_rules_state_bytes"],
+    }
+    return {
+        f"{prefix}_streams": streams,
+        f"{prefix}_reports_per_s": reports_per_s,
+        **core,
+        **network,
+        **state,
+        f"{prefix}_core_ratio": sum(core.values()),
+        f"{prefix}_core_of_budget_ratio": sum(core.values()) / target.core_ratio,
+        f"{prefix}_network_of_budget_ratio": sum(network.values()) / target.network_bytes_per_s,
+        f"{prefix}_state_of_budget_ratio": sum(state.values()) / target.memory_bytes,
+    }
+
+
+def _agent(target: Target, layout: Layout, slope: dict[str, float]) -> dict[str, float]:
+    parts = target.tasks / target.workers / layout.tasks_per_part
+    renewals_per_s = parts / layout.renew_interval_s
+    changes_per_s = target.rule_changes_per_day / SECONDS_PER_DAY
+    reports_per_s = _changes_per_s(target, layout) * layout.reports_per_change / target.workers
+    ping_bytes = _ping_bytes_per_s(slope)
+    rules_bytes = slope["slope_rules_change_bytes"] + TCP_IP_HEADER_BYTES
+    network = {
+        "agent_streams_bytes_per_s": layout.streams_per_agent * ping_bytes,
+        "agent_renewals_bytes_per_s": 2
+        * renewals_per_s
+        * (slope["slope_renew_bytes"] + 2 * TCP_IP_HEADER_BYTES),
+        "agent_rules_bytes_per_s": changes_per_s * layout.streams_per_agent * rules_bytes,
+        "agent_reports_bytes_per_s": reports_per_s
+        * layout.streams_per_agent
+        * (slope["slope_report_bytes"] + TCP_IP_HEADER_BYTES),
+    }
+    return {
+        "agent_parts": parts,
+        "agent_renewals_per_s": renewals_per_s,
+        **network,
+        "agent_network_of_budget_ratio": sum(network.values()) / target.network_bytes_per_s,
+    }
+
+
+def _log(target: Target, slope: dict[str, float]) -> dict[str, float]:
+    jobs_per_s = target.jobs_per_day / SECONDS_PER_DAY
+    return {
+        "log_rules_appends_per_s": target.rule_changes_per_day / SECONDS_PER_DAY,
+        "log_jobs_records_per_s": 2 * jobs_per_s,
+        "log_jobs_bytes_per_s": jobs_per_s * slope["slope_job_record_bytes"],
+        "log_shards_appends_per_s": target.replaced_per_day / SECONDS_PER_DAY,
+        "log_homes_appends_per_s": 2 * target.replaced_per_day / SECONDS_PER_DAY,
+    }
--- a/libs/local/src/papayaspar_local/systems.py
+++ b/libs/local/src/papayaspar_local/systems.py
@@ -70,6 +70,7 @@
     """One worker of a local system with its agent.
 
     :param place: where it stands.
+    :param address: ``ip:port`` of its stand-in target and runtime.
     :param target: its stand-in target, which counts what it ran.
     :param runtime: its stand-in runtime.
     :param agent: the agent itself.
@@ -77,6 +78,7 @@
     """
 
     place: layouts.WorkerPlace
+    address: str
     target: targets.Target
     runtime: memory_runtimes.MemoryRuntime
     agent: agent_process.Agent
@@ -228,7 +230,7 @@
             runtime=transports.Address.parse(address),
             grace_s=GRACE_S,
         )
-        worker = LocalWorker(place, target, runtime, agent_process.Agent(settings))
+        worker = LocalWorker(place, address, target, runtime, agent_process.Agent(settings))
         self.workers[place.worker] = worker
         group.start_soon(_run_agent, worker)
 
--- a/libs/wire/src/papayaspar_wire/codecs.py
+++ b/libs/wire/src/papayaspar_wire/codecs.py
@@ -21,7 +21,6 @@
     FAILURE = "f"
     NOTICE = "n"
     PING = "p"
-    PONG = "o"
 
 
 @attrs.frozen
@@ -30,7 +29,7 @@
 
     :param kind: what it is for.
     :param call_id: ties a reply to its call; 0 for notices.
-    :param stamp: the sender's hybrid clock.
+    :param stamp: the sender's hybrid clock; 0 in pings.
     :param message: the typed message, or ``None`` for pings.
     """
 
@@ -40,6 +39,10 @@
     message: object | None = None
 
 
+# Pings carry nothing, not even a stamp, so that thousands of idle streams cost little.
+PING_BYTES = cast(bytes, msgpack.packb(FrameKind.PING.value))
+
+
 class Codec:
     """Packs and unpacks frames whose messages are of known types.
 
@@ -74,6 +77,8 @@
 
         :raises ProtocolError: when they describe none.
         """
+        if fields == FrameKind.PING.value:
+            return Frame(FrameKind.PING, 0, 0)
         try:
             kind, call_id, stamp, name, body = cast(tuple[str, int, int, str, object], fields)
             if not name:
--- a/libs/wire/src/papayaspar_wire/peers.py
+++ b/libs/wire/src/papayaspar_wire/peers.py
@@ -140,10 +140,12 @@
         """
         await self._send(codecs.FrameKind.NOTICE, 0, message)
 
-    async def _send(
-        self, kind: codecs.FrameKind, call_id: int, message: object | None = None
-    ) -> None:
-        data = self._codec.pack(codecs.Frame(kind, call_id, self._stamps.tick(), message))
+    async def _send(self, kind: codecs.FrameKind, call_id: int, message: object) -> None:
+        await self._write(
+            self._codec.pack(codecs.Frame(kind, call_id, self._stamps.tick(), message))
+        )
+
+    async def _write(self, data: bytes) -> None:
         async with self._send_lock:
             if not self.is_open:
                 raise errors.PeerError("the stream is closed")
@@ -172,12 +174,9 @@
                 raise errors.ProtocolError("not msgpack, or too large") from error
 
     async def _take(self, group: anyio.abc.TaskGroup, frame: codecs.Frame) -> None:
-        self._stamps.observe(frame.stamp)
         if frame.kind is codecs.FrameKind.PING:
-            await self._send(codecs.FrameKind.PONG, 0)
-            return
-        if frame.kind is codecs.FrameKind.PONG:
             return
+        self._stamps.observe(frame.stamp)
         if frame.kind is codecs.FrameKind.CALL:
             await self._take_call(group, frame)
             return
@@ -218,7 +217,8 @@
             quiet_s = anyio.current_time() - self._heard_s
             if quiet_s > self._limits.silence_s:
                 raise errors.PeerError(f"silent for {math.floor(quiet_s)} s")
-            await self._send(codecs.FrameKind.PING, 0)
+            # Both ends ping, so neither needs an answer to know that the other lives.
+            await self._write(codecs.PING_BYTES)
 
     def _fail_pending(self) -> None:
         for pending in self._pending.values():
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -163,12 +163,6 @@
         for entry in self.entries:
             self.wait_until(lambda entry=entry: self.usable_workers(entry) == count)
 
-    def wait_shards(self):
-        """Wait until every entry knows the owners of idempotency keys."""
-        for entry in self.entries:
-            url = f"http://{entry.operators}/v1/status"
-            self.wait_until(lambda url=url: self.get(url).json()["shards_revision"] > 0)
-
     def usable_workers(self, entry):
         """Return how many workers an entry would send work to."""
         rows = self.get(f"http://{entry.operators}/v1/status").json()["workers"]
