--- a/libs/agent/tests/test_gang_streams.py
+++ b/libs/agent/tests/test_gang_streams.py
@@ -95,7 +95,7 @@
         links = agent_links.AgentLinks(SilentHandler(), codec, record, None)
         self.group.start_soon(links.run)
         await anyio.lowlevel.checkpoint()
-        agents = DirectAgents(links, self.addresses)
+        agents = self.agents = DirectAgents(links, self.addresses)
         self.launcher = launches.Launcher("entry", agents, random.Random(1), self.times)
         self.inquirer = inquiries.Inquirer(agents, self.times)
 
@@ -179,7 +179,7 @@
         unknown = claims.Fence("job-unknown", 1)
         with pytest.raises(errors.NotFoundError):
             await agents.inquirer.follow(unknown, "w1")
-        part = await agents.inquirer._agents.inquire_part("w1", unknown)
+        part = await agents.agents.inquire_part("w1", unknown)
         assert part == messages.PartStatus(unknown, False, False, False, 0.0)
         retired = await agents.inquirer.retire(unknown, WORKERS)
         assert retired.state is messages.GangState.CANCELLED
--- a/libs/slots/src/papayaspar_slots/launches.py
+++ b/libs/slots/src/papayaspar_slots/launches.py
@@ -10,7 +10,7 @@
 import anyio
 
 from papayaspar_model import errors, work, workers
-from papayaspar_slots import claims, messages, peers, terms
+from papayaspar_slots import claims, messages, peers, refusals, terms
 
 LAUNCH_TRIES = 4
 BACKOFF_BASE_S = 0.1
@@ -86,13 +86,14 @@
         """
         wanted = make_claims(self.owner, job, placement, attempt)
         fence = claims.Fence(job.job_id, attempt)
+        asked: list[str] = []
         try:
-            await self._reserve(wanted)
+            await self._reserve(wanted, asked)
             return await self._tell_lead(fence, placement.tasks[0].worker, wanted, job.checkpoint)
         except LaunchUnknownError:
             raise
         except errors.PapayasparError:
-            await self._give_back(fence, wanted)
+            await self._give_back(fence, asked)
             raise
 
     async def launch_with_backoff(
@@ -111,13 +112,18 @@
                 await anyio.sleep(self._backoff_s(attempt - attempts.start, error))
         return await self.launch(job, placement, attempts[-1])
 
-    async def _reserve(self, wanted: dict[str, claims.Claim]) -> None:
+    async def _reserve(self, wanted: dict[str, claims.Claim], asked: list[str]) -> None:
         for worker, claim in wanted.items():
+            asked.append(worker)
             try:
                 with anyio.fail_after(self._times.answer_s):
                     await self._agents.reserve(worker, claim)
             except TimeoutError:
                 raise errors.PeerError(f"no answer from {worker}") from None
+            except refusals.ClaimConflictError:
+                # What is held there under this fence is another entry's reservation.
+                asked.remove(worker)
+                raise
 
     async def _tell_lead(
         self, fence: claims.Fence, lead: str, wanted: dict[str, claims.Claim], checkpoint: bool
@@ -137,9 +143,9 @@
                 break
         raise LaunchUnknownError(fence.job_id)
 
-    async def _give_back(self, fence: claims.Fence, wanted: dict[str, claims.Claim]) -> None:
+    async def _give_back(self, fence: claims.Fence, asked: list[str]) -> None:
         async with anyio.create_task_group() as group:
-            for worker in wanted:
+            for worker in asked:
                 group.start_soon(self._unreserve, worker, fence)
 
     async def _unreserve(self, worker: str, fence: claims.Fence) -> None:
--- a/libs/slots/src/papayaspar_slots/ledger.py
+++ b/libs/slots/src/papayaspar_slots/ledger.py
@@ -3,10 +3,10 @@
 import attrs
 
 from papayaspar_model import clock, errors, rulesets, signals, workers
-from papayaspar_slots import claims, fencing, homes, refusals, requests
+from papayaspar_slots import claims, fencing, homes, refusals, requests, terms
 
 RESERVATION_TTL_S = 15.0
-PREVIOUS_LIFE_S = 5.0
+PREVIOUS_LIFE_S = terms.Terms().lease_s
 
 
 @attrs.define
--- a/libs/slots/tests/conftest.py
+++ b/libs/slots/tests/conftest.py
@@ -12,16 +12,7 @@
 import trio.testing
 
 from papayaspar_model import clock, errors, rulesets, work, workers
-from papayaspar_slots import (
-    agents,
-    claims,
-    inquiries,
-    launches,
-    ledger,
-    peers,
-    runners,
-    terms,
-)
+from papayaspar_slots import agents, claims, inquiries, launches, ledger, peers, runners, terms
 
 ANCHOR_HOME = rulesets.Home(
     "anchor-4", "anchor", 0, (workers.AcceleratorRange("w0", (0, 1, 2, 3)),)
--- a/libs/slots/tests/test_gang_faults.py
+++ b/libs/slots/tests/test_gang_faults.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from papayaspar_model import errors
-from papayaspar_slots import claims, launches, messages, rosters, terms
+from papayaspar_slots import claims, launches, messages, refusals, rosters, terms
 
 FENCE = claims.Fence("job-1", 1)
 LAUNCH_MESSAGES = 24
@@ -169,6 +169,35 @@
     run_fleet(scenario, times=terms.Terms(answer_s=60.0))
 
 
+def test_a_launch_that_a_restarted_lead_refuses_may_run(run_fleet, make_gang, fault_type):
+    async def restart(node):
+        await anyio.sleep(0.6)
+        node.kill_agent()
+        node.fleet.group.start_soon(node.run_agent, 0.0)
+
+    async def scenario(fleet):
+        fleet.faults = {3: fault_type.LOSE_ANSWER}
+        fleet.group.start_soon(restart, fleet.nodes["w0"])
+        with pytest.raises(launches.LaunchUnknownError):
+            await fleet.launch(*make_gang(run_time_s=600.0))
+        assert fleet.running(FENCE) > 0
+        await rerun_when_safe(fleet, make_gang(run_time_s=600.0), 1)
+        await anyio.sleep(5.0)
+
+    run_fleet(scenario)
+
+
+def test_a_conflict_leaves_the_reservation_of_another_entry(run_fleet, make_gang):
+    async def scenario(fleet):
+        job, placement = make_gang()
+        fleet.nodes["w1"].agent.book.reserve(launches.make_claims("b", job, placement, 1)["w1"])
+        with pytest.raises(refusals.ClaimConflictError):
+            await fleet.launch(job, placement)
+        assert [use.job_id for use in fleet.held()] == ["job-1"]
+
+    run_fleet(scenario)
+
+
 def test_a_launch_that_arrives_late_is_refused(run_fleet, make_gang, fault_type):
     async def scenario(fleet):
         lose = fault_type.LOSE
