Let a gang that can't be stopped ignore a request to give way

Cause: an entry with a stale view could have the lead stop work that must not be stopped. Change: the lead takes whether the gang may be stopped from its own ledger's claim. Conclusion: only work that can be stopped is reclaimed, whoever asks.

--- a/libs/slots/src/papayaspar_slots/leads.py
+++ b/libs/slots/src/papayaspar_slots/leads.py
@@ -77,8 +77,9 @@
             raise refusals.StaleAttemptError(launch.fence.job_id)
         if not 0 < len(launch.members) <= MAX_MEMBERS:
             raise errors.InvalidRequestError("the gang has too few or too many members")
-        self._book.find(launch.fence)
+        holding = self._book.find(launch.fence)
         gang = rosters.Gang.of_launch(launch, self._clock.now_s(), self._times.arm_s)
+        gang.stoppable = holding.claim.stoppable
         self._gangs[launch.fence] = gang
         self.counts.launched += 1
         self._group.start_soon(self._lead, gang)
@@ -101,12 +102,14 @@
         return self._grant(gang, gang.members[renew.worker], now_s)
 
     def give_way(self, give_way: messages.GiveWay) -> None:
-        """Let a gang checkpoint and leave its accelerators; one that is over has left them.
+        """Let a gang checkpoint and leave its accelerators.
+
+        One that is over has left them, and one that can't be stopped goes on.
 
         :param give_way: which gang.
         """
         gang = self._gangs.get(give_way.fence)
-        if gang is None or gang.state is messages.GangState.YIELDING:
+        if gang is None or gang.state is messages.GangState.YIELDING or not gang.stoppable:
             return
         if gang.state is messages.GangState.ARMING or not gang.launch.checkpoint:
             self._end(gang, messages.GangState.PREEMPTED)
--- a/libs/slots/src/papayaspar_slots/rosters.py
+++ b/libs/slots/src/papayaspar_slots/rosters.py
@@ -36,6 +36,7 @@
     :param launch: the entry's order.
     :param members: each member by worker.
     :param arm_by_s: when arming has to be complete.
+    :param stoppable: whether a reclaim may stop the gang.
     :param state: where the gang stands.
     :param alive_until_s: a time before which no member is lost.
     :param started_s: when the first go-leases were given.
@@ -48,6 +49,7 @@
     launch: messages.Launch
     members: dict[str, MemberView]
     arm_by_s: float
+    stoppable: bool = True
     state: messages.GangState = messages.GangState.ARMING
     alive_until_s: float = 0.0
     started_s: float = 0.0
--- a/libs/slots/tests/test_gangs.py
+++ b/libs/slots/tests/test_gangs.py
@@ -94,6 +94,17 @@
     run_fleet(scenario)
 
 
+def test_a_gang_that_cannot_be_stopped_never_gives_way(run_fleet, make_gang):
+    async def scenario(fleet):
+        await fleet.launch(*make_gang(on=("w1", "w2"), checkpoint=False))
+        await anyio.sleep(5.0)
+        fleet.nodes["w1"].agent.lead.give_way(messages.GiveWay(FENCE))
+        await anyio.sleep(10.0)
+        assert fleet.running(FENCE) == 2
+
+    run_fleet(scenario)
+
+
 def test_a_gang_that_is_not_armed_in_time_gives_everything_back(run_fleet, make_gang):
     async def scenario(fleet):
         await fleet.launch(*make_gang(on=("w0",), run_time_s=600.0))
