--- a/libs/bench/src/papayaspar_bench/callers.py
+++ b/libs/bench/src/papayaspar_bench/callers.py
@@ -1,7 +1,5 @@
 """One caller asks a hundred times as much as each of the others."""
 
-import random
-
 import attrs
 
 from papayaspar_bench import deployments, experiments, fleets, loads, measures, policies
@@ -24,10 +22,10 @@
         figures: dict[str, float] = {}
         violations: list[str] = []
         for deployment in deployments.DEPLOYMENTS:
-            team = random.Random(seed).choice(deployment.guaranteed_teams)
+            team = deployment.largest_team
             small = loads.arrivals(deployment.streams, seed, 0.0, WARM_UP_S + MEASURED_S)
             large = _large_arrivals(deployment, team, seed)
-            mixed = sorted(small + large, key=lambda arrival: arrival.at_s)
+            mixed = loads.merge(small, large)
             for policy in policies.ALL:
                 quiet = fleets.simulate(policy, deployment.rules, small)
                 loaded = fleets.simulate(policy, deployment.rules, mixed)
@@ -83,4 +81,4 @@
         figures[f"{name}_mean_s"] = times.mean_s
         figures[f"{name}_p50_s"] = times.p50_s
         figures[f"{name}_p99_s"] = times.p99_s
-    return figures
+    return measures.finite(figures)
--- a/libs/bench/src/papayaspar_bench/catalog.py
+++ b/libs/bench/src/papayaspar_bench/catalog.py
@@ -1,10 +1,20 @@
 """All experiments, one line each."""
 
-from papayaspar_bench import callers, detection, experiments, flood, outage
+from papayaspar_bench import (
+    callers,
+    detection,
+    experiments,
+    flood,
+    fragmentation,
+    guarantees,
+    outage,
+)
 
 EXPERIMENTS: tuple[experiments.Experiment, ...] = (
     flood.Flood(),
     callers.Callers(),
+    guarantees.Guarantees(),
+    fragmentation.Fragmentation(),
     outage.Outage(),
     detection.Detection(),
 )
--- a/libs/placement/src/papayaspar_placement/consolidation.py
+++ b/libs/placement/src/papayaspar_placement/consolidation.py
@@ -5,9 +5,11 @@
 from papayaspar_model import work, workers
 from papayaspar_placement import ends, entitlements, fleet, inventory, reclaims, seating
 
-MOVE_EVERY_S = 10.0
-REST_BETWEEN_MOVES_S = 300.0
-SHORTEST_REMAINING_S = 60.0
+MOVE_EVERY_S = 5.0
+REST_BETWEEN_MOVES_S = 120.0
+SHORTEST_REMAINING_S = 30.0
+LARGEST_LOSS_RATIO = 0.1
+SHORTEST_GAIN_S = 300.0
 MAX_CANDIDATES = 24
 
 
@@ -26,8 +28,9 @@
 class Consolidator:
     """Chooses the worker that is emptied with the least work, now and then.
 
-    Only gangs that checkpoint and that this process started are moved, each at most once in a
-    while, and only into accelerators that are left over on workers already in use.
+    Only gangs that this process started are moved, each at most once in a while, if what they
+    lose is little beside what they still have to do, and only into accelerators that are left
+    over on workers already in use.
 
     :param expected: expected ends of running gangs, and their jobs.
     """
@@ -51,8 +54,39 @@
             moves = self._empty(worker, partly, view)
             if moves:
                 return moves
+        for worker in candidates[:MAX_CANDIDATES]:
+            moves = self._shorten(worker, partly, view)
+            if moves:
+                return moves
         return ()
 
+    def _shorten(
+        self,
+        worker: inventory.WorkerView,
+        partly: list[inventory.WorkerView],
+        view: fleet.FleetView,
+    ) -> tuple[Move, ...]:
+        """Move the gang that ends last, if the worker is then empty much sooner."""
+        gangs = [gang for gang in map(view.gang, worker.jobs) if gang is not None]
+        if len(gangs) < 2:
+            return ()
+        ends_s = {gang.name: self._expected.remaining_s(gang, view.now_s) for gang in gangs}
+        gangs.sort(key=lambda one: (-ends_s[one.name], one.name))
+        last = gangs[0]
+        job = self._expected.job(last.name.job_id)
+        if job is None or ends_s[last.name] - ends_s[gangs[1].name] < SHORTEST_GAIN_S:
+            return ()
+        targets = [
+            one
+            for one in partly
+            if one is not worker and self._outlasts(one, ends_s[last.name], view)
+        ]
+        seats = _seats(job, targets, {})
+        return () if seats is None else (_move(job, last, seats, view),)
+
+    def _outlasts(self, worker: inventory.WorkerView, end_s: float, view: fleet.FleetView) -> bool:
+        return self._expected.worker_remaining_s(worker, view) >= end_s
+
     def _partly_used(self, view: fleet.FleetView) -> list[inventory.WorkerView]:
         found: list[inventory.WorkerView] = []
         for rack in view.racks():
@@ -64,17 +98,20 @@
     def _is_movable(self, worker: inventory.WorkerView, view: fleet.FleetView) -> bool:
         for job_id in worker.jobs:
             gang = view.gang(job_id)
-            if gang is None or view.is_assumed(job_id):
-                return False
-            job = self._expected.job(job_id)
-            if job is None or not job.checkpoint:
+            if gang is None or view.is_assumed(job_id) or self._expected.job(job_id) is None:
                 return False
-            if view.now_s - gang.started_s < REST_BETWEEN_MOVES_S:
+            if not gang.stoppable or self._rests(gang, view.now_s):
                 return False
-            if self._expected.remaining_s(gang, view.now_s) < SHORTEST_REMAINING_S:
+            lost_s = reclaims.victim_of(gang, view.now_s).lost_work_s / gang.accelerators
+            remaining_s = self._expected.remaining_s(gang, view.now_s)
+            if remaining_s < SHORTEST_REMAINING_S or lost_s > LARGEST_LOSS_RATIO * remaining_s:
                 return False
         return True
 
+    def _rests(self, gang: entitlements.RunningGang, now_s: float) -> bool:
+        """Return whether a gang that was stopped before has run too short since."""
+        return gang.name.attempt > 1 and now_s - gang.started_s < REST_BETWEEN_MOVES_S
+
     def _empty(
         self,
         worker: inventory.WorkerView,
