Count failures by how unlikely they are beside the other workers

Cause: work that fails on every worker, such as requests with too short a deadline, ejected healthy workers: five failures in a row come by chance when a share of all requests fails. Change: a run or a ratio of failures ejects only if a worker like the others would show it with a chance of at most 1e-6 (Chernoff's bound); the others are granted 5%. Conclusion: a worker that fails among sound ones is still ejected after five failures.

--- a/libs/membership/src/papayaspar_membership/ejection.py
+++ b/libs/membership/src/papayaspar_membership/ejection.py
@@ -1,11 +1,13 @@
 """Takes workers out of use on the outcomes of requests sent there, and tries them again later.
 
-A worker is an outlier only beside the others: when most of the fleet fails, the cause is the work
-or the network, and taking workers out would make it worse.
+A worker is an outlier only beside the others: when much of the fleet fails, the cause is the work
+or the network, and taking workers out would make it worse. So failures count by how unlikely they
+are for a worker like the others (Chernoff's bound on the binomial distribution).
 """
 
 import collections
 import enum
+import math
 import random
 
 import attrs
@@ -56,6 +58,9 @@
     :param window_outcomes: fewest outcomes in the window for the ratio to say anything.
     :param failure_ratio: share of failures in the window that ejects.
     :param fleet_failure_ratio: share of failures on the other workers above which none is ejected.
+    :param fleet_failure_floor_ratio: share of failures that a worker like the others is granted.
+    :param false_ejection_chance: largest chance that a worker like the others is ejected on one
+        outcome.
     :param ejected_share_ratio: largest share of the workers that may be out of use at once.
     :param first_wait_s: wait before the first trial.
     :param wait_max_s: longest wait; each failed trial doubles it.
@@ -68,6 +73,8 @@
     window_outcomes: int = 10
     failure_ratio: float = 0.5
     fleet_failure_ratio: float = 0.4
+    fleet_failure_floor_ratio: float = 0.05
+    false_ejection_chance: float = 1e-6
     ejected_share_ratio: float = 0.34
     first_wait_s: float = 5.0
     wait_max_s: float = 300.0
@@ -237,16 +244,30 @@
     def _is_outlier(self, worker: str, track: _Track) -> bool:
         """Return whether a worker fails, the others do not, and the cap leaves room."""
         limits = self._limits
-        by_run = track.consecutive_failures >= limits.consecutive_failures
-        has_enough = len(track.samples) >= limits.window_outcomes
-        by_ratio = has_enough and track.failure_ratio >= limits.failure_ratio
-        if not by_run and not by_ratio:
+        fleet_ratio = self._others_failure_ratio(worker)
+        if fleet_ratio >= limits.fleet_failure_ratio:
             return False
-        if self._others_failure_ratio(worker) >= limits.fleet_failure_ratio:
+        expected_ratio = max(limits.fleet_failure_floor_ratio, fleet_ratio)
+        run = track.consecutive_failures
+        by_run = run >= limits.consecutive_failures and self._is_unlikely(run, 1.0, expected_ratio)
+        count = len(track.samples)
+        has_enough = count >= limits.window_outcomes and track.failure_ratio >= limits.failure_ratio
+        by_ratio = has_enough and self._is_unlikely(count, track.failure_ratio, expected_ratio)
+        if not by_run and not by_ratio:
             return False
         out_of_use = sum(one.standing is not Standing.ADMITTED for one in self._tracks.values())
         return out_of_use + 1 <= limits.ejected_share_ratio * len(self._tracks)
 
+    def _is_unlikely(self, count: int, failure_ratio: float, expected_ratio: float) -> bool:
+        """Return whether a worker like the others would hardly ever fail so often.
+
+        :param count: outcomes looked at.
+        :param failure_ratio: share of failures among them.
+        :param expected_ratio: share of failures on the others.
+        """
+        exponent = count * _relative_entropy(failure_ratio, expected_ratio)
+        return exponent >= -math.log(self._limits.false_ejection_chance)
+
     def _others_failure_ratio(self, worker: str) -> float:
         """Return the share of failures over the other workers that are in use."""
         outcomes = 0
@@ -286,3 +307,15 @@
         track.standing = Standing.EJECTED
         track.wait_until_s = now_s + wait_s * self._rng.uniform(1.0, JITTER_RATIO)
         track.consecutive_failures = 0
+
+
+def _relative_entropy(ratio: float, expected_ratio: float) -> float:
+    """Return the relative entropy of two yes-or-no distributions, in nats.
+
+    :param ratio: share of yes that was seen, at least the expected one.
+    :param expected_ratio: share of yes that was expected, between 0 and 1.
+    """
+    found = ratio * math.log(ratio / expected_ratio)
+    if ratio < 1.0:
+        found += (1.0 - ratio) * math.log((1.0 - ratio) / (1.0 - expected_ratio))
+    return found
