Claim non-idempotent jobs on the log before they are launched

Cause: two entries that each took themselves for a job's owner, as after a cut between them, could both launch it; for a non-idempotent job that is a second run. Ruled out: claims at the agents, which are forgotten after their horizon while jobs run for hours. Change: the first claim on the log launches; others adopt what the agents report, or end the job as unknown after 60 s. Conclusion: jobs may wait for the log, requests never do.

--- a/libs/entry/src/papayaspar_entry/job_board.py
+++ b/libs/entry/src/papayaspar_entry/job_board.py
@@ -18,7 +18,7 @@
     rulebook,
 )
 from papayaspar_events import journal, lines
-from papayaspar_model import clock, errors, work
+from papayaspar_model import clock, errors, identifiers, work
 from papayaspar_placement import entitlements, fleet, queues
 from papayaspar_platform import followers, logs
 
@@ -26,6 +26,8 @@
 SCHEDULE_SPACING_S = 0.02
 RACKS_INTERVAL_S = 1.0
 ADOPT_GRACE_S = 3.0
+CLAIM_TIMEOUT_S = 5.0
+UNKNOWN_AFTER_S = 60.0
 REPEAT_INTERVAL_S = 300.0
 
 
@@ -65,6 +67,7 @@
         self._journal = record
         self._clock = clock_source
         self._appender = appends.Appender(log, records.JOBS_STREAM)
+        self._claim_id = identifiers.new_id("claim")
         self._busy: set[str] = set()
         self._queued: set[str] = set()
         self._mine_since_s: dict[str, float] = {}
@@ -169,7 +172,7 @@
             for known in self.table.open_jobs():
                 if not self._is_mine(known.job.job_id):
                     continue
-                record = records.JobAccepted(known.job, known.accepted_wall_s)
+                record = records.JobAccepted(known.job, known.accepted_wall_s, known.claim_id)
                 try:
                     await self._appender.append(records.encode(record))
                 except errors.PapayasparError:
@@ -222,6 +225,9 @@
         job_id = known.job.job_id
         if job_id in self._queued:
             return
+        if known.claim_id not in ("", self._claim_id):
+            self._wait_for_claimant(group, known, now_s)
+            return
         # The entry before may have launched it a moment ago, and its agents not reported yet.
         is_settled = now_s - self._mine_since_s[job_id] >= ADOPT_GRACE_S
         if job_id not in self._fresh and not is_settled:
@@ -233,6 +239,15 @@
             return
         self._queued.add(job_id)
 
+    def _wait_for_claimant(
+        self, group: anyio.abc.TaskGroup, known: job_table.KnownJob, now_s: float
+    ) -> None:
+        """Give up on a job whose claimant launched it, or not, and is gone."""
+        if now_s - self._mine_since_s[known.job.job_id] < UNKNOWN_AFTER_S:
+            return
+        code = errors.OutcomeUnknownError.code
+        self._end(group, known, work.JobState.UNKNOWN, code)
+
     def _unqueue(self, job_id: str) -> None:
         if job_id in self._queued:
             self._queued.discard(job_id)
@@ -267,12 +282,32 @@
 
     async def _run_gang(self, known: job_table.KnownJob, decision: queues.Decision) -> None:
         try:
-            ended = await self._runs.launch(known, decision)
-            await self._finish(known, ended)
+            if known.job.idempotent or await self._claim(known):
+                await self._finish(known, await self._runs.launch(known, decision))
         finally:
             self._busy.discard(known.job.job_id)
             self.table.changes.changed()
 
+    async def _claim(self, known: job_table.KnownJob) -> bool:
+        """Claim a non-idempotent job on the log, so that no other entry launches it too.
+
+        :param known: the job.
+        :return: whether the claim is this entry's; it holds for as long as this entry lives.
+        """
+        if not known.claim_id:
+            record = records.JobClaimed(known.job.job_id, self._claim_id)
+            try:
+                await self._appender.append(records.encode(record))
+            except errors.PapayasparError:
+                await anyio.sleep(SCHEDULE_INTERVAL_S)
+            with anyio.move_on_after(CLAIM_TIMEOUT_S):
+                while not known.claim_id:
+                    await self.table.changes.wait_beyond(self.table.changes.sequence)
+        is_won = known.claim_id == self._claim_id
+        if not is_won:
+            self._view.release(known.job.job_id)
+        return is_won
+
     async def _follow_gang(self, known: job_table.KnownJob, gang: entitlements.RunningGang) -> None:
         try:
             ended = await self._runs.adopt(known, gang)
--- a/libs/entry/src/papayaspar_entry/job_table.py
+++ b/libs/entry/src/papayaspar_entry/job_table.py
@@ -18,6 +18,7 @@
     :param accepted_wall_s: when it was accepted, in seconds since the Unix epoch.
     :param offset: where the newest record of its acceptance stands on the log.
     :param is_cancelled: whether its caller took it back.
+    :param claim_id: claim that may launch it, for a non-idempotent job.
     :param concluded_attempt: newest attempt whose outcome this entry knows.
     :param ended: its end, once there is one.
     """
@@ -26,12 +27,13 @@
     accepted_wall_s: float
     offset: int
     is_cancelled: bool = False
+    claim_id: str = ""
     concluded_attempt: int = 0
     ended: records.JobEnded | None = None
 
 
 class JobTable:
-    """Jobs by identifier; the first record of an end counts."""
+    """Jobs by identifier; the first claim and the first end on the log count."""
 
     def __init__(self) -> None:
         self._jobs: dict[str, KnownJob] = {}
@@ -55,6 +57,8 @@
         """
         if isinstance(record, records.JobAccepted):
             self._accept(record, offset)
+        elif isinstance(record, records.JobClaimed):
+            self._claim(record)
         elif isinstance(record, records.JobCancelled):
             self._cancel(record)
         else:
@@ -66,10 +70,15 @@
         if known is not None:
             known.offset = max(known.offset, offset)
             return
-        made = KnownJob(record.job, record.accepted_wall_s, offset)
+        made = KnownJob(record.job, record.accepted_wall_s, offset, claim_id=record.claim_id)
         self._jobs[record.job.job_id] = made
         self._open[record.job.job_id] = made
 
+    def _claim(self, record: records.JobClaimed) -> None:
+        known = self._jobs.get(record.job_id)
+        if known is not None and not known.claim_id:
+            known.claim_id = record.claim_id
+
     def _cancel(self, record: records.JobCancelled) -> None:
         known = self._jobs.get(record.job_id)
         if known is not None:
--- a/libs/entry/src/papayaspar_entry/records.py
+++ b/libs/entry/src/papayaspar_entry/records.py
@@ -23,10 +23,24 @@
 
     :param job: the job.
     :param accepted_wall_s: when, in seconds since the Unix epoch.
+    :param claim_id: claim that won the job before the record was repeated, or empty.
     """
 
     job: work.Job
     accepted_wall_s: float
+    claim_id: str = ""
+
+
+@attrs.frozen
+class JobClaimed:
+    """An entry wants to launch a non-idempotent job; the first claim on the log wins.
+
+    :param job_id: the job.
+    :param claim_id: the entry's name for its claim.
+    """
+
+    job_id: str
+    claim_id: str
 
 
 @attrs.frozen
@@ -78,12 +92,13 @@
 @attrs.frozen
 class _Envelope:
     accepted: JobAccepted | None = None
+    claimed: JobClaimed | None = None
     cancelled: JobCancelled | None = None
     ended: JobEnded | None = None
     packed: HomesPacked | None = None
 
 
-JobRecord = JobAccepted | JobCancelled | JobEnded
+JobRecord = JobAccepted | JobClaimed | JobCancelled | JobEnded
 
 _CONVERTER = cattrs_json.make_converter(omit_if_default=True)
 
@@ -92,6 +107,8 @@
     """Return the bytes of a record."""
     if isinstance(record, JobAccepted):
         envelope = _Envelope(accepted=record)
+    elif isinstance(record, JobClaimed):
+        envelope = _Envelope(claimed=record)
     elif isinstance(record, JobCancelled):
         envelope = _Envelope(cancelled=record)
     elif isinstance(record, JobEnded):
@@ -110,7 +127,9 @@
         envelope = _CONVERTER.loads(data, _Envelope)
     except (cattrs.BaseValidationError, ValueError, RecursionError) as error:
         raise InvalidRecordError("not a record") from error
-    found = envelope.accepted or envelope.cancelled or envelope.ended or envelope.packed
-    if found is None:
-        raise InvalidRecordError("an empty record")
-    return found
+    for found in (envelope.accepted, envelope.claimed, envelope.cancelled, envelope.ended):
+        if found is not None:
+            return found
+    if envelope.packed is not None:
+        return envelope.packed
+    raise InvalidRecordError("an empty record")
--- /dev/null
+++ b/libs/entry/tests/test_job_table.py
@@ -0,0 +1,57 @@
+"""Tests of the table of jobs and its records."""
+
+import pytest
+
+from papayaspar_entry import job_table, records
+from papayaspar_model import work
+
+JOB = work.Job(
+    "job-1", "booths", "print", work.Urgency.URGENT, work.Shape(2, 4), 60.0, False, False
+)
+
+
+@pytest.fixture
+def table():
+    made = job_table.JobTable()
+    made.apply(records.JobAccepted(JOB, 5.0), 0)
+    return made
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        records.JobAccepted(JOB, 5.0, "claim-1"),
+        records.JobClaimed("job-1", "claim-1"),
+        records.JobCancelled("job-1"),
+        records.JobEnded("job-1", work.JobState.DONE, 7),
+        records.HomesPacked(2, 1, 3, (), ("models/0",)),
+    ],
+)
+def test_records_survive_the_log(record):
+    assert records.decode(records.encode(record)) == record
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b"[1]", b"\xff", b'{"ended": 3}'])
+def test_what_is_no_record_is_refused(data):
+    with pytest.raises(records.InvalidRecordError):
+        records.decode(data)
+
+
+def test_the_first_claim_on_the_log_wins(table):
+    table.apply(records.JobClaimed("job-1", "claim-a"), 1)
+    table.apply(records.JobClaimed("job-1", "claim-b"), 2)
+    assert table.get("job-1").claim_id == "claim-a"
+
+
+def test_a_repeated_acceptance_brings_the_claim_to_a_late_reader(table):
+    late = job_table.JobTable()
+    late.apply(records.JobAccepted(JOB, 5.0, "claim-a"), 9)
+    late.apply(records.JobClaimed("job-1", "claim-b"), 10)
+    assert late.get("job-1").claim_id == "claim-a"
+
+
+def test_the_first_end_counts(table):
+    table.apply(records.JobEnded("job-1", work.JobState.DONE), 1)
+    table.apply(records.JobEnded("job-1", work.JobState.FAILED), 2)
+    assert table.get("job-1").ended.state is work.JobState.DONE
+    assert table.open_jobs() == ()
