Let an entry be told under which address others reach it

Cause: an entry told agents and entries the address it listens on, which is of no use when it listens on every address, or when a relay stands before it; found while a test put a relay between the two. Result: the test of a silent stream through a relay passes; without the setting agents went round the relay.

--- a/libs/entry/src/papayaspar_entry/config.py
+++ b/libs/entry/src/papayaspar_entry/config.py
@@ -15,6 +15,7 @@
     :param callers: where callers reach it over HTTP.
     :param operators: where operators reach it over HTTP.
     :param listen: where agents and entries reach it.
+    :param advertise: where agents and entries are told to reach it; ``listen`` when left out.
     :param log: address of the platform's log service.
     :param peers: other entries, if any are known at start.
     :param grace_s: longest wait for requests in progress at a shutdown.
@@ -31,6 +32,7 @@
     listen: transports.Address
     log: transports.Address
     peers: tuple[transports.Address, ...] = ()
+    advertise: transports.Address | None = None
     grace_s: float = 60.0
     unready_s: float = 1.0
     http_tls: listeners.ServerTls | None = None
--- a/libs/entry/src/papayaspar_entry/process.py
+++ b/libs/entry/src/papayaspar_entry/process.py
@@ -113,7 +113,7 @@
         """Serve until :meth:`stop`, then until the requests in progress are answered."""
         self._journal.record(lines.EventKind.PROCESS_STARTED)
         streams = await transports.listen(self._settings.listen, self._settings.stream_tls)
-        self._links.own_address = str(streams.address)
+        self._links.own_address = str(self._settings.advertise or streams.address)
         try:
             await self._serve(streams, task_status)
         finally:
--- a/libs/entry/src/papayaspar_entry/settings.py
+++ b/libs/entry/src/papayaspar_entry/settings.py
@@ -21,6 +21,9 @@
     listen: str = fields.default(
         kinds.Address(), "127.0.0.1:7802", "where agents and entries reach it"
     )
+    advertise: str | None = fields.optional(
+        kinds.Address(), "address told to agents and entries, if not the listening one"
+    )
     log: str = fields.required(kinds.Address(), "the platform's log service")
     peers: tuple[str, ...] = fields.default(
         kinds.Addresses(empty=True), "", "other entries known at start"
@@ -58,12 +61,14 @@
         http_tls = None
         if self.http_certificate is not None:
             http_tls = listeners.ServerTls(str(self.http_certificate), str(self.http_key))
+        advertise = transports.Address.parse(self.advertise) if self.advertise else None
         return config.EntryConfig(
             name=self.name,
             data_centre=self.data_centre,
             callers=transports.Address.parse(self.callers),
             operators=transports.Address.parse(self.operators),
             listen=transports.Address.parse(self.listen),
+            advertise=advertise,
             log=transports.Address.parse(self.log),
             peers=tuple(transports.Address.parse(text) for text in self.peers),
             grace_s=self.grace_s,
