--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import contextlib
+import itertools
 import os
 import pathlib
 import signal
@@ -24,11 +25,20 @@
 """
 
 
+# Below the range that the kernel takes the ports of outgoing connections from.
+PORTS = range(12_000, 32_000)
+RUNS_SPACING_PORTS = 499
+FIRST_PORT = os.getpid() * RUNS_SPACING_PORTS % len(PORTS)
+PORTS_NEXT = itertools.islice(itertools.cycle(PORTS), FIRST_PORT, None)
+
+
 def free_port():
-    """Return a port nobody listens on now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port nobody listens on now; runs beside one another start at other places."""
+    for port in PORTS_NEXT:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
+    raise AssertionError
 
 
 @attrs.define
