--- /dev/null
+++ b/examples/admit_requests.py
@@ -0,0 +1,38 @@
+"""Whose turn it is: two slots, a team with a guarantee and one that floods."""
+
+import anyio
+
+from papayaspar_admission import queues
+from papayaspar_model import clock, rulesets, work
+
+RULES = rulesets.RuleSet(
+    revision=1,
+    teams=(rulesets.Team("booths"), rulesets.Team("nights")),
+    slot_guarantees=(rulesets.SlotGuarantee("booths-slots", "booths", 1),),
+)
+
+
+def request(team: str, number: int) -> work.Request:
+    """Return a request of a team."""
+    deadline_s = clock.BootClock().now_s() + 5.0
+    name = f"{team}-{number}"
+    return work.Request(name, team, "", "check", work.Urgency.NORMAL, True, deadline_s, b"{}")
+
+
+async def main() -> None:
+    """Run ten requests of one team and one of the other through two slots."""
+    queue = queues.AdmissionQueue(clock.BootClock(), capacity=2)
+    queue.apply(RULES)
+
+    async def serve(wanted: work.Request) -> None:
+        async with queue.slot(wanted):
+            await anyio.sleep(0.01)
+            print(f"served {wanted.request_id}")
+
+    async with anyio.create_task_group() as group:
+        for number in range(10):
+            group.start_soon(serve, request("nights", number))
+        group.start_soon(serve, request("booths", 0))
+
+
+anyio.run(main)
--- /dev/null
+++ b/examples/embed_the_system.py
@@ -0,0 +1,27 @@
+"""The whole system inside a program: start it, ask one request, stop it."""
+
+import anyio
+import loguru
+
+from papayaspar_local import callers, layouts, systems
+
+LAYOUT = layouts.Layout(
+    "region-1",
+    ("entry-1",),
+    (layouts.WorkerPlace("w1", "rack-1", "dc-1"),),
+    "team booths weight=1 # asked by this example\n",
+)
+
+
+async def main() -> None:
+    """Run one request."""
+    loguru.logger.remove()
+    async with (
+        systems.running(LAYOUT) as system,
+        callers.Caller(system.entries[0].callers) as caller,
+    ):
+        reply = await caller.request("booths", "check", "urgent")
+        print(f"{reply.status} from {reply.worker}")
+
+
+anyio.run(main)
--- a/libs/bench/src/papayaspar_bench/capacity.py
+++ b/libs/bench/src/papayaspar_bench/capacity.py
@@ -2,14 +2,19 @@
 
 import attrs
 
+from papayaspar_agent import process
 from papayaspar_bench import experiments, slopes
-from papayaspar_wire import codecs, peers
+from papayaspar_entry import appends, job_board
+from papayaspar_platform import followers
+from papayaspar_slots import terms
+from papayaspar_wire import codecs, peers, transports
 
 SECONDS_PER_DAY = 86_400
 TCP_IP_HEADER_BYTES = 52
 MEBIBYTE = 1024 * 1024
 KILOBYTE = 1000
 RACK_WORKERS = 20
+LOG_APPEND_S = 0.1
 RUN_TIME_DAYS = 4 / 24
 
 
@@ -79,6 +84,7 @@
         figures |= _entry("entry_by_rack", target, relayed, figures)
         figures |= _agent(target, layout, figures)
         figures |= _log(target, figures)
+        figures |= _delays()
         return experiments.Outcome(self.name, seed, figures)
 
 
@@ -197,3 +203,27 @@
         "log_shards_appends_per_s": target.replaced_per_day / SECONDS_PER_DAY,
         "log_homes_appends_per_s": 2 * target.replaced_per_day / SECONDS_PER_DAY,
     }
+
+
+def _delays() -> dict[str, float]:
+    """Return the longest delays of an urgent start and of a rules change, as sums of steps."""
+    times = terms.Terms()
+    urgent_s = {
+        "urgent_accept_s": appends.BATCH_WINDOW_S + LOG_APPEND_S,
+        "urgent_schedule_s": job_board.SCHEDULE_INTERVAL_S + job_board.SCHEDULE_SPACING_S,
+        "urgent_reserve_s": times.answer_s,
+        "urgent_reclaim_s": times.evict_s,
+        "urgent_arm_and_start_s": 2 * times.poll_s,
+    }
+    rules_s = {
+        "rules_append_s": LOG_APPEND_S,
+        "rules_log_back_s": followers.BACKOFF_MAX_S,
+        "rules_silent_stream_s": peers.PeerLimits().silence_s + peers.PeerLimits().ping_interval_s,
+        "rules_reconnect_s": process.RECONNECT_MAX_S + transports.CONNECT_TIMEOUT_S,
+    }
+    return {
+        **urgent_s,
+        "urgent_start_s": sum(urgent_s.values()),
+        **rules_s,
+        "rules_in_force_s": sum(rules_s.values()),
+    }
--- a/programs/bench/src/papayaspar_bench_main/main.py
+++ b/programs/bench/src/papayaspar_bench_main/main.py
@@ -103,6 +103,18 @@
             plots.save(result, pathlib.Path(self.plots))
 
 
+@cappa.command(name="reference", help="Print the reference page of settings and codes.")
+@attrs.define
+class ReferenceCommand:
+    """Prints docs/REFERENCE.md as the code has it."""
+
+    def __call__(self) -> None:
+        """Print the page."""
+        from papayaspar_bench import reference
+
+        print(reference.page(), end="")
+
+
 @cappa.command(name="papayaspar-bench", help="Experiments over the decision classes.")
 @attrs.define
 class Bench:
@@ -111,9 +123,13 @@
     :param command: what to do.
     """
 
-    command: cappa.Subcommands[ListCommand | RunCommand | AllCommand]
+    command: cappa.Subcommands[ListCommand | RunCommand | AllCommand | ReferenceCommand]
 
 
 def main() -> None:
     """Run the program."""
     cappa.invoke(Bench)
+
+
+if __name__ == "__main__":
+    main()
