Drop a stream that sends garbage instead of ending the process

Cause: a frame longer than the buffer raised msgpack's BufferFull, which is no ValueError, and a frame whose stamp or call number was no number raised TypeError. Both went through the task of the connection and ended the entry: anyone who reached the stream port could end it. Ruled out: the unused byte c1, deep nesting and HTTP on that port were dropped before too. Change: the codec turns all of these into ProtocolError, checks both numbers, and a peer ends on any typed error of its handler. Before: 8 MiB of garbage on the stream port, and the entry refused every connection after it.

--- a/libs/wire/src/papayaspar_wire/codecs.py
+++ b/libs/wire/src/papayaspar_wire/codecs.py
@@ -1,6 +1,7 @@
 """Encoding of typed messages as msgpack maps."""
 
 import enum
+from collections.abc import Iterator
 from typing import cast
 
 import attrs
@@ -11,6 +12,7 @@
 from papayaspar_model import errors
 
 MESSAGE_MAX_BYTES = 4 * 1024 * 1024
+NUMBER_MAX = 2**63 - 1
 
 
 class FrameKind(enum.Enum):
@@ -69,6 +71,21 @@
         """Return a buffer for one stream, bounded in memory."""
         return msgpack.Unpacker(max_buffer_size=MESSAGE_MAX_BYTES, strict_map_key=False)
 
+    def read(self, unpacker: msgpack.Unpacker, data: bytes) -> Iterator[Frame]:
+        """Return the frames that are whole once more bytes have arrived.
+
+        :param unpacker: the buffer of the stream.
+        :param data: the bytes.
+        :raises ProtocolError: when they are no frames, or one is too large.
+        """
+        try:
+            unpacker.feed(data)
+            unpacked = list(unpacker)
+        except (msgpack.UnpackException, ValueError) as error:
+            raise errors.ProtocolError(f"not msgpack: {type(error).__name__}") from error
+        for fields in unpacked:
+            yield self.structure(fields)
+
     def structure(self, fields: object) -> Frame:
         """Return the frame that unpacked fields describe.
 
@@ -76,9 +93,16 @@
         """
         try:
             kind, call_id, stamp, name, body = cast(tuple[str, int, int, str, object], fields)
+            _check_number(call_id)
+            _check_number(stamp)
             if not name:
                 return Frame(FrameKind(kind), call_id, stamp)
             message: object = self._converter.structure(body, self._types[name])
         except (cattrs.BaseValidationError, KeyError, TypeError, ValueError) as error:
             raise errors.ProtocolError(f"not a frame: {type(error).__name__}") from error
         return Frame(FrameKind(kind), call_id, stamp, message)
+
+
+def _check_number(value: object) -> None:
+    if not isinstance(value, int) or not 0 <= value <= NUMBER_MAX:
+        raise errors.ProtocolError("a frame's number is out of range")
--- a/libs/wire/src/papayaspar_wire/peers.py
+++ b/libs/wire/src/papayaspar_wire/peers.py
@@ -92,7 +92,7 @@
                 group.start_soon(self._keep_alive)
                 await self._read(group)
                 group.cancel_scope.cancel()
-        except* (errors.PeerError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+        except* (errors.PapayasparError, anyio.BrokenResourceError, anyio.ClosedResourceError):
             pass
         finally:
             self.is_open = False
@@ -164,12 +164,8 @@
             except anyio.EndOfStream:
                 return
             self._heard_s = anyio.current_time()
-            try:
-                unpacker.feed(data)
-                for fields in unpacker:
-                    await self._take(group, self._codec.structure(fields))
-            except ValueError as error:
-                raise errors.ProtocolError("not msgpack, or too large") from error
+            for frame in self._codec.read(unpacker, data):
+                await self._take(group, frame)
 
     async def _take(self, group: anyio.abc.TaskGroup, frame: codecs.Frame) -> None:
         self._stamps.observe(frame.stamp)
