--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -9,7 +9,7 @@
 import pytest
 
 THREADS = 6
-SERVICE_MS = 120
+SERVICE_MS = 800
 LOAD_S = 1.0
 DRAIN_S = 3.0
 EXIT_TIMEOUT_S = 20.0
