--- a/programs/bench/src/papayaspar_bench_main/main.py
+++ b/programs/bench/src/papayaspar_bench_main/main.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import sys
+from importlib import metadata
 from typing import Annotated
 
 import attrs
@@ -10,6 +11,7 @@
 
 from papayaspar_bench import catalog, experiments, runner, tables
 
+DISTRIBUTION = "papayaspar-bench"
 STANDARD_OUTPUT = "-"
 DEFAULT_SEED = 1
 PLOTS_FOLDER = "plots"
@@ -128,7 +130,7 @@
 
 def main() -> None:
     """Run the program."""
-    cappa.invoke(Bench)
+    cappa.invoke(Bench, version=metadata.version(DISTRIBUTION))
 
 
 if __name__ == "__main__":
