--- a/programs/bench/src/papayaspar_bench_main/main.py
+++ b/programs/bench/src/papayaspar_bench_main/main.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import sys
+from importlib import metadata
 from typing import Annotated
 
 import attrs
@@ -10,6 +11,7 @@
 
 from papayaspar_bench import catalog, experiments, runner, tables
 
+DISTRIBUTION = "papayaspar-bench"
 STANDARD_OUTPUT = "-"
 DEFAULT_SEED = 1
 PLOTS_FOLDER = "plots"
@@ -103,6 +105,18 @@
             plots.save(result, pathlib.Path(self.plots))
 
 
+@cappa.command(name="reference", help="Print the reference page of settings and codes.")
+@attrs.define
+class ReferenceCommand:
+    """Prints docs/REFERENCE.md as the code has it."""
+
+    def __call__(self) -> None:
+        """Print the page."""
+        from papayaspar_bench import reference
+
+        print(reference.page(), end="")
+
+
 @cappa.command(name="papayaspar-bench", help="Experiments over the decision classes.")
 @attrs.define
 class Bench:
@@ -111,9 +125,13 @@
     :param command: what to do.
     """
 
-    command: cappa.Subcommands[ListCommand | RunCommand | AllCommand]
+    command: cappa.Subcommands[ListCommand | RunCommand | AllCommand | ReferenceCommand]
 
 
 def main() -> None:
     """Run the program."""
-    cappa.invoke(Bench)
+    cappa.invoke(Bench, version=metadata.version(DISTRIBUTION))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import contextlib
+import itertools
 import os
 import pathlib
 import signal
@@ -24,11 +25,20 @@
 """
 
 
+# Below the range that the kernel takes the ports of outgoing connections from.
+PORTS = range(12_000, 32_000)
+RUNS_SPACING_PORTS = 499
+FIRST_PORT = os.getpid() * RUNS_SPACING_PORTS % len(PORTS)
+PORTS_NEXT = itertools.islice(itertools.cycle(PORTS), FIRST_PORT, None)
+
+
 def free_port():
-    """Return a port nobody listens on now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port nobody listens on now; runs beside one another start at other places."""
+    for port in PORTS_NEXT:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
+    raise AssertionError
 
 
 @attrs.define
@@ -163,12 +173,6 @@
         for entry in self.entries:
             self.wait_until(lambda entry=entry: self.usable_workers(entry) == count)
 
-    def wait_shards(self):
-        """Wait until every entry knows the owners of idempotency keys."""
-        for entry in self.entries:
-            url = f"http://{entry.operators}/v1/status"
-            self.wait_until(lambda url=url: self.get(url).json()["shards_revision"] > 0)
-
     def usable_workers(self, entry):
         """Return how many workers an entry would send work to."""
         rows = self.get(f"http://{entry.operators}/v1/status").json()["workers"]
