--- a/libs/placement/src/papayaspar_placement/queues.py
+++ b/libs/placement/src/papayaspar_placement/queues.py
@@ -78,8 +78,8 @@
 
     Work within its team's guarantee goes first, for it could take its place back at once. Then
     the order is by urgency (a long wait raises it), then the team with the least present use for
-    its weight, then age. Racks are held for the oldest
-    large gang, and others are let in there only if they end in time or can be stopped.
+    its weight, then age. Racks are held for the oldest large gang, and others are let in there
+    only if they end in time or can be stopped.
 
     :param policy: chooses free accelerators.
     :param expected: expected ends of running gangs.
