Prove that late answers reach no other request

Cause: the test of a print past its deadline passed with replies given to any pending call, for the agent itself answers at the deadline and nothing comes late. Change: a relay holds what agents send until the entry's calls are over, then passes it on while other requests wait on the same streams.

--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -9,6 +9,8 @@
 
 CHUNK_BYTES = 65_536
 STEP_S = 0.05
+LATE_MS = 300
+RELEASE_S = 0.5
 RETRY_RULES = """\
 team booths weight=4 # asked by the booths' manager
 retry default share=100% floor=100/s # asked by the test
@@ -25,6 +27,7 @@
         self.address = f"127.0.0.1:{self.listening.getsockname()[1]}"
         self.count = 0
         self.silent = set()
+        self.held = threading.Event()
         self.ended = threading.Event()
         self.threads = [threading.Thread(target=self.accept, daemon=True)]
         self.threads[0].start()
@@ -50,7 +53,7 @@
         with caller, socket.create_connection(self.upstream) as upstream:
             other = {caller: upstream, upstream: caller}
             while not self.ended.is_set():
-                for end in ready(other):
+                for end in ready([upstream] if self.held.is_set() else other):
                     try:
                         data = end.recv(CHUNK_BYTES)
                     except OSError:
@@ -107,6 +110,19 @@
     small_system.wait_until(lambda: worker_of(small_system, entry) == "worker-1")
 
 
+def test_late_answers_reach_no_other_request(small_system, relay):
+    entry = small_system.entries[0]
+    late = [(entry, {"payload": {"n": f"late-{n}"}, "deadline_ms": LATE_MS}) for n in range(24)]
+    fresh = [(entry, {"payload": {"n": f"fresh-{n}"}}) for n in range(24)]
+    relay.held.set()
+    missed = small_system.ask_all(late)
+    assert {response.json()["ran"] for response in missed} == {"unknown"}
+    threading.Timer(RELEASE_S, relay.held.clear).start()
+    for (_, fields), response in zip(fresh, small_system.ask_all(fresh), strict=True):
+        assert response.status_code == 200, response.text
+        assert response.json()["result"]["payload"] == fields["payload"]
+
+
 def worker_of(system, entry):
     """Return which worker a request runs on."""
     return system.request(entry).json().get("worker")
