Never give a key back that may have been sent, and answer with typed documents

Change: the dispatcher says when a request may have reached a worker, and only one that has not is released; a wholly trimmed stream of shard maps counts as a gap; answers are attrs documents; floods run with a seeded scheduler.

--- a/libs/bench/src/papayaspar_bench/fleets.py
+++ b/libs/bench/src/papayaspar_bench/fleets.py
@@ -5,13 +5,13 @@
 
 import anyio
 import attrs
-import trio
-import trio.testing
 
 from papayaspar_admission import limits
-from papayaspar_bench import deployments, loads, policies
+from papayaspar_bench import deployments, loads, policies, virtual_time
 from papayaspar_model import errors, rulesets, work, workers
 
+SCHEDULE_SEED = "fleet"
+
 
 class End(enum.Enum):
     """How a request ended."""
@@ -155,4 +155,4 @@
         await fleet.run(arrivals)
         return fleet
 
-    return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    return virtual_time.run(run, SCHEDULE_SEED)
--- a/libs/entry/src/papayaspar_entry/answers.py
+++ b/libs/entry/src/papayaspar_entry/answers.py
@@ -19,3 +19,13 @@
     attempts: int
     status: int
     body: bytes
+
+
+@attrs.define
+class Progress:
+    """How far a request came, for whoever has to judge a cancelled one.
+
+    :param is_sent: whether it may have reached a worker.
+    """
+
+    is_sent: bool = False
--- a/libs/entry/src/papayaspar_entry/callers.py
+++ b/libs/entry/src/papayaspar_entry/callers.py
@@ -4,16 +4,18 @@
 
 from starlette import applications, requests, responses, routing
 
-from papayaspar_entry import answers, claimant, dispatcher, job_board, job_table, parsing
+from papayaspar_entry import answers, claimant, dispatcher, documents, job_board, parsing
 from papayaspar_events import journal, lines
 from papayaspar_model import clock, errors, work
 from papayaspar_web import bodies, connections, problems
+from papayaspar_web import documents as web_documents
 
 MILLISECONDS_PER_SECOND = 1000
 CALLER_HEADER = "papayaspar-caller"
 KEY_HEADER = "idempotency-key"
 CALLER_MAX_CHARS = 100
 JOB_WAIT_MAX_S = 60.0
+ACCEPTED_STATUS = 202
 
 
 def caller_name(request: requests.Request) -> str:
@@ -85,32 +87,29 @@
             self._finish(request, arrived_s, error.code)
             return problems.response(error, request.request_id)
         self._finish(request, arrived_s, "")
-        document = {
-            "request_id": answer.request_id,
-            "result": result,
-            "worker": answer.worker,
-            "attempts": answer.attempts,
-        }
-        return responses.JSONResponse(document, headers={"papayaspar-ran": "yes"})
+        document = documents.RequestDocument(
+            answer.request_id, result, answer.worker, answer.attempts
+        )
+        return web_documents.respond(document, ran=errors.Ran.YES)
 
     async def post_job(self, http_request: requests.Request) -> responses.Response:
         """Accept a job: it outlives this process once this is answered."""
         body = await bodies.read(http_request)
         job = parsing.job(body, caller_name(http_request))
         await self._jobs.submit(job)
-        return responses.JSONResponse({"job_id": job.job_id}, status_code=202)
+        return web_documents.respond(documents.JobReference(job.job_id), ACCEPTED_STATUS)
 
     async def get_job(self, http_request: requests.Request) -> responses.Response:
         """Return where a job stands, waiting for its end if asked to."""
         wait_s = _wait_s(http_request.query_params.get("wait_s", "0"))
         known = await self._jobs.wait_for_end(http_request.path_params["job_id"], wait_s)
-        return responses.JSONResponse(job_document(known, self._jobs.state(known)))
+        return web_documents.respond(documents.job(known, self._jobs.state(known)))
 
     async def delete_job(self, http_request: requests.Request) -> responses.Response:
         """Take a job back."""
         job_id = http_request.path_params["job_id"]
         await self._jobs.cancel(job_id)
-        return responses.JSONResponse({"job_id": job_id}, status_code=202)
+        return web_documents.respond(documents.JobReference(job_id), ACCEPTED_STATUS)
 
     async def _answer(self, request: work.Request) -> answers.Answer:
         if request.idempotent or request.key is None:
@@ -139,21 +138,6 @@
         )
 
 
-def job_document(known: job_table.KnownJob, state: work.JobState) -> dict[str, object]:
-    """Return the JSON document of a job."""
-    document: dict[str, object] = {
-        "job_id": known.job.job_id,
-        "team": known.job.team,
-        "state": state.value,
-        "tasks": known.job.shape.tasks,
-    }
-    if known.ended is not None and known.ended.code:
-        document["code"] = known.ended.code
-    if state is work.JobState.UNKNOWN:
-        document["ran"] = errors.Ran.UNKNOWN.value
-    return document
-
-
 def _wait_s(text: str) -> float:
     try:
         wait_s = float(text)
--- a/libs/entry/src/papayaspar_entry/claimant.py
+++ b/libs/entry/src/papayaspar_entry/claimant.py
@@ -53,7 +53,7 @@
         self,
         request: work.Request,
         key: str,
-        execute: Callable[[work.Request], Awaitable[answers.Answer]],
+        execute: Callable[[work.Request, answers.Progress], Awaitable[answers.Answer]],
     ) -> answers.Answer:
         """Run a request at most once for its key.
 
@@ -131,11 +131,12 @@
         self,
         claimed: Claimed,
         request: work.Request,
-        execute: Callable[[work.Request], Awaitable[answers.Answer]],
+        execute: Callable[[work.Request, answers.Progress], Awaitable[answers.Answer]],
     ) -> answers.Answer:
         message: calls.SettleClaim | calls.ReleaseClaim = calls.SettleClaim(claimed.claim, None)
+        progress = answers.Progress()
         try:
-            answer = await execute(request)
+            answer = await execute(request, progress)
             message = calls.SettleClaim(claimed.claim, encode_answer(answer))
             return answer
         except errors.PapayasparError as error:
@@ -143,8 +144,9 @@
                 message = calls.ReleaseClaim(claimed.claim)
             raise
         except anyio.get_cancelled_exc_class():
-            # The dispatcher shields what it has sent, so nothing was sent yet.
-            message = calls.ReleaseClaim(claimed.claim)
+            # A server that stops cancels its tasks in spite of the dispatcher's shield.
+            if not progress.is_sent:
+                message = calls.ReleaseClaim(claimed.claim)
             raise
         finally:
             with anyio.CancelScope(shield=True):
--- a/libs/entry/src/papayaspar_entry/dispatcher.py
+++ b/libs/entry/src/papayaspar_entry/dispatcher.py
@@ -53,38 +53,50 @@
         self._clock = clock_source
         self._limits: dict[workers.WorkerIdentity, limits.ConcurrencyLimit] = {}
 
-    async def run(self, request: work.Request) -> answers.Answer:
+    async def run(
+        self, request: work.Request, progress: answers.Progress | None = None
+    ) -> answers.Answer:
         """Return the answer to a request.
 
         :param request: what the caller wants.
+        :param progress: told when the request may have reached a worker.
         :raises PapayasparError: whose ``ran`` says whether it may have run.
         """
         if self._table.total_slots() == 0:
             raise errors.UnavailableError("no worker is up", retry_after_s=NO_WORKER_RETRY_S)
         self._retries.record_request()
         ticket = await self._admission.acquire(request)
+        has_run = False
         try:
-            return await self._run_shielded(request)
+            answer = await self._run_shielded(request, progress or answers.Progress())
+            has_run = True
+            return answer
         finally:
-            self._admission.release(ticket)
+            # Refusals and failures would teach durations that are too short.
+            self._admission.release(ticket, ran=has_run)
 
-    async def _run_shielded(self, request: work.Request) -> answers.Answer:
+    async def _run_shielded(
+        self, request: work.Request, progress: answers.Progress
+    ) -> answers.Answer:
         """Run a request; once non-idempotent work may have been sent its outcome is learnt.
 
         That holds also when the caller has gone.
         """
         if request.idempotent:
-            return await self._run_admitted(request)
+            return await self._run_admitted(request, progress)
         found: list[answers.Answer] = []
         with anyio.CancelScope(shield=True):
-            found.append(await self._run_admitted(request))
+            found.append(await self._run_admitted(request, progress))
         return found[0]
 
-    async def _run_admitted(self, request: work.Request) -> answers.Answer:
+    async def _run_admitted(
+        self, request: work.Request, progress: answers.Progress
+    ) -> answers.Answer:
         sent = attempts.Attempts(request.idempotent, request.deadline_s, ATTEMPTS_MAX)
         while True:
             member = await self._choose(request, sent)
             attempt = sent.begin(member.name, self._clock.now_s())
+            progress.is_sent = True
             try:
                 answer = await self._attempt(request, attempt, member)
             except (errors.BusyError, errors.DrainingError):
--- a/libs/entry/src/papayaspar_entry/fields.py
+++ b/libs/entry/src/papayaspar_entry/fields.py
@@ -84,4 +84,4 @@
 
     @staticmethod
     def _refuse_constant(text: str) -> float:
-        raise ValueError(text)
+        raise errors.InvalidRequestError(f"{text} is not JSON", field="body")
--- a/libs/entry/src/papayaspar_entry/operators.py
+++ b/libs/entry/src/papayaspar_entry/operators.py
@@ -2,15 +2,23 @@
 
 from urllib import parse
 
-import attrs
 from starlette import applications, requests, responses, routing
 
-from papayaspar_entry import callers, homekeeper, job_board, rulebook, sessions, shardkeeper
+from papayaspar_entry import (
+    callers,
+    documents,
+    homekeeper,
+    job_board,
+    rulebook,
+    sessions,
+    shardkeeper,
+)
 from papayaspar_events import journal, lines
 from papayaspar_membership import members
 from papayaspar_model import errors, identifiers
 from papayaspar_rules import faults as rule_faults
 from papayaspar_web import bodies, problems
+from papayaspar_web import documents as web_documents
 from papayaspar_wire import messages
 
 CALL_TIMEOUT_S = 3.0
@@ -69,16 +77,14 @@
 
     async def get_status(self, http_request: requests.Request) -> responses.Response:
         """Return what this entry sees."""
-        rows = [_worker_row(member) for member in self._table.all()]
-        return responses.JSONResponse(
-            {
-                "process": self._journal.process,
-                "revision": self._book.rules.revision,
-                "shards_revision": self._shards.revision,
-                "workers": rows,
-                "short_guarantees": [_short_row(name) for name in self._keeper.packed.short],
-            }
+        document = documents.StatusDocument(
+            process=self._journal.process,
+            revision=self._book.rules.revision,
+            shards_revision=self._shards.revision,
+            workers=tuple(documents.worker(member) for member in self._table.all()),
+            short_guarantees=tuple(map(documents.short_guarantee, self._keeper.packed.short)),
         )
+        return web_documents.respond(document)
 
     async def get_events(self, http_request: requests.Request) -> responses.Response:
         """Return the newest events of this entry and of its agents, as lines."""
@@ -90,9 +96,8 @@
     async def get_rules(self, http_request: requests.Request) -> responses.Response:
         """Return the rules in force."""
         rules = self._book.rules
-        return responses.JSONResponse(
-            {"revision": rules.revision, "publish_id": rules.publish_id, "text": rules.text}
-        )
+        document = documents.RulesDocument(rules.revision, rules.publish_id, rules.text)
+        return web_documents.respond(document)
 
     async def post_rules(self, http_request: requests.Request) -> responses.Response:
         """Publish a revision of the rules."""
@@ -108,23 +113,22 @@
             )
         except rule_faults.InvalidRulesError as error:
             return rule_problem(error)
-        return responses.JSONResponse({"revision": revision, "publish_id": publish_id})
+        return web_documents.respond(documents.PublishedDocument(revision, publish_id))
 
     async def get_history(self, http_request: requests.Request) -> responses.Response:
         """Return the revisions that were in force here, newest first."""
-        rows = [attrs.asdict(entry) for entry in self._book.history()]
-        return responses.JSONResponse({"revisions": rows})
+        return web_documents.respond(documents.HistoryDocument(self._book.history()))
 
     async def get_job(self, http_request: requests.Request) -> responses.Response:
         """Return where a job stands."""
         known = await self._jobs.wait_for_end(http_request.path_params["job_id"], 0.0)
-        return responses.JSONResponse(callers.job_document(known, self._jobs.state(known)))
+        return web_documents.respond(documents.job(known, self._jobs.state(known)))
 
     async def delete_job(self, http_request: requests.Request) -> responses.Response:
         """Take a job back on its team's behalf."""
         job_id = http_request.path_params["job_id"]
         await self._jobs.cancel(job_id)
-        return responses.JSONResponse({"job_id": job_id}, status_code=202)
+        return web_documents.respond(documents.JobReference(job_id), callers.ACCEPTED_STATUS)
 
     async def drain(self, http_request: requests.Request) -> responses.Response:
         """Tell a worker's agent to refuse new work."""
@@ -132,7 +136,7 @@
         if self._table.get(worker) is None:
             raise errors.NotFoundError(f"no worker {worker}", field="worker")
         await self._sessions.peer(worker).call(messages.DrainWorker(), CALL_TIMEOUT_S)
-        return responses.JSONResponse({"worker": worker, "state": "draining"})
+        return web_documents.respond(documents.WorkerState(worker, "draining"))
 
     async def retire(self, http_request: requests.Request) -> responses.Response:
         """Take an operator's word that a worker's agent is gone for good."""
@@ -141,7 +145,7 @@
         if member is not None and member.is_connected:
             raise errors.ConflictError(f"{worker} is up; drain it", field="worker")
         self._shards.retire(worker, _author(http_request))
-        return responses.JSONResponse({"worker": worker, "state": "retired"})
+        return web_documents.respond(documents.WorkerState(worker, "retired"))
 
     async def get_metrics(self, http_request: requests.Request) -> responses.Response:
         """Return the metrics of this process."""
@@ -159,33 +163,13 @@
             return ()
 
 
-def _short_row(name: str) -> dict[str, object]:
-    guarantee, _, instance = name.rpartition("/")
-    return {"guarantee": guarantee, "instance": int(instance)}
-
-
-def _worker_row(member: members.Member) -> dict[str, object]:
-    report = member.report
-    state = "draining" if report.draining else "up"
-    return {
-        "worker": member.name,
-        "rack": report.identity.rack,
-        "data_centre": report.identity.data_centre,
-        "state": state if member.is_connected else "lost",
-        "busy_slots": report.busy_slots,
-        "slots": report.capacity.slots,
-        "free_accelerators": len(report.free_accelerators),
-        "accelerators": report.capacity.accelerators,
-    }
-
-
 def rule_problem(error: rule_faults.InvalidRulesError) -> responses.Response:
     """Return the problem document that names every fault of refused rules."""
-    document = attrs.asdict(problems.from_error(error))
-    document["faults"] = [attrs.asdict(fault) for fault in error.faults]
-    return responses.JSONResponse(
-        document, status_code=error.status, media_type=problems.PROBLEM_TYPE
+    problem = problems.from_error(error)
+    document = documents.RulesProblem(
+        problem.title, problem.status, problem.code, problem.detail, problem.ran, error.faults
     )
+    return web_documents.respond(document, error.status, error.ran, problems.PROBLEM_TYPE)
 
 
 def _author(http_request: requests.Request) -> str:
--- a/libs/entry/src/papayaspar_entry/shardkeeper.py
+++ b/libs/entry/src/papayaspar_entry/shardkeeper.py
@@ -64,8 +64,9 @@
         """Read the log for as long as the entry lives; runs in a task of its own."""
         while True:
             batch = await self._follower.next_batch()
-            if batch.lost_records and batch.records:
-                self._chain.observe_gap(batch.records[0].offset)
+            if batch.lost_records:
+                first_offset = self._follower.next_offset - len(batch.records)
+                self._chain.observe_gap(first_offset)
             for item in batch.records:
                 if self._chain.observe(item.offset, item.data) is not None:
                     self._note_change()
--- a/libs/web/src/papayaspar_web/problems.py
+++ b/libs/web/src/papayaspar_web/problems.py
@@ -1,6 +1,5 @@
 """Errors as RFC 9457 problem documents."""
 
-import json
 import math
 from collections.abc import Awaitable, Callable, Sequence
 
@@ -9,6 +8,7 @@
 from starlette import exceptions as starlette_exceptions
 
 from papayaspar_model import errors
+from papayaspar_web import documents
 
 PROBLEM_TYPE = "application/problem+json"
 
@@ -58,15 +58,10 @@
 
 def response(error: errors.PapayasparError, request_id: str | None = None) -> responses.Response:
     """Return the HTTP response for an error, with ``Retry-After`` where it helps."""
-    document = attrs.asdict(
-        from_error(error, request_id), filter=lambda _, value: value is not None
-    )
-    headers = {"papayaspar-ran": error.ran.value}
+    answer = documents.respond(from_error(error, request_id), error.status, error.ran, PROBLEM_TYPE)
     if error.retry_after_s is not None:
-        headers["retry-after"] = str(max(1, math.ceil(error.retry_after_s)))
-    return responses.Response(
-        json.dumps(document), status_code=error.status, headers=headers, media_type=PROBLEM_TYPE
-    )
+        answer.headers["retry-after"] = str(max(1, math.ceil(error.retry_after_s)))
+    return answer
 
 
 def application(routes: Sequence[routing.Route]) -> applications.Starlette:
@@ -75,16 +70,15 @@
     :param routes: its endpoints, which may raise ``PapayasparError``.
     """
     handlers: dict[type[Exception], Callable[..., Awaitable[responses.Response]]] = {
-        errors.PapayasparError: _answer_error,
+        errors.PapayasparError: handle,
         starlette_exceptions.HTTPException: _answer_unrouted,
         Exception: _answer_unexpected,
     }
     return applications.Starlette(routes=routes, exception_handlers=handlers)
 
 
-async def _answer_error(
-    request: requests.Request, error: errors.PapayasparError
-) -> responses.Response:
+async def handle(request: requests.Request, error: errors.PapayasparError) -> responses.Response:
+    """Answer an error that an endpoint raised."""
     return response(error)
 
 
