Prove that a guaranteed gang gets its place back while the log is away

Change: borrowers fill the fleet, the log goes away, and the guaranteed gang of the whole fleet runs whole and to its end; the runtimes' lists of runs are the judge.

--- a/tests/test_jobs_path.py
+++ b/tests/test_jobs_path.py
@@ -10,6 +10,11 @@
 LONG_RUN_TIME_S = 600
 JOB_TIMEOUT_S = 45.0
 CLOCK_MARGIN_S = 1.0
+RULES = """\
+team booths weight=4 # asked by the booths' manager
+team batch weight=1 # asked by the retouching desk
+guarantee sheets team=booths tasks=3 accelerators=8 adjacency=rack count=1 # asked by the test
+"""
 TERM_S = terms.Terms().term_s
 
 
@@ -148,3 +153,27 @@
     frozen.send(signal.SIGCONT)
     wait_whole(small_system, job_id, first)
     check_whole(small_system, job_id)
+
+
+def test_a_guaranteed_gang_gets_its_place_back_from_work_that_fills_the_fleet(small_system):
+    first, second = small_system.entries
+    small_system.publish(RULES)
+    small_system.wait_revision(2)
+    small_system.wait_until(lambda: homes_are_packed(small_system))
+    borrower = {"tasks": 1, "adjacency": "any", "run_time_s": LONG_RUN_TIME_S}
+    borrowers = [accept(small_system, first, **borrower) for _ in range(3)]
+    for job_id in borrowers:
+        small_system.wait_until(lambda job_id=job_id: running(small_system, job_id) == 1)
+    claimed = accept(small_system, second, team="booths", urgency="urgent")
+    small_system.fail_log(down=True)
+    wait_whole(small_system, claimed)
+    assert sum(running(small_system, job_id) for job_id in borrowers) == 0
+    small_system.fail_log()
+    wait_done(small_system, first, claimed)
+    assert len(check_whole(small_system, claimed)) == 1
+
+
+def homes_are_packed(system):
+    """Return whether the entry has homes in force for the guarantees."""
+    events = system.get(f"http://{system.entries[0].operators}/v1/events").text
+    return "1 homes" in events
