Show on the time line what runs, what is reclaimed, late answers and the state of the log

Cause: kinds of events stood unused, agents had no metrics, late replies vanished uncounted. Change: agents record when parts of gangs start and stop and can serve metrics; entries record reclaims, an outage of the log and answers that came too late; workers on trial are avoided by placement.

--- a/libs/agent/src/papayaspar_agent/config.py
+++ b/libs/agent/src/papayaspar_agent/config.py
@@ -21,6 +21,7 @@
     :param runtime: where the worker runtime listens.
     :param capacity: what the worker can hold.
     :param grace_s: longest wait for requests in progress at a shutdown.
+    :param metrics: where metrics are served over HTTP, or ``None``.
     :param tls: files for mutual TLS on the streams, or ``None``.
     """
 
@@ -35,6 +36,7 @@
     listen: transports.Address = transports.Address("127.0.0.1", 0)
     capacity: workers.Capacity = workers.Capacity()
     grace_s: float = 60.0
+    metrics: transports.Address | None = None
     tls: transports.TlsFiles | None = None
 
     @property
--- a/libs/agent/src/papayaspar_agent/process.py
+++ b/libs/agent/src/papayaspar_agent/process.py
@@ -9,6 +9,7 @@
     agent_links,
     claim_service,
     config,
+    gang_events,
     gang_peers,
     gang_service,
     requests,
@@ -118,6 +119,8 @@
     ) -> None:
         """Serve until :meth:`stop`, then until the requests in progress are finished."""
         self._journal.record(lines.EventKind.PROCESS_STARTED, worker=self._settings.worker)
+        if self._settings.metrics is not None:
+            self._journal.metrics.serve(self._settings.metrics.host, self._settings.metrics.port)
         listener = await transports.listen(self._settings.listen, self._settings.tls)
         self._address = str(listener.address)
         try:
@@ -136,6 +139,7 @@
             self._gangs = self._make_gangs(group)
             group.start_soon(listener.serve, self._serve_peer)
             group.start_soon(self._agent_links.run)
+            group.start_soon(gang_events.GangEvents(self._ledger, self._journal).run)
             self.learn_entries(tuple(str(address) for address in self._settings.entries))
             task_status.started()
             await self._stopping.wait()
--- a/libs/agent/src/papayaspar_agent/settings.py
+++ b/libs/agent/src/papayaspar_agent/settings.py
@@ -43,6 +43,7 @@
     grace_s: float = fields.default(
         kinds.Seconds(minimum=0.0), "60", "longest wait for work in progress at a shutdown"
     )
+    metrics: str | None = fields.optional(kinds.Address(), "where to serve metrics over HTTP")
     tls_certificate: pathlib.Path | None = fields.optional(kinds.File(), "certificate, PEM")
     tls_key: pathlib.Path | None = fields.optional(kinds.File(), "private key, PEM")
     tls_authority: pathlib.Path | None = fields.optional(kinds.File(), "authority of peers, PEM")
@@ -70,5 +71,6 @@
                 self.slots, self.connections, self.accelerators, self.memory_gib * GIBIBYTE
             ),
             grace_s=self.grace_s,
+            metrics=transports.Address.parse(self.metrics) if self.metrics else None,
             tls=transports.TlsFiles.of(self.tls_certificate, self.tls_key, self.tls_authority),
         )
--- a/libs/dispatch/src/papayaspar_dispatch/__init__.py
+++ b/libs/dispatch/src/papayaspar_dispatch/__init__.py
@@ -1,7 +1,6 @@
 """Attempts, claims of non-idempotent requests, answers."""
 
 from papayaspar_dispatch import (
-    answers,
     attempts,
     claim_tables,
     claims,
@@ -11,7 +10,6 @@
 )
 
 __all__ = [
-    "answers",
     "attempts",
     "claim_tables",
     "claims",
--- a/libs/dispatch/tests/test_attempts_answers.py
+++ b/libs/dispatch/tests/test_attempts.py
@@ -1,9 +1,8 @@
 """Retries follow from ``ran`` and ``idempotent``; a request answers once."""
 
-import anyio
 import pytest
 
-from papayaspar_dispatch import answers, attempts
+from papayaspar_dispatch import attempts
 from papayaspar_model import errors
 
 Ran = errors.Ran
@@ -59,21 +58,3 @@
         made.fail(made.begin(f"w{number}", 0.0), Ran.NO)
     with pytest.raises(errors.UnavailableError):
         made.begin("w9", 0.0)
-
-
-def test_a_request_answers_once_and_late_answers_are_dropped():
-    async def scenario():
-        book = answers.AnswerBook[bytes]()
-        expected = book.expect("req-1", 1)
-        book.give_up("req-1", 1)
-        book.expect("req-1", 2)
-        assert not book.deliver("req-1", 1, b"late")
-        assert book.deliver("req-1", 2, b"right")
-        assert not book.deliver("req-1", 2, b"again")
-        assert await expected.wait() == b"right"
-        book.close("req-1")
-        assert not book.deliver("req-1", 2, b"closed")
-        assert book.counts == answers.AnswerCounts(late=2, duplicate=1)
-        assert len(book) == 0
-
-    anyio.run(scenario)
--- a/libs/entry/src/papayaspar_entry/gang_runs.py
+++ b/libs/entry/src/papayaspar_entry/gang_runs.py
@@ -124,6 +124,14 @@
 
     async def _make_room(self, plan: reclaims.ReclaimPlan) -> None:
         """Ask gangs to leave; on a team's own home the agents see to it themselves."""
+        for victim in plan.victims:
+            self._journal.record(
+                lines.EventKind.JOB_RECLAIMED,
+                worker=victim.lead_worker,
+                team=victim.team,
+                job=victim.gang.job_id,
+                attempt=victim.gang.attempt,
+            )
         if plan.placement.guarantee:
             return
         for victim in plan.victims:
--- a/libs/entry/src/papayaspar_entry/process.py
+++ b/libs/entry/src/papayaspar_entry/process.py
@@ -133,6 +133,7 @@
             group.start_soon(self._serve_http, self._bind())
             group.start_soon(self._links.run, tuple(map(str, self._settings.peers)))
             group.start_soon(self._book.follow)
+            group.start_soon(self._book.watch_log)
             group.start_soon(self._book.keep_alive)
             group.start_soon(self._shards.follow)
             group.start_soon(self._shards.propose)
@@ -182,6 +183,7 @@
             for member in self._table.all():
                 self._outliers.join(member.name, member.report.identity.incarnation)
             self._view.set_ejected(self._out_of_use())
+            self._view.set_avoided(self._on_trial())
             self._forget_lost()
             with anyio.move_on_after(FORGET_AFTER_S):
                 await self._table.wait_changed()
@@ -195,6 +197,12 @@
                 names.append(member.name)
         return names
 
+    def _on_trial(self) -> list[str]:
+        names = [member.name for member in self._table.all()]
+        return [
+            name for name in names if self._outliers.standing(name) is ejection.Standing.ON_TRIAL
+        ]
+
     def _forget_lost(self) -> None:
         now_s = self._clock.now_s()
         for member in self._table.all():
--- a/libs/entry/src/papayaspar_entry/rulebook.py
+++ b/libs/entry/src/papayaspar_entry/rulebook.py
@@ -12,6 +12,7 @@
 
 STREAM = "rules"
 SETTLE_TIMEOUT_S = 5.0
+WATCH_INTERVAL_S = 1.0
 REAPPEND_INTERVAL_S = 300.0
 
 
@@ -38,7 +39,7 @@
         self._read = signals.ChangeSignal()
         self.changes = signals.ChangeSignal()
         self.checks: list[Callable[[rulesets.RuleSet], None]] = []
-        self.is_reachable = False
+        self._follower = followers.Follower(log, STREAM)
 
     @property
     def rules(self) -> rulesets.RuleSet:
@@ -69,9 +70,21 @@
             self._journal.record(lines.EventKind.RULES_REFUSED, code=error.code)
         self._note_change(before, "from a peer")
 
+    async def watch_log(self) -> None:
+        """Record when the log goes away and comes back; runs in a task of its own."""
+        was_reachable = False
+        while True:
+            is_reachable = self._follower.is_reachable
+            if is_reachable is not was_reachable:
+                lost, regained = lines.EventKind.LOG_LOST, lines.EventKind.LOG_REGAINED
+                self._journal.record(regained if is_reachable else lost)
+                self._journal.metrics.set_state("log_reachable", float(is_reachable))
+            was_reachable = is_reachable
+            await anyio.sleep(WATCH_INTERVAL_S)
+
     async def follow(self) -> None:
         """Read the log for as long as the entry lives; runs in a task of its own."""
-        follower = followers.Follower(self._log, STREAM)
+        follower = self._follower
         while True:
             batch = await follower.next_batch()
             before = self.rules.revision
@@ -79,7 +92,6 @@
             for item in batch.records:
                 self._chain.offer(item.offset, item.data)
             self._note_change(before, "from the log")
-            self.is_reachable = follower.is_reachable
             self._read.changed()
 
     async def keep_alive(self) -> None:
--- a/libs/entry/src/papayaspar_entry/sessions.py
+++ b/libs/entry/src/papayaspar_entry/sessions.py
@@ -51,6 +51,11 @@
         if isinstance(message, dispatch_calls.ShardsInForce):
             self._sessions.shards.adopt(message.link)
 
+    async def late(self, peer: peers.Peer, message: object) -> None:
+        """Count an answer that came after its request was given up."""
+        if isinstance(message, messages.RequestAnswer):
+            self._sessions.drop(message)
+
 
 class Sessions:
     """Open streams by worker; the newest stream of the newest life is used.
@@ -131,6 +136,15 @@
             reply = await peer.call(dispatch_calls.ShardsWanted(), HELLO_TIMEOUT_S)
             self.shards.adopt(messages.expect(reply, dispatch_calls.ShardsHeld).link)
 
+    def drop(self, answer: messages.RequestAnswer) -> None:
+        """Record a late answer, which reaches nobody."""
+        self._journal.record(
+            lines.EventKind.ANSWER_DROPPED,
+            worker=answer.worker,
+            request=answer.request_id,
+            attempt=answer.attempt,
+        )
+
     def observe(self, report: workers.WorkerReport) -> None:
         """Take a report into the view and record what it changed."""
         before = self._table.get(report.identity.worker)
--- a/libs/events/src/papayaspar_events/lines.py
+++ b/libs/events/src/papayaspar_events/lines.py
@@ -35,8 +35,6 @@
     JOB_RECLAIMED = "job_reclaimed"
     JOB_FINISHED = "job_finished"
     JOB_ADOPTED = "job_adopted"
-    GANG_ARMED = "gang_armed"
-    GANG_STARTED = "gang_started"
     GANG_WITHDRAWN = "gang_withdrawn"
     TASK_STARTED = "task_started"
     TASK_STOPPED = "task_stopped"
--- a/libs/events/src/papayaspar_events/metrics.py
+++ b/libs/events/src/papayaspar_events/metrics.py
@@ -48,3 +48,11 @@
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
+
+    def serve(self, host: str, port: int) -> None:
+        """Serve the metrics over HTTP, from a thread that waits for connections.
+
+        :param host: IP number.
+        :param port: TCP port.
+        """
+        prometheus_client.start_http_server(port, host, registry=self._registry)
--- a/libs/wire/src/papayaspar_wire/peers.py
+++ b/libs/wire/src/papayaspar_wire/peers.py
@@ -43,6 +43,12 @@
     async def notice(self, peer: "Peer", message: object) -> None:
         """Take a message that wants no answer."""
 
+    async def late(self, peer: "Peer", message: object) -> None:  # noqa: B027 - optional
+        """Take a reply that nobody waits for any more, to be counted; it is dropped.
+
+        Does nothing unless overridden.
+        """
+
 
 @attrs.define
 class _PendingCall:
@@ -181,6 +187,7 @@
             return
         pending = self._pending.get(frame.call_id)
         if pending is None:
+            await self._handler.late(self, frame.message)
             return
         if isinstance(frame.message, failures.Failure):
             pending.failure = failures.to_error(frame.message)
