--- a/libs/entry/src/papayaspar_entry/gang_runs.py
+++ b/libs/entry/src/papayaspar_entry/gang_runs.py
@@ -93,7 +93,10 @@
         gang = _gang(job.job_id, self._next_attempt(), placement)
         self._record(lines.EventKind.JOB_PLACED, job, gang)
         try:
-            await self._make_room(decision.plan)
+            # On a team's own home the agents themselves see to it that others leave, and a gang
+            # that is moved has left already.
+            if not placement.guarantee and not decision.is_move:
+                await self.give_way(decision.plan)
             await self._launcher.launch(job, placement, gang.fence.attempt)
         except launches.LaunchUnknownError:
             return await self._settle(known, gang)
@@ -122,8 +125,12 @@
         """Let the lead forget a gang whose end is on the log."""
         await self._inquirer.acknowledge(run.gang.fence, run.gang.lead)
 
-    async def _make_room(self, plan: reclaims.ReclaimPlan) -> None:
-        """Ask gangs to leave; on a team's own home the agents see to it themselves."""
+    async def give_way(self, plan: reclaims.ReclaimPlan) -> None:
+        """Ask the gangs that a plan names to save their work and leave.
+
+        :param plan: a place and its victims.
+        :raises PapayasparError: when a lead can't be asked.
+        """
         for victim in plan.victims:
             self._journal.record(
                 lines.EventKind.JOB_RECLAIMED,
@@ -132,9 +139,6 @@
                 job=victim.gang.job_id,
                 attempt=victim.gang.attempt,
             )
-        if plan.placement.guarantee:
-            return
-        for victim in plan.victims:
             fence = claims.Fence(victim.gang.job_id, victim.gang.attempt)
             await self._agents.give_way(victim.lead_worker, fence)
 
--- a/libs/entry/src/papayaspar_entry/job_board.py
+++ b/libs/entry/src/papayaspar_entry/job_board.py
@@ -14,6 +14,7 @@
     gang_runs,
     homekeeper,
     job_table,
+    moves,
     records,
     rulebook,
 )
@@ -64,6 +65,7 @@
         self._view = view
         self._queue = queue
         self._runs = runs
+        self._moves = moves.Moves(runs, view)
         self._journal = record
         self._clock = clock_source
         self._appender = appends.Appender(log, records.JOBS_STREAM)
@@ -192,6 +194,9 @@
             self._sort_jobs(group)
             now_s = self._clock.now_s()
             for decision in self._queue.schedule(self._view, now_s):
+                if decision.is_move:
+                    group.start_soon(self._moves.begin, decision)
+                    continue
                 self._queued.discard(decision.job.job_id)
                 self._start(group, decision)
             with anyio.move_on_after(SCHEDULE_INTERVAL_S):
@@ -283,11 +288,23 @@
     async def _run_gang(self, known: job_table.KnownJob, decision: queues.Decision) -> None:
         try:
             if known.job.idempotent or await self._claim(known):
-                await self._finish(known, await self._runs.launch(known, decision))
+                await self._run_to_end(known, decision)
         finally:
             self._busy.discard(known.job.job_id)
             self.table.changes.changed()
 
+    async def _run_to_end(self, known: job_table.KnownJob, decision: queues.Decision) -> None:
+        """Run a gang, and run it on where it is moved to."""
+        place: queues.Decision | None = decision
+        while place is not None:
+            run = await self._runs.launch(known, place)
+            place = self._moves.take(known.job.job_id)
+            await self._finish(known, run)
+            if run.ended is not None or known.is_cancelled:
+                return
+            if place is not None:
+                self._view.assume(known.job, place.plan.placement)
+
     async def _claim(self, known: job_table.KnownJob) -> bool:
         """Claim a non-idempotent job on the log, so that no other entry launches it too.
 
--- a/libs/entry/src/papayaspar_entry/process.py
+++ b/libs/entry/src/papayaspar_entry/process.py
@@ -27,7 +27,7 @@
 from papayaspar_events import journal, lines, metrics
 from papayaspar_membership import ejection, members
 from papayaspar_model import causality, clock
-from papayaspar_placement import durations, ends, fleet, shape_keeping
+from papayaspar_placement import consolidation, durations, ends, fleet, shape_keeping
 from papayaspar_placement import queues as job_queues
 from papayaspar_platform import http_logs, logs
 from papayaspar_settings import daemons
@@ -164,7 +164,9 @@
         agents = gang_calls.StreamGangAgents(self._sessions, self._table, times)
         launcher = launches.Launcher(self._settings.name, agents, random.Random(), times)
         runs = gang_runs.GangRuns(agents, launcher, expected, self._journal, times)
-        queue = job_queues.JobQueue(shape_keeping.ShapeKeeping(expected), expected)
+        consolidator = consolidation.Consolidator(expected)
+        policy = shape_keeping.ShapeKeeping(expected, consolidator)
+        queue = job_queues.JobQueue(policy, expected)
         return job_board.JobBoard(
             self._log,
             self._book,
