--- a/libs/agent/src/papayaspar_agent/process.py
+++ b/libs/agent/src/papayaspar_agent/process.py
@@ -22,7 +22,8 @@
 from papayaspar_model import causality, clock, errors, workers
 from papayaspar_platform import http_runtimes, runtimes
 from papayaspar_settings import daemons
-from papayaspar_slots import agents, calls, ledger, terms
+from papayaspar_slots import agents, calls, claims, ledger, terms
+from papayaspar_slots import messages as gang_messages
 from papayaspar_wire import messages, peers, transports
 
 REPORT_SPACING_S = 0.02
@@ -109,6 +110,7 @@
         )
         self._runtime = runtime or _runtime_of(settings)
         self._gangs: gang_service.GangService | None = None
+        self._gang_peers: gang_peers.StreamGangPeers | None = None
         self._address = ""
         self._known_entries: set[str] = set()
         self._group: anyio.abc.TaskGroup | None = None
@@ -201,6 +203,7 @@
         others = gang_peers.StreamGangPeers(worker, self._agent_links, self._times)
         runner = gang_peers.PlatformTaskRunner(self._runtime)
         gangs = agents.GangAgent(self._ledger, runner, others, self._clock, group, self._times)
+        self._gang_peers = others
         others.service = gang_service.GangService(gangs, self._agent_links)
         return others.service
 
@@ -241,10 +244,30 @@
         with anyio.move_on_after(self._settings.grace_s):
             # Entries learn of the drain before the last stream closes.
             await anyio.sleep(DRAIN_NOTICE_S)
+            await self._leave_gangs()
             await self._runner.wait_idle()
+            await self._wait_gangs_gone()
         with anyio.move_on_after(HAND_OVER_S):
             await self.claims.wait_surrendered()
 
+    async def _leave_gangs(self) -> None:
+        """Have gangs that can be stopped save their work, and go on elsewhere."""
+        for use in self._ledger.uses():
+            if not use.stoppable or self._gang_peers is None:
+                continue
+            give_way = gang_messages.GiveWay(claims.Fence(use.job_id, use.attempt))
+            try:
+                await self._gang_peers.give_way(use.lead_worker, give_way)
+            except errors.PapayasparError as error:
+                self._journal.record(
+                    lines.EventKind.PEER_LOST, code=error.code, detail=use.lead_worker
+                )
+
+    async def _wait_gangs_gone(self) -> None:
+        changes = self._ledger.changes
+        while self._ledger.uses():
+            await changes.wait_beyond(changes.sequence)
+
 
 def _runtime_of(settings: config.AgentConfig) -> runtimes.Runtime:
     if settings.runtime is None:
--- a/libs/entry/src/papayaspar_entry/dispatcher.py
+++ b/libs/entry/src/papayaspar_entry/dispatcher.py
@@ -105,6 +105,10 @@
                 await anyio.sleep(BUSY_PAUSE_S * random.random())
                 continue
             except errors.PapayasparError as error:
+                if _was_not_sent(error):
+                    sent.withdraw(attempt)
+                    await anyio.sleep(BUSY_PAUSE_S * random.random())
+                    continue
                 sent.fail(attempt, error.ran)
                 self._check_retry(request, sent, error)
                 continue
@@ -116,6 +120,8 @@
     ) -> None:
         """Raise the error to answer with unless a retry may be sent."""
         if not sent.may_send(self._clock.now_s()) or not self._retries.try_spend():
+            if self._clock.now_s() >= request.deadline_s:
+                raise errors.DeadlineError("no answer before the deadline", ran=sent.ran)
             error.ran = sent.ran
             raise error
         kind = lines.EventKind.REQUEST_RETRIED
@@ -265,3 +271,8 @@
             attempt=attempt,
             code=code,
         )
+
+
+def _was_not_sent(error: errors.PapayasparError) -> bool:
+    """Return whether an attempt failed because its stream was gone before it was sent."""
+    return isinstance(error, errors.PeerError) and error.ran is errors.Ran.NO
--- a/libs/model/src/papayaspar_model/causality.py
+++ b/libs/model/src/papayaspar_model/causality.py
@@ -9,6 +9,7 @@
 
 COUNTER_BITS = 12
 MICROSECONDS_PER_SECOND = 1_000_000
+AHEAD_MAX_S = 3600.0
 
 
 class HybridClock:
@@ -23,16 +24,23 @@
 
     def tick(self) -> int:
         """Return a stamp later than every one given or seen before."""
-        wall = int(self._source.wall_s() * MICROSECONDS_PER_SECOND) << COUNTER_BITS
-        self._last = max(self._last + 1, wall)
+        self._last = max(self._last + 1, self._wall_stamp())
         return self._last
 
     def observe(self, stamp: int) -> None:
         """Take note of a stamp that came with a message.
 
+        A stamp far ahead of the own wall clock is ignored: one broken peer would else lift the
+        clocks of all others for good.
+
         :param stamp: the sender's stamp.
         """
-        self._last = max(self._last, stamp)
+        if stamp <= self._wall_stamp(AHEAD_MAX_S):
+            self._last = max(self._last, stamp)
+
+    def _wall_stamp(self, ahead_s: float = 0.0) -> int:
+        wall_us = (self._source.wall_s() + ahead_s) * MICROSECONDS_PER_SECOND
+        return int(wall_us) << COUNTER_BITS
 
 
 def stamp_wall_s(stamp: int) -> float:
--- /dev/null
+++ b/libs/model/tests/test_causality.py
@@ -0,0 +1,24 @@
+"""Tests of the hybrid logical clock."""
+
+import pytest
+
+from papayaspar_model import causality, clock
+
+
+@pytest.fixture
+def source():
+    return clock.ManualClock(1_000_000.0)
+
+
+def test_an_effect_is_stamped_after_its_cause(source):
+    ahead = causality.HybridClock(clock.ManualClock(1_000_060.0))
+    behind = causality.HybridClock(source)
+    cause = ahead.tick()
+    behind.observe(cause)
+    assert behind.tick() > cause
+
+
+def test_a_stamp_from_the_far_future_changes_nothing(source):
+    subject = causality.HybridClock(source)
+    subject.observe(1 << 62)
+    assert causality.stamp_wall_s(subject.tick()) == 1_000_000.0
--- a/libs/wire/src/papayaspar_wire/codecs.py
+++ b/libs/wire/src/papayaspar_wire/codecs.py
@@ -12,6 +12,8 @@
 from papayaspar_model import errors
 
 MESSAGE_MAX_BYTES = 4 * 1024 * 1024
+# A whole message and what came behind it in one read.
+BUFFER_MAX_BYTES = MESSAGE_MAX_BYTES + 128 * 1024
 NUMBER_MAX = 2**63 - 1
 
 
@@ -72,7 +74,7 @@
 
     def unpacker(self) -> msgpack.Unpacker:
         """Return a buffer for one stream, bounded in memory."""
-        return msgpack.Unpacker(max_buffer_size=MESSAGE_MAX_BYTES, strict_map_key=False)
+        return msgpack.Unpacker(max_buffer_size=BUFFER_MAX_BYTES, strict_map_key=False)
 
     def read(self, unpacker: msgpack.Unpacker, data: bytes) -> Iterator[Frame]:
         """Return the frames that are whole once more bytes have arrived.
