--- a/libs/agent/src/papayaspar_agent/config.py
+++ b/libs/agent/src/papayaspar_agent/config.py
@@ -17,6 +17,7 @@
     :param incarnation: grows with each start; wall clock milliseconds by default.
     :param entries: entries to announce the worker to.
     :param listen: where other agents reach this one.
+    :param advertise: address told to other agents, if not the listening one.
     :param target: where the target listens.
     :param runtime: where the worker runtime listens.
     :param capacity: what the worker can hold.
@@ -34,6 +35,7 @@
     target: transports.Address
     runtime: transports.Address | None = None
     listen: transports.Address = transports.Address("127.0.0.1", 0)
+    advertise: transports.Address | None = None
     capacity: workers.Capacity = workers.Capacity()
     grace_s: float = 60.0
     metrics: transports.Address | None = None
--- a/libs/agent/src/papayaspar_agent/process.py
+++ b/libs/agent/src/papayaspar_agent/process.py
@@ -124,7 +124,7 @@
         if self._settings.metrics is not None:
             self._journal.metrics.serve(self._settings.metrics.host, self._settings.metrics.port)
         listener = await transports.listen(self._settings.listen, self._settings.tls)
-        self._address = str(listener.address)
+        self._address = str(self._settings.advertise or listener.address)
         try:
             await self._serve(listener, task_status)
         finally:
--- a/libs/agent/src/papayaspar_agent/settings.py
+++ b/libs/agent/src/papayaspar_agent/settings.py
@@ -26,6 +26,9 @@
     listen: str = fields.default(
         kinds.Address(listening=True), "127.0.0.1:0", "where other agents reach this one"
     )
+    advertise: str | None = fields.optional(
+        kinds.Address(), "address told to other agents, if not the listening one"
+    )
     target: str = fields.required(kinds.Address(), "where the target listens")
     runtime: str | None = fields.optional(kinds.Address(), "where the worker runtime listens")
     slots: int = fields.default(
@@ -67,6 +70,7 @@
             target=transports.Address.parse(self.target),
             runtime=transports.Address.parse(self.runtime) if self.runtime else None,
             listen=transports.Address.parse(self.listen),
+            advertise=transports.Address.parse(self.advertise) if self.advertise else None,
             capacity=workers.Capacity(
                 self.slots, self.connections, self.accelerators, self.memory_gib * GIBIBYTE
             ),
