Remember which entry sees to which job until the live entries change

Cause: found while reading: each pass over the open jobs, at least four a second, hashed every job with every live entry. Change: JobOwners keeps the owners; the live entries are sorted once a change.

--- a/libs/entry/src/papayaspar_entry/entry_links.py
+++ b/libs/entry/src/papayaspar_entry/entry_links.py
@@ -56,6 +56,7 @@
         self._codec = messages.codec(*dispatch_calls.ALL)
         self._known: set[str] = set()
         self._open: set[str] = set()
+        self._live: tuple[str, ...] | None = None
         self._group: anyio.abc.TaskGroup | None = None
         self.changes = signals.ChangeSignal()
         self.own_address = ""
@@ -68,7 +69,9 @@
     @property
     def live(self) -> tuple[str, ...]:
         """Addresses of the live entries, this one among them, sorted."""
-        return tuple(sorted({self.own_address, *self._open}))
+        if self._live is None:
+            self._live = tuple(sorted({self.own_address, *self._open}))
+        return self._live
 
     @property
     def is_first(self) -> bool:
@@ -111,6 +114,7 @@
                 self._journal.record(lines.EventKind.PEER_LOST, code=error.code, detail=detail)
             finally:
                 self._open.discard(address)
+                self._live = None
             await anyio.sleep(wait_s * random.uniform(0.5, 1.0))
             wait_s = min(wait_s * 2, RECONNECT_MAX_S)
 
@@ -121,6 +125,7 @@
             reply = await peer.call(hello, HELLO_TIMEOUT_S)
             welcome = messages.expect(reply, messages.Welcome)
             self._open.add(address)
+            self._live = None
             self.learn(welcome.entries)
             detail = f"entry {welcome.process}"
             self._journal.record(lines.EventKind.PEER_CONNECTED, detail=detail)
--- a/libs/entry/src/papayaspar_entry/job_board.py
+++ b/libs/entry/src/papayaspar_entry/job_board.py
@@ -6,13 +6,13 @@
 
 import anyio
 import anyio.abc
-import xxhash
 
 from papayaspar_entry import (
     appends,
     entry_links,
     gang_runs,
     homekeeper,
+    job_owners,
     job_table,
     moves,
     records,
@@ -61,10 +61,10 @@
         self._log = log
         self._book = book
         self._keeper = keeper
-        self._links = links
         self._view = view
         self._queue = queue
         self._runs = runs
+        self._owners = job_owners.JobOwners(links)
         self._moves = moves.Moves(runs, view)
         self._journal = record
         self._clock = clock_source
@@ -165,14 +165,14 @@
     def _note_fresh(self, record: records.JobAccepted) -> None:
         """Remember a job that no entry can have launched before, so it need not wait."""
         job_id = record.job.job_id
-        if self.table.get(job_id) is None and self._is_mine(job_id):
+        if self.table.get(job_id) is None and self._owners.is_mine(job_id):
             self._fresh.add(job_id)
 
     async def _repeat_records(self) -> None:
         while True:
             await anyio.sleep(REPEAT_INTERVAL_S)
             for known in self.table.open_jobs():
-                if not self._is_mine(known.job.job_id):
+                if not self._owners.is_mine(known.job.job_id):
                     continue
                 record = records.JobAccepted(known.job, known.accepted_wall_s, known.claim_id)
                 try:
@@ -208,7 +208,7 @@
         now_s = self._clock.now_s()
         for known in self.table.open_jobs():
             job_id = known.job.job_id
-            if not self._is_mine(job_id):
+            if not self._owners.is_mine(job_id):
                 self._mine_since_s.pop(job_id, None)
                 self._unqueue(job_id)
                 continue
@@ -355,13 +355,6 @@
         kind = lines.EventKind.JOB_FINISHED
         self._record(kind, known.job, ended.attempt, ended.code, ended.state.value)
 
-    def _is_mine(self, job_id: str) -> bool:
-        """Return whether this entry sees to a job: rendezvous hashing over the live entries."""
-        owner = max(
-            self._links.live, key=lambda one: xxhash.xxh3_64_intdigest(f"{job_id}/{one}".encode())
-        )
-        return owner == self._links.own_address
-
     def _wall_offset_s(self) -> float:
         return self._clock.wall_s() - self._clock.now_s()
 
