--- a/libs/dispatch/src/papayaspar_dispatch/shard_records.py
+++ b/libs/dispatch/src/papayaspar_dispatch/shard_records.py
@@ -74,7 +74,7 @@
     """Return the evidence in a JSON object."""
     listed = fields["shards"]
     if not isinstance(listed, list):
-        raise TypeError("shards")
+        raise shards.ShardMapError("malformed record: shards")
     return shards.Evidence(
         kind=shards.EvidenceKind(fields["kind"]),
         worker=_text(fields["worker"]),
@@ -89,14 +89,14 @@
 def _text(value: object) -> str:
     """Return a text, or raise."""
     if not isinstance(value, str):
-        raise TypeError("not a text")
+        raise shards.ShardMapError("malformed record: not a text")
     return value
 
 
 def _number(value: object) -> int:
     """Return a whole number that is not negative, or raise."""
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise TypeError("not a whole number")
+        raise shards.ShardMapError("malformed record: not a whole number")
     return value
 
 
