Thin the public faces of the daemons' libraries

Cause: they listed inner modules. Change: entry and agent name what embedding needs, slots and dispatch theirs.

--- a/libs/agent/src/papayaspar_agent/__init__.py
+++ b/libs/agent/src/papayaspar_agent/__init__.py
@@ -1,5 +1,9 @@
-"""The agent daemon as a library: the one authority on its worker's slots and accelerators."""
+"""The agent daemon as a library: the one authority on its worker's slots and accelerators.
 
-from papayaspar_agent import config, process, requests, settings, targets
+To embed one, make a ``config.AgentConfig`` and run a ``process.Agent`` in a task group;
+``targets.Target`` is the base class of other kinds of targets.
+"""
 
-__all__ = ["config", "process", "requests", "settings", "targets"]
+from papayaspar_agent import config, process, settings, targets
+
+__all__ = ["config", "process", "settings", "targets"]
--- a/libs/dispatch/src/papayaspar_dispatch/__init__.py
+++ b/libs/dispatch/src/papayaspar_dispatch/__init__.py
@@ -1,7 +1,8 @@
-"""Attempts, claims of non-idempotent requests, answers."""
+"""Attempts, and claims of non-idempotent requests with the owners of their shards."""
 
 from papayaspar_dispatch import (
     attempts,
+    calls,
     claim_tables,
     claims,
     shard_chains,
@@ -11,6 +12,7 @@
 
 __all__ = [
     "attempts",
+    "calls",
     "claim_tables",
     "claims",
     "shard_chains",
--- a/libs/entry/src/papayaspar_entry/__init__.py
+++ b/libs/entry/src/papayaspar_entry/__init__.py
@@ -1,5 +1,8 @@
-"""The entry daemon as a library: HTTP to callers, decisions, streams to agents."""
+"""The entry daemon as a library: HTTP to callers, decisions, streams to agents.
 
-from papayaspar_entry import callers, config, dispatcher, operators, process, sessions
+To embed one, make a ``config.EntryConfig`` and run a ``process.Entry`` in a task group.
+"""
 
-__all__ = ["callers", "config", "dispatcher", "operators", "process", "sessions"]
+from papayaspar_entry import config, process, settings
+
+__all__ = ["config", "process", "settings"]
--- a/libs/slots/src/papayaspar_slots/__init__.py
+++ b/libs/slots/src/papayaspar_slots/__init__.py
@@ -5,3 +5,7 @@
 members (:mod:`papayaspar_slots.members`). Entries place gangs through
 :mod:`papayaspar_slots.launches`.
 """
+
+from papayaspar_slots import agents, calls, claims, launches, ledger, messages, peers, terms
+
+__all__ = ["agents", "calls", "claims", "launches", "ledger", "messages", "peers", "terms"]
