--- a/libs/control/src/papayaspar_control/answers.py
+++ b/libs/control/src/papayaspar_control/answers.py
@@ -7,6 +7,7 @@
 import cattrs
 
 from papayaspar_control import failures
+from papayaspar_rules import revisions
 
 T = TypeVar("T")
 
@@ -39,24 +40,6 @@
     publish_id: str
 
 
-@attrs.frozen
-class Revision:
-    """One revision that was in force.
-
-    :param revision: its number.
-    :param parent: its parent's number.
-    :param author: who published it.
-    :param publish_id: the publisher's name for it.
-    :param published_wall_s: when, in seconds since the Unix epoch.
-    """
-
-    revision: int
-    parent: int
-    author: str
-    publish_id: str
-    published_wall_s: float
-
-
 @attrs.frozen
 class History:
     """Revisions that were in force.
@@ -64,7 +47,7 @@
     :param revisions: the revisions, in any order.
     """
 
-    revisions: tuple[Revision, ...]
+    revisions: tuple[revisions.HistoryEntry, ...]
 
 
 @attrs.frozen
--- a/libs/control/src/papayaspar_control/client.py
+++ b/libs/control/src/papayaspar_control/client.py
@@ -1,7 +1,7 @@
 """The operators' HTTP interface of an entry, from the asking side."""
 
 import ssl
-from types import TracebackType
+import types
 from urllib import parse
 
 import httpx
@@ -47,7 +47,7 @@
         self,
         kind: type[BaseException] | None,
         error: BaseException | None,
-        trace: TracebackType | None,
+        trace: types.TracebackType | None,
     ) -> None:
         await self._http.__aexit__(kind, error, trace)
 
--- a/libs/control/src/papayaspar_control/publishing.py
+++ b/libs/control/src/papayaspar_control/publishing.py
@@ -4,6 +4,7 @@
 
 from papayaspar_control import answers, client
 from papayaspar_model import errors, identifiers
+from papayaspar_rules import revisions
 
 ATTEMPTS_MAX = 5
 RETRY_WAIT_S = 0.5
@@ -54,7 +55,7 @@
     )
 
 
-async def _child_of(entry: client.Client, parent: int) -> answers.Revision | None:
+async def _child_of(entry: client.Client, parent: int) -> revisions.HistoryEntry | None:
     try:
         history = await entry.history()
     except errors.PapayasparError:
@@ -65,7 +66,7 @@
     return None
 
 
-def _settled(child: answers.Revision, publish_id: str) -> answers.Published:
+def _settled(child: revisions.HistoryEntry, publish_id: str) -> answers.Published:
     if child.publish_id == publish_id:
         return answers.Published(child.revision, publish_id)
     raise errors.RevisionConflictError(
--- a/libs/rules/tests/test_revisions.py
+++ b/libs/rules/tests/test_revisions.py
@@ -3,8 +3,8 @@
 import random
 
 import attrs
+import hypothesis
 import pytest
-from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from papayaspar_model import errors
@@ -241,8 +241,8 @@
     return [*log, records.encode(full.snapshot())]
 
 
-@settings(derandomize=True, max_examples=300, deadline=None)
-@given(st.integers(0, 2**32))
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(st.integers(0, 2**32))
 def test_readers_that_start_anywhere_agree_on_the_head(seed):
     log = random_log(random.Random(seed))
     truth = revisions.Chain()
@@ -263,8 +263,8 @@
         assert reader.rules == truth.rules
 
 
-@settings(derandomize=True, max_examples=300, deadline=None)
-@given(st.integers(0, 2**32))
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(st.integers(0, 2**32))
 def test_readers_that_miss_records_and_hear_peers_never_revert(seed):
     rng = random.Random(seed)
     log = random_log(rng)
@@ -298,8 +298,8 @@
     assert reader.rules == truth.rules
 
 
-@settings(derandomize=True, deadline=None)
-@given(
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(
     st.binary()
     | st.recursive(st.none() | st.integers() | st.floats() | st.text(), st.lists).map(
         lambda value: repr(value).encode()
--- a/libs/rules/tests/test_rules_file.py
+++ b/libs/rules/tests/test_rules_file.py
@@ -4,8 +4,8 @@
 import re
 import string
 
+import hypothesis
 import pytest
-from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from papayaspar_model import rulesets, work
@@ -179,14 +179,14 @@
     ]
 
 
-@settings(derandomize=True, max_examples=100, deadline=None)
-@given(rulesets_of_any_size())
+@hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+@hypothesis.given(rulesets_of_any_size())
 def test_printed_rules_read_back_the_same(rules):
     assert parsing.parse(rules.text) == rules
 
 
-@settings(derandomize=True, max_examples=50, deadline=None)
-@given(rulesets_of_any_size(), rulesets_of_any_size())
+@hypothesis.settings(derandomize=True, max_examples=50, deadline=None)
+@hypothesis.given(rulesets_of_any_size(), rulesets_of_any_size())
 def test_changes_turn_any_rules_into_any_others(before, after):
     book = parsing.parse_book(before.text)
     changes = book.changes_to(parsing.parse_book(after.text))
@@ -198,8 +198,8 @@
 )
 
 
-@settings(derandomize=True, max_examples=500, deadline=None)
-@given(st.text() | st.lists(WORDS | st.text(max_size=4), max_size=30).map("".join))
+@hypothesis.settings(derandomize=True, max_examples=500, deadline=None)
+@hypothesis.given(st.text() | st.lists(WORDS | st.text(max_size=4), max_size=30).map("".join))
 def test_no_text_raises_anything_but_the_typed_error(text):
     try:
         rules = parsing.parse(text)
@@ -209,8 +209,8 @@
     assert parsing.parse(rules.text) == rules
 
 
-@settings(derandomize=True, deadline=None)
-@given(st.binary())
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(st.binary())
 def test_no_bytes_raise_anything_but_the_typed_error(data):
     try:
         parsing.parse_bytes(data)
