Acknowledge ends only after all that they changed is stored

Cause: an agent's second report of the same end changed nothing, so nothing was left to wait for and the end was acknowledged while the store still refused its record; the next lead started the task again. Ruled out: a start under the former lead's token (the worker's runs list was empty at attachment). Every acknowledgement and every shown phase now waits for the writer's whole queue. The test fails without it.

--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -183,7 +183,10 @@
         if state.incarnation is not None and state.is_answering:
             self._take_ends(link, state, state.incarnation)
             self._take_runs(link, state, state.incarnation)
-        self._flush(link, state)
+        self._flush()
+        if state.ends and state.incarnation is not None:
+            number = max(end.number for end in state.ends)
+            self._spawn(self._acknowledge, link, state.incarnation, number)
         self._changes.changed()
 
     def _take_ends(
@@ -226,29 +229,22 @@
             )
             self._spawn(self._stop_run, link, row.task, row.run)
 
-    def _flush(self, link: links.AgentLink | None, state: messages.AgentState | None) -> None:
-        """Record what changed; acknowledge a worker's ends once that is stored."""
+    def _flush(self) -> None:
+        """Queue the records of tasks that changed, and show the jobs that they change."""
         changed = self._work.take_changed()
-        done: anyio.Event | None = None
-        if changed:
-            done = self._tasks_writer.post(
-                *(records.encode(f"{records.TASK}{task.key}", task.record) for task in changed)
-            )
-        if link is not None and state is not None and state.ends and state.incarnation is not None:
-            number = max(end.number for end in state.ends)
-            self._spawn(self._acknowledge, link, state.incarnation, number, done)
+        if not changed:
+            return
+        self._tasks_writer.post(
+            *(records.encode(f"{records.TASK}{task.key}", task.record) for task in changed)
+        )
         for job_id in {task.key.job_id for task in changed}:
-            self._show(job_id, done)
+            self._show(job_id)
 
     async def _acknowledge(
-        self,
-        link: links.AgentLink,
-        incarnation: tasks.Incarnation,
-        number: int,
-        done: anyio.Event | None,
+        self, link: links.AgentLink, incarnation: tasks.Incarnation, number: int
     ) -> None:
-        if done is not None:
-            await done.wait()
+        """Acknowledge ends once all that they changed is stored."""
+        await self._tasks_writer.write()
         try:
             await link.acknowledge(incarnation, number)
         except errors.PeerError as error:
@@ -257,13 +253,10 @@
             return
         link.acknowledged[incarnation] = max(number, link.acknowledged.get(incarnation, 0))
 
-    def _show(self, job_id: str, done: anyio.Event | None) -> None:
+    def _show(self, job_id: str) -> None:
         """Record a job's phase when it changed, after its tasks are stored."""
-        booked = self._view.book.find(job_id)
-        live = next(
-            (each for each in self._work.jobs() if each.progress.spec.job_id == job_id), None
-        )
-        if booked is None or live is None:
+        live = self._work.job(job_id)
+        if live is None:
             return
         phase = self._phase_of(live)
         if phase is self._shown.get(job_id, books.JobPhase.QUEUED):
@@ -275,7 +268,12 @@
             code=phase.value,
             duration_ms=(self._clock.now_s() - live.first_ready_s) * MILLISECONDS_PER_SECOND,
         )
-        self._spawn(self._record_phase, job_id, phase, done)
+        self._spawn(self._record_phase, job_id, phase)
+
+    async def _record_phase(self, job_id: str, phase: books.JobPhase) -> None:
+        await self._tasks_writer.write()
+        record = records.encode(records.STATE + job_id, records.StateRecord(phase))
+        await self._shared.write(record)
 
     def _phase_of(self, live: workload.LiveJob) -> books.JobPhase:
         if live.progress.is_done:
@@ -288,14 +286,6 @@
             return books.JobPhase.RUNNING
         return books.JobPhase.QUEUED
 
-    async def _record_phase(
-        self, job_id: str, phase: books.JobPhase, done: anyio.Event | None
-    ) -> None:
-        if done is not None:
-            await done.wait()
-        record = records.encode(records.STATE + job_id, records.StateRecord(phase))
-        await self._shared.write(record)
-
     # Planning.
 
     async def _plan_forever(self) -> None:
@@ -312,13 +302,14 @@
         self._stop_unwanted()
         self._evacuate(now_s)
         self._finish_jobs(now_s)
-        if not self.may_vouch():
-            return
+        if self.may_vouch():
+            self._start_waiting(now_s, wall_ms)
+        self._flush()
+
+    def _start_waiting(self, now_s: float, wall_ms: float) -> None:
         demands = self._work.demands(now_s, wall_ms)
-        if demands:
-            for pool in sorted({self._pool_of(demand) for demand in demands}):
-                self._plan_pool(pool, demands, now_s)
-        self._flush(None, None)
+        for pool in sorted({self._pool_of(demand) for demand in demands}):
+            self._plan_pool(pool, demands, now_s)
 
     def _pool_of(self, demand: ordering.Demand) -> str:
         return self._work.queue_of(demand.unit.job).pool
@@ -378,7 +369,7 @@
         if any(task.record.run == run and task.is_waiting for task in unit.members):
             # A gang runs whole or not at all.
             self._stop_unit(unit)
-        self._flush(None, None)
+        self._flush()
         self._changes.changed()
 
     async def _start_task(self, unit: progress.Unit, task: progress.Task, run: int) -> None:
@@ -502,7 +493,7 @@
             phase = self._phase_of(live)
             if not phase.is_final:
                 continue
-            self._show(job_id, None)
+            self._show(job_id)
             if any(True for _ in live.progress.active_units()):
                 continue
             self._work.finish(job_id)
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -55,6 +55,10 @@
         """Return the unfinished jobs."""
         return iter(list(self._jobs.values()))
 
+    def job(self, job_id: str) -> LiveJob | None:
+        """Return an unfinished job, or ``None``."""
+        return self._jobs.get(job_id)
+
     def queue_of(self, job: progress.JobProgress) -> configurations.Queue:
         """Return a job's queue as it is now, or as it was when it has gone."""
         return self._queues.get(job.spec.queue, job.booked.queue)
--- /dev/null
+++ b/libs/lead/tests/conftest.py
@@ -0,0 +1,208 @@
+"""A lead, agents and workers in one process, on a store in memory."""
+
+import contextlib
+import functools
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import anyio
+import anyio.abc
+import attrs
+import pytest
+
+from papayaspar_events import journal, metrics
+from papayaspar_jobs import books, configurations, specs
+from papayaspar_lead import duty, office
+from papayaspar_model import causality, clock
+from papayaspar_runs import keeper, registration, service
+from papayaspar_standin import keyed_stores, memory_workers
+from papayaspar_store import following, records, views
+
+LOOPBACK = "127.0.0.1"
+LEASE_MAX_S = 6.0
+LIMITS = duty.DutyLimits(LEASE_MAX_S)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+def queue(**changes: object) -> configurations.Queue:
+    """Return a queue."""
+    base = configurations.Queue("checks", "host", "/checks/", "pool", 3000, 1, 2, 3.0, 1000)
+    return attrs.evolve(base, **changes)  # type: ignore[arg-type]
+
+
+@attrs.define
+class EntryUnderTest:
+    """One entry's part in scheduling."""
+
+    store: keyed_stores.MemoryStore
+    view: views.SharedView
+    follower: following.Follower
+    office: office.Office
+    scope: anyio.CancelScope
+
+
+@attrs.define
+class AgentUnderTest:
+    """One agent with its worker."""
+
+    worker: memory_workers.MemoryWorker
+    store: keyed_stores.MemoryStore
+    keeper: keeper.Keeper
+    service: service.LeadService
+    scope: anyio.CancelScope
+
+
+class Site:
+    """Entries and agents on one store.
+
+    :param group: runs them all.
+    """
+
+    def __init__(self, group: anyio.abc.TaskGroup) -> None:
+        self._group = group
+        self.clock = clock.BootClock()
+        self.log = keyed_stores.KeyedLog()
+        self.witness = memory_workers.TaskWitness()
+        self.entries: dict[str, EntryUnderTest] = {}
+        self.agents: dict[str, AgentUnderTest] = {}
+        self._boots = 0
+
+    def _events(self, node: str) -> journal.Journal:
+        stamps = causality.HybridClock(self.clock)
+        return journal.Journal(node, "dc", stamps, metrics.Metrics())
+
+    async def add_entry(self, node: str) -> EntryUnderTest:
+        """Start an entry's scheduling part."""
+        self._boots += 1
+        store = keyed_stores.MemoryStore(self.log)
+        view = views.SharedView(self.clock)
+        events = self._events(node)
+        follower = following.Follower(store, records.SHARED, view, self.clock, events, 0.5)
+        held = office.Office(
+            node,
+            f"boot-{self._boots}",
+            store,
+            view,
+            follower,
+            LIMITS,
+            self.clock,
+            events.stamps,
+            events,
+        )
+        held.configure(configurations.Configuration(1, (queue(),), ()))
+        scope = anyio.CancelScope()
+        entry = EntryUnderTest(store, view, follower, held, scope)
+        self.entries[node] = entry
+        self._group.start_soon(_run_within, scope, follower.run, held.run)
+        return entry
+
+    async def add_agent(
+        self, node: str, worker: memory_workers.MemoryWorker | None = None
+    ) -> AgentUnderTest:
+        """Start an agent; with a worker, it is a new process beside a worker that lived on."""
+        self._boots += 1
+        worker = worker or memory_workers.MemoryWorker(node, self.witness, self.clock)
+        store = keyed_stores.MemoryStore(self.log)
+        events = self._events(node)
+        kept = keeper.Keeper(node, worker, keeper.KeeperLimits(LEASE_MAX_S), self.clock, events)
+        served = service.LeadService(node, kept, self.clock, events.stamps, events)
+        listener = await service.listen(LOOPBACK, (0, 0))
+        record = records.AgentRecord(node, str(listener.address), f"boot-{self._boots}")
+        scope = anyio.CancelScope()
+        agent = AgentUnderTest(worker, store, kept, served, scope)
+        self.agents[node] = agent
+        self._group.start_soon(
+            _run_within,
+            scope,
+            functools.partial(listener.serve, served.serve),
+            kept.run,
+            functools.partial(
+                registration.keep_registered, store, record, served, self.clock, events
+            ),
+            functools.partial(_check_in_forever, agent),
+        )
+        return agent
+
+    def submit(self, spec: specs.JobSpec, through: configurations.Queue | None = None) -> None:
+        """Accept a job, as an entry's desk does."""
+        record = records.JobRecord(
+            spec, through or queue(), int(self.clock.wall_s() * 1000), "entry"
+        )
+        self.log.append(
+            keyed_stores.Append(
+                records.SHARED, (records.encode(records.JOB + spec.job_id, record),), None, None
+            )
+        )
+
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job, as an entry's desk does."""
+        record = records.encode(records.CANCEL + job_id, records.CancelRecord("entry"))
+        self.log.append(keyed_stores.Append(records.SHARED, (record,), None, None))
+
+    def phase(self, job_id: str) -> books.JobPhase | None:
+        """Return how far a job is, as the store says."""
+        stored = self.log.partition(records.SHARED).newest.get(records.STATE + job_id)
+        return records.decode(stored, records.StateRecord).phase if stored is not None else None
+
+    def lead(self) -> str:
+        """Return the entry that holds the duty, or an empty text."""
+        for node, entry in self.entries.items():
+            if entry.office.is_lead:
+                return node
+        return ""
+
+    async def until(self, condition: Callable[[], bool], timeout_s: float = 30.0) -> None:
+        """Wait for a condition."""
+        with anyio.fail_after(timeout_s):
+            while not condition():
+                await anyio.sleep(0.02)
+
+
+async def _check_in_forever(agent: AgentUnderTest) -> None:
+    sequence = 0
+    while True:
+        sequence += 1
+        agent.keeper.take_check_in(agent.worker.check_in(sequence))
+        await anyio.sleep(0.3)
+
+
+async def _run_within(scope: anyio.CancelScope, *parts: Callable[[], Awaitable[None]]) -> None:
+    with scope:
+        async with anyio.create_task_group() as group:
+            for part in parts:
+                group.start_soon(part)
+
+
+@contextlib.asynccontextmanager
+async def _running() -> AsyncIterator[Site]:
+    async with anyio.create_task_group() as group:
+        yield Site(group)
+        group.cancel_scope.cancel()
+
+
+@pytest.fixture
+def running() -> Callable[[], contextlib.AbstractAsyncContextManager[Site]]:
+    """Return what opens a site."""
+    return _running
+
+
+def job(number: int, *steps: specs.Step, **changes: object) -> specs.JobSpec:
+    """Return a job of a number."""
+    default = (specs.Step(1, specs.Room(1000, 100, 1), 200),)
+    spec = specs.JobSpec(f"{number:016x}", "checks", "team", "payload", steps or default)
+    return attrs.evolve(spec, **changes)  # type: ignore[arg-type]
+
+
+@pytest.fixture
+def make_job() -> Callable[..., specs.JobSpec]:
+    """Return what makes jobs."""
+    return job
+
+
+@pytest.fixture
+def make_queue() -> Callable[..., configurations.Queue]:
+    """Return what makes queues."""
+    return queue
--- /dev/null
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -0,0 +1,135 @@
+"""No task runs twice, and no end is forgotten, whatever becomes of lead, store, agent or worker."""
+
+import pytest
+
+from papayaspar_jobs import books
+from papayaspar_standin import keyed_stores, memory_workers
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_end_is_not_acknowledged_before_it_is_stored(running, make_job):
+    """Seen on booth-cloud trouble-1: a second report of an end acknowledged it unrecorded."""
+    async with running() as site:
+        lead = await site.add_entry("entry-1")
+        agent = await site.add_agent("node-1")
+        agent.worker.run_time_s = 0.6
+        site.submit(make_job(1))
+        await site.until(lambda: len(site.witness.starts) == 1)
+        lead.store.fault = keyed_stores.StoreFault.BUSY
+        await site.add_entry("entry-2")
+        await site.until(lambda: bool(site.witness.done))
+        agent.keeper.changes.changed()
+        await site.until(lambda: site.entries["entry-2"].office.is_lead)
+        await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.SUCCEEDED)
+        assert len(site.witness.starts) == 1
+        assert site.witness.restarts == []
+
+
+async def test_killed_lead_is_replaced_and_its_tasks_run_on(running, make_job):
+    async with running() as site:
+        lead = await site.add_entry("entry-1")
+        agent = await site.add_agent("node-1")
+        agent.worker.run_time_s = 4.0
+        site.submit(make_job(1))
+        await site.until(lambda: len(site.witness.starts) == 1)
+        await site.add_entry("entry-2")
+        lead.scope.cancel()
+        await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.SUCCEEDED)
+        assert len(site.witness.starts) == 1
+
+
+async def test_killed_agent_renews_the_lease_in_time(running, make_job):
+    async with running() as site:
+        await site.add_entry("entry-1")
+        agent = await site.add_agent("node-1")
+        agent.worker.run_time_s = 9.0
+        site.submit(make_job(1))
+        await site.until(lambda: len(site.witness.starts) == 1)
+        agent.scope.cancel()
+        await site.add_agent("node-1", agent.worker)
+        await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.SUCCEEDED)
+        assert len(site.witness.starts) == 1
+
+
+async def test_start_that_is_carried_out_late_is_not_run_beside_another(running, make_job):
+    async with running() as site:
+        await site.add_entry("entry-1")
+        first = await site.add_agent("node-1")
+        await site.until(lambda: site.lead() != "")
+        first.worker.fault = memory_workers.WorkerFault.LATE
+        site.submit(make_job(1))
+        await site.add_agent("node-2")
+        await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.SUCCEEDED)
+        assert site.witness.overlaps == []
+        assert site.witness.restarts == []
+
+
+async def test_task_of_an_unreachable_agent_waits_for_its_lease(running, make_job):
+    async with running() as site:
+        await site.add_entry("entry-1")
+        first = await site.add_agent("node-1")
+        first.worker.run_time_s = 60.0
+        site.submit(make_job(1))
+        await site.until(lambda: len(site.witness.starts) == 1)
+        first.scope.cancel()
+        first.worker.fault = memory_workers.WorkerFault.SILENT
+        second = await site.add_agent("node-2")
+        await site.until(lambda: len(site.witness.starts) == 2, timeout_s=40.0)
+        # The silent worker notes its lapse only when it is looked at.
+        assert first.worker.clock_ms() >= first.worker.expiry_ms
+        await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.SUCCEEDED)
+        assert second.worker.name == "node-2"
+
+
+async def test_crashed_worker_loses_its_task_to_another_run(running, make_job):
+    async with running() as site:
+        await site.add_entry("entry-1")
+        agent = await site.add_agent("node-1")
+        agent.worker.run_time_s = 60.0
+        site.submit(make_job(1))
+        await site.until(lambda: len(site.witness.starts) == 1)
+        agent.worker.run_time_s = 0.1
+        agent.worker.crash()
+        await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.SUCCEEDED)
+        assert len(site.witness.starts) == 2
+        assert site.witness.overlaps == []
+
+
+async def test_lead_without_answers_of_the_store_writes_each_record_once(running, make_job):
+    async with running() as site:
+        lead = await site.add_entry("entry-1")
+        await site.add_agent("node-1")
+        await site.until(lambda: site.lead() != "")
+        lead.store.fault = keyed_stores.StoreFault.LOST
+        site.submit(make_job(1))
+        await site.until(lambda: lead.store.append_count > 6)
+        lead.store.heal()
+        await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.SUCCEEDED)
+        assert len(site.witness.starts) == 1
+
+
+async def test_cancelled_job_is_stopped_and_starts_no_more(running, make_job):
+    async with running() as site:
+        await site.add_entry("entry-1")
+        agent = await site.add_agent("node-1")
+        agent.worker.run_time_s = 60.0
+        site.submit(make_job(1))
+        await site.until(lambda: len(site.witness.starts) == 1)
+        site.cancel(make_job(1).job_id)
+        await site.until(lambda: not any(site.witness.running.values()))
+        await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.CANCELLED)
+        assert len(site.witness.starts) == 1
+
+
+async def test_history_that_is_dropped_takes_no_job_away(running, make_job):
+    async with running() as site:
+        await site.add_entry("entry-1")
+        await site.add_agent("node-1")
+        site.submit(make_job(1))
+        await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.SUCCEEDED)
+        for partition in site.log.partitions():
+            site.log.drop_history(partition)
+        site.submit(make_job(2))
+        await site.until(lambda: site.phase(make_job(2).job_id) is books.JobPhase.SUCCEEDED)
+        assert len(site.witness.starts) == 2
