--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -115,6 +115,8 @@
                 if chosen is None:
                     continue
                 cost = sum(victim.cost_core_s for victim in chosen)
+                if not preemption.is_worth(demand, cost):
+                    continue
                 if best is None or cost < best_cost:
                     best, best_cost = chosen, cost
             if best is not None:
--- a/libs/scheduling/src/papayaspar_scheduling/preemption.py
+++ b/libs/scheduling/src/papayaspar_scheduling/preemption.py
@@ -10,6 +10,7 @@
 # An accelerator counts as so many cores when work is thrown away (rules page, prices).
 CORES_PER_ACCELERATOR = 8.0
 MILLICORES_PER_CORE = 1000.0
+MILLISECONDS_PER_SECOND = 1000.0
 # Cost of a restart besides the work that is lost, in core-seconds: keeps idle choices stable.
 RESTART_CORE_S = 4.0
 
@@ -28,13 +29,39 @@
     cost_core_s: float
 
 
+# Urgent work beyond a guarantee may cost others at most this share of its own work: throwing away
+# more than that serves fewer callers than letting it wait.
+URGENT_COST_RATIO = 0.5
+
+
+def own_work_core_s(unit: progress.Unit) -> float:
+    """Return the estimated work of a unit, in core-seconds."""
+    seconds = unit.step.estimate_ms / MILLISECONDS_PER_SECOND
+    return _cores(unit.step) * seconds * len(unit.members)
+
+
+def _cores(step: specs.Step) -> float:
+    cores = step.room.cpu_millicores / MILLICORES_PER_CORE
+    return cores + step.room.accelerators * CORES_PER_ACCELERATOR
+
+
+def is_worth(demand: ordering.Demand, cost_core_s: float) -> bool:
+    """Return whether work may be thrown away for a demand.
+
+    :param demand: what needs room.
+    :param cost_core_s: work that is lost.
+    """
+    if demand.rank is ordering.Rank.GUARANTEED:
+        return True
+    return cost_core_s <= URGENT_COST_RATIO * own_work_core_s(demand.unit)
+
+
 def lost_work_core_s(unit: progress.Unit, now_s: float) -> float:
     """Return the work that stopping a unit throws away, in core-seconds.
 
     A checkpointed task loses next to nothing, since a stop saves its progress.
     """
-    room = unit.step.room
-    cores = room.cpu_millicores / MILLICORES_PER_CORE + room.accelerators * CORES_PER_ACCELERATOR
+    cores = _cores(unit.step)
     total = RESTART_CORE_S * len(unit.members)
     if unit.step.is_checkpointed:
         return total
--- /dev/null
+++ b/libs/scheduling/tests/conftest.py
@@ -0,0 +1,104 @@
+"""Workers, jobs and demands for tests of the planning."""
+
+from collections.abc import Callable
+
+import attrs
+import pytest
+
+from papayaspar_jobs import books, configurations, progress, specs, tasks
+from papayaspar_scheduling import fleet, ordering, planner, preemption
+
+CAPACITY = specs.Room(64_000, 262_144, 8)
+QUEUE = configurations.Queue("queue", "host", "/queue/", "pool", 3000)
+
+
+@attrs.define
+class Bench:
+    """A fleet with what runs and what waits on it."""
+
+    workers: list[fleet.Worker]
+    running: list[preemption.Victim] = attrs.field(factory=list)
+    waiting: list[ordering.Demand] = attrs.field(factory=list)
+    jobs: int = 0
+
+    def unit(self, step: specs.Step) -> progress.Unit:
+        """Return the first unit of a new job of one step."""
+        self.jobs += 1
+        spec = specs.JobSpec(f"{self.jobs:016x}", "queue", "team", "", (step,))
+        job = progress.JobProgress(books.BookedJob(spec, QUEUE, 0), 2)
+        job.open_due(0.0)
+        return next(job.waiting_units(0.0))
+
+    def run(
+        self, step: specs.Step, *nodes: str, rank: ordering.Rank, for_s: float = 5.0
+    ) -> progress.Unit:
+        """Let a unit run since some time."""
+        unit = self.unit(step)
+        for task, node in zip(unit.members, nodes, strict=True):
+            task.record = tasks.TaskRecord(tasks.TaskPhase.ASSIGNED, 1, node)
+            task.started_s = 100.0 - for_s
+        cost = preemption.lost_work_core_s(unit, 100.0)
+        self.running.append(preemption.Victim(unit, rank, cost))
+        return unit
+
+    def wait(
+        self,
+        step: specs.Step,
+        rank: ordering.Rank,
+        waited_s: float = 0.0,
+        objective_s: float = 110.0,
+    ) -> progress.Unit:
+        """Let a unit wait."""
+        unit = self.unit(step)
+        remaining_s = step.estimate_ms / 1000.0
+        self.waiting.append(
+            ordering.Demand(unit, rank, objective_s, objective_s + 30.0, remaining_s, waited_s)
+        )
+        return unit
+
+    def free(self, is_stopping_counted: bool = True) -> fleet.FreeRoom:
+        """Return the room that is left."""
+        free = fleet.FreeRoom(self.workers)
+        for victim in self.running:
+            for task in victim.unit.members:
+                if task.is_stopping and not is_stopping_counted:
+                    continue
+                free.take(task.record.node, task.step.counted_room, fleet.step_name(task.key))
+        return free
+
+    def plan(self) -> planner.Plan:
+        """Plan once."""
+        return planner.Planner().plan(
+            self.waiting, self.free(), self.free(False), self.running, 100.0
+        )
+
+
+@pytest.fixture
+def bench() -> Bench:
+    """Four workers on two racks."""
+    workers = []
+    for number in range(4):
+        rack = f"r1-{number // 2}"
+        workers.append(
+            fleet.Worker(
+                f"node-{number}",
+                "pool",
+                tasks.Incarnation(f"w-{number}", 1),
+                CAPACITY,
+                frozenset({"a", rack}),
+                rack,
+                is_open=True,
+            )
+        )
+    return Bench(workers)
+
+
+@pytest.fixture
+def make_step() -> Callable[..., specs.Step]:
+    """Return what makes steps of whole-worker tasks."""
+
+    def make(count: int = 1, accelerators: int = 8, estimate_ms: int = 5000, **changes: object):
+        step = specs.Step(count, specs.Room(7_500, 20_000, accelerators), estimate_ms)
+        return attrs.evolve(step, **changes)  # type: ignore[arg-type]
+
+    return make
--- /dev/null
+++ b/libs/scheduling/tests/test_urgent_load.py
@@ -0,0 +1,75 @@
+"""Load: a fleet full of long work into which urgent gangs burst."""
+
+from papayaspar_scheduling import ordering
+
+NORMAL, BULK = ordering.Rank.NORMAL, ordering.Rank.BULK
+URGENT, GUARANTEED = ordering.Rank.URGENT, ordering.Rank.GUARANTEED
+
+
+def _fill(bench, make_step, rank, for_s, **changes):
+    return [
+        bench.run(
+            make_step(estimate_ms=20_000, **changes), f"node-{number}", rank=rank, for_s=for_s
+        )
+        for number in range(4)
+    ]
+
+
+def test_guaranteed_gang_takes_whole_workers_at_any_cost(bench, make_step):
+    _fill(bench, make_step, NORMAL, 15.0)
+    bench.wait(make_step(2, is_gang=True, is_same_rack=True), GUARANTEED)
+    plan = bench.plan()
+    nodes = {victim.unit.members[0].record.node for victim, _ in plan.stops}
+    assert nodes in ({"node-0", "node-1"}, {"node-2", "node-3"})
+
+
+def test_urgent_work_beyond_the_guarantee_throws_no_large_work_away(bench, make_step):
+    """Seen on booth-cloud scale-2: 2,800 core-seconds were lost for one job beyond a guarantee."""
+    _fill(bench, make_step, NORMAL, 15.0)
+    bench.wait(make_step(1, is_gang=True), URGENT)
+    assert bench.plan().stops == ()
+
+
+def test_urgent_work_beyond_the_guarantee_stops_checkpointed_work(bench, make_step):
+    _fill(bench, make_step, BULK, 15.0, is_checkpointed=True)
+    bench.wait(make_step(1, is_gang=True), URGENT)
+    assert len(bench.plan().stops) == 1
+
+
+def test_cheapest_work_is_stopped(bench, make_step):
+    for number, for_s in enumerate((15.0, 9.0, 1.0, 12.0)):
+        bench.run(make_step(estimate_ms=20_000), f"node-{number}", rank=NORMAL, for_s=for_s)
+    bench.wait(make_step(1, is_gang=True), GUARANTEED)
+    nodes = [victim.unit.members[0].record.node for victim, _ in bench.plan().stops]
+    assert nodes == ["node-2"]
+
+
+def test_stopped_work_makes_room_before_more_is_stopped(bench, make_step):
+    units = _fill(bench, make_step, NORMAL, 15.0)
+    units[1].members[0].is_stopping = True
+    bench.wait(make_step(1, is_gang=True), GUARANTEED)
+    plan = bench.plan()
+    assert plan.stops == ()
+    assert plan.starts == ()
+
+
+def test_reserved_room_is_not_given_to_lesser_work(bench, make_step):
+    units = _fill(bench, make_step, NORMAL, 15.0)
+    units[1].members[0].is_stopping = True
+    bench.wait(make_step(1, is_gang=True), GUARANTEED)
+    bench.wait(make_step(1, 1), BULK)
+    assert bench.plan().starts == ()
+
+
+def test_guaranteed_work_never_stops_guaranteed_work(bench, make_step):
+    _fill(bench, make_step, GUARANTEED, 1.0)
+    bench.wait(make_step(1, is_gang=True), GUARANTEED)
+    assert bench.plan().stops == ()
+
+
+def test_small_tasks_leave_whole_workers_free(bench, make_step):
+    bench.run(make_step(1, 1), "node-2", rank=BULK)
+    for _ in range(3):
+        bench.wait(make_step(1, 1), BULK)
+    nodes = {node for start in bench.plan().starts for node in start.nodes}
+    assert nodes == {"node-2"}
