Ask the store before a job is appended, so that a dead path is refused as not run

Ruled out: relaying through another entry (the cut was from all). A read goes first; what it can't reach is refused with 503 at once.

--- a/libs/intake/src/papayaspar_intake/desk.py
+++ b/libs/intake/src/papayaspar_intake/desk.py
@@ -6,11 +6,11 @@
 from papayaspar_intake import access
 from papayaspar_jobs import books, specs
 from papayaspar_model import clock, errors
-from papayaspar_store import following, records, stores, views
+from papayaspar_store import failures, following, records, stores, views
 
 MILLISECONDS_PER_SECOND = 1000.0
 # One append is given up after so long, in seconds; the store answers in milliseconds.
-APPEND_TIMEOUT_S = 0.8
+APPEND_TIMEOUT_S = 0.5
 RETRY_S = 0.05
 # An answer leaves this long before the caller's deadline, in seconds.
 ANSWER_MARGIN_S = 0.1
@@ -73,6 +73,9 @@
         accepted_ms = int(self._clock.wall_s() * MILLISECONDS_PER_SECOND)
         record = records.JobRecord(spec, admission.queue, accepted_ms, self._node)
         encoded = records.encode(records.JOB + spec.job_id, record)
+        await self._check_store()
+        if self._view.book.find(spec.job_id) is not None:
+            return
         await self._store_record(encoded, spec.job_id, timeout_s)
         self._view.book.accept(spec, admission.queue, accepted_ms)
         self._follower.changes.changed()
@@ -85,6 +88,25 @@
             f" tasks={sum(step.task_count for step in spec.steps)}",
         )
 
+    async def _check_store(self) -> None:
+        """Refuse while nothing was sent if the store does not answer.
+
+        An append without an answer leaves it open whether the job will run, so callers can't safely
+        go elsewhere with it; a read before it finds most dead paths first.
+
+        :raises StoreUnavailableError: the store does not answer; nothing was sent.
+        """
+        if self._follower.is_away:
+            raise failures.StoreUnavailableError(
+                "the store does not answer", retry_after_s=RETRY_AFTER_S
+            )
+        try:
+            await self._follower.catch_up()
+        except errors.LogUnavailableError as error:
+            raise failures.StoreUnavailableError(
+                f"the store does not answer: {error.detail}", retry_after_s=RETRY_AFTER_S
+            ) from error
+
     async def cancel(self, job_id: str, team: str, timeout_s: float) -> None:
         """Cancel a job; a job that has ended stays as it ended.
 
--- /dev/null
+++ b/libs/intake/tests/conftest.py
@@ -0,0 +1,60 @@
+"""A desk on a store in memory."""
+
+from collections.abc import AsyncIterator
+
+import anyio
+import attrs
+import pytest
+
+from papayaspar_events import journal, metrics
+from papayaspar_intake import access, desk
+from papayaspar_jobs import configurations, specs
+from papayaspar_model import causality, clock
+from papayaspar_standin import keyed_stores
+from papayaspar_store import following, records, views
+
+QUEUE = configurations.Queue("checks", "host", "/checks/", "pool", 3000)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@attrs.define
+class DeskUnderTest:
+    """A desk and what it stands on."""
+
+    log: keyed_stores.KeyedLog
+    store: keyed_stores.MemoryStore
+    view: views.SharedView
+    desk: desk.JobDesk
+    admission: access.Admission
+
+    def is_stored(self, key: str) -> bool:
+        """Return whether the store holds a key."""
+        return key in self.log.partition(records.SHARED).newest
+
+
+@pytest.fixture
+async def counter() -> AsyncIterator[DeskUnderTest]:
+    """A desk whose view follows the store."""
+    source = clock.BootClock()
+    events = journal.Journal("entry", "dc", causality.HybridClock(source), metrics.Metrics())
+    log = keyed_stores.KeyedLog()
+    store = keyed_stores.MemoryStore(log)
+    view = views.SharedView(source)
+    follower = following.Follower(store, records.SHARED, view, source, events, 0.2)
+    jobs = desk.JobDesk("entry", store, view, follower, source, events)
+    async with anyio.create_task_group() as group:
+        group.start_soon(follower.run)
+        while not follower.is_loaded:
+            await anyio.sleep(0.01)
+        yield DeskUnderTest(log, store, view, jobs, access.Admission(QUEUE, "team"))
+        group.cancel_scope.cancel()
+
+
+@pytest.fixture
+def spec() -> specs.JobSpec:
+    """A small job."""
+    return specs.JobSpec("0123456789abcdef", "checks", "team", "", (specs.Step(1),))
--- /dev/null
+++ b/libs/intake/tests/test_desk.py
@@ -0,0 +1,95 @@
+"""What callers are told is true: accepted is stored, refused never runs, cancelled stays so."""
+
+import pytest
+
+from papayaspar_intake import access, desk
+from papayaspar_jobs import books, configurations
+from papayaspar_model import errors
+from papayaspar_standin import keyed_stores
+from papayaspar_store import failures, records
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_accepted_job_is_stored(counter, spec):
+    await counter.desk.submit(spec, counter.admission, 3.0)
+    assert counter.is_stored(records.JOB + spec.job_id)
+    assert await counter.desk.phase(spec.job_id, "team") is books.JobPhase.QUEUED
+
+
+async def test_repeated_job_is_one_job(counter, spec):
+    await counter.desk.submit(spec, counter.admission, 3.0)
+    appends = counter.store.append_count
+    await counter.desk.submit(spec, counter.admission, 3.0)
+    assert counter.store.append_count == appends
+
+
+@pytest.mark.parametrize("fault", ["BUSY", "SILENT", "LOST", "LATE"])
+async def test_refused_job_is_never_stored(counter, spec, fault):
+    """Seen on booth-cloud scale-2: an entry cut off answered 504, which callers can't retry."""
+    counter.store.fault = keyed_stores.StoreFault[fault]
+    with pytest.raises(failures.StoreUnavailableError) as caught:
+        await counter.desk.submit(spec, counter.admission, 3.0)
+    assert caught.value.ran is errors.Ran.NO
+    counter.store.heal()
+    assert not counter.is_stored(records.JOB + spec.job_id)
+
+
+async def test_cancelled_before_its_record_stays_cancelled(counter, spec):
+    with pytest.raises(errors.NotFoundError):
+        await counter.desk.cancel(spec.job_id, "team", 3.0)
+    await counter.desk.submit(spec, counter.admission, 3.0)
+    assert await counter.desk.phase(spec.job_id, "team") is books.JobPhase.CANCELLED
+
+
+async def test_job_of_another_team_is_not_shown(counter, spec):
+    await counter.desk.submit(spec, counter.admission, 3.0)
+    with pytest.raises(errors.NotFoundError):
+        await counter.desk.phase(spec.job_id, "others")
+
+
+async def test_unknown_job_is_not_denied_without_the_store(counter, spec):
+    counter.store.fault = keyed_stores.StoreFault.BUSY
+    with pytest.raises(failures.StoreUnavailableError):
+        await counter.desk.phase(spec.job_id, "team")
+
+
+class FixedSource(access.ConfigurationSource):
+    """A configuration of a fixed age."""
+
+    def __init__(self, age_s: float) -> None:
+        self._age_s = age_s
+
+    def current(self) -> configurations.Configuration:
+        queue = configurations.Queue("q", "host", "/q/", "pool", 3000)
+        longer = configurations.Queue("long", "host", "/q/long/", "pool", 3000, is_public=True)
+        team = configurations.Team("team", frozenset({"key"}))
+        return configurations.Configuration(3, (queue, longer), (team,))
+
+    def age_s(self) -> float:
+        return self._age_s
+
+
+async def test_longest_prefix_and_key_admit():
+    gate = access.Gate(FixedSource(0.0), 3.0)
+    assert gate.admit("host", "/q/1", "key").team == "team"
+    assert gate.admit("host", "/q/long/1", "").queue.name == "long"
+    with pytest.raises(access.UnknownKeyError):
+        gate.admit("host", "/q/1", "taken away")
+    with pytest.raises(access.UnknownQueueError):
+        gate.admit("other", "/q/1", "key")
+
+
+async def test_key_is_not_honoured_under_an_old_configuration():
+    gate = access.Gate(FixedSource(3.1), 3.0)
+    with pytest.raises(access.NoConfigurationError) as caught:
+        gate.admit("host", "/q/1", "key")
+    assert caught.value.ran is errors.Ran.NO
+
+
+async def test_doubtful_append_is_repeated_until_it_is_confirmed(counter, spec):
+    record = records.encode(records.CANCEL + spec.job_id, records.CancelRecord("entry"))
+    counter.store.fault = keyed_stores.StoreFault.LOST
+    with pytest.raises(desk.JobTimeoutError):
+        await counter.desk.cancel(spec.job_id, "team", 0.9)
+    assert counter.is_stored(record.key)
