--- a/libs/intake/tests/conftest.py
+++ b/libs/intake/tests/conftest.py
@@ -38,7 +38,7 @@
 
 @pytest.fixture
 async def counter() -> AsyncIterator[DeskUnderTest]:
-    """A desk whose view follows the store."""
+    """Return a desk whose view follows the store."""
     source = clock.BootClock()
     events = journal.Journal("entry", "dc", causality.HybridClock(source), metrics.Metrics())
     log = keyed_stores.KeyedLog()
@@ -56,5 +56,5 @@
 
 @pytest.fixture
 def spec() -> specs.JobSpec:
-    """A small job."""
+    """Return a small job."""
     return specs.JobSpec("0123456789abcdef", "checks", "team", "", (specs.Step(1),))
--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -5,7 +5,7 @@
 import attrs
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import books, configurations, progress, tasks
+from papayaspar_jobs import books, configurations, progress, specs, tasks
 from papayaspar_lead import links, workload
 from papayaspar_model import causality, clock, errors, signals
 from papayaspar_runs import messages, workers
@@ -321,10 +321,11 @@
                 continue
             link.seat.is_trusted = not self._work.outcomes(link.node).is_ejected(now_s)
             seats.append(link.seat)
+        strays = self._strays()
         plan = self._planner.plan(
             [demand for demand in demands if self._pool_of(demand) == pool],
-            self._work.free_room(seats, is_stopping_counted=True),
-            self._work.free_room(seats, is_stopping_counted=False),
+            self._work.free_room(seats, strays, is_stopping_counted=True),
+            self._work.free_room(seats, strays, is_stopping_counted=False),
             self._work.victims(now_s),
             now_s,
         )
@@ -339,6 +340,20 @@
         for start in plan.starts:
             self._assign(start, now_s)
 
+    def _strays(self) -> list[tuple[str, specs.Room]]:
+        """Return the runs on workers that no task is assigned to: of cancelled or failed jobs."""
+        found: list[tuple[str, specs.Room]] = []
+        for link in self._links.values():
+            for row in link.state.runs if link.state is not None else ():
+                if self._work.is_placed(row.task, row.run, link.node):
+                    continue
+                booked = self._view.book.find(row.task.job_id)
+                room = link.seat.capacity
+                if booked is not None and row.task.step < len(booked.spec.steps):
+                    room = booked.spec.steps[row.task.step].counted_room
+                found.append((link.node, room))
+        return found
+
     def _assign(self, start: planner.Start, now_s: float) -> None:
         incarnations: dict[str, tasks.Incarnation] = {}
         for node in start.nodes:
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -1,11 +1,11 @@
 """All unfinished jobs as the lead sees them, and what ends and losses mean for them."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import attrs
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import books, configurations, progress, tasks
+from papayaspar_jobs import books, configurations, progress, specs, tasks
 from papayaspar_runs import workers
 from papayaspar_scheduling import fleet, guarantees, health, ordering, preemption
 
@@ -310,13 +310,29 @@
                 found.append(preemption.Victim(unit, rank, cost))
         return found
 
-    def free_room(self, seats: list[fleet.Worker], is_stopping_counted: bool) -> fleet.FreeRoom:
+    def is_placed(self, key: tasks.TaskKey, run: int, node: str) -> bool:
+        """Return whether a run is the one that a task is assigned to, on a machine."""
+        task = self.find(key)
+        if task is None or not task.is_assigned:
+            return False
+        return task.record.run == run and task.record.node == node
+
+    def free_room(
+        self,
+        seats: list[fleet.Worker],
+        strays: Iterable[tuple[str, specs.Room]],
+        is_stopping_counted: bool,
+    ) -> fleet.FreeRoom:
         """Return the room that is left on workers.
 
         :param seats: the workers.
+        :param strays: machine and room of runs that no task is assigned to any more; they take
+            room until their end is listed.
         :param is_stopping_counted: whether tasks that were told to stop still take room.
         """
         free = fleet.FreeRoom(seats)
+        for node, room in strays:
+            free.take(node, room)
         for node, assigned in self._by_node.items():
             for task in assigned:
                 if task.is_stopping and not is_stopping_counted:
--- a/libs/lead/tests/test_no_task_twice.py
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayaspar_jobs import books
+from papayaspar_jobs import books, specs
 from papayaspar_standin import keyed_stores, memory_workers
 
 pytestmark = pytest.mark.anyio
@@ -133,3 +133,24 @@
         site.submit(make_job(2))
         await site.until(lambda: site.phase(make_job(2).job_id) is books.JobPhase.SUCCEEDED)
         assert len(site.witness.starts) == 2
+
+
+async def test_room_of_a_cancelled_task_is_taken_until_it_has_ended(running, make_job):
+    """Seen on kowhai-spar trouble-3 (LIMIT): a new lead did not count what it did not schedule."""
+    whole = specs.Step(1, specs.Room(1000, 100, 8), 200)
+    async with running() as site:
+        lead = await site.add_entry("entry-1")
+        agent = await site.add_agent("node-1")
+        agent.worker.run_time_s, agent.worker.stop_time_s = 60.0, 6.0
+        site.submit(make_job(1, whole))
+        await site.until(lambda: len(site.witness.starts) == 1)
+        site.cancel(make_job(1).job_id)
+        await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.CANCELLED)
+        lead.scope.cancel()
+        agent.scope.cancel()
+        agent.worker.run_time_s = 0.2
+        site.submit(make_job(2, whole))
+        await site.add_agent("node-1", agent.worker)
+        await site.add_entry("entry-2")
+        await site.until(lambda: len(site.witness.starts) == 2)
+        assert [worker for worker in site.witness.running.values() if worker] == [{"node-1"}]
--- a/libs/scheduling/tests/conftest.py
+++ b/libs/scheduling/tests/conftest.py
@@ -75,7 +75,7 @@
 
 @pytest.fixture
 def bench() -> Bench:
-    """Four workers on two racks."""
+    """Return four workers on two racks."""
     workers = []
     for number in range(4):
         rack = f"r1-{number // 2}"
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -32,6 +32,7 @@
     run: int
     ends_s: float
     will_fail: bool
+    stops_s: float | None = None
 
 
 @attrs.define
@@ -87,6 +88,7 @@
         self.fault = WorkerFault.NONE
         self.run_time_s = run_time_s
         self.late_by_s = 2.0
+        self.stop_time_s = 0.0
         self._witness = witness
         self._clock = source
         self._lease_max_s = lease_max_s
@@ -154,8 +156,9 @@
         await self._suffer()
         self._check_token(token)
         known = self._runs.get(task)
-        if known is not None and known.run == run:
-            self._end(known, tasks.EndKind.STOPPED)
+        if known is not None and known.run == run and known.stops_s is None:
+            known.stops_s = self._clock.now_s() + self.stop_time_s
+            self._advance()
         self._highest[task] = max(run, self._highest.get(task, 0))
 
     async def look(
@@ -204,6 +207,8 @@
         for run in list(self._runs.values()):
             if self.expiry_ms <= self.clock_ms():
                 self._end(run, tasks.EndKind.LAPSED)
+            elif run.stops_s is not None and run.stops_s <= now_s:
+                self._end(run, tasks.EndKind.STOPPED)
             elif run.ends_s <= now_s:
                 self._end(run, tasks.EndKind.FAILED if run.will_fail else tasks.EndKind.DONE)
 
