Answer jobs by their deadline, take what is read back, restart what stands still

Ruled out: preemption (most of its 83 stops cost under 10 core-seconds). A job whose record is read back is accepted without the append's answer. Runs whose progress stands still are started elsewhere once that costs less than they have done. A stand-in without progress showed that a long run was restarted for ever: it has time for 5% now, and more at each run. The duty is split into recording, orders and tending. Test files run side by side.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Commands for developers; each sets up what it needs.
 PYTHON ?= python3
 VENV := .venv
+# Test files run side by side; each has ports of its own.
+TEST_JOBS ?= 4
 STAMP := $(VENV)/.stamp
 MANIFESTS := $(wildcard libs/*/pyproject.toml programs/*/pyproject.toml platform/pyproject.toml)
 
@@ -19,7 +21,7 @@
 	$(VENV)/bin/papayaspar-local demo
 
 test: setup
-	$(VENV)/bin/pytest
+	$(VENV)/bin/pytest -n $(TEST_JOBS) --dist loadfile
 
 check: setup
 	$(VENV)/bin/ruff format --check .
--- a/libs/intake/src/papayaspar_intake/desk.py
+++ b/libs/intake/src/papayaspar_intake/desk.py
@@ -1,5 +1,7 @@
 """The desk where jobs are handed in, asked for and cancelled."""
 
+from collections.abc import Callable
+
 import anyio
 
 from papayaspar_events import journal, lines
@@ -9,8 +11,9 @@
 from papayaspar_store import failures, following, records, stores, views
 
 MILLISECONDS_PER_SECOND = 1000.0
-# One append is given up after so long, in seconds; the store answers in milliseconds.
-APPEND_TIMEOUT_S = 0.5
+# One append is given up after so long, in seconds. A slow store works off a partition's appends one
+# at a time, up to 2 s of them; repeating one sooner makes the line longer.
+APPEND_TIMEOUT_S = 1.2
 RETRY_S = 0.05
 # An answer leaves this long before the caller's deadline, in seconds.
 ANSWER_MARGIN_S = 0.1
@@ -74,9 +77,12 @@
         record = records.JobRecord(spec, admission.queue, accepted_ms, self._node)
         encoded = records.encode(records.JOB + spec.job_id, record)
         await self._check_store()
+        deadline_s = began_s + timeout_s - ANSWER_MARGIN_S
         if self._view.book.find(spec.job_id) is not None:
             return
-        await self._store_record(encoded, spec.job_id, timeout_s)
+        await self._store_record(
+            encoded, spec.job_id, deadline_s, lambda: self._view.book.find(spec.job_id) is not None
+        )
         self._view.book.accept(spec, admission.queue, accepted_ms)
         self._follower.changes.changed()
         self._events.record(
@@ -115,12 +121,15 @@
         :param timeout_s: how long the caller waits.
         :raises NotFoundError: when there is no such job.
         """
+        deadline_s = self._clock.now_s() + timeout_s - ANSWER_MARGIN_S
         job = self._find(job_id, team)
         if job is not None and job.phase.is_final:
             return
         # A record for an unknown job counts too: its own record may still be on its way.
         record = records.encode(records.CANCEL + job_id, records.CancelRecord(self._node))
-        await self._store_record(record, job_id, timeout_s)
+        await self._store_record(
+            record, job_id, deadline_s, lambda: self._view.book.is_cancelled(job_id)
+        )
         self._view.book.cancel(job_id)
         self._follower.changes.changed()
         self._events.record(
@@ -161,19 +170,26 @@
         return job
 
     async def _store_record(
-        self, record: stores.KeyedRecord, job_id: str, timeout_s: float
+        self,
+        record: stores.KeyedRecord,
+        job_id: str,
+        deadline_s: float,
+        is_seen: Callable[[], bool],
     ) -> None:
-        """Store a record that never changes; a repeat after a lost answer is harmless."""
-        deadline_s = self._clock.now_s() + timeout_s - ANSWER_MARGIN_S
+        """Store a record that never changes; a repeat after a lost answer is harmless.
+
+        :param record: the record.
+        :param job_id: its job.
+        :param deadline_s: when the caller must have its answer, on this entry's clock.
+        :param is_seen: whether the record was read back, which confirms it as well.
+        """
         is_doubtful = False
-        while True:
+        while not is_seen():
             left_s = deadline_s - self._clock.now_s()
             if left_s <= 0:
                 raise JobTimeoutError("the store did not answer in time", ran=errors.Ran.UNKNOWN)
             try:
-                await self._store.append(
-                    records.SHARED, (record,), timeout_s=min(APPEND_TIMEOUT_S, left_s)
-                )
+                await self._append_or_see(record, min(APPEND_TIMEOUT_S, left_s), is_seen)
             except errors.LogUnavailableError as error:
                 is_doubtful = is_doubtful or error.ran is not errors.Ran.NO
                 if not is_doubtful:
@@ -188,3 +204,26 @@
                 await anyio.sleep(RETRY_S)
                 continue
             return
+
+    async def _append_or_see(
+        self, record: stores.KeyedRecord, timeout_s: float, is_seen: Callable[[], bool]
+    ) -> None:
+        """Append a record; return when the store answers or the record is read back."""
+        failure: errors.LogUnavailableError | None = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._cancel_when_seen, is_seen, group.cancel_scope)
+            try:
+                await self._store.append(records.SHARED, (record,), timeout_s=timeout_s)
+            except errors.LogUnavailableError as error:
+                failure = error
+            group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def _cancel_when_seen(
+        self, is_seen: Callable[[], bool], scope: anyio.CancelScope
+    ) -> None:
+        seen = self._follower.changes.sequence
+        while not is_seen():
+            seen = await self._follower.changes.wait_beyond(seen)
+        scope.cancel()
--- a/libs/intake/tests/test_desk.py
+++ b/libs/intake/tests/test_desk.py
@@ -87,6 +87,14 @@
     assert caught.value.ran is errors.Ran.NO
 
 
+async def test_record_that_is_read_back_needs_no_answer(counter, spec):
+    """Load: a store that does what it is asked and loses the answer of every append."""
+    counter.store.fault = keyed_stores.StoreFault.LOST_APPENDS
+    await counter.desk.submit(spec, counter.admission, 3.0)
+    assert counter.store.append_count == 1
+    assert counter.is_stored(records.JOB + spec.job_id)
+
+
 async def test_doubtful_append_is_repeated_until_it_is_confirmed(counter, spec):
     record = records.encode(records.CANCEL + spec.job_id, records.CancelRecord("entry"))
     counter.store.fault = keyed_stores.StoreFault.LOST
--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -6,6 +6,13 @@
 
 from papayaspar_jobs import books, specs, tasks
 
+MILLISECONDS_PER_SECOND = 1000.0
+# A run whose progress did not rise for so long, in seconds, may stand still: progress comes in
+# whole percents, which on a slow worker take up to three seconds.
+STANDING_S = 3.0
+# And a long run only after the time of so many percents: progress is told in whole ones.
+STANDING_PERCENTS = 5.0
+
 
 @attrs.define(eq=False)
 class Task:
@@ -18,8 +25,8 @@
     :param is_stopping: whether it was told to stop.
     :param started_s: when its run began, on the lead's clock.
     :param percent: how much of it is done, 0 to 100.
+    :param moved_s: when that last rose, on the lead's clock.
     :param checkpoint: newest checkpoint that was seen of its run.
-    :param checkpoint_s: when that was first seen, on the lead's clock.
     :param failed_nodes: machines on which it failed.
     """
 
@@ -30,9 +37,61 @@
     is_stopping: bool = False
     started_s: float = 0.0
     percent: float = 0.0
+    moved_s: float = 0.0
     checkpoint: str = ""
-    checkpoint_s: float = 0.0
     failed_nodes: set[str] = attrs.field(factory=set)
+    _is_start_known: bool = attrs.field(default=True, init=False)
+
+    def begin(self, now_s: float) -> None:
+        """Note that a run begins.
+
+        :param now_s: the lead's clock.
+        """
+        self.is_starting = True
+        self.is_stopping = False
+        self.started_s = self.moved_s = now_s
+        self.percent = 0.0
+
+    def resume(self, now_s: float) -> None:
+        """Note that a run of a former lead goes on; when it began is told by its progress."""
+        self.started_s = self.moved_s = now_s
+        self.percent = 0.0
+        self._is_start_known = False
+
+    def observe(self, percent: float, now_s: float) -> None:
+        """Take in how much of the run is done.
+
+        :param percent: 0 to 100.
+        :param now_s: the lead's clock.
+        """
+        if not self._is_start_known:
+            self._is_start_known = True
+            self.started_s -= self.step.estimate_ms / MILLISECONDS_PER_SECOND * percent / 100.0
+        if percent > self.percent:
+            self.percent = percent
+            self.moved_s = now_s
+
+    def left_s(self, now_s: float) -> float:
+        """Return the estimated time that the run still needs, in seconds.
+
+        Its own pace tells more than the caller's estimate, which may be far off.
+        """
+        return max(0.0, self.started_s + self._whole_s() - now_s)
+
+    def _whole_s(self) -> float:
+        worked_s = self.moved_s - self.started_s
+        if self.percent > 0 and worked_s > 0:
+            return worked_s * 100.0 / self.percent
+        return self.step.estimate_ms / MILLISECONDS_PER_SECOND
+
+    def is_standing(self, now_s: float) -> bool:
+        """Return whether the run stands still for so long that another is worth its lost work."""
+        still_s = now_s - self.moved_s
+        step_s = self._whole_s() * STANDING_PERCENTS / 100.0
+        # Each further run is given more time, so that no task is restarted for ever.
+        if still_s < max(STANDING_S, step_s) * max(1, self.record.run):
+            return False
+        return self.step.is_checkpointed or still_s >= self.moved_s - self.started_s
 
     @property
     def is_waiting(self) -> bool:
--- a/libs/lead/src/papayaspar_lead/__init__.py
+++ b/libs/lead/src/papayaspar_lead/__init__.py
@@ -1,5 +1,14 @@
 """The scheduling duty: one entry holds it, plans, and orders through the agents."""
 
-from papayaspar_lead import duty, links, office, workload
+from papayaspar_lead import (
+    duty,
+    links,
+    office,
+    orders,
+    recording,
+    state,
+    tending,
+    workload,
+)
 
-__all__ = ["duty", "links", "office", "workload"]
+__all__ = ["duty", "links", "office", "orders", "recording", "state", "tending", "workload"]
--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -22,6 +22,16 @@
 LAPSE_SLACK_S = 0.3
 
 
+def lapse_s(vouched_s: float, lease_max_s: float) -> float:
+    """Return when a worker's lease must have run out after an agent was vouched for.
+
+    :param vouched_s: the latest time of that.
+    :param lease_max_s: longest lease a worker grants.
+    :return: a time on the clock of ``vouched_s``.
+    """
+    return vouched_s + keeper.ORPHAN_S + lease_max_s * keeper.CLOCK_DRIFT_RATIO + LAPSE_SLACK_S
+
+
 class LinkOwner(abc.ABC):
     """What a link tells the lead."""
 
@@ -34,7 +44,7 @@
         """Return whether the lead certainly held the duty a moment ago."""
 
     @abc.abstractmethod
-    def state_changed(self, link: "AgentLink", state: messages.AgentState) -> None:
+    def state_changed(self, link: "AgentLink", told: messages.AgentState) -> None:
         """Take in what an agent knows of its worker."""
 
     @abc.abstractmethod
@@ -104,8 +114,7 @@
 
         :return: a time on the lead's clock.
         """
-        lease_s = self._lease_max_s * keeper.CLOCK_DRIFT_RATIO
-        return self._vouched_s + keeper.ORPHAN_S + lease_s + LAPSE_SLACK_S
+        return lapse_s(self._vouched_s, self._lease_max_s)
 
     def relocate(self, record: records.AgentRecord) -> None:
         """Take in a new record of the agent and dial it at once."""
--- /dev/null
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -0,0 +1,139 @@
+"""What the lead orders: starts of whole units after they are recorded, and stops."""
+
+from collections.abc import Callable
+
+import anyio
+
+from papayaspar_events import lines
+from papayaspar_jobs import books, progress, tasks
+from papayaspar_lead import links, recording, state
+from papayaspar_model import errors
+from papayaspar_runs import messages, workers
+from papayaspar_scheduling import planner
+
+MILLISECONDS_PER_SECOND = 1000.0
+
+
+class Orders:
+    """Orders agents.
+
+    :param duty: state of the duty.
+    :param recorder: stores assignments.
+    :param may_order: says whether this lead certainly holds the duty.
+    """
+
+    def __init__(
+        self,
+        duty: state.DutyState,
+        recorder: recording.Recorder,
+        may_order: Callable[[], bool],
+    ) -> None:
+        self._state = duty
+        self._recorder = recorder
+        self._may_order = may_order
+
+    def assign(self, start: planner.Start, now_s: float) -> None:
+        """Give a unit to workers, and start it once that is stored.
+
+        :param start: the unit and its machines.
+        :param now_s: the lead's clock.
+        """
+        incarnations: dict[str, tasks.Incarnation] = {}
+        for node in start.nodes:
+            incarnation = self._state.links[node].seat.incarnation
+            if incarnation is None:
+                return
+            incarnations[node] = incarnation
+        unit = start.demand.unit
+        self._state.work.assign(unit, start.nodes, incarnations, now_s)
+        self._state.events.record(
+            lines.EventKind.TASK_ASSIGNED,
+            job=unit.job.spec.job_id,
+            team=unit.job.spec.team,
+            attempt=unit.members[0].record.run,
+            duration_ms=start.demand.waited_s * MILLISECONDS_PER_SECOND,
+            detail=f"task={unit.members[0].key} count={len(unit.members)}"
+            f" nodes={','.join(sorted(set(start.nodes)))} rank={start.demand.rank.name}",
+        )
+        self._state.crew.start(self._start_unit, unit, unit.members[0].record.run)
+
+    async def _start_unit(self, unit: progress.Unit, run: int) -> None:
+        """Order the starts of a unit once its assignment is stored."""
+        # The assignment is posted at the end of the planning that made it, before this task runs.
+        await self._recorder.written()
+        async with anyio.create_task_group() as group:
+            for task in unit.members:
+                group.start_soon(self._start_task, unit, task, run)
+        if any(task.record.run == run and task.is_waiting for task in unit.members):
+            # A gang runs whole or not at all.
+            self.stop_unit(unit)
+        self._recorder.flush()
+        self._state.changes.changed()
+
+    async def _start_task(self, unit: progress.Unit, task: progress.Task, run: int) -> None:
+        live = unit.job
+        link = self._state.links[task.record.node]
+        if task.record.run != run or not task.is_assigned or task.record.incarnation is None:
+            task.is_starting = False
+            return
+        if self._state.is_over or not self._may_order() or self._is_unwanted(live):
+            task.is_starting = False
+            self._state.work.release(task, "no longer wanted")
+            return
+        order = messages.StartRun(
+            task.key,
+            run,
+            live.spec.payload,
+            task.record.checkpoint,
+            task.step.counted_room,
+            task.record.incarnation,
+        )
+        try:
+            outcome = await link.start(order)
+        except errors.PeerError:
+            # Whether it began is read from the agent's state when it is attached again.
+            task.is_starting = False
+            link.drop()
+            return
+        task.is_starting = False
+        if outcome.is_started or task.record.run != run or not task.is_assigned:
+            return
+        reason = outcome.reason.value if outcome.reason is not None else "unknown"
+        self._state.work.release(task, f"refused: {reason}")
+        if outcome.reason in (workers.RefusalReason.UNHEALTHY, workers.RefusalReason.INVALID):
+            task.failed_nodes.add(link.node)
+
+    def _is_unwanted(self, job: progress.JobProgress) -> bool:
+        booked = job.booked
+        return booked.phase is books.JobPhase.CANCELLED or job.has_failed
+
+    def stop_unit(self, unit: progress.Unit) -> None:
+        """Stop the members of a unit that run."""
+        for task in unit.members:
+            if not task.is_assigned or task.is_starting or task.is_stopping:
+                continue
+            link = self._state.links.get(task.record.node)
+            if link is None or not link.is_attached:
+                continue
+            task.is_stopping = True
+            self._state.crew.start(self._stop_task, link, task)
+
+    async def _stop_task(self, link: links.AgentLink, task: progress.Task) -> None:
+        run = task.record.run
+        if not await self.stop_run(link, task.key, run) and task.record.run == run:
+            task.is_stopping = False
+
+    async def stop_run(self, link: links.AgentLink, key: tasks.TaskKey, run: int) -> bool:
+        """Stop a run; return whether its worker has taken the order."""
+        try:
+            await link.stop(key, run)
+        except errors.PapayasparError as error:
+            self._state.events.record(
+                lines.EventKind.CALL_REFUSED,
+                worker=link.node,
+                job=key.job_id,
+                code=error.code,
+                detail=f"stop task={key} run={run}",
+            )
+            return False
+        return True
--- /dev/null
+++ b/libs/lead/src/papayaspar_lead/tending.py
@@ -0,0 +1,85 @@
+"""What runs and should not, or can't any more: lapsed, leaving, standing, no longer wanted."""
+
+from papayaspar_events import lines
+from papayaspar_lead import orders, state
+from papayaspar_runs import workers
+
+MILLISECONDS_PER_SECOND = 1000.0
+
+
+class Tending:
+    """Looks after what runs, before each planning.
+
+    :param duty: state of the duty.
+    :param stops: orders stops.
+    :param unknown_lapse_s: when the lease of a worker without a link has run out.
+    """
+
+    def __init__(self, duty: state.DutyState, stops: orders.Orders, unknown_lapse_s: float) -> None:
+        self._state = duty
+        self._orders = stops
+        self._unknown_lapse_s = unknown_lapse_s
+
+    def tend(self, now_s: float) -> None:
+        """Release, stop or restart what needs it.
+
+        :param now_s: the lead's clock.
+        """
+        self.release_lapsed(now_s)
+        self.stop_unwanted()
+        self.evacuate(now_s)
+        self.restart_standing(now_s)
+
+    def stop_unwanted(self) -> None:
+        """Stop what runs of cancelled and failed jobs."""
+        for live in self._state.work.jobs():
+            if not live.is_cancelled and not live.progress.has_failed:
+                continue
+            for unit in live.progress.active_units():
+                self._orders.stop_unit(unit)
+
+    def release_lapsed(self, now_s: float) -> None:
+        """Let tasks wait again whose worker can't have them any more."""
+        for node in {
+            task.record.node
+            for live in self._state.work.jobs()
+            for task in live.progress.all_tasks()
+            if task.is_assigned
+        }:
+            link = self._state.links.get(node)
+            lapse_s = link.lapse_s() if link is not None else self._unknown_lapse_s
+            if (link is not None and link.is_attached) or now_s < lapse_s:
+                continue
+            for task in self._state.work.on_node(node):
+                if not task.is_starting:
+                    self._state.work.release(task, "its worker's lease has run out")
+
+    def evacuate(self, now_s: float) -> None:
+        """Stop in time what can't end before its worker leaves."""
+        for link in self._state.links.values():
+            check_in = link.state.check_in if link.state is not None else None
+            if check_in is None or check_in.condition is not workers.Condition.DRAINING:
+                continue
+            for task in self._state.work.on_node(link.node):
+                left_ms = task.left_s(now_s) * MILLISECONDS_PER_SECOND
+                if task.step.is_lasting or left_ms > (check_in.remaining_ms or 0):
+                    self._orders.stop_unit(self._state.work.unit_of(task))
+
+    def restart_standing(self, now_s: float) -> None:
+        """Stop what stands still, so that it runs elsewhere, and avoid its worker for a while."""
+        for unit in self._state.work.standing_units(now_s):
+            standing = [task for task in unit.members if task.is_standing(now_s)]
+            links_of = [self._state.links.get(task.record.node) for task in standing]
+            if not all(link is not None and link.seat.is_open for link in links_of):
+                continue
+            for task in standing:
+                self._state.work.outcomes(task.record.node).stood_still(now_s)
+                self._state.events.record(
+                    lines.EventKind.TASK_STANDING,
+                    worker=task.record.node,
+                    job=task.key.job_id,
+                    attempt=task.record.run,
+                    detail=f"task={task.key} percent={task.percent:.0f}"
+                    f" still_s={now_s - task.moved_s:.1f}",
+                )
+            self._orders.stop_unit(unit)
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -83,7 +83,7 @@
                 live.is_cancelled = True
                 self._events.record(lines.EventKind.JOB_CANCELLED, job=booked.spec.job_id)
 
-    def restore(self, key: tasks.TaskKey, record: tasks.TaskRecord) -> None:
+    def restore(self, key: tasks.TaskKey, record: tasks.TaskRecord, now_s: float) -> None:
         """Take in a stored record; one of a job that has ended is passed over."""
         live = self._jobs.get(key.job_id)
         if live is None:
@@ -95,8 +95,22 @@
         task.record = record
         task.checkpoint = record.checkpoint
         if task.is_assigned:
+            task.resume(now_s)
             self._by_node.setdefault(record.node, set()).add(task)
 
+    def standing_units(self, now_s: float) -> list[progress.Unit]:
+        """Return the units with a member that stands still on its worker."""
+        found: list[progress.Unit] = []
+        for live in self._jobs.values():
+            for unit in live.progress.active_units():
+                if unit.step.is_lasting:
+                    continue
+                if any(task.is_starting or task.is_stopping for task in unit.members):
+                    continue
+                if any(task.is_assigned and task.is_standing(now_s) for task in unit.members):
+                    found.append(unit)
+        return found
+
     def finish(self, job_id: str) -> None:
         """Take out a job that has ended and runs nowhere."""
         self._jobs.pop(job_id, None)
@@ -158,12 +172,8 @@
                     checkpoint=checkpoint,
                 ),
             )
-            task.is_starting = True
-            task.is_stopping = False
-            task.started_s = now_s
-            task.percent = 0.0
+            task.begin(now_s)
             task.checkpoint = checkpoint
-            task.checkpoint_s = now_s
 
     def release(self, task: progress.Task, reason: str) -> None:
         """Let a task wait again: its run ended, was lost or never began."""
--- a/libs/scheduling/src/papayaspar_scheduling/health.py
+++ b/libs/scheduling/src/papayaspar_scheduling/health.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-# Failures of different jobs in a row, with nothing done between them, that eject a worker. With the
-# declared share of a job's own failures (5%) three in a row come by chance once in 8,000.
-FAILURES_TO_EJECT = 3
+# Failures of different jobs in a row, with nothing done between them, that eject a worker. With a
+# tenth of all runs failing by their own fault, two in a row come by chance once in a hundred.
+FAILURES_TO_EJECT = 2
 # First ejection, and the longest, in seconds: impairments last 3 to 12 s.
 EJECTION_S = 6.0
 EJECTION_MAX_S = 30.0
@@ -50,6 +50,13 @@
         self.failed_jobs.clear()
         return True
 
+    def stood_still(self, now_s: float) -> None:
+        """Note a run that stood still: the worker is ejected at once.
+
+        :param now_s: the lead's clock.
+        """
+        self.ejected_until_s = max(self.ejected_until_s, now_s + EJECTION_S)
+
     def is_ejected(self, now_s: float) -> bool:
         """Return whether it gets no work now."""
         return now_s < self.ejected_until_s
--- a/libs/standin/src/papayaspar_standin/keyed_stores.py
+++ b/libs/standin/src/papayaspar_standin/keyed_stores.py
@@ -22,6 +22,8 @@
     SILENT = "silent"
     # Does what it is asked and never answers.
     LOST = "lost"
+    # The same, for appends only.
+    LOST_APPENDS = "lost_appends"
     # Never answers reads that wait for a record.
     HANGING_READS = "hanging_reads"
     # Never answers, and does what it was asked when the fault ends, if its condition still holds.
@@ -165,8 +167,10 @@
         self.append_count += 1
         await anyio.lowlevel.checkpoint()
         asked = Append(partition, appended, producer, at)
-        if self.fault is StoreFault.LOST:
+        if self.fault in (StoreFault.LOST, StoreFault.LOST_APPENDS):
             self._log.append(asked)
+            await anyio.sleep(timeout_s)
+            raise failures.StoreUnavailableError("no answer", ran=errors.Ran.UNKNOWN)
         if self.fault is StoreFault.LATE:
             self._late.append(asked)
         await self._suffer(timeout_s)
@@ -196,7 +200,7 @@
         return stores.Snapshot(part.first + len(part.records), tuple(part.newest.values()))
 
     async def _suffer(self, timeout_s: float) -> None:
-        if self.fault in (StoreFault.NONE, StoreFault.HANGING_READS):
+        if self.fault in (StoreFault.NONE, StoreFault.HANGING_READS, StoreFault.LOST_APPENDS):
             return
         if self.fault is StoreFault.BUSY:
             raise failures.StoreUnavailableError("refused")
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -175,9 +175,16 @@
         while not self._ends and self._clock.now_s() < until_s:
             await anyio.sleep(POLL_S)
             self._advance()
-        running = tuple(workers.RunningRow(run.task, run.run) for run in self._runs.values())
+        running = tuple(
+            workers.RunningRow(run.task, run.run, percent=self._percent(run))
+            for run in self._runs.values()
+        )
         return workers.Look(self.clock_ms(), self.born_ms, running, tuple(self._ends))
 
+    def _percent(self, run: _Run) -> float:
+        worked_s = self.run_time_s - (run.ends_s - self._clock.now_s())
+        return max(0.0, min(100.0, worked_s * 100.0 / self.run_time_s)) // 1
+
     async def _suffer(self) -> None:
         if self.fault is WorkerFault.SILENT:
             await anyio.sleep(0.5)
--- a/libs/store/src/papayaspar_store/writing.py
+++ b/libs/store/src/papayaspar_store/writing.py
@@ -10,8 +10,9 @@
 
 # Most records in one append: with records of a few hundred bytes well under the store's limit.
 BATCH_RECORDS = 200
-# A store answers in milliseconds; a silent connection is given up after this, in seconds.
-APPEND_TIMEOUT_S = 0.8
+# A silent connection is given up after this, in seconds: longer than the line at a slow store, and
+# short enough that a lead can renew its record on another connection in time.
+APPEND_TIMEOUT_S = 1.2
 RETRY_FIRST_S = 0.03
 RETRY_MAX_S = 0.3
 
