--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -94,6 +94,10 @@
             stored = records.decode(record, tasks.TaskRecord)
             self._state.work.restore(key, stored, self._state.clock.now_s())
 
+    def link(self, node: str) -> links.AgentLink | None:
+        """Return the stream to a machine's agent, or ``None`` if it is not known."""
+        return self._state.links.get(node)
+
     def attached_nodes(self) -> tuple[str, ...]:
         """Return the machines whose agents take orders now."""
         return tuple(sorted(node for node, link in self._state.links.items() if link.is_attached))
@@ -170,9 +174,6 @@
             self._take_ends(link, told, told.incarnation)
             self._take_runs(link, told, told.incarnation)
         self._recorder.flush()
-        if told.ends and told.incarnation is not None:
-            number = max(end.number for end in told.ends)
-            self._state.crew.start(self._recorder.acknowledge, link, told.incarnation, number)
         self._state.changes.changed()
 
     def _take_ends(
@@ -182,6 +183,10 @@
             if end.number <= link.acknowledged.get(incarnation, 0):
                 continue
             self._state.work.end(link.node, end, self._state.clock.now_s())
+        if told.ends:
+            number = max(end.number for end in told.ends)
+            # What the ends changed is queued for the store before this task runs.
+            self._state.crew.start(self._recorder.acknowledge, link, incarnation, number)
 
     def _take_runs(
         self, link: links.AgentLink, told: messages.AgentState, incarnation: tasks.Incarnation
--- a/libs/lead/src/papayaspar_lead/office.py
+++ b/libs/lead/src/papayaspar_lead/office.py
@@ -63,6 +63,11 @@
         self._is_leaving = False
         self._leaving = signals.ChangeSignal()
 
+    @property
+    def held(self) -> duty.Duty | None:
+        """The duty while this process holds it."""
+        return self._held
+
     @property
     def is_lead(self) -> bool:
         """Whether this process holds the duty."""
--- a/libs/lead/tests/test_no_task_twice.py
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -1,8 +1,11 @@
 """No task runs twice, and no end is forgotten, whatever becomes of lead, store, agent or worker."""
 
+import anyio
+import attrs
 import pytest
 
-from papayaspar_jobs import books, specs
+from papayaspar_jobs import books, specs, tasks
+from papayaspar_runs import workers
 from papayaspar_standin import keyed_stores, memory_workers
 
 pytestmark = pytest.mark.anyio
@@ -26,6 +29,24 @@
         assert site.witness.restarts == []
 
 
+async def test_end_that_was_not_taken_in_is_not_acknowledged(running, make_job):
+    """Seen on kowhai-spar mix 493746742155 (TWICE): a report under a token not yet confirmed."""
+    async with running() as site:
+        lead = await site.add_entry("entry-1")
+        agent = await site.add_agent("node-1")
+        agent.worker.run_time_s = 60.0
+        site.submit(make_job(1))
+        await site.until(lambda: len(site.witness.starts) == 1)
+        link = lead.office.held.link("node-1")
+        await site.until(lambda: bool(link.state.runs))
+        key = tasks.TaskKey(make_job(1).job_id, 0, 0, 0)
+        end = workers.EndRow(1, key, 1, tasks.EndKind.DONE)
+        told = attrs.evolve(link.state, is_answering=False, runs=(), ends=(end,))
+        lead.office.held.state_changed(link, told)
+        await anyio.sleep(0.2)
+        assert link.acknowledged == {}
+
+
 async def test_killed_lead_is_replaced_and_its_tasks_run_on(running, make_job):
     async with running() as site:
         lead = await site.add_entry("entry-1")
@@ -82,6 +103,20 @@
         assert second.worker.name == "node-2"
 
 
+async def test_task_of_a_silent_worker_runs_elsewhere_after_its_lease(running, make_job):
+    """Found by deploy/days/workers-reborn (LOST): looks to a dead worker put its lapse off."""
+    async with running() as site:
+        await site.add_entry("entry-1")
+        first = await site.add_agent("node-1")
+        first.worker.run_time_s = 60.0
+        site.submit(make_job(1))
+        await site.until(lambda: len(site.witness.starts) == 1)
+        first.worker.fault = memory_workers.WorkerFault.SILENT
+        await site.add_agent("node-2")
+        await site.until(lambda: len(site.witness.starts) == 2)
+        assert first.worker.clock_ms() >= first.worker.expiry_ms
+
+
 @pytest.mark.parametrize("clock_back_ms", [0, 5000])
 async def test_crashed_worker_loses_its_task_to_another_run(running, make_job, clock_back_ms):
     """A clock that was set back makes the new life look older than the former one."""
--- a/libs/runs/src/papayaspar_runs/keeper.py
+++ b/libs/runs/src/papayaspar_runs/keeper.py
@@ -320,7 +320,9 @@
         if self._was_renewing and not is_renewing:
             self._events.record(lines.EventKind.LEASE_LAPSED, detail="no lead vouches any more")
         self._was_renewing = is_renewing
-        if not is_renewing or self._clock_offset_ms is None:
+        if not is_renewing or self._clock_offset_ms is None or not self._is_answering:
+            # A renewal without an answer may have been taken: a silent worker is sent none, so that
+            # there is a moment after which its lease has run out.
             return None
         lease_ms = self._limits.lease_max_s * MILLISECONDS_PER_SECOND
         return int(self._worker_clock_ms() + lease_ms)
