--- /dev/null
+++ b/tests/adapter/test_messages.py
@@ -0,0 +1,111 @@
+"""The platform's messages, decoded into the project's types."""
+
+import json
+
+import pytest
+
+from papayaspar_adapter import check_ins, fields, job_bodies, operators, settings
+from papayaspar_jobs import specs
+from papayaspar_model import errors
+from papayaspar_runs import workers
+
+
+def test_job_body_becomes_a_job():
+    body = {
+        "spec": "text",
+        "steps": [
+            {"count": 4, "cpu": 500, "mem_mb": 256, "gpu": 2, "est_ms": 900, "gang": True},
+            {"count": 2, "after": [0], "saves_progress": True, "affinity": "r1-3", "may_miss": 0},
+        ],
+        "times": 3,
+        "start_ms": 1000,
+        "interval_ms": 500,
+    }
+    job = job_bodies.parse("0123456789abcdef", "queue", "team", json.dumps(body).encode())
+    first, second = job.steps
+    assert first.room == specs.Room(500, 256, 2)
+    assert (first.task_count, first.estimate_ms, first.is_gang) == (4, 900, True)
+    assert (second.after, second.is_checkpointed, second.data_rack) == ((0,), True, "r1-3")
+    assert second.unavailable_max == 0
+    assert first.unavailable_max is None
+    assert job.schedule.due_ms(2) == 2000
+    specs.check(job)
+
+
+@pytest.mark.parametrize(
+    ("body", "field"),
+    [
+        (b"not json", "body"),
+        (b"[]", "body"),
+        (b'{"steps": 3}', "steps"),
+        (b'{"steps": [1]}', "steps"),
+        (b'{"steps": [{"count": "4"}]}', "count"),
+        (b'{"steps": [{"count": true}]}', "count"),
+        (b'{"steps": [{"gang": 1}]}', "gang"),
+    ],
+)
+def test_bad_job_body_names_its_field(body, field):
+    with pytest.raises(fields.MessageError) as caught:
+        job_bodies.parse("0123456789abcdef", "queue", "team", body)
+    assert caught.value.field == field
+
+
+def test_check_in_becomes_a_worker():
+    body = {
+        "service": "pool", "zone": "z", "state": "draining", "seq": 4, "born": 17,
+        "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 8}, "labels": ["a", "r1-3"],
+        "remaining_ms": 900, "clock_ms": 5,
+    }  # fmt: skip
+    found = check_ins.parse("i-1", json.dumps(body).encode())
+    assert found.condition is workers.Condition.DRAINING
+    assert (found.rack, found.born_ms, found.remaining_ms) == ("r1-3", 17, 900)
+    assert found.capacity == specs.Room(16000, 32768, 8)
+
+
+@pytest.mark.parametrize("state", ["gone", 3, None])
+def test_check_in_of_an_unknown_state_names_no_worker(state):
+    with pytest.raises(errors.InvalidRequestError):
+        check_ins.parse("i-1", json.dumps({"service": "p", "state": state, "seq": 1}).encode())
+
+
+def test_check_in_paths():
+    found = check_ins.parse_path("/api/instances/i-1/heartbeat")
+    assert found == check_ins.CheckInPath("i-1", check_ins.CheckInCall.HEARTBEAT)
+    assert check_ins.parse_path("/api/instances/i-1/other") is None
+    assert check_ins.parse_path("/") is None
+
+
+def test_configuration_has_queues_teams_and_guarantees():
+    value = {
+        "version": 7,
+        "routes": [
+            {"name": "r", "host": "h", "prefix": "/p/", "service": "s", "prio": 2, "slo_ms": 250,
+             "attempts": 3, "stretch": 1.5, "timeout_ms": 3000, "public": False}
+        ],
+        "tenants": [{"name": "t", "keys": ["k1", "k2"], "guaranteed": {"gpu": 24}}],
+    }  # fmt: skip
+    found = operators.parse(json.dumps(value).encode())
+    assert found.version == 7
+    assert found.queue_at("h", "/p/1").objective_ms == 250
+    assert found.team_of("k2").name == "t"
+    assert found.guaranteed_accelerators("t") == 24
+    assert found.guaranteed_accelerators("nobody") == 0
+
+
+def test_settings_file_is_read(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text(
+        'node = "edge-1"\nip = "127.0.0.1"\ninternal_ports = [7000, 7015]\nunknown = 1\n'
+        '[listen]\nfront = "127.0.0.1:1"\n[bounds]\nhold_max_ms = 6000\n'
+        '[platform]\naddr = "127.0.0.1:2"\n'
+    )
+    found = settings.load(str(path))
+    assert (found.node, found.internal_ports, found.lease_max_s) == ("edge-1", (7000, 7015), 6.0)
+
+
+@pytest.mark.parametrize("text", ["", "node = 3", "not toml ["])
+def test_bad_settings_file_is_refused(tmp_path, text):
+    path = tmp_path / "local.toml"
+    path.write_text(text)
+    with pytest.raises(errors.SettingsError):
+        settings.load(str(path))
