--- a/libs/events/src/papayaspar_events/lines.py
+++ b/libs/events/src/papayaspar_events/lines.py
@@ -76,8 +76,6 @@
     READINESS_CHANGED = "readiness_changed"
     LEASE_LAPSED = "lease_lapsed"
     TOKEN_RAISED = "token_raised"
-    LINES_LEFT_OUT = "lines_left_out"
-    CONNECTION_FAILED = "connection_failed"
 
 
 @attrs.frozen
--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -93,6 +93,8 @@
         self._events = events
         self._peer: peers.Peer | None = None
         self._redial = anyio.Event()
+        self._scope = anyio.CancelScope()
+        self.away_since_s = source.now_s()
 
     @property
     def node(self) -> str:
@@ -124,7 +126,15 @@
         self._redial.set()
 
     async def run(self) -> None:
-        """Dial, serve, and dial again, until cancelled."""
+        """Dial, serve, and dial again, until cancelled or told to :meth:`stop`."""
+        with self._scope:
+            await self._dial_forever()
+
+    def stop(self) -> None:
+        """Dial no more."""
+        self._scope.cancel()
+
+    async def _dial_forever(self) -> None:
         pause_s = REDIAL_FIRST_S
         while True:
             began_s = self._clock.now_s()
@@ -165,6 +175,7 @@
             was_attached = self._peer is not None
             self._peer = None
             if was_attached:
+                self.away_since_s = self._clock.now_s()
                 self._events.record(lines.EventKind.AGENT_LOST, worker=self.node)
                 self._owner.link_lost(self)
 
