--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -75,7 +75,10 @@
         self._recorder = recording.Recorder(self._state, shared, tasks_writer)
         self._orders = orders.Orders(self._state, self._recorder, self.may_vouch)
         self._tending = tending.Tending(
-            self._state, self._orders, links.lapse_s(vouched_s, limits.lease_max_s)
+            self._state,
+            self._orders,
+            self._recorder,
+            links.lapse_s(vouched_s, limits.lease_max_s),
         )
         self.lost = anyio.Event()
 
--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -126,11 +126,11 @@
         self._redial.set()
 
     async def run(self) -> None:
-        """Dial, serve, and dial again, until cancelled or told to :meth:`stop`."""
+        """Dial, serve, and dial again, until cancelled or told to :meth:`abandon`."""
         with self._scope:
             await self._dial_forever()
 
-    def stop(self) -> None:
+    def abandon(self) -> None:
         """Dial no more."""
         self._scope.cancel()
 
--- a/libs/lead/src/papayaspar_lead/recording.py
+++ b/libs/lead/src/papayaspar_lead/recording.py
@@ -90,6 +90,10 @@
             return books.JobPhase.RUNNING
         return books.JobPhase.QUEUED
 
+    def drop_agent(self, node: str) -> None:
+        """Drop the record of an agent that is gone."""
+        self._shared.post(stores.KeyedRecord(records.AGENT + node, b""))
+
     def drop(self, booked: books.BookedJob) -> None:
         """Drop all records of a job that has been shown long enough."""
         job_id = booked.spec.job_id
--- a/libs/lead/src/papayaspar_lead/tending.py
+++ b/libs/lead/src/papayaspar_lead/tending.py
@@ -1,10 +1,13 @@
 """What runs and should not, or can't any more: lapsed, leaving, standing, no longer wanted."""
 
 from papayaspar_events import lines
-from papayaspar_lead import orders, state
+from papayaspar_lead import orders, recording, state
 from papayaspar_runs import workers
 
 MILLISECONDS_PER_SECOND = 1000.0
+# A machine whose agent was away for so long, with no task on it, is forgotten, in seconds: longer
+# than any disruption that it comes back from under its name.
+FORGET_AFTER_S = 60.0
 
 
 class Tending:
@@ -12,12 +15,20 @@
 
     :param duty: state of the duty.
     :param stops: orders stops.
+    :param recorder: drops records.
     :param unknown_lapse_s: when the lease of a worker without a link has run out.
     """
 
-    def __init__(self, duty: state.DutyState, stops: orders.Orders, unknown_lapse_s: float) -> None:
+    def __init__(
+        self,
+        duty: state.DutyState,
+        stops: orders.Orders,
+        recorder: recording.Recorder,
+        unknown_lapse_s: float,
+    ) -> None:
         self._state = duty
         self._orders = stops
+        self._recorder = recorder
         self._unknown_lapse_s = unknown_lapse_s
 
     def tend(self, now_s: float) -> None:
@@ -29,6 +40,19 @@
         self.stop_unwanted()
         self.evacuate(now_s)
         self.restart_standing(now_s)
+        self.forget_gone(now_s)
+
+    def forget_gone(self, now_s: float) -> None:
+        """Drop agents that were away for long; one that lives makes itself known again."""
+        for node, link in list(self._state.links.items()):
+            is_gone = not link.is_attached and now_s - link.away_since_s > FORGET_AFTER_S
+            if not is_gone or self._state.work.on_node(node):
+                continue
+            link.abandon()
+            del self._state.links[node]
+            self._state.view.agents.pop(node, None)
+            self._recorder.drop_agent(node)
+            self._state.events.record(lines.EventKind.AGENT_FORGOTTEN, worker=node)
 
     def stop_unwanted(self) -> None:
         """Stop what runs of cancelled and failed jobs."""
