Have entries acknowledge that a worker drains before its agent closes

Cause of the flaky shutdown in KNOWN-RED.txt: an agent told its entries by a notice and closed its streams after a fixed time, so under load an entry could still have requests on the way whose refusal was lost. A draining agent's report is a call now; it waits for each entry's answer, 2 s at most, and then for the last refusals.

--- a/libs/agent/src/papayaspar_agent/process.py
+++ b/libs/agent/src/papayaspar_agent/process.py
@@ -19,7 +19,7 @@
 from papayaspar_dispatch import calls as dispatch_calls
 from papayaspar_dispatch import claim_tables
 from papayaspar_events import journal, lines, metrics
-from papayaspar_model import causality, clock, errors, workers
+from papayaspar_model import causality, clock, errors, signals, workers
 from papayaspar_platform import http_runtimes, runtimes
 from papayaspar_settings import daemons
 from papayaspar_slots import agents, calls, claims, ledger, terms
@@ -30,7 +30,9 @@
 RECONNECT_MIN_S = 0.1
 RECONNECT_MAX_S = 2.0
 HELLO_TIMEOUT_S = 3.0
+# Entries acknowledge within milliseconds that a worker drains; a silent one is waited for so long.
 DRAIN_NOTICE_S = 2.0
+LAST_REFUSALS_S = 0.5
 HAND_OVER_S = 5.0
 
 
@@ -113,6 +115,9 @@
         self._gang_peers: gang_peers.StreamGangPeers | None = None
         self._address = ""
         self._known_entries: set[str] = set()
+        self._entry_peers: set[peers.Peer] = set()
+        self._told_peers: set[peers.Peer] = set()
+        self._told = signals.ChangeSignal()
         self._group: anyio.abc.TaskGroup | None = None
         self._stopping = anyio.Event()
 
@@ -235,15 +240,43 @@
             welcome = messages.expect(reply, messages.Welcome)
             self._journal.record(lines.EventKind.PEER_CONNECTED, detail=welcome.process)
             self.learn_entries(welcome.entries)
-            while True:
-                sent = await self._ledger.changes.wait_beyond(sent)
-                await peer.notify(messages.Report(self.report()))
-                await anyio.sleep(REPORT_SPACING_S)
+            self._entry_peers.add(peer)
+            try:
+                await self._report_changes(peer, sent)
+            finally:
+                self._entry_peers.discard(peer)
+                self._told_peers.discard(peer)
+                self._told.changed()
+
+    async def _report_changes(self, peer: peers.Peer, sent: int) -> None:
+        while True:
+            sent = await self._ledger.changes.wait_beyond(sent)
+            await self._send_report(peer)
+            await anyio.sleep(REPORT_SPACING_S)
+
+    async def _send_report(self, peer: peers.Peer) -> None:
+        """Report the worker as it stands; that it drains is acknowledged by the entry."""
+        report = messages.Report(self.report())
+        if not report.report.draining or peer in self._told_peers:
+            await peer.notify(report)
+            return
+        messages.expect(await peer.call(report, HELLO_TIMEOUT_S), messages.ReportTaken)
+        self._told_peers.add(peer)
+        self._told.changed()
+
+    async def _wait_told(self) -> None:
+        """Return once every entry has acknowledged that this worker drains."""
+        seen = 0
+        while self._entry_peers - self._told_peers:
+            seen = await self._told.wait_beyond(seen)
 
     async def _finish(self) -> None:
         with anyio.move_on_after(self._settings.grace_s):
             # Entries learn of the drain before the last stream closes.
-            await anyio.sleep(DRAIN_NOTICE_S)
+            with anyio.move_on_after(DRAIN_NOTICE_S):
+                await self._wait_told()
+            # What entries had sent before they learned of it is refused in this time.
+            await anyio.sleep(LAST_REFUSALS_S)
             await self._leave_gangs()
             await self._runner.wait_idle()
             await self._wait_gangs_gone()
--- a/libs/entry/src/papayaspar_entry/sessions.py
+++ b/libs/entry/src/papayaspar_entry/sessions.py
@@ -28,7 +28,10 @@
         self.greeted = anyio.Event()
 
     async def call(self, peer: peers.Peer, message: object) -> object:
-        """Answer the hello of an agent or of an entry."""
+        """Answer the hello of an agent or of an entry, and a leaving agent's report."""
+        if isinstance(message, messages.Report):
+            self._sessions.observe(message.report)
+            return messages.ReportTaken()
         if isinstance(message, messages.EntryHello):
             self.greeted.set()
             return self._sessions.welcome_entry(message)
--- a/libs/wire/src/papayaspar_wire/messages.py
+++ b/libs/wire/src/papayaspar_wire/messages.py
@@ -56,6 +56,11 @@
     report: workers.WorkerReport
 
 
+@attrs.frozen
+class ReportTaken:
+    """Answer to a report that wants one: no request that follows on the stream ignores it."""
+
+
 @attrs.frozen
 class EntriesChanged:
     """Entries an agent should hold a stream to.
@@ -176,6 +181,7 @@
     EntryHello,
     Welcome,
     Report,
+    ReportTaken,
     EntriesChanged,
     RulesInForce,
     RulesWanted,
