--- a/libs/intake/src/papayaspar_intake/desk.py
+++ b/libs/intake/src/papayaspar_intake/job_service.py
@@ -1,4 +1,4 @@
-"""The desk where jobs are handed in, asked for and cancelled."""
+"""Submitting, showing and cancelling jobs, whatever front end callers use."""
 
 from collections.abc import Callable
 
@@ -30,7 +30,7 @@
     title = "The store did not confirm in time"
 
 
-class JobDesk:
+class JobService:
     """Accepts, cancels and shows jobs.
 
     :param node: name of this entry.
--- a/libs/intake/tests/conftest.py
+++ b/libs/intake/tests/conftest.py
@@ -1,4 +1,4 @@
-"""A desk on a store in memory."""
+"""A job service on a store in memory."""
 
 from collections.abc import AsyncIterator
 
@@ -7,7 +7,7 @@
 import pytest
 
 from papayaspar_events import journal, metrics
-from papayaspar_intake import access, desk
+from papayaspar_intake import access, job_service
 from papayaspar_jobs import configurations, specs
 from papayaspar_model import causality, clock
 from papayaspar_standin import keyed_stores
@@ -22,13 +22,13 @@
 
 
 @attrs.define
-class DeskUnderTest:
-    """A desk and what it stands on."""
+class ServiceUnderTest:
+    """A job service and what it stands on."""
 
     log: keyed_stores.KeyedLog
     store: keyed_stores.MemoryStore
     view: views.SharedView
-    desk: desk.JobDesk
+    jobs: job_service.JobService
     admission: access.Admission
 
     def is_stored(self, key: str) -> bool:
@@ -37,20 +37,20 @@
 
 
 @pytest.fixture
-async def counter() -> AsyncIterator[DeskUnderTest]:
-    """Return a desk whose view follows the store."""
+async def counter() -> AsyncIterator[ServiceUnderTest]:
+    """Return a job service whose view follows the store."""
     source = clock.BootClock()
     events = journal.Journal("entry", "dc", causality.HybridClock(source), metrics.Metrics())
     log = keyed_stores.KeyedLog()
     store = keyed_stores.MemoryStore(log)
     view = views.SharedView(source)
     follower = following.Follower(store, records.SHARED, view, source, events, 0.2)
-    jobs = desk.JobDesk("entry", store, view, follower, source, events)
+    jobs = job_service.JobService("entry", store, view, follower, source, events)
     async with anyio.create_task_group() as group:
         group.start_soon(follower.run)
         while not follower.is_loaded:
             await anyio.sleep(0.01)
-        yield DeskUnderTest(log, store, view, jobs, access.Admission(QUEUE, "team"))
+        yield ServiceUnderTest(log, store, view, jobs, access.Admission(QUEUE, "team"))
         group.cancel_scope.cancel()
 
 
--- a/libs/intake/tests/test_desk.py
+++ b/libs/intake/tests/test_job_service.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayaspar_intake import access, desk
+from papayaspar_intake import access, job_service
 from papayaspar_jobs import books, configurations
 from papayaspar_model import errors
 from papayaspar_standin import keyed_stores
@@ -12,15 +12,15 @@
 
 
 async def test_accepted_job_is_stored(counter, spec):
-    await counter.desk.submit(spec, counter.admission, 3.0)
+    await counter.jobs.submit(spec, counter.admission, 3.0)
     assert counter.is_stored(records.JOB + spec.job_id)
-    assert await counter.desk.phase(spec.job_id, "team") is books.JobPhase.QUEUED
+    assert await counter.jobs.phase(spec.job_id, "team") is books.JobPhase.QUEUED
 
 
 async def test_repeated_job_is_one_job(counter, spec):
-    await counter.desk.submit(spec, counter.admission, 3.0)
+    await counter.jobs.submit(spec, counter.admission, 3.0)
     appends = counter.store.append_count
-    await counter.desk.submit(spec, counter.admission, 3.0)
+    await counter.jobs.submit(spec, counter.admission, 3.0)
     assert counter.store.append_count == appends
 
 
@@ -29,7 +29,7 @@
     """Seen on booth-cloud scale-2: an entry cut off answered 504, which callers can't retry."""
     counter.store.fault = keyed_stores.StoreFault[fault]
     with pytest.raises(failures.StoreUnavailableError) as caught:
-        await counter.desk.submit(spec, counter.admission, 3.0)
+        await counter.jobs.submit(spec, counter.admission, 3.0)
     assert caught.value.ran is errors.Ran.NO
     counter.store.heal()
     assert not counter.is_stored(records.JOB + spec.job_id)
@@ -37,21 +37,21 @@
 
 async def test_cancelled_before_its_record_stays_cancelled(counter, spec):
     with pytest.raises(errors.NotFoundError):
-        await counter.desk.cancel(spec.job_id, "team", 3.0)
-    await counter.desk.submit(spec, counter.admission, 3.0)
-    assert await counter.desk.phase(spec.job_id, "team") is books.JobPhase.CANCELLED
+        await counter.jobs.cancel(spec.job_id, "team", 3.0)
+    await counter.jobs.submit(spec, counter.admission, 3.0)
+    assert await counter.jobs.phase(spec.job_id, "team") is books.JobPhase.CANCELLED
 
 
 async def test_job_of_another_team_is_not_shown(counter, spec):
-    await counter.desk.submit(spec, counter.admission, 3.0)
+    await counter.jobs.submit(spec, counter.admission, 3.0)
     with pytest.raises(errors.NotFoundError):
-        await counter.desk.phase(spec.job_id, "others")
+        await counter.jobs.phase(spec.job_id, "others")
 
 
 async def test_unknown_job_is_not_denied_without_the_store(counter, spec):
     counter.store.fault = keyed_stores.StoreFault.BUSY
     with pytest.raises(failures.StoreUnavailableError):
-        await counter.desk.phase(spec.job_id, "team")
+        await counter.jobs.phase(spec.job_id, "team")
 
 
 class FixedSource(access.ConfigurationSource):
@@ -90,7 +90,7 @@
 async def test_record_that_is_read_back_needs_no_answer(counter, spec):
     """Load: a store that does what it is asked and loses the answer of every append."""
     counter.store.fault = keyed_stores.StoreFault.LOST_APPENDS
-    await counter.desk.submit(spec, counter.admission, 3.0)
+    await counter.jobs.submit(spec, counter.admission, 3.0)
     assert counter.store.append_count == 1
     assert counter.is_stored(records.JOB + spec.job_id)
 
@@ -98,6 +98,6 @@
 async def test_doubtful_append_is_repeated_until_it_is_confirmed(counter, spec):
     record = records.encode(records.CANCEL + spec.job_id, records.CancelRecord("entry"))
     counter.store.fault = keyed_stores.StoreFault.LOST
-    with pytest.raises(desk.JobTimeoutError):
-        await counter.desk.cancel(spec.job_id, "team", 0.9)
+    with pytest.raises(job_service.JobTimeoutError):
+        await counter.jobs.cancel(spec.job_id, "team", 0.9)
     assert counter.is_stored(record.key)
--- a/libs/lead/src/papayaspar_lead/__init__.py
+++ b/libs/lead/src/papayaspar_lead/__init__.py
@@ -2,13 +2,13 @@
 
 from papayaspar_lead import (
     duty,
+    election,
     links,
-    office,
     orders,
+    reconciling,
     recording,
     state,
-    tending,
     workload,
 )
 
-__all__ = ["duty", "links", "office", "orders", "recording", "state", "tending", "workload"]
+__all__ = ["duty", "election", "links", "orders", "reconciling", "recording", "state", "workload"]
--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -5,7 +5,7 @@
 
 from papayaspar_events import journal, lines
 from papayaspar_jobs import configurations, progress, specs, tasks
-from papayaspar_lead import links, orders, recording, state, tending, workload
+from papayaspar_lead import links, orders, reconciling, recording, state, workload
 from papayaspar_model import causality, clock
 from papayaspar_runs import messages, workers
 from papayaspar_scheduling import ordering, planner
@@ -74,7 +74,7 @@
         self._state = state.DutyState(workload.Workload(events), {}, view, source, events)
         self._recorder = recording.Recorder(self._state, shared, tasks_writer)
         self._orders = orders.Orders(self._state, self._recorder, self.may_vouch)
-        self._tending = tending.Tending(
+        self._reconciler = reconciling.Reconciler(
             self._state,
             self._orders,
             self._recorder,
@@ -112,7 +112,7 @@
     async def run(self) -> None:
         """Schedule until cancelled."""
         async with anyio.create_task_group() as group:
-            self._state.crew.join(group)
+            self._state.spawner.join(group)
             group.start_soon(self._watch)
             await self._plan_forever()
 
@@ -141,7 +141,7 @@
             self._state.events,
         )
         self._state.links[record.node] = link
-        self._state.crew.start(link.run)
+        self._state.spawner.start(link.run)
 
     # What links tell.
 
@@ -189,7 +189,7 @@
         if told.ends:
             number = max(end.number for end in told.ends)
             # What the ends changed is queued for the store before this task runs.
-            self._state.crew.start(self._recorder.acknowledge, link, incarnation, number)
+            self._state.spawner.start(self._recorder.acknowledge, link, incarnation, number)
 
     def _take_runs(
         self, link: links.AgentLink, told: messages.AgentState, incarnation: tasks.Incarnation
@@ -221,7 +221,7 @@
                 attempt=row.run,
                 detail=f"task={row.task}",
             )
-            self._state.crew.start(self._orders.stop_run, link, row.task, row.run)
+            self._state.spawner.start(self._orders.stop_run, link, row.task, row.run)
 
     # Planning.
 
@@ -238,7 +238,7 @@
             self._state.clock.wall_s() * MILLISECONDS_PER_SECOND,
         )
         self._state.work.sync(self._state.view.book, now_s)
-        self._tending.tend(now_s)
+        self._reconciler.reconcile(now_s)
         self._finish_jobs(now_s)
         if self.may_vouch():
             self._start_waiting(now_s, wall_ms)
--- a/libs/lead/src/papayaspar_lead/office.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -30,7 +30,7 @@
 EPOCH_STEP = 1024
 
 
-class Office:
+class LeaderElection:
     """Holds the duty whenever it is vacant.
 
     :param node: name of this machine.
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -55,7 +55,7 @@
             detail=f"task={unit.members[0].key} count={len(unit.members)}"
             f" nodes={','.join(sorted(set(start.nodes)))} rank={start.demand.rank.name}",
         )
-        self._state.crew.start(self._start_unit, unit, unit.members[0].record.run)
+        self._state.spawner.start(self._start_unit, unit, unit.members[0].record.run)
 
     async def _start_unit(self, unit: progress.Unit, run: int) -> None:
         """Order the starts of a unit once its assignment is stored."""
@@ -116,7 +116,7 @@
             if link is None or not link.is_attached:
                 continue
             task.is_stopping = True
-            self._state.crew.start(self._stop_task, link, task)
+            self._state.spawner.start(self._stop_task, link, task)
 
     async def _stop_task(self, link: links.AgentLink, task: progress.Task) -> None:
         run = task.record.run
--- a/libs/lead/src/papayaspar_lead/tending.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -10,7 +10,7 @@
 FORGET_AFTER_S = 60.0
 
 
-class Tending:
+class Reconciler:
     """Looks after what runs, before each planning.
 
     :param duty: state of the duty.
@@ -31,7 +31,7 @@
         self._recorder = recorder
         self._unknown_lapse_s = unknown_lapse_s
 
-    def tend(self, now_s: float) -> None:
+    def reconcile(self, now_s: float) -> None:
         """Release, stop or restart what needs it.
 
         :param now_s: the lead's clock.
--- a/libs/lead/src/papayaspar_lead/recording.py
+++ b/libs/lead/src/papayaspar_lead/recording.py
@@ -71,7 +71,7 @@
             code=phase.value,
             duration_ms=(self._state.clock.now_s() - live.first_ready_s) * MILLISECONDS_PER_SECOND,
         )
-        self._state.crew.start(self._record_phase, job_id, phase)
+        self._state.spawner.start(self._record_phase, job_id, phase)
 
     async def _record_phase(self, job_id: str, phase: books.JobPhase) -> None:
         await self._tasks_writer.write()
--- a/libs/lead/src/papayaspar_lead/state.py
+++ b/libs/lead/src/papayaspar_lead/state.py
@@ -14,7 +14,7 @@
 Arguments = TypeVarTuple("Arguments")
 
 
-class Crew:
+class TaskSpawner:
     """The tasks of the duty, which end with it."""
 
     def __init__(self) -> None:
@@ -43,7 +43,7 @@
     :param view: the shared partition.
     :param clock: the lead's clock.
     :param events: where decisions are recorded.
-    :param crew: the duty's tasks.
+    :param spawner: the duty's tasks.
     :param changes: wakes the planning.
     :param is_over: whether nothing may be ordered any more.
     """
@@ -53,6 +53,6 @@
     view: views.SharedView
     clock: clock.Clock
     events: journal.Journal
-    crew: Crew = attrs.field(factory=Crew)
+    spawner: TaskSpawner = attrs.field(factory=TaskSpawner)
     changes: signals.ChangeSignal = attrs.field(factory=signals.ChangeSignal)
     is_over: bool = False
--- a/libs/lead/tests/conftest.py
+++ b/libs/lead/tests/conftest.py
@@ -11,7 +11,7 @@
 
 from papayaspar_events import journal, metrics
 from papayaspar_jobs import books, configurations, specs
-from papayaspar_lead import duty, office
+from papayaspar_lead import duty, election
 from papayaspar_model import causality, clock
 from papayaspar_runs import keeper, registration, service
 from papayaspar_standin import keyed_stores, memory_workers
@@ -40,7 +40,7 @@
     store: keyed_stores.MemoryStore
     view: views.SharedView
     follower: following.Follower
-    office: office.Office
+    election: election.LeaderElection
     scope: anyio.CancelScope
 
 
@@ -81,7 +81,7 @@
         view = views.SharedView(self.clock)
         events = self._events(node)
         follower = following.Follower(store, records.SHARED, view, self.clock, events, 0.5)
-        held = office.Office(
+        held = election.LeaderElection(
             node,
             f"boot-{self._boots}",
             store,
@@ -127,7 +127,7 @@
         return agent
 
     def submit(self, spec: specs.JobSpec, through: configurations.Queue | None = None) -> None:
-        """Accept a job, as an entry's desk does."""
+        """Accept a job, as an entry's job service does."""
         record = records.JobRecord(
             spec, through or queue(), int(self.clock.wall_s() * 1000), "entry"
         )
@@ -138,7 +138,7 @@
         )
 
     def cancel(self, job_id: str) -> None:
-        """Cancel a job, as an entry's desk does."""
+        """Cancel a job, as an entry's job service does."""
         record = records.encode(records.CANCEL + job_id, records.CancelRecord("entry"))
         self.log.append(keyed_stores.Append(records.SHARED, (record,), None, None))
 
@@ -150,7 +150,7 @@
     def lead(self) -> str:
         """Return the entry that holds the duty, or an empty text."""
         for node, entry in self.entries.items():
-            if entry.office.is_lead:
+            if entry.election.is_lead:
                 return node
         return ""
 
--- a/libs/lead/tests/test_no_task_twice.py
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -23,7 +23,7 @@
         await site.add_entry("entry-2")
         await site.until(lambda: bool(site.witness.done))
         agent.keeper.changes.changed()
-        await site.until(lambda: site.entries["entry-2"].office.is_lead)
+        await site.until(lambda: site.entries["entry-2"].election.is_lead)
         await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.SUCCEEDED)
         assert len(site.witness.starts) == 1
         assert site.witness.restarts == []
@@ -37,12 +37,12 @@
         agent.worker.run_time_s = 60.0
         site.submit(make_job(1))
         await site.until(lambda: len(site.witness.starts) == 1)
-        link = lead.office.held.link("node-1")
+        link = lead.election.held.link("node-1")
         await site.until(lambda: bool(link.state.runs))
         key = tasks.TaskKey(make_job(1).job_id, 0, 0, 0)
         end = workers.EndRow(1, key, 1, tasks.EndKind.DONE)
         told = attrs.evolve(link.state, is_answering=False, runs=(), ends=(end,))
-        lead.office.held.state_changed(link, told)
+        lead.election.held.state_changed(link, told)
         await anyio.sleep(0.2)
         assert link.acknowledged == {}
 
--- a/libs/lead/tests/test_taking_the_duty.py
+++ b/libs/lead/tests/test_taking_the_duty.py
@@ -13,7 +13,7 @@
         first = await site.add_entry("entry-1")
         await site.until(lambda: site.lead() == "entry-1")
         await site.add_entry("entry-2")
-        first.office.leave()
+        first.election.leave()
         await site.until(lambda: site.lead() == "entry-2", timeout_s=2.0)
 
 
@@ -23,7 +23,7 @@
             await site.add_entry(f"entry-{number}")
         await site.until(lambda: site.lead() != "")
         await site.until(lambda: all(entry.view.lead for entry in site.entries.values()))
-        assert sum(entry.office.is_lead for entry in site.entries.values()) == 1
+        assert sum(entry.election.is_lead for entry in site.entries.values()) == 1
 
 
 async def test_hanging_reads_keep_nobody_from_the_duty(running, make_job):
@@ -44,9 +44,9 @@
         await site.until(lambda: site.lead() == "entry-1")
         await site.add_entry("entry-2")
         first.store.fault = keyed_stores.StoreFault.BUSY
-        await site.until(lambda: site.entries["entry-2"].office.is_lead)
+        await site.until(lambda: site.entries["entry-2"].election.is_lead)
         first.store.heal()
-        await site.until(lambda: not first.office.is_lead)
+        await site.until(lambda: not first.election.is_lead)
 
 
 async def test_nobody_takes_the_duty_while_the_store_is_away_to_all(running):
@@ -62,5 +62,5 @@
         for entry in (first, second):
             entry.store.heal()
         await site.until(lambda: first.follower.age_s() < 0.5)
-        assert first.office.is_lead
+        assert first.election.is_lead
         assert first.view.lead.epoch == epoch
