Give each request of the process tests a connection pool of its own

The tests' shared httpx client kept no idle connections; its pool may assign a connection that has just become idle to one thread while another thread closes it as surplus.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -66,10 +66,23 @@
         return self.log_path.read_text().splitlines()
 
 
+class UnpooledTransport(httpx.BaseTransport):
+    """Sends each request over a connection and a pool of its own.
+
+    A pool that threads share may close a connection that it has just given to another thread.
+    """
+
+    def handle_request(self, request):
+        """Send a request and read its whole answer."""
+        with httpx.HTTPTransport(verify=False, trust_env=False) as transport:
+            response = transport.handle_request(request)
+            response.read()
+        return response
+
+
 def new_client():
-    """Return a client for many threads; each request has a connection of its own."""
-    limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
-    return httpx.Client(limits=limits, timeout=CALL_TIMEOUT_S, trust_env=False)
+    """Return a client for many threads."""
+    return httpx.Client(transport=UnpooledTransport(), timeout=CALL_TIMEOUT_S, trust_env=False)
 
 
 @attrs.define
