Store the newest checkpoints of running tasks every two seconds

Ruled out: storing each checkpoint as it is seen (two a second for each task); the interval grows with the number of checkpointed tasks, so that the domain stores at most one full append a second.

--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -27,6 +27,7 @@
     :param percent: how much of it is done, 0 to 100.
     :param moved_s: when that last rose, on the lead's clock.
     :param checkpoint: newest checkpoint that was seen of its run.
+    :param checkpoint_stored_s: when a checkpoint of its run was last stored, on the lead's clock.
     :param failed_nodes: machines on which it failed.
     """
 
@@ -39,6 +40,7 @@
     percent: float = 0.0
     moved_s: float = 0.0
     checkpoint: str = ""
+    checkpoint_stored_s: float = 0.0
     failed_nodes: set[str] = attrs.field(factory=set)
     _is_start_known: bool = attrs.field(default=True, init=False)
 
@@ -49,12 +51,12 @@
         """
         self.is_starting = True
         self.is_stopping = False
-        self.started_s = self.moved_s = now_s
+        self.started_s = self.moved_s = self.checkpoint_stored_s = now_s
         self.percent = 0.0
 
     def resume(self, now_s: float) -> None:
         """Note that a run of a former lead goes on; when it began is told by its progress."""
-        self.started_s = self.moved_s = now_s
+        self.started_s = self.moved_s = self.checkpoint_stored_s = now_s
         self.percent = 0.0
         self._is_start_known = False
 
--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -4,10 +4,10 @@
 import attrs
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import configurations, progress, specs, tasks
+from papayaspar_jobs import configurations, specs, tasks
 from papayaspar_lead import links, orders, reconciling, recording, state, workload
 from papayaspar_model import causality, clock
-from papayaspar_runs import messages, workers
+from papayaspar_runs import messages
 from papayaspar_scheduling import ordering, planner
 from papayaspar_store import following, records, stores, views, writing
 
@@ -203,7 +203,7 @@
                     self._state.work.release(task, "another life of the worker")
                 continue
             if row is not None and row.run == task.record.run:
-                _note_progress(task, row, now_s)
+                self._state.work.observe(task, row, now_s)
                 continue
             if not task.is_starting:
                 self._state.work.release(task, "not on its worker")
@@ -307,9 +307,3 @@
             if booked.ended_s is None or now_s - booked.ended_s < self._limits.show_s:
                 continue
             self._recorder.drop(booked)
-
-
-def _note_progress(task: progress.Task, row: workers.RunningRow, now_s: float) -> None:
-    task.observe(row.percent, now_s)
-    if row.checkpoint and task.step.is_checkpointed:
-        task.checkpoint = row.checkpoint
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -12,6 +12,12 @@
 MILLISECONDS_PER_SECOND = 1000.0
 # Late work is worth something up to so many times the objective (rules page, payoff).
 LATE_FACTOR = 3.0
+# The newest checkpoint of a running task is stored this often, in seconds: work that is done again
+# after a loss of all machines. A checkpoint comes with each half second of work (`checkpoint_s`).
+CHECKPOINT_INTERVAL_S = 2.0
+# Checkpoints stored a second at most, by the whole domain: one append holds as many records
+# (`writing.BATCH_RECORDS`), and the store takes several hundred appends a second.
+CHECKPOINTS_PER_S = 200.0
 
 
 @attrs.define(eq=False)
@@ -44,6 +50,7 @@
         self._changed: dict[tasks.TaskKey, progress.Task] = {}
         self._queues: dict[str, configurations.Queue] = {}
         self._guaranteed: dict[str, int] = {}
+        self._checkpointed_count = 0
 
     def configure(self, configuration: configurations.Configuration) -> None:
         """Take in a version of the configuration."""
@@ -96,7 +103,7 @@
         task.checkpoint = record.checkpoint
         if task.is_assigned:
             task.resume(now_s)
-            self._by_node.setdefault(record.node, set()).add(task)
+            self._place(task)
 
     def standing_units(self, now_s: float) -> list[progress.Unit]:
         """Return the units with a member that stands still on its worker."""
@@ -231,6 +238,24 @@
         else:
             self._wait_again(task, task.record.failures)
 
+    def observe(self, task: progress.Task, row: workers.RunningRow, now_s: float) -> None:
+        """Take in how far a run is, and store its newest checkpoint when that is due.
+
+        :param task: the task.
+        :param row: what its worker says of the run.
+        :param now_s: the lead's clock.
+        """
+        task.observe(row.percent, now_s)
+        if not row.checkpoint or not task.step.is_checkpointed:
+            return
+        task.checkpoint = row.checkpoint
+        interval_s = max(CHECKPOINT_INTERVAL_S, self._checkpointed_count / CHECKPOINTS_PER_S)
+        if now_s < task.checkpoint_stored_s + interval_s:
+            return
+        task.checkpoint_stored_s = now_s
+        if row.checkpoint != task.record.checkpoint:
+            self._set(task, attrs.evolve(task.record, checkpoint=row.checkpoint))
+
     def _done(self, node: str, task: progress.Task) -> None:
         self.outcomes(node).succeeded()
         for member in self.unit_of(task).members:
@@ -251,11 +276,16 @@
     def _set(self, task: progress.Task, record: tasks.TaskRecord) -> None:
         if task.is_assigned:
             self._by_node.get(task.record.node, set()).discard(task)
+            self._checkpointed_count -= task.step.is_checkpointed
         task.record = record
         if task.is_assigned:
-            self._by_node.setdefault(record.node, set()).add(task)
+            self._place(task)
         self._changed[task.key] = task
 
+    def _place(self, task: progress.Task) -> None:
+        self._by_node.setdefault(task.record.node, set()).add(task)
+        self._checkpointed_count += task.step.is_checkpointed
+
     def demands(self, now_s: float, wall_ms: float) -> list[ordering.Demand]:
         """Return what waits and may start now."""
         covered = self._covered()
--- a/libs/lead/tests/conftest.py
+++ b/libs/lead/tests/conftest.py
@@ -10,7 +10,7 @@
 import pytest
 
 from papayaspar_events import journal, metrics
-from papayaspar_jobs import books, configurations, specs
+from papayaspar_jobs import books, configurations, specs, tasks
 from papayaspar_lead import duty, election
 from papayaspar_model import causality, clock
 from papayaspar_runs import keeper, registration, service
@@ -147,6 +147,11 @@
         stored = self.log.partition(records.SHARED).newest.get(records.STATE + job_id)
         return records.decode(stored, records.StateRecord).phase if stored is not None else None
 
+    def stored_task(self, key: tasks.TaskKey) -> tasks.TaskRecord:
+        """Return what the store holds of a task."""
+        stored = self.log.partition(records.TASKS).newest.get(f"{records.TASK}{key}")
+        return records.decode(stored, tasks.TaskRecord) if stored else tasks.TaskRecord()
+
     def lead(self) -> str:
         """Return the entry that holds the duty, or an empty text."""
         for node, entry in self.entries.items():
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -31,6 +31,7 @@
     run: int
     ends_s: float
     will_fail: bool
+    from_checkpoint: str = ""
     stops_s: float | None = None
 
 
@@ -39,11 +40,13 @@
     """Every run of every task that workers saw, for checks.
 
     :param starts: (task, run, worker) in order.
+    :param checkpoints: checkpoint from which each (task, run) went on, or empty.
     :param overlaps: tasks that ran twice at the same time.
     :param restarts: tasks that were started after an end as done.
     """
 
     starts: list[tuple[tasks.TaskKey, int, str]] = attrs.field(factory=list)
+    checkpoints: dict[tuple[tasks.TaskKey, int], str] = attrs.field(factory=dict)
     overlaps: list[tasks.TaskKey] = attrs.field(factory=list)
     restarts: list[tasks.TaskKey] = attrs.field(factory=list)
     running: dict[tasks.TaskKey, set[str]] = attrs.field(factory=dict)
@@ -88,6 +91,7 @@
         self.run_time_s = run_time_s
         self.late_by_s = 2.0
         self.stop_time_s = 0.0
+        self.saves_progress = False
         self.late_starts = 0
         self._clock_ahead_ms = 0
         self._witness = witness
@@ -151,7 +155,8 @@
         self._extend(order.expiry_ms)
         will_fail = self.fault is WorkerFault.FAILS
         ends_s = self._clock.now_s() + self.run_time_s
-        self._runs[order.task] = _Run(order.task, order.run, ends_s, will_fail)
+        self._runs[order.task] = _Run(order.task, order.run, ends_s, will_fail, order.checkpoint)
+        self._witness.checkpoints[order.task, order.run] = order.checkpoint
         self._witness.began(order.task, order.run, self.name)
 
     async def stop(self, task: tasks.TaskKey, run: int, token: int, worker: str) -> None:
@@ -178,7 +183,9 @@
             await anyio.sleep(POLL_S)
             self._advance()
         running = tuple(
-            workers.RunningRow(run.task, run.run, percent=self._percent(run))
+            workers.RunningRow(
+                run.task, run.run, checkpoint=self._checkpoint(run), percent=self._percent(run)
+            )
             for run in self._runs.values()
         )
         return workers.Look(self.clock_ms(), self.born_ms, running, tuple(self._ends))
@@ -187,6 +194,11 @@
         worked_s = self.run_time_s - (run.ends_s - self._clock.now_s())
         return max(0.0, min(100.0, worked_s * 100.0 / self.run_time_s)) // 1
 
+    def _checkpoint(self, run: _Run) -> str:
+        if not self.saves_progress or self._percent(run) < 1:
+            return run.from_checkpoint
+        return f"{run.run}-{self._percent(run):.0f}"
+
     async def _suffer(self) -> None:
         if self.fault is WorkerFault.SILENT:
             await anyio.sleep(0.5)
