Await room that is being cleared, and stop work only where that helps the caller

After the loss of power 20 tasks were stopped for a check that was late anyway.

Ruled out: keeping silent workers open (starts would go to them). The unit now holds the room that is cleared for it until the stops have ended or failed; urgent work beyond a guarantee stops others only while that makes it in time, or keeps it from becoming useless.

--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from papayaspar_scheduling import fleet, ordering, placement, preemption
+from papayaspar_scheduling import clearing, fleet, ordering, placement, preemption
 
 # A unit takes racks that make it slow once it has waited so many times its own estimate.
 FAR_AFTER_ESTIMATES = 1.0
@@ -50,6 +50,7 @@
         self._order = order or ordering.ByReachableObjective()
         self._places = places or placement.PackedPlacement()
         self._preempts = preempts or preemption.CheapestUnits()
+        self._clearings = clearing.Clearings()
 
     def plan(
         self,
@@ -70,6 +71,7 @@
         starts: list[Start] = []
         stops: list[tuple[preemption.Victim, ordering.Demand]] = []
         left = list(victims)
+        self._clearings.prune(now_s)
         for demand in sorted(demands, key=lambda each: self._order.key(each, now_s)):
             nodes = self._choose(demand, free, freeing)
             if nodes is not None:
@@ -77,13 +79,19 @@
                 _take(demand, nodes, freeing)
                 starts.append(Start(demand, nodes))
                 continue
-            reserved = self._choose(demand, freeing, freeing)
+            # Room that is being cleared is awaited though its worker is silent for a moment.
+            reserved = self._clearings.nodes(demand, now_s)
             if reserved is None:
-                for victim in self._preempt(demand, freeing, left):
+                reserved = self._choose(demand, freeing, freeing)
+            if reserved is None:
+                chosen = self._preempt(demand, freeing, left, now_s)
+                for victim in chosen:
                     left.remove(victim)
                     stops.append((victim, demand))
                     _give_back(victim, freeing)
-                reserved = self._choose(demand, freeing, freeing)
+                reserved = self._choose(demand, freeing, freeing) if chosen else None
+                if reserved is not None:
+                    self._clearings.begin(demand, reserved, chosen, now_s)
             if reserved is not None:
                 _take(demand, reserved, free)
                 _take(demand, reserved, freeing)
@@ -103,6 +111,7 @@
         demand: ordering.Demand,
         freeing: fleet.FreeRoom,
         victims: list[preemption.Victim],
+        now_s: float,
     ) -> tuple[preemption.Victim, ...]:
         if demand.rank > ordering.Rank.URGENT:
             return ()
@@ -115,7 +124,7 @@
                 if chosen is None:
                     continue
                 cost = sum(victim.cost_core_s for victim in chosen)
-                if not preemption.is_worth(demand, cost):
+                if not preemption.is_worth(demand, cost, now_s):
                     continue
                 if best is None or cost < best_cost:
                     best, best_cost = chosen, cost
--- a/libs/scheduling/src/papayaspar_scheduling/preemption.py
+++ b/libs/scheduling/src/papayaspar_scheduling/preemption.py
@@ -45,15 +45,27 @@
     return cores + step.room.accelerators * CORES_PER_ACCELERATOR
 
 
-def is_worth(demand: ordering.Demand, cost_core_s: float) -> bool:
+def is_worth(demand: ordering.Demand, cost_core_s: float, now_s: float) -> bool:
     """Return whether work may be thrown away for a demand.
 
     :param demand: what needs room.
     :param cost_core_s: work that is lost.
+    :param now_s: the lead's clock.
     """
     if demand.rank is ordering.Rank.GUARANTEED:
         return True
-    return cost_core_s <= URGENT_COST_RATIO * own_work_core_s(demand.unit)
+    return _gains_from_room(demand, now_s) and (
+        cost_core_s <= URGENT_COST_RATIO * own_work_core_s(demand.unit)
+    )
+
+
+def _gains_from_room(demand: ordering.Demand, now_s: float) -> bool:
+    """Return whether starting a demand now rather than later makes a difference to its caller."""
+    finish_s = now_s + demand.remaining_s
+    if finish_s <= demand.objective_s:
+        return True
+    # Late either way: worth the same until it is about to be of no use.
+    return finish_s <= demand.lost_s < finish_s + demand.remaining_s
 
 
 def lost_work_core_s(unit: progress.Unit, now_s: float) -> float:
--- a/libs/scheduling/tests/conftest.py
+++ b/libs/scheduling/tests/conftest.py
@@ -19,7 +19,9 @@
     workers: list[fleet.Worker]
     running: list[preemption.Victim] = attrs.field(factory=list)
     waiting: list[ordering.Demand] = attrs.field(factory=list)
+    stopping: list[preemption.Victim] = attrs.field(factory=list)
     jobs: int = 0
+    plans: planner.Planner = attrs.field(factory=planner.Planner)
 
     def unit(self, step: specs.Step) -> progress.Unit:
         """Return the first unit of a new job of one step."""
@@ -47,30 +49,37 @@
         rank: ordering.Rank,
         waited_s: float = 0.0,
         objective_s: float = 110.0,
+        lost_after_s: float = 30.0,
     ) -> progress.Unit:
         """Let a unit wait."""
         unit = self.unit(step)
         remaining_s = step.estimate_ms / 1000.0
         self.waiting.append(
-            ordering.Demand(unit, rank, objective_s, objective_s + 30.0, remaining_s, waited_s)
+            ordering.Demand(
+                unit, rank, objective_s, objective_s + lost_after_s, remaining_s, waited_s
+            )
         )
         return unit
 
     def free(self, is_stopping_counted: bool = True) -> fleet.FreeRoom:
         """Return the room that is left."""
         free = fleet.FreeRoom(self.workers)
-        for victim in self.running:
+        for victim in self.running + self.stopping:
             for task in victim.unit.members:
                 if task.is_stopping and not is_stopping_counted:
                     continue
                 free.take(task.record.node, task.step.counted_room, fleet.step_name(task.key))
         return free
 
-    def plan(self) -> planner.Plan:
-        """Plan once."""
-        return planner.Planner().plan(
-            self.waiting, self.free(), self.free(False), self.running, 100.0
-        )
+    def plan(self, now_s: float = 100.0) -> planner.Plan:
+        """Plan once, and tell what it stops to stop."""
+        plan = self.plans.plan(self.waiting, self.free(), self.free(False), self.running, now_s)
+        for victim, _ in plan.stops:
+            self.running.remove(victim)
+            self.stopping.append(victim)
+            for task in victim.unit.members:
+                task.is_stopping = True
+        return plan
 
 
 @pytest.fixture
--- a/libs/scheduling/tests/test_urgent_load.py
+++ b/libs/scheduling/tests/test_urgent_load.py
@@ -1,6 +1,7 @@
 """Load: a fleet full of long work into which urgent gangs burst."""
 
-from papayaspar_scheduling import ordering
+from papayaspar_jobs import tasks
+from papayaspar_scheduling import clearing, ordering
 
 NORMAL, BULK = ordering.Rank.NORMAL, ordering.Rank.BULK
 URGENT, GUARANTEED = ordering.Rank.URGENT, ordering.Rank.GUARANTEED
@@ -73,3 +74,51 @@
         bench.wait(make_step(1, 1), BULK)
     nodes = {node for start in bench.plan().starts for node in start.nodes}
     assert nodes == {"node-2"}
+
+
+def test_room_that_is_being_cleared_is_awaited_though_its_worker_is_silent(bench, make_step):
+    """Load: a burst of checks while a twentieth of the orders gets no answer.
+
+    Seen on kowhai-spar scale-2: 24 tasks were stopped for one gang of three, eight each time that a
+    worker left a look unanswered.
+    """
+    _fill(bench, make_step, BULK, 5.0, is_checkpointed=True)
+    bench.wait(make_step(1, is_gang=True), URGENT)
+    first = bench.plan()
+    (victim, _) = first.stops[0]
+    node = victim.unit.members[0].record.node
+    next(worker for worker in bench.workers if worker.node == node).is_open = False
+    assert bench.plan(100.3).stops == ()
+    assert len(bench.plan(100.0 + clearing.STOP_MAX_S).stops) == 1
+
+
+def test_room_that_is_being_cleared_is_not_given_to_what_was_stopped(bench, make_step):
+    units = _fill(bench, make_step, BULK, 5.0, is_checkpointed=True)
+    bench.wait(make_step(2, is_gang=True), URGENT)
+    stopped = [victim for victim, _ in bench.plan().stops]
+    assert len(stopped) == 2
+    ended = stopped[0]
+    bench.stopping.remove(ended)
+    ended.unit.members[0].record = tasks.TaskRecord()
+    ended.unit.members[0].is_stopping = False
+    bench.wait(units[0].step, BULK)
+    assert bench.plan(100.3).starts == ()
+
+
+def test_urgent_work_that_is_late_anyway_throws_nothing_away(bench, make_step):
+    """Load: the backlog after all machines lost power (kowhai-spar scale-2, 20 tasks stopped)."""
+    _fill(bench, make_step, BULK, 2.0)
+    bench.wait(make_step(1, is_gang=True), URGENT, objective_s=103.0)
+    assert bench.plan().stops == ()
+
+
+def test_urgent_work_that_is_about_to_be_of_no_use_takes_room(bench, make_step):
+    _fill(bench, make_step, BULK, 2.0)
+    bench.wait(make_step(1, is_gang=True), URGENT, objective_s=103.0, lost_after_s=4.0)
+    assert len(bench.plan().stops) == 1
+
+
+def test_urgent_work_of_no_use_any_more_throws_nothing_away(bench, make_step):
+    _fill(bench, make_step, BULK, 2.0)
+    bench.wait(make_step(1, is_gang=True), URGENT, objective_s=90.0, lost_after_s=10.0)
+    assert bench.plan().stops == ()
