Log the shape of a job where it is accepted

Cause: work thrown away is priced in core-seconds, and the logs did not say what a task takes, so the share of each cause could not be worked out.

--- a/libs/intake/src/papayaspar_intake/job_service.py
+++ b/libs/intake/src/papayaspar_intake/job_service.py
@@ -95,7 +95,7 @@
             team=spec.team,
             duration_ms=(self._clock.now_s() - began_s) * MILLISECONDS_PER_SECOND,
             detail=f"queue={spec.queue} steps={len(spec.steps)}"
-            f" tasks={sum(step.task_count for step in spec.steps)}",
+            f" tasks={sum(step.task_count for step in spec.steps)} shape={spec.summary}",
         )
 
     async def _reach_store(self, wait_s: float) -> None:
--- a/libs/jobs/src/papayaspar_jobs/specs.py
+++ b/libs/jobs/src/papayaspar_jobs/specs.py
@@ -10,6 +10,8 @@
 # Limits of a job's size; the largest gang of the target size is 512 tasks.
 PAYLOAD_MAX_BYTES = 4000
 STEPS_MAX = 256
+# Log lines name at most this many steps of a job, so that their volume is bounded.
+SUMMARY_STEPS_MAX = 4
 TASKS_MAX = 10_000
 
 
@@ -108,6 +110,22 @@
             return self.room
         return attrs.evolve(self.room, cpu_millicores=0)
 
+    @property
+    def summary(self) -> str:
+        """Short text for logs: count, room of a task, estimate, and what binds its tasks."""
+        text = (
+            f"{self.task_count}x{self.room.cpu_millicores}m/{self.room.memory_mb}MB"
+            f"/{self.room.accelerators}a~{self.estimate_ms}ms"
+        )
+        marks = {
+            "gang": self.is_gang,
+            "rack": self.is_same_rack,
+            "saves": self.is_checkpointed,
+            "lasting": self.is_lasting,
+            "filler": self.is_filler,
+        }
+        return "+".join([text, *(mark for mark, is_set in marks.items() if is_set)])
+
 
 @attrs.frozen
 class Schedule:
@@ -156,6 +174,11 @@
         """Room of all tasks of the first step together."""
         return self.steps[0].room.times(self.steps[0].task_count)
 
+    @property
+    def summary(self) -> str:
+        """Short text for logs: its first steps."""
+        return ",".join(step.summary for step in self.steps[:SUMMARY_STEPS_MAX])
+
     @property
     def critical_path_ms(self) -> int:
         """Length of the longest chain of estimates, in milliseconds."""
--- a/libs/jobs/tests/test_progress.py
+++ b/libs/jobs/tests/test_progress.py
@@ -158,3 +158,8 @@
     book.set_phase(spec.job_id, books.JobPhase.SUCCEEDED)
     book.cancel(spec.job_id)
     assert book.find(spec.job_id).phase is books.JobPhase.SUCCEEDED
+
+
+def test_summary_names_what_binds_a_step():
+    step = specs.Step(3, specs.Room(7_500, 22_000, 8), 5_000, is_gang=True, is_checkpointed=True)
+    assert step.summary == "3x7500m/22000MB/8a~5000ms+gang+saves"
