Order urgent work by its last useful start, so that short checks do not wait behind long ones

Ruled out: shortest first (starves the widest in a flood); the former order, kept as a rival, puts late work back until it is lost.

--- a/libs/scheduling/src/papayaspar_scheduling/ordering.py
+++ b/libs/scheduling/src/papayaspar_scheduling/ordering.py
@@ -60,10 +60,26 @@
         """
 
 
+class ByLastUsefulStart(Ordering):
+    """Rank first; then what can still be of use, by the last moment to start it; then the rest.
+
+    The time for which work is of use grows with its length, so short work comes first, and long
+    work comes nearer to the front as it waits.
+    """
+
+    def key(self, demand: Demand, now_s: float) -> tuple[float, ...]:
+        """Return the key."""
+        start_s = demand.lost_s - demand.remaining_s
+        if now_s <= start_s:
+            return (demand.rank, 0, start_s)
+        return (demand.rank, 1, demand.remaining_s)
+
+
 class ByReachableObjective(Ordering):
     """Rank first; then what can still meet its objective, what can still be of use, the rest.
 
-    Within each, the tightest comes first; among what is lost the shortest.
+    Within each, the tightest comes first; among what is lost the shortest. A rival: late work waits
+    behind long work that is not late yet, until it is of no use.
     """
 
     def key(self, demand: Demand, now_s: float) -> tuple[float, ...]:
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -47,7 +47,7 @@
         places: placement.PlacementPolicy | None = None,
         preempts: preemption.PreemptionPolicy | None = None,
     ) -> None:
-        self._order = order or ordering.ByReachableObjective()
+        self._order = order or ordering.ByLastUsefulStart()
         self._places = places or placement.PackedPlacement()
         self._preempts = preempts or preemption.CheapestUnits()
         self._clearings = clearing.Clearings()
--- /dev/null
+++ b/libs/scheduling/tests/test_order_load.py
@@ -0,0 +1,41 @@
+"""Load: a wide urgent job fills the fleet task by task while short urgent jobs arrive behind it."""
+
+import pytest
+
+from papayaspar_scheduling import ordering
+
+URGENT = ordering.Rank.URGENT
+
+
+def _wait(bench, make_step, estimate_ms, accepted_s, stretch=1.5, fixed_s=0.25):
+    objective_s = stretch * estimate_ms / 1000.0 + fixed_s
+    return bench.wait(
+        make_step(estimate_ms=estimate_ms),
+        URGENT,
+        objective_s=accepted_s + objective_s,
+        lost_after_s=2.0 * objective_s,
+    )
+
+
+def _first(bench, order, now_s):
+    return min(bench.waiting, key=lambda demand: order.key(demand, now_s)).unit
+
+
+@pytest.mark.parametrize("now_s", [102.5, 104.0, 106.0])
+def test_short_check_that_is_late_goes_before_long_work(bench, make_step, now_s):
+    """Seen on booth-cloud quiet-1 seed 774334777350: a check of 2 s waited 17 s and was useless."""
+    _wait(bench, make_step, 13_800, accepted_s=98.0)
+    short = _wait(bench, make_step, 2_000, accepted_s=100.0)
+    assert _first(bench, ordering.ByLastUsefulStart(), now_s) is short
+
+
+def test_long_work_that_has_waited_goes_before_a_new_short_check(bench, make_step):
+    long = _wait(bench, make_step, 13_800, accepted_s=50.0)
+    _wait(bench, make_step, 2_000, accepted_s=100.0)
+    assert _first(bench, ordering.ByLastUsefulStart(), 95.0) is long
+
+
+def test_work_of_no_use_any_more_comes_last(bench, make_step):
+    _wait(bench, make_step, 2_000, accepted_s=80.0)
+    useful = _wait(bench, make_step, 13_800, accepted_s=100.0)
+    assert _first(bench, ordering.ByLastUsefulStart(), 100.0) is useful
