Put urgent work on workers that keep the pace of their estimates

Cause: nothing set a worker's slowness, so gangs of checks were put on workers that took six times as long. The lead judges it by the progress of runs there, before they end, and by the newest run. Ruled out: probes of workers (priced, and health answers may be false).

--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -12,6 +12,8 @@
 STANDING_S = 3.0
 # And a long run only after the time of so many percents: progress is told in whole ones.
 STANDING_PERCENTS = 5.0
+# The pace of a run is judged once so much of it is done, in percent: its start counts little then.
+PACE_PERCENT_MIN = 5.0
 
 
 @attrs.define(eq=False)
@@ -73,6 +75,20 @@
             self.percent = percent
             self.moved_s = now_s
 
+    def pace_ratio(self, now_s: float) -> float | None:
+        """Return how many times its estimate the run takes, or ``None`` if that can't be told.
+
+        A run that went on from a checkpoint, or under a former lead, says nothing of its pace.
+
+        :param now_s: when :attr:`percent` was told, on the lead's clock.
+        """
+        if not self._is_start_known or self.record.checkpoint or self.step.estimate_ms <= 0:
+            return None
+        if self.percent < PACE_PERCENT_MIN:
+            return None
+        whole_s = (now_s - self.started_s) * 100.0 / self.percent
+        return whole_s * MILLISECONDS_PER_SECOND / self.step.estimate_ms
+
     def left_s(self, now_s: float) -> float:
         """Return the estimated time that the run still needs, in seconds.
 
@@ -260,6 +276,17 @@
                 return False
         return True
 
+    def remaining_ms(self, unit: Unit) -> float:
+        """Return the estimated time from a unit's start to the job's end, without waits."""
+        steps = self.spec.steps
+        number = unit.members[0].key.step
+        longest = {number: float(unit.step.estimate_ms)}
+        for later in range(number + 1, len(steps)):
+            begins = [longest[earlier] for earlier in steps[later].after if earlier in longest]
+            if begins:
+                longest[later] = max(begins) + steps[later].estimate_ms
+        return max(longest.values())
+
     @property
     def has_failed(self) -> bool:
         """Whether a unit used up its attempts."""
--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -257,7 +257,9 @@
         for link in self._state.links.values():
             if link.seat.pool != pool or not link.is_attached:
                 continue
-            link.seat.is_trusted = not self._state.work.outcomes(link.node).is_ejected(now_s)
+            outcomes = self._state.work.outcomes(link.node)
+            link.seat.is_trusted = not outcomes.is_ejected(now_s)
+            link.seat.slowness = outcomes.slowness
             seats.append(link.seat)
         strays = self._strays()
         plan = self._planner.plan(
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -245,7 +245,9 @@
         :param row: what its worker says of the run.
         :param now_s: the lead's clock.
         """
-        task.observe(row.percent, now_s)
+        if row.percent > task.percent:
+            task.observe(row.percent, now_s)
+            self._note_pace(task, now_s)
         if not row.checkpoint or not task.step.is_checkpointed:
             return
         task.checkpoint = row.checkpoint
@@ -256,6 +258,12 @@
         if row.checkpoint != task.record.checkpoint:
             self._set(task, attrs.evolve(task.record, checkpoint=row.checkpoint))
 
+    def _note_pace(self, task: progress.Task, now_s: float) -> None:
+        ratio = task.pace_ratio(now_s)
+        if ratio is None or task.step.is_lasting or task.step.is_same_rack or task.step.data_rack:
+            return
+        self.outcomes(task.record.node).paced(ratio)
+
     def _done(self, node: str, task: progress.Task) -> None:
         self.outcomes(node).succeeded()
         for member in self.unit_of(task).members:
@@ -322,7 +330,7 @@
             ordering.Rank.of(queue.priority, job.spec.job_id in covered),
             now_s - age_s + objective_s,
             now_s - age_s + LATE_FACTOR * objective_s,
-            _remaining_ms(job, unit) / MILLISECONDS_PER_SECOND,
+            job.remaining_ms(unit) / MILLISECONDS_PER_SECOND,
             now_s - (unit.ready_s if unit.ready_s is not None else now_s),
         )
 
@@ -379,15 +387,3 @@
                     continue
                 free.take(node, task.step.counted_room, fleet.step_name(task.key))
         return free
-
-
-def _remaining_ms(job: progress.JobProgress, unit: progress.Unit) -> float:
-    """Return the estimated time from a unit's start to its job's end, without waits."""
-    steps = job.spec.steps
-    number = unit.members[0].key.step
-    longest = {number: float(unit.step.estimate_ms)}
-    for later in range(number + 1, len(steps)):
-        begins = [longest[earlier] for earlier in steps[later].after if earlier in longest]
-        if begins:
-            longest[later] = max(begins) + steps[later].estimate_ms
-    return max(longest.values())
--- a/libs/scheduling/src/papayaspar_scheduling/health.py
+++ b/libs/scheduling/src/papayaspar_scheduling/health.py
@@ -13,6 +13,9 @@
 # First ejection, and the longest, in seconds: impairments last 3 to 12 s.
 EJECTION_S = 6.0
 EJECTION_MAX_S = 30.0
+# A worker on which work takes so many times its estimate is slow: estimates are off by a fifth and
+# sound workers differ by a quarter (site files); slow ones take four times as long and more.
+SLOW_RATIO = 2.0
 
 
 @attrs.define
@@ -22,11 +25,13 @@
     :param failed_jobs: jobs that failed there since the last success.
     :param ejected_until_s: when it may be tried again, on the lead's clock.
     :param ejections: ejections without a success between them.
+    :param slowness: how many times its estimate the newest work takes; 1 on sound workers.
     """
 
     failed_jobs: set[str] = attrs.field(factory=set)
     ejected_until_s: float = 0.0
     ejections: int = 0
+    slowness: float = 1.0
 
     def succeeded(self) -> None:
         """Note a run that was done."""
@@ -57,6 +62,13 @@
         """
         self.ejected_until_s = max(self.ejected_until_s, now_s + EJECTION_S)
 
+    def paced(self, ratio: float) -> None:
+        """Note how long work takes.
+
+        :param ratio: its time against its estimate.
+        """
+        self.slowness = ratio if ratio >= SLOW_RATIO else 1.0
+
     def is_ejected(self, now_s: float) -> bool:
         """Return whether it gets no work now."""
         return now_s < self.ejected_until_s
--- a/libs/scheduling/tests/test_health.py
+++ b/libs/scheduling/tests/test_health.py
@@ -25,3 +25,13 @@
     outcomes.failed("job-2", 0.0)
     assert outcomes.failed("job-3", health.EJECTION_S)
     assert outcomes.is_ejected(health.EJECTION_S * 2.9)
+
+
+def test_worker_that_takes_far_longer_than_estimated_is_slow_until_it_recovers():
+    outcomes = health.Outcomes()
+    outcomes.paced(1.4)
+    assert outcomes.slowness == 1.0
+    outcomes.paced(6.5)
+    assert outcomes.slowness == 6.5
+    outcomes.paced(1.1)
+    assert outcomes.slowness == 1.0
--- a/libs/scheduling/tests/test_urgent_load.py
+++ b/libs/scheduling/tests/test_urgent_load.py
@@ -122,3 +122,11 @@
     _fill(bench, make_step, BULK, 2.0)
     bench.wait(make_step(1, is_gang=True), URGENT, objective_s=90.0, lost_after_s=10.0)
     assert bench.plan().stops == ()
+
+
+def test_urgent_work_avoids_a_slow_worker(bench, make_step):
+    """Load: a fifth of the workers take six times as long (srv_slow)."""
+    bench.workers[0].slowness = 6.5
+    bench.wait(make_step(3, 8, is_gang=True), URGENT)
+    (start,) = bench.plan().starts
+    assert "node-0" not in start.nodes
