--- a/libs/intake/src/papayaspar_intake/access.py
+++ b/libs/intake/src/papayaspar_intake/access.py
@@ -2,6 +2,7 @@
 
 import abc
 
+import anyio
 import attrs
 
 from papayaspar_jobs import configurations
@@ -10,6 +11,12 @@
 # When callers may come back while the store is away, in seconds: outages last up to about 5 s, and
 # callers try four times (the platform's sheets), so tries a second apart would all meet one.
 RETRY_AFTER_S = 2.0
+# A call waits for the store for this share of its caller's time: callers try only a few times and
+# soon, and most of their time must be left for another entry.
+STORE_WAIT_RATIO = 1 / 3
+# Calls wait only while the store has been away for less, in seconds: outages for all last up to
+# about 5 s (site files); one that lasts longer is this entry's own, and others can answer at once.
+OUTAGE_MAX_S = 5.0
 
 
 class UnknownQueueError(errors.NotFoundError):
@@ -45,6 +52,10 @@
     def age_s(self) -> float:
         """Return for how long it may have been out of date, in seconds."""
 
+    @abc.abstractmethod
+    async def wait_in_touch(self) -> None:
+        """Wait until it was read, and the newest read succeeded."""
+
 
 @attrs.frozen
 class Admission:
@@ -74,6 +85,17 @@
         """Return whether calls can be admitted now."""
         return self._source.current() is not None and self._source.age_s() <= self._age_max_s
 
+    async def wait_open(self, timeout_s: float) -> None:
+        """Wait a share of a caller's time until calls can be admitted, unless that is hopeless.
+
+        :param timeout_s: how long the caller waits.
+        """
+        is_hopeless = self._source.current() is not None and self._source.age_s() > OUTAGE_MAX_S
+        if self.is_open() or is_hopeless:
+            return
+        with anyio.move_on_after(timeout_s * STORE_WAIT_RATIO):
+            await self._source.wait_in_touch()
+
     def admit(self, host: str, path: str, key: str) -> Admission:
         """Return which queue a call names and for which team.
 
--- a/libs/intake/src/papayaspar_intake/job_service.py
+++ b/libs/intake/src/papayaspar_intake/job_service.py
@@ -19,12 +19,6 @@
 ANSWER_MARGIN_S = 0.1
 # A view older than this is read anew before a job is said to be unknown, in seconds.
 VIEW_AGE_MAX_S = 2.0
-# A call waits for the store for this share of its caller's time: callers try only a few times and
-# soon, and most of their time must be left for another entry.
-STORE_WAIT_RATIO = 1 / 3
-# Calls wait only while the store has been away for less, in seconds: outages for all last up to
-# about 5 s (site files); one that lasts longer is this entry's own, and others can answer at once.
-OUTAGE_MAX_S = 5.0
 
 
 class JobTimeoutError(errors.DeadlineError):
@@ -80,7 +74,7 @@
         accepted_ms = int(self._clock.wall_s() * MILLISECONDS_PER_SECOND)
         record = records.JobRecord(spec, admission.queue, accepted_ms, self._node)
         encoded = records.encode(records.JOB + spec.job_id, record)
-        await self._reach_store(timeout_s * STORE_WAIT_RATIO)
+        await self._reach_store(timeout_s * access.STORE_WAIT_RATIO)
         deadline_s = began_s + timeout_s - ANSWER_MARGIN_S
         if self._view.book.find(spec.job_id) is not None:
             return
@@ -109,7 +103,7 @@
         """
         deadline_s = self._clock.now_s() + wait_s
         detail = "the store was not read yet"
-        while self._follower.lost_for_s() < OUTAGE_MAX_S:
+        while self._follower.lost_for_s() < access.OUTAGE_MAX_S:
             left_s = deadline_s - self._clock.now_s()
             if left_s <= 0:
                 break
--- a/libs/intake/tests/test_job_service.py
+++ b/libs/intake/tests/test_job_service.py
@@ -57,7 +57,7 @@
 
 async def test_entry_that_lost_the_store_for_long_refuses_at_once(counter, spec):
     counter.store.fault = keyed_stores.StoreFault.BUSY
-    while counter.follower.lost_for_s() < job_service.OUTAGE_MAX_S:
+    while counter.follower.lost_for_s() < access.OUTAGE_MAX_S:
         await anyio.sleep(0.1)
     with anyio.fail_after(0.3), pytest.raises(failures.StoreUnavailableError):
         await counter.jobs.submit(spec, counter.admission, 3.0)
@@ -105,6 +105,10 @@
     def age_s(self) -> float:
         return self._age_s
 
+    async def wait_in_touch(self) -> None:
+        await anyio.sleep(0.1)
+        self._age_s = 0.0
+
 
 async def test_longest_prefix_and_key_admit():
     gate = access.Gate(FixedSource(0.0), 3.0)
@@ -123,6 +127,19 @@
     assert caught.value.ran is errors.Ran.NO
 
 
+async def test_call_waits_for_a_configuration_that_is_read_again():
+    """Load: the store silent to all for 5 s (deploy/days/store-away), callers with five tries."""
+    gate = access.Gate(FixedSource(3.1), 3.0)
+    await gate.wait_open(3.0)
+    assert gate.admit("host", "/q/1", "key").team == "team"
+
+
+async def test_call_does_not_wait_for_a_configuration_that_is_long_out_of_touch():
+    gate = access.Gate(FixedSource(access.OUTAGE_MAX_S + 0.1), 3.0)
+    await gate.wait_open(3.0)
+    assert not gate.is_open()
+
+
 async def test_record_that_is_read_back_needs_no_answer(counter, spec):
     """Load: a store that does what it is asked and loses the answer of every append."""
     counter.store.fault = keyed_stores.StoreFault.LOST_APPENDS
--- a/libs/serving/src/papayaspar_serving/applications.py
+++ b/libs/serving/src/papayaspar_serving/applications.py
@@ -31,12 +31,14 @@
     :param path: its path, decoded.
     :param headers: its headers by lower-case name.
     :param body: its body.
+    :param query: its query, undecoded.
     """
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes
+    query: str = ""
 
 
 @attrs.frozen
@@ -81,7 +83,9 @@
         headers = {
             name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]
         }
-        answer = await self.answer(Request(scope["method"], scope["path"], headers, body))
+        query = scope["query_string"].decode("latin-1")
+        request = Request(scope["method"], scope["path"], headers, body, query)
+        answer = await self.answer(request)
         await _send_answer(send, answer)
 
     async def _read_body(self, receive: Receive) -> bytes | None:
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -166,7 +166,7 @@
         known = self._runs.get(task)
         if known is not None and known.run == run and known.stops_s is None:
             known.stops_s = self._clock.now_s() + self.stop_time_s
-            self._advance()
+            self.advance()
         self._highest[task] = max(run, self._highest.get(task, 0))
 
     async def look(
@@ -181,7 +181,7 @@
         until_s = self._clock.now_s() + wait_ms / MILLISECONDS_PER_SECOND
         while not self._ends and self._clock.now_s() < until_s:
             await anyio.sleep(POLL_S)
-            self._advance()
+            self.advance()
         running = tuple(
             workers.RunningRow(
                 run.task, run.run, checkpoint=self._checkpoint(run), percent=self._percent(run)
@@ -203,7 +203,7 @@
         if self.fault is WorkerFault.SILENT:
             await anyio.sleep(0.5)
             raise workers.WorkerError("no answer", ran=errors.Ran.UNKNOWN)
-        self._advance()
+        self.advance()
 
     def _check_token(self, token: int) -> None:
         if token < self._token:
@@ -214,7 +214,7 @@
         longest_ms = self.clock_ms() + int(self._lease_max_s * MILLISECONDS_PER_SECOND)
         self.expiry_ms = max(self.expiry_ms, min(expiry_ms, longest_ms))
 
-    def _advance(self) -> None:
+    def advance(self) -> None:
         """Let time have its effect: late orders, ends, the lease."""
         now_s = self._clock.now_s()
         for due_s, order in list(self._late):
--- a/libs/store/src/papayaspar_store/following.py
+++ b/libs/store/src/papayaspar_store/following.py
@@ -119,8 +119,10 @@
         if self._offset is None:
             await self._load(asked_s)
             return
+        # A store that was away is asked for an answer at once, so that its return is seen soon.
+        wait_s = 0.0 if self._is_away else self._wait_s
         try:
-            page = await self._store.read(self._partition, self._offset, self._wait_s)
+            page = await self._store.read(self._partition, self._offset, wait_s)
         except failures.TrimmedError:
             await self._load(asked_s)
             return
