--- /dev/null
+++ b/tests/soak/standins.py
@@ -0,0 +1,239 @@
+"""The platform's store and a worker as programs, by their published protocol.
+
+``python standins.py store IP:PORT`` or ``python standins.py worker NAME IP:PORT CONTROL RUN_S``.
+A worker prints each start and end of a run as a line of JSON.
+"""
+
+import base64
+import json
+import struct
+import sys
+import time
+import urllib.parse
+
+import anyio
+import httpx
+
+from papayaspar_jobs import tasks
+from papayaspar_model import clock, errors
+from papayaspar_runs import workers
+from papayaspar_serving import applications, listeners
+from papayaspar_standin import keyed_stores, memory_workers
+from papayaspar_store import failures, stores
+from papayaspar_wire import transports
+
+CHECK_IN_INTERVAL_S = 0.5
+TICK_S = 0.02
+REASON_WORDS = {
+    workers.RefusalReason.TOKEN: "fence",
+    workers.RefusalReason.OLD_RUN: "old",
+    workers.RefusalReason.LATE: "late",
+}
+
+
+def _json(status, **values):
+    return applications.Answer(status, json.dumps(values).encode())
+
+
+class StoreApp(applications.Application):
+    """The store."""
+
+    def __init__(self):
+        self._log = keyed_stores.KeyedLog()
+        self._store = keyed_stores.MemoryStore(self._log)
+
+    async def answer(self, request):
+        """Answer a call."""
+        query = dict(urllib.parse.parse_qsl(request.query))
+        partition = stores.Partition(query["topic"], int(query["part"]))
+        if request.path == "/api/log-append":
+            return self._append(partition, query, request.body)
+        if request.path == "/api/log-read":
+            return await self._read(partition, query)
+        snapshot = await self._store.newest(partition)
+        items = [
+            {
+                "key": record.key,
+                "value": base64.b64encode(record.value).decode(),
+                "offset": record.offset,
+            }
+            for record in snapshot.records
+        ]
+        return _json(200, items=items, has_more=False, end=snapshot.end)
+
+    def _append(self, partition, query, body):
+        producer = None
+        if "producer" in query:
+            numbers = int(query["epoch"]), int(query["seq"])
+            producer = stores.Producer(query["producer"], *numbers)
+        at = int(query["at"]) if "at" in query else None
+        append = keyed_stores.Append(partition, tuple(_unpack(body)), producer, at)
+        try:
+            offset = self._log.append(append)
+        except failures.FencedError:
+            return _json(409, reason="fenced")
+        except failures.SequenceError as error:
+            return _json(409, reason="seq", expected=error.expected)
+        except failures.PositionError as error:
+            return _json(412, end=error.end)
+        return _json(200, offset=offset, end=offset + len(append.appended))
+
+    async def _read(self, partition, query):
+        wait_s = int(query.get("wait_ms", "0")) / 1000.0
+        try:
+            page = await self._store.read(partition, int(query["from"]), wait_s)
+        except failures.TrimmedError as error:
+            return _json(410, first=error.first)
+        packed = b"".join(_pack(record) for record in page.records)
+        return applications.Answer(200, struct.pack(">QQ", page.end, page.first) + packed)
+
+
+def _unpack(body):
+    position = 0
+    while position < len(body):
+        (length,) = struct.unpack_from(">I", body, position)
+        content = body[position + 4 : position + 4 + length]
+        position += 4 + length
+        key_end = 1 + content[0]
+        yield stores.KeyedRecord(content[1:key_end].decode(), content[key_end:], 0)
+
+
+def _pack(record):
+    content = bytes([len(record.key)]) + record.key.encode() + record.value
+    return struct.pack(">I", len(content)) + content
+
+
+class PrintingWitness(memory_workers.TaskWitness):
+    """Prints what it sees."""
+
+    def began(self, task, run, worker):
+        """Print a start."""
+        self.say("began", task, run)
+
+    def ended(self, task, worker, is_done):
+        """Print an end."""
+        self.say("done" if is_done else "ended", task, 0)
+
+    @staticmethod
+    def say(what, task="", run=0):
+        """Print a line."""
+        row = {"at_s": time.time(), "what": what, "task": str(task), "run": run}
+        print(json.dumps(row), flush=True)
+
+
+class WorkerApp(applications.Application):
+    """The calls that an agent makes to its worker."""
+
+    def __init__(self, worker):
+        self._worker = worker
+
+    async def answer(self, request):
+        """Answer a call."""
+        if request.headers.get("x-target-instance", self._worker.name) != self._worker.name:
+            return applications.Answer(421)
+        values = json.loads(request.body)
+        try:
+            return _json(200, **await self._act(request.path, values))
+        except workers.OrderRefusedError as error:
+            reason = REASON_WORDS[error.reason]
+            return _json(409, clock_ms=self._worker.clock_ms(), reason=reason)
+        except errors.PapayasparError:
+            return applications.Answer(503)
+
+    async def _act(self, path, values):
+        worker = self._worker
+        if path == "/api/hold":
+            look = await worker.look(
+                values["fence"],
+                values["seen_upto"],
+                values.get("expiry_ms"),
+                values.get("wait_ms", 0),
+                worker.name,
+            )
+            return {
+                "clock_ms": look.clock_ms,
+                "born": look.born_ms,
+                "running": [
+                    [str(row.task), row.run, row.checkpoint, row.percent, 0] for row in look.running
+                ],
+                "ended": [
+                    [end.number, str(end.task), end.run, end.kind.value, end.checkpoint]
+                    for end in look.ended
+                ],
+            }
+        task = tasks.TaskKey.parse(values["task"])
+        if path == "/api/run-stop":
+            await worker.stop(task, values["run"], values["fence"], worker.name)
+        else:
+            order = workers.StartOrder(
+                task,
+                values["run"],
+                values["spec"],
+                values.get("saved", ""),
+                values["expiry_ms"],
+                values["fence"],
+                worker.name,
+            )
+            await worker.start(order)
+        return {"clock_ms": worker.clock_ms()}
+
+
+async def _tick(worker):
+    has_lapsed = False
+    while True:
+        worker.advance()
+        lapses = worker.expiry_ms <= worker.clock_ms()
+        if lapses and not has_lapsed:
+            PrintingWitness.say("lapsed")
+        has_lapsed = lapses
+        await anyio.sleep(TICK_S)
+
+
+async def _check_in(worker, address, control):
+    sequence = 0
+    async with httpx.AsyncClient(trust_env=False, verify=False, timeout=1.0) as client:
+        while True:
+            sequence += 1
+            said = worker.check_in(sequence)
+            body = {
+                "service": said.pool,
+                "addr": address,
+                "state": "ready",
+                "capacity": {"cpu": 64_000, "mem_mb": 262_144, "gpu": 8},
+                "labels": list(said.labels),
+                "seq": sequence,
+                "born": said.born_ms,
+            }
+            url = f"http://{control}/api/instances/{worker.name}/heartbeat"
+            try:
+                await client.post(url, json=body)
+            except httpx.TransportError:
+                # The agent is away; the next check-in tells it all.
+                pass
+            await anyio.sleep(CHECK_IN_INTERVAL_S)
+
+
+async def _serve(app, address, *parts):
+    parsed = transports.Address.parse(address)
+    bound = listeners.bind(parsed.host, parsed.port)
+    async with anyio.create_task_group() as group:
+        for part, *arguments in parts:
+            group.start_soon(part, *arguments)
+        await listeners.serve(app, bound, anyio.sleep_forever)
+
+
+async def main(kind, *arguments):
+    """Run a stand-in."""
+    if kind == "store":
+        await _serve(StoreApp(), arguments[0])
+        return
+    name, address, control, run_time_s = arguments
+    worker = memory_workers.MemoryWorker(
+        name, PrintingWitness(), clock.BootClock(), run_time_s=float(run_time_s)
+    )
+    parts = ((_tick, worker), (_check_in, worker, address, control))
+    await _serve(WorkerApp(worker), address, *parts)
+
+
+if __name__ == "__main__":
+    anyio.run(main, *sys.argv[1:])
