--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -71,9 +71,10 @@
         starts: list[Start] = []
         stops: list[tuple[preemption.Victim, ordering.Demand]] = []
         left = list(victims)
+        full, full_later = _Full(), _Full()
         self._clearings.prune(now_s)
         for demand in sorted(demands, key=lambda each: self._order.key(each, now_s)):
-            nodes = self._choose(demand, free, freeing)
+            nodes = self._choose(demand, free, freeing, full)
             if nodes is not None:
                 _take(demand, nodes, free)
                 _take(demand, nodes, freeing)
@@ -82,14 +83,15 @@
             # Room that is being cleared is awaited though its worker is silent for a moment.
             reserved = self._clearings.nodes(demand, now_s)
             if reserved is None:
-                reserved = self._choose(demand, freeing, freeing)
+                reserved = self._choose(demand, freeing, freeing, full_later)
             if reserved is None:
                 chosen = self._preempt(demand, freeing, left, now_s)
                 for victim in chosen:
                     left.remove(victim)
                     stops.append((victim, demand))
                     _give_back(victim, freeing)
-                reserved = self._choose(demand, freeing, freeing) if chosen else None
+                    full_later.clear()
+                reserved = self._choose(demand, freeing, freeing, full_later) if chosen else None
                 if reserved is not None:
                     self._clearings.begin(demand, reserved, chosen, now_s)
             if reserved is not None:
@@ -98,12 +100,19 @@
         return Plan(tuple(starts), tuple(stops))
 
     def _choose(
-        self, demand: ordering.Demand, free: fleet.FreeRoom, whole: fleet.FreeRoom
+        self,
+        demand: ordering.Demand,
+        free: fleet.FreeRoom,
+        whole: fleet.FreeRoom,
+        full: "_Full",
     ) -> tuple[str, ...] | None:
+        if full.is_known(demand):
+            return None
         for reach in _reaches(demand, whole):
             nodes = self._places.choose(demand, free, reach)
             if nodes is not None:
                 return nodes
+        full.note(demand)
         return None
 
     def _preempt(
@@ -133,13 +142,55 @@
         return ()
 
 
+class _Full:
+    """The kinds of units for which room that only shrinks holds no place any more.
+
+    A thousand tasks of a flood wait for the same room: one look tells for all of them.
+    """
+
+    def __init__(self) -> None:
+        self._kinds: set[tuple[object, ...]] = set()
+
+    def is_known(self, demand: ordering.Demand) -> bool:
+        """Return whether a unit of the same kind found no place."""
+        return bool(self._kinds) and _kind(demand) in self._kinds
+
+    def note(self, demand: ordering.Demand) -> None:
+        """Note that a unit found no place."""
+        self._kinds.add(_kind(demand))
+
+    def clear(self) -> None:
+        """Forget all: room was given back."""
+        self._kinds.clear()
+
+
+def _kind(demand: ordering.Demand) -> tuple[object, ...]:
+    """Return all of a unit that its placement depends on."""
+    step = demand.unit.step
+    limited = fleet.step_name(demand.unit.members[0].key) if step.per_worker_max else ""
+    return (
+        step.counted_room,
+        step.required_label,
+        step.data_rack,
+        step.is_same_rack,
+        len(demand.unit.members),
+        demand.unit.failed_nodes,
+        _is_tired(demand),
+        limited,
+    )
+
+
+def _is_tired(demand: ordering.Demand) -> bool:
+    estimate_s = demand.unit.step.estimate_ms / MILLISECONDS_PER_SECOND
+    return demand.waited_s >= FAR_AFTER_ESTIMATES * estimate_s
+
+
 def _reaches(demand: ordering.Demand, whole: fleet.FreeRoom) -> list[placement.Reach]:
     """Return how far a demand may be put, nearest first."""
     near = placement.Reach()
     step = demand.unit.step
     reaches = [near]
-    estimate_s = step.estimate_ms / MILLISECONDS_PER_SECOND
-    is_tired = demand.waited_s >= FAR_AFTER_ESTIMATES * estimate_s
+    is_tired = _is_tired(demand)
     if step.data_rack or step.is_same_rack:
         fits = any(
             placement.can_hold_when_empty(demand, group)
