--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -56,6 +56,14 @@
         self.started_s = self.moved_s = self.checkpoint_stored_s = now_s
         self.percent = 0.0
 
+    def confirm(self, now_s: float) -> None:
+        """Note that its worker has begun the run.
+
+        :param now_s: the lead's clock; an assignment may wait seconds for a slow store.
+        """
+        self.is_starting = False
+        self.started_s = self.moved_s = self.checkpoint_stored_s = now_s
+
     def resume(self, now_s: float) -> None:
         """Note that a run of a former lead goes on; when it began is told by its progress."""
         self.started_s = self.moved_s = self.checkpoint_stored_s = now_s
--- a/libs/jobs/tests/test_progress.py
+++ b/libs/jobs/tests/test_progress.py
@@ -163,3 +163,14 @@
 def test_summary_names_what_binds_a_step():
     step = specs.Step(3, specs.Room(7_500, 22_000, 8), 5_000, is_gang=True, is_checkpointed=True)
     assert step.summary == "3x7500m/22000MB/8a~5000ms+gang+saves"
+
+
+def test_time_before_a_start_is_confirmed_is_not_standing_still():
+    """Seen on booth-cloud-grown trouble-2: 74 tasks were restarted after a slow store."""
+    step = specs.Step(1, specs.Room(1000, 100, 1), 15_000, is_checkpointed=True)
+    task = progress.Task(tasks.TaskKey("0" * 16, 0, 0, 0), step)
+    task.record = tasks.TaskRecord(tasks.TaskPhase.ASSIGNED, 1, "node-1")
+    task.begin(100.0)
+    task.confirm(103.0)
+    assert not task.is_standing(103.5)
+    assert task.is_standing(103.0 + progress.STANDING_S)
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -95,8 +95,11 @@
             task.is_starting = False
             link.drop()
             return
+        if outcome.is_started and task.record.run == run:
+            task.confirm(self._state.clock.now_s())
+            return
         task.is_starting = False
-        if outcome.is_started or task.record.run != run or not task.is_assigned:
+        if task.record.run != run or not task.is_assigned:
             return
         reason = outcome.reason.value if outcome.reason is not None else "unknown"
         self._state.work.release(task, f"refused: {reason}")
