--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -30,6 +30,7 @@
     found += _restarts(runs, system)
     found += _unasked(runs, called)
     found += _unfinished(called)
+    found += _crashes(system)
     return found
 
 
@@ -101,6 +102,12 @@
             yield f"task {run.task} began after its job was shown as succeeded"
 
 
+def _crashes(system):
+    for machine in system.machines:
+        if "Traceback" in machine.log_path.read_text():
+            yield f"{machine.name} ended with an error that it did not handle"
+
+
 def _unfinished(called):
     for job in called.jobs:
         if job.outcome is not callers.Outcome.ACCEPTED or job.is_cancelling:
--- a/tests/soak/systems.py
+++ b/tests/soak/systems.py
@@ -26,7 +26,8 @@
 PROXY_OFFSET = 100
 START_TIMEOUT_S = 30.0
 HOST, PREFIX, KEY = "photos.example", "/checks/", "key-1"
-BOUNDS = "hold_max_ms = 6000\nrevoke_ms = 5000\ngrace_s = 6\nstatus_s = 120\n"
+GRACE_S = 6
+BOUNDS = f"hold_max_ms = 6000\nrevoke_ms = 5000\ngrace_s = {GRACE_S}\nstatus_s = 120\n"
 
 
 def address(group, number, port):
@@ -58,6 +59,11 @@
     worker: subprocess.Popen | None = None
     worker_deaths: list = attrs.field(factory=list)
 
+    @property
+    def log_path(self):
+        """Where the program's log is written."""
+        return self.folder / f"{self.name}.log"
+
     @property
     def events_path(self):
         """Where the worker's starts and ends are written."""
@@ -69,7 +75,7 @@
             return
         environment = dict(os.environ, PAPAYASPAR_BOOT=str(self.folder / f"{self.name}.toml"))
         command = [sys.executable, "-m", f"papayaspar_adapter.{self.program}"]
-        with (self.folder / f"{self.name}.log").open("a") as log:
+        with self.log_path.open("a") as log:
             self.process = subprocess.Popen(command, stdout=log, stderr=log, env=environment)
 
     def start_worker(self):
