--- a/libs/events/src/papayaspar_events/lines.py
+++ b/libs/events/src/papayaspar_events/lines.py
@@ -65,7 +65,7 @@
     TASK_REFUSED = "task_refused"
     TASK_ENDED = "task_ended"
     TASK_LOST = "task_lost"
-    TASK_STANDING = "task_standing"
+    TASK_STALLED = "task_stalled"
     TASK_UNKNOWN = "task_unknown"
     JOB_CANCELLED = "job_cancelled"
     JOB_SHOWN = "job_shown"
--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -7,11 +7,11 @@
 from papayaspar_jobs import books, specs, tasks
 
 MILLISECONDS_PER_SECOND = 1000.0
-# A run whose progress did not rise for so long, in seconds, may stand still: progress comes in
+# A run whose progress did not rise for so long, in seconds, may be stalled: progress comes in
 # whole percents, which on a slow worker take up to three seconds.
-STANDING_S = 3.0
+STALLED_S = 3.0
 # And a long run only after the time of so many percents: progress is told in whole ones.
-STANDING_PERCENTS = 5.0
+STALLED_PERCENTS = 5.0
 # The pace of a run is judged once so much of it is done, in percent: its start counts little then.
 PACE_PERCENT_MIN = 5.0
 
@@ -110,12 +110,12 @@
             return worked_s * 100.0 / self.percent
         return self.step.estimate_ms / MILLISECONDS_PER_SECOND
 
-    def is_standing(self, now_s: float) -> bool:
-        """Return whether the run stands still for so long that another is worth its lost work."""
+    def is_stalled(self, now_s: float) -> bool:
+        """Return whether the run has been stalled so long that another is worth its lost work."""
         still_s = now_s - self.moved_s
-        step_s = self._whole_s() * STANDING_PERCENTS / 100.0
+        step_s = self._whole_s() * STALLED_PERCENTS / 100.0
         # Each further run is given more time, so that no task is restarted for ever.
-        if still_s < max(STANDING_S, step_s) * max(1, self.record.run):
+        if still_s < max(STALLED_S, step_s) * max(1, self.record.run):
             return False
         return self.step.is_checkpointed or still_s >= self.moved_s - self.started_s
 
--- a/libs/jobs/tests/test_progress.py
+++ b/libs/jobs/tests/test_progress.py
@@ -86,16 +86,16 @@
     assert task.left_s(101.0) == pytest.approx(4.0)
 
 
-def test_standing_task_is_given_up_once_that_costs_less(open_job):
-    """Load: workers on which tasks stand still for seconds."""
+def test_stalled_task_is_given_up_once_that_costs_less(open_job):
+    """Load: workers on which tasks stall for seconds."""
     (unit,) = open_job(specs.Step(1, estimate_ms=10_000)).waiting_units(0.0)
     task = unit.members[0]
     task.begin(100.0)
     task.observe(50.0, 105.0)
-    assert not task.is_standing(109.0)
-    assert task.is_standing(110.0)
+    assert not task.is_stalled(109.0)
+    assert task.is_stalled(110.0)
     task.observe(51.0, 110.0)
-    assert not task.is_standing(112.0)
+    assert not task.is_stalled(112.0)
 
 
 def test_long_run_has_time_for_its_first_percent(open_job):
@@ -103,7 +103,7 @@
     (unit,) = open_job(specs.Step(1, estimate_ms=3_600_000)).waiting_units(0.0)
     task = unit.members[0]
     task.begin(100.0)
-    assert not task.is_standing(160.0)
+    assert not task.is_stalled(160.0)
 
 
 def test_each_further_run_is_given_more_time(open_job):
@@ -111,8 +111,8 @@
     task = unit.members[0]
     task.record = attrs.evolve(task.record, run=3)
     task.begin(100.0)
-    assert not task.is_standing(108.0)
-    assert task.is_standing(110.0)
+    assert not task.is_stalled(108.0)
+    assert task.is_stalled(110.0)
 
 
 def test_restored_task_knows_its_lost_work(open_job):
@@ -165,12 +165,12 @@
     assert step.summary == "3x7500m/22000MB/8a~5000ms+gang+saves"
 
 
-def test_time_before_a_start_is_confirmed_is_not_standing_still():
+def test_time_before_a_start_is_confirmed_is_not_stalling():
     """Seen on booth-cloud-grown trouble-2: 74 tasks were restarted after a slow store."""
     step = specs.Step(1, specs.Room(1000, 100, 1), 15_000, is_checkpointed=True)
     task = progress.Task(tasks.TaskKey("0" * 16, 0, 0, 0), step)
     task.record = tasks.TaskRecord(tasks.TaskPhase.ASSIGNED, 1, "node-1")
     task.begin(100.0)
     task.confirm(103.0)
-    assert not task.is_standing(103.5)
-    assert task.is_standing(103.0 + progress.STANDING_S)
+    assert not task.is_stalled(103.5)
+    assert task.is_stalled(103.0 + progress.STALLED_S)
--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -261,11 +261,11 @@
             link.seat.is_trusted = not outcomes.is_ejected(now_s)
             link.seat.slowness = outcomes.slowness
             seats.append(link.seat)
-        strays = self._strays()
+        orphans = self._orphans()
         plan = self._planner.plan(
             [demand for demand in demands if self._pool_of(demand) == pool],
-            self._state.work.free_room(seats, strays, is_stopping_counted=True),
-            self._state.work.free_room(seats, strays, is_stopping_counted=False),
+            self._state.work.free_room(seats, orphans, is_stopping_counted=True),
+            self._state.work.free_room(seats, orphans, is_stopping_counted=False),
             self._state.work.victims(now_s),
             now_s,
         )
@@ -280,7 +280,7 @@
         for start in plan.starts:
             self._orders.assign(start, now_s)
 
-    def _strays(self) -> list[tuple[str, specs.Room]]:
+    def _orphans(self) -> list[tuple[str, specs.Room]]:
         """Return the runs on workers that no task is assigned to: of cancelled or failed jobs."""
         found: list[tuple[str, specs.Room]] = []
         for link in self._state.links.values():
--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -200,14 +200,14 @@
 
     def _take(self, state: messages.AgentState) -> None:
         self.state = state
-        check_in = state.check_in
-        if check_in is not None:
-            self.seat.pool = check_in.pool
-            self.seat.capacity = check_in.capacity
-            self.seat.labels = frozenset(check_in.labels)
-            self.seat.rack = check_in.rack
+        heartbeat = state.heartbeat
+        if heartbeat is not None:
+            self.seat.pool = heartbeat.pool
+            self.seat.capacity = heartbeat.capacity
+            self.seat.labels = frozenset(heartbeat.labels)
+            self.seat.rack = heartbeat.rack
         self.seat.incarnation = state.incarnation
-        is_ready = check_in is not None and check_in.condition is workers.Condition.READY
+        is_ready = heartbeat is not None and heartbeat.condition is workers.Condition.READY
         self.seat.is_open = is_ready and state.is_answering and state.incarnation is not None
         self._owner.state_changed(self, state)
 
--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -1,4 +1,4 @@
-"""What runs and should not, or can't any more: lapsed, leaving, standing, no longer wanted."""
+"""What runs and should not, or can't any more: lapsed, leaving, stalled, no longer wanted."""
 
 from papayaspar_events import lines
 from papayaspar_lead import orders, recording, state
@@ -39,7 +39,7 @@
         self.release_lapsed(now_s)
         self.stop_unwanted()
         self.evacuate(now_s)
-        self.restart_standing(now_s)
+        self.restart_stalled(now_s)
         self.forget_gone(now_s)
 
     def forget_gone(self, now_s: float) -> None:
@@ -81,25 +81,25 @@
     def evacuate(self, now_s: float) -> None:
         """Stop in time what can't end before its worker leaves."""
         for link in self._state.links.values():
-            check_in = link.state.check_in if link.state is not None else None
-            if check_in is None or check_in.condition is not workers.Condition.DRAINING:
+            heartbeat = link.state.heartbeat if link.state is not None else None
+            if heartbeat is None or heartbeat.condition is not workers.Condition.DRAINING:
                 continue
             for task in self._state.work.on_node(link.node):
                 left_ms = task.left_s(now_s) * MILLISECONDS_PER_SECOND
-                if task.step.is_lasting or left_ms > (check_in.remaining_ms or 0):
+                if task.step.is_lasting or left_ms > (heartbeat.remaining_ms or 0):
                     self._orders.stop_unit(self._state.work.unit_of(task))
 
-    def restart_standing(self, now_s: float) -> None:
-        """Stop what stands still, so that it runs elsewhere, and avoid its worker for a while."""
-        for unit in self._state.work.standing_units(now_s):
-            standing = [task for task in unit.members if task.is_standing(now_s)]
-            links_of = [self._state.links.get(task.record.node) for task in standing]
+    def restart_stalled(self, now_s: float) -> None:
+        """Stop what is stalled, so that it runs elsewhere, and avoid its worker for a while."""
+        for unit in self._state.work.stalled_units(now_s):
+            stalled = [task for task in unit.members if task.is_stalled(now_s)]
+            links_of = [self._state.links.get(task.record.node) for task in stalled]
             if not all(link is not None and link.seat.is_open for link in links_of):
                 continue
-            for task in standing:
-                self._state.work.outcomes(task.record.node).stood_still(now_s)
+            for task in stalled:
+                self._state.work.outcomes(task.record.node).stalled(now_s)
                 self._state.events.record(
-                    lines.EventKind.TASK_STANDING,
+                    lines.EventKind.TASK_STALLED,
                     worker=task.record.node,
                     job=task.key.job_id,
                     attempt=task.record.run,
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -105,8 +105,8 @@
             task.resume(now_s)
             self._place(task)
 
-    def standing_units(self, now_s: float) -> list[progress.Unit]:
-        """Return the units with a member that stands still on its worker."""
+    def stalled_units(self, now_s: float) -> list[progress.Unit]:
+        """Return the units with a member that is stalled on its worker."""
         found: list[progress.Unit] = []
         for live in self._jobs.values():
             for unit in live.progress.active_units():
@@ -114,7 +114,7 @@
                     continue
                 if any(task.is_starting or task.is_stopping for task in unit.members):
                     continue
-                if any(task.is_assigned and task.is_standing(now_s) for task in unit.members):
+                if any(task.is_assigned and task.is_stalled(now_s) for task in unit.members):
                     found.append(unit)
         return found
 
@@ -368,18 +368,18 @@
     def free_room(
         self,
         seats: list[fleet.Worker],
-        strays: Iterable[tuple[str, specs.Room]],
+        orphans: Iterable[tuple[str, specs.Room]],
         is_stopping_counted: bool,
     ) -> fleet.FreeRoom:
         """Return the room that is left on workers.
 
         :param seats: the workers.
-        :param strays: machine and room of runs that no task is assigned to any more; they take
+        :param orphans: machine and room of runs that no task is assigned to any more; they take
             room until their end is listed.
         :param is_stopping_counted: whether tasks that were told to stop still take room.
         """
         free = fleet.FreeRoom(seats)
-        for node, room in strays:
+        for node, room in orphans:
             free.take(node, room)
         for node, assigned in self._by_node.items():
             for task in assigned:
--- a/libs/lead/tests/conftest.py
+++ b/libs/lead/tests/conftest.py
@@ -122,7 +122,7 @@
             functools.partial(
                 registration.keep_registered, store, record, served, self.clock, events
             ),
-            functools.partial(_check_in_forever, agent),
+            functools.partial(_heartbeat_forever, agent),
         )
         return agent
 
@@ -166,11 +166,11 @@
                 await anyio.sleep(0.02)
 
 
-async def _check_in_forever(agent: AgentUnderTest) -> None:
+async def _heartbeat_forever(agent: AgentUnderTest) -> None:
     sequence = 0
     while True:
         sequence += 1
-        agent.keeper.take_check_in(agent.worker.check_in(sequence))
+        agent.keeper.take_heartbeat(agent.worker.heartbeat(sequence))
         await anyio.sleep(0.3)
 
 
--- a/libs/runs/src/papayaspar_runs/keeper.py
+++ b/libs/runs/src/papayaspar_runs/keeper.py
@@ -65,7 +65,7 @@
         self._clock = source
         self._events = events
         self._table = table.RunTable()
-        self._check_in: workers.CheckIn | None = None
+        self._heartbeat: workers.Heartbeat | None = None
         self._born_ms: int | None = None
         self._token = 0
         self._confirmed_token = 0
@@ -83,17 +83,17 @@
 
     @property
     def _incarnation(self) -> tasks.Incarnation | None:
-        """The present life, once check-in and looks are known to speak of the same one."""
-        if self._check_in is None or self._check_in.born_ms != self._born_ms:
+        """The present life, once heartbeat and looks are known to speak of the same one."""
+        if self._heartbeat is None or self._heartbeat.born_ms != self._born_ms:
             return None
-        return tasks.Incarnation(self._check_in.worker, self._check_in.born_ms)
+        return tasks.Incarnation(self._heartbeat.worker, self._heartbeat.born_ms)
 
     def state(self) -> messages.AgentState:
         """Return what is known of the worker."""
         is_lapsed = not self._is_answering and self._clock.now_s() > self._lease_until_s
         return messages.AgentState(
             node=self._node,
-            check_in=self._check_in,
+            heartbeat=self._heartbeat,
             incarnation=self._incarnation,
             is_answering=self._is_answering and self._confirmed_token >= self._token,
             has_lapsed=is_lapsed,
@@ -101,27 +101,27 @@
             ends=self._table.ends,
         )
 
-    def take_check_in(self, check_in: workers.CheckIn) -> None:
+    def take_heartbeat(self, heartbeat: workers.Heartbeat) -> None:
         """Take in what the worker says of itself; late ones of a former life are passed over."""
-        known = self._check_in
+        known = self._heartbeat
         if known is not None:
-            is_same_life = known.worker == check_in.worker and known.born_ms == check_in.born_ms
-            if is_same_life and check_in.sequence <= known.sequence:
+            is_same_life = known.worker == heartbeat.worker and known.born_ms == heartbeat.born_ms
+            if is_same_life and heartbeat.sequence <= known.sequence:
                 return
-            is_answering = check_in.born_ms == self._born_ms
-            if not is_same_life and check_in.born_ms < known.born_ms and not is_answering:
+            is_answering = heartbeat.born_ms == self._born_ms
+            if not is_same_life and heartbeat.born_ms < known.born_ms and not is_answering:
                 # Delayed from a former life; a worker whose clock went back answers looks itself.
                 return
-        self._check_in = check_in
-        if known is None or known.has_news(check_in):
+        self._heartbeat = heartbeat
+        if known is None or known.has_news(heartbeat):
             kind = lines.EventKind.WORKER_JOINED
-            if check_in.condition is workers.Condition.DRAINING:
+            if heartbeat.condition is workers.Condition.DRAINING:
                 kind = lines.EventKind.WORKER_DRAINING
             self._events.record(
                 kind,
-                worker=check_in.worker,
-                detail=f"born_ms={check_in.born_ms} rack={check_in.rack}"
-                f" remaining_ms={check_in.remaining_ms}",
+                worker=heartbeat.worker,
+                detail=f"born_ms={heartbeat.born_ms} rack={heartbeat.rack}"
+                f" remaining_ms={heartbeat.remaining_ms}",
             )
             self._looked.changed()
             self.changes.changed()
@@ -179,13 +179,13 @@
     def _obstacle(self, order: messages.StartRun) -> workers.RefusalReason | None:
         if self._clock.now_s() >= self._vouched_until_s:
             return workers.RefusalReason.NOT_VOUCHED
-        if order.incarnation != self._incarnation or self._check_in is None:
+        if order.incarnation != self._incarnation or self._heartbeat is None:
             return workers.RefusalReason.INCARNATION
-        if self._check_in.condition is workers.Condition.DRAINING:
+        if self._heartbeat.condition is workers.Condition.DRAINING:
             return workers.RefusalReason.DRAINING
         if not self._is_answering or self._clock_offset_ms is None:
             return workers.RefusalReason.UNREACHABLE
-        if not self._table.fits(order.room, self._check_in.capacity):
+        if not self._table.fits(order.room, self._heartbeat.capacity):
             return workers.RefusalReason.ROOM
         return None
 
@@ -311,7 +311,7 @@
             self._extend_lease_bound(expiry_ms)
         is_settled = self._confirmed_token == token and self._clock_offset_ms is not None
         wait_ms = LOOK_WAIT_MS if is_settled and not self._table.ends else 0
-        worker = self._check_in.worker if self._check_in is not None else ""
+        worker = self._heartbeat.worker if self._heartbeat is not None else ""
         try:
             look = await self._worker.look(token, self._seen_end, expiry_ms, wait_ms, worker)
         except workers.OrderRefusedError as error:
@@ -346,8 +346,8 @@
 
     def _note_refused(self, error: workers.OrderRefusedError, token: int) -> None:
         if error.reason is workers.RefusalReason.INCARNATION:
-            # Another life answers; its id comes with its next check-in.
-            self._check_in = None
+            # Another life answers; its id comes with its next heartbeat.
+            self._heartbeat = None
             self._begin_life(None)
             return
         if error.reason is workers.RefusalReason.TOKEN and token == self._token:
@@ -360,7 +360,7 @@
         if self._is_answering:
             self._events.record(
                 lines.EventKind.WORKER_LOST,
-                worker=self._check_in.worker if self._check_in is not None else "",
+                worker=self._heartbeat.worker if self._heartbeat is not None else "",
                 code=error.code,
                 detail=error.detail,
             )
--- a/libs/runs/src/papayaspar_runs/messages.py
+++ b/libs/runs/src/papayaspar_runs/messages.py
@@ -26,7 +26,7 @@
     """What an agent knows of its worker; the answer to ``Attach``, and a notice at changes.
 
     :param node: the agent's machine.
-    :param check_in: what the worker said of itself, or ``None`` before it did.
+    :param heartbeat: what the worker said of itself, or ``None`` before it did.
     :param incarnation: the worker's present life, or ``None`` before it is known.
     :param is_answering: whether the worker confirmed the newest token.
     :param has_lapsed: whether the lease must have run out since the worker last answered.
@@ -35,7 +35,7 @@
     """
 
     node: str
-    check_in: workers.CheckIn | None = None
+    heartbeat: workers.Heartbeat | None = None
     incarnation: tasks.Incarnation | None = None
     is_answering: bool = False
     has_lapsed: bool = False
--- a/libs/runs/src/papayaspar_runs/workers.py
+++ b/libs/runs/src/papayaspar_runs/workers.py
@@ -56,7 +56,7 @@
 
 
 @attrs.frozen
-class CheckIn:
+class Heartbeat:
     """What a worker said of itself.
 
     :param worker: its id.
@@ -65,7 +65,7 @@
     :param capacity: its room.
     :param labels: its labels.
     :param rack: its rack, or empty.
-    :param sequence: number of the check-in within this life.
+    :param sequence: number of the heartbeat within this life.
     :param born_ms: its start, in milliseconds since the Unix epoch; 0 if it did not say.
     :param clock_ms: its steady clock; ``None`` if it did not say.
     :param remaining_ms: least time that is left while it drains; ``None`` if it did not say.
@@ -82,8 +82,8 @@
     clock_ms: int | None = None
     remaining_ms: int | None = None
 
-    def has_news(self, newer: "CheckIn") -> bool:
-        """Return whether a newer check-in says more than that the worker lives."""
+    def has_news(self, newer: "Heartbeat") -> bool:
+        """Return whether a newer heartbeat says more than that the worker lives."""
         known = attrs.evolve(
             self,
             sequence=newer.sequence,
--- a/libs/scheduling/src/papayaspar_scheduling/health.py
+++ b/libs/scheduling/src/papayaspar_scheduling/health.py
@@ -55,8 +55,8 @@
         self.failed_jobs.clear()
         return True
 
-    def stood_still(self, now_s: float) -> None:
-        """Note a run that stood still: the worker is ejected at once.
+    def stalled(self, now_s: float) -> None:
+        """Note a run that stalled: the worker is ejected at once.
 
         :param now_s: the lead's clock.
         """
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -117,9 +117,9 @@
             self._witness.ended(run.task, self.name, is_done=False)
         self._begin()
 
-    def check_in(self, sequence: int) -> workers.CheckIn:
+    def heartbeat(self, sequence: int) -> workers.Heartbeat:
         """Return what it says of itself."""
-        return workers.CheckIn(
+        return workers.Heartbeat(
             worker=self.name,
             pool="pool",
             condition=workers.Condition.READY,
--- a/tests/adapter/test_messages.py
+++ b/tests/adapter/test_messages.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from papayaspar_adapter import check_ins, fields, job_bodies, operators, settings
+from papayaspar_adapter import fields, heartbeats, job_bodies, operators, settings
 from papayaspar_jobs import specs
 from papayaspar_model import errors
 from papayaspar_runs import workers
@@ -50,29 +50,29 @@
     assert caught.value.field == field
 
 
-def test_check_in_becomes_a_worker():
+def test_heartbeat_becomes_a_worker():
     body = {
         "service": "pool", "zone": "z", "state": "draining", "seq": 4, "born": 17,
         "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 8}, "labels": ["a", "r1-3"],
         "remaining_ms": 900, "clock_ms": 5,
     }  # fmt: skip
-    found = check_ins.parse("i-1", json.dumps(body).encode())
+    found = heartbeats.parse("i-1", json.dumps(body).encode())
     assert found.condition is workers.Condition.DRAINING
     assert (found.rack, found.born_ms, found.remaining_ms) == ("r1-3", 17, 900)
     assert found.capacity == specs.Room(16000, 32768, 8)
 
 
 @pytest.mark.parametrize("state", ["gone", 3, None])
-def test_check_in_of_an_unknown_state_names_no_worker(state):
+def test_heartbeat_of_an_unknown_state_names_no_worker(state):
     with pytest.raises(errors.InvalidRequestError):
-        check_ins.parse("i-1", json.dumps({"service": "p", "state": state, "seq": 1}).encode())
+        heartbeats.parse("i-1", json.dumps({"service": "p", "state": state, "seq": 1}).encode())
 
 
-def test_check_in_paths():
-    found = check_ins.parse_path("/api/instances/i-1/heartbeat")
-    assert found == check_ins.CheckInPath("i-1", check_ins.CheckInCall.HEARTBEAT)
-    assert check_ins.parse_path("/api/instances/i-1/other") is None
-    assert check_ins.parse_path("/") is None
+def test_heartbeat_paths():
+    found = heartbeats.parse_path("/api/instances/i-1/heartbeat")
+    assert found == heartbeats.WorkerPath("i-1", heartbeats.WorkerCall.HEARTBEAT)
+    assert heartbeats.parse_path("/api/instances/i-1/other") is None
+    assert heartbeats.parse_path("/") is None
 
 
 def test_configuration_has_queues_teams_and_guarantees():
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -22,7 +22,7 @@
 from papayaspar_store import failures, stores
 from papayaspar_wire import transports
 
-CHECK_IN_INTERVAL_S = 0.5
+HEARTBEAT_INTERVAL_S = 0.5
 TICK_S = 0.02
 REASON_WORDS = {
     workers.RefusalReason.TOKEN: "fence",
@@ -189,12 +189,12 @@
         await anyio.sleep(TICK_S)
 
 
-async def _check_in(worker, address, control):
+async def _heartbeat(worker, address, control):
     sequence = 0
     async with httpx.AsyncClient(trust_env=False, verify=False, timeout=1.0) as client:
         while True:
             sequence += 1
-            said = worker.check_in(sequence)
+            said = worker.heartbeat(sequence)
             body = {
                 "service": said.pool,
                 "addr": address,
@@ -208,9 +208,9 @@
             try:
                 await client.post(url, json=body)
             except httpx.TransportError:
-                # The agent is away; the next check-in tells it all.
+                # The agent is away; the next heartbeat tells it all.
                 pass
-            await anyio.sleep(CHECK_IN_INTERVAL_S)
+            await anyio.sleep(HEARTBEAT_INTERVAL_S)
 
 
 async def _serve(app, address, *parts):
@@ -231,7 +231,7 @@
     worker = memory_workers.MemoryWorker(
         name, PrintingWitness(), clock.BootClock(), run_time_s=float(run_time_s)
     )
-    parts = ((_tick, worker), (_check_in, worker, address, control))
+    parts = ((_tick, worker), (_heartbeat, worker, address, control))
     await _serve(WorkerApp(worker), address, *parts)
 
 
