Judge the pace of every run that began anew

Cause: found when the diff was read: a run's stored checkpoint was taken as a sign that it had gone on from one, so checkpointed runs told nothing of their worker's pace after two seconds. Test failed first.

--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -45,6 +45,7 @@
     checkpoint_stored_s: float = 0.0
     failed_nodes: set[str] = attrs.field(factory=set)
     _is_start_known: bool = attrs.field(default=True, init=False)
+    _has_begun_anew: bool = attrs.field(default=False, init=False)
 
     def begin(self, now_s: float) -> None:
         """Note that a run begins.
@@ -53,6 +54,7 @@
         """
         self.is_starting = True
         self.is_stopping = False
+        self._has_begun_anew = not self.record.checkpoint
         self.started_s = self.moved_s = self.checkpoint_stored_s = now_s
         self.percent = 0.0
 
@@ -68,6 +70,7 @@
         """Note that a run of a former lead goes on; when it began is told by its progress."""
         self.started_s = self.moved_s = self.checkpoint_stored_s = now_s
         self.percent = 0.0
+        self._has_begun_anew = False
         self._is_start_known = False
 
     def observe(self, percent: float, now_s: float) -> None:
@@ -90,7 +93,7 @@
 
         :param now_s: when :attr:`percent` was told, on the lead's clock.
         """
-        if not self._is_start_known or self.record.checkpoint or self.step.estimate_ms <= 0:
+        if not self._has_begun_anew or self.step.estimate_ms <= 0:
             return None
         if self.percent < PACE_PERCENT_MIN:
             return None
--- a/libs/jobs/tests/test_progress.py
+++ b/libs/jobs/tests/test_progress.py
@@ -174,3 +174,15 @@
     task.confirm(103.0)
     assert not task.is_stalled(103.5)
     assert task.is_stalled(103.0 + progress.STALLED_S)
+
+
+def test_pace_is_told_by_runs_that_began_anew_also_after_a_checkpoint_is_stored():
+    step = specs.Step(1, specs.Room(1000, 100, 1), 10_000, is_checkpointed=True)
+    task = progress.Task(tasks.TaskKey("0" * 16, 0, 0, 0), step)
+    task.begin(100.0)
+    task.record = tasks.TaskRecord(tasks.TaskPhase.ASSIGNED, 1, "node-1", checkpoint="saved")
+    task.observe(10.0, 106.0)
+    assert task.pace_ratio(106.0) == pytest.approx(6.0)
+    task.begin(110.0)
+    task.observe(50.0, 111.0)
+    assert task.pace_ratio(111.0) is None
