Let late urgent work stop what loses next to nothing

Cause: the check that keeps late work from throwing others' away also kept it from stopping checkpointed work, which costs a restart only. Test failed first.

--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -71,10 +71,10 @@
         starts: list[Start] = []
         stops: list[tuple[preemption.Victim, ordering.Demand]] = []
         left = list(victims)
-        full, full_later = _Full(), _Full()
+        unplaceable, unplaceable_later = _Unplaceable(), _Unplaceable()
         self._clearings.prune(now_s)
         for demand in sorted(demands, key=lambda each: self._order.key(each, now_s)):
-            nodes = self._choose(demand, free, freeing, full)
+            nodes = self._choose(demand, free, freeing, unplaceable)
             if nodes is not None:
                 _take(demand, nodes, free)
                 _take(demand, nodes, freeing)
@@ -83,15 +83,17 @@
             # Room that is being cleared is awaited though its worker is silent for a moment.
             reserved = self._clearings.nodes(demand, now_s)
             if reserved is None:
-                reserved = self._choose(demand, freeing, freeing, full_later)
+                reserved = self._choose(demand, freeing, freeing, unplaceable_later)
             if reserved is None:
                 chosen = self._preempt(demand, freeing, left, now_s)
                 for victim in chosen:
                     left.remove(victim)
                     stops.append((victim, demand))
                     _give_back(victim, freeing)
-                    full_later.clear()
-                reserved = self._choose(demand, freeing, freeing, full_later) if chosen else None
+                    unplaceable_later.clear()
+                reserved = (
+                    self._choose(demand, freeing, freeing, unplaceable_later) if chosen else None
+                )
                 if reserved is not None:
                     self._clearings.begin(demand, reserved, chosen, now_s)
             if reserved is not None:
@@ -104,15 +106,15 @@
         demand: ordering.Demand,
         free: fleet.FreeRoom,
         whole: fleet.FreeRoom,
-        full: "_Full",
+        unplaceable: "_Unplaceable",
     ) -> tuple[str, ...] | None:
-        if full.is_known(demand):
+        if unplaceable.is_known(demand):
             return None
         for reach in _reaches(demand, whole):
             nodes = self._places.choose(demand, free, reach)
             if nodes is not None:
                 return nodes
-        full.note(demand)
+        unplaceable.note(demand)
         return None
 
     def _preempt(
@@ -142,10 +144,10 @@
         return ()
 
 
-class _Full:
+class _Unplaceable:
     """The kinds of units for which room that only shrinks holds no place any more.
 
-    A thousand tasks of a flood wait for the same room: one look tells for all of them.
+    A thousand tasks of a flood wait for the same room: one try tells for all of them.
     """
 
     def __init__(self) -> None:
@@ -175,12 +177,12 @@
         step.is_same_rack,
         len(demand.unit.members),
         demand.unit.failed_nodes,
-        _is_tired(demand),
+        _has_waited_long(demand),
         limited,
     )
 
 
-def _is_tired(demand: ordering.Demand) -> bool:
+def _has_waited_long(demand: ordering.Demand) -> bool:
     estimate_s = demand.unit.step.estimate_ms / MILLISECONDS_PER_SECOND
     return demand.waited_s >= FAR_AFTER_ESTIMATES * estimate_s
 
@@ -190,15 +192,15 @@
     near = placement.Reach()
     step = demand.unit.step
     reaches = [near]
-    is_tired = _is_tired(demand)
+    has_waited_long = _has_waited_long(demand)
     if step.data_rack or step.is_same_rack:
         fits = any(
             placement.can_hold_when_empty(demand, group)
             for group in placement.groups(demand, whole, near)
         )
-        if is_tired or not fits:
+        if has_waited_long or not fits:
             reaches.append(placement.Reach(is_far_allowed=True))
-    if is_tired:
+    if has_waited_long:
         reaches.append(placement.Reach(is_far_allowed=True, is_untrusted_allowed=True))
     return reaches
 
--- a/libs/scheduling/src/papayaspar_scheduling/preemption.py
+++ b/libs/scheduling/src/papayaspar_scheduling/preemption.py
@@ -32,6 +32,9 @@
 # Urgent work beyond a guarantee may cost others at most this share of its own work: throwing away
 # more than that serves fewer callers than letting it wait.
 URGENT_COST_RATIO = 0.5
+# The same while it is late and not about to become useless: what it is worth does not change then,
+# so that only work that loses next to nothing is stopped.
+LATE_COST_RATIO = 0.1
 
 
 def own_work_core_s(unit: progress.Unit) -> float:
@@ -54,18 +57,13 @@
     """
     if demand.rank is ordering.Rank.GUARANTEED:
         return True
-    return _gains_from_room(demand, now_s) and (
-        cost_core_s <= URGENT_COST_RATIO * own_work_core_s(demand.unit)
-    )
-
-
-def _gains_from_room(demand: ordering.Demand, now_s: float) -> bool:
-    """Return whether starting a demand now rather than later makes a difference to its caller."""
     finish_s = now_s + demand.remaining_s
-    if finish_s <= demand.objective_s:
-        return True
-    # Late either way: worth the same until it is about to be of no use.
-    return finish_s <= demand.lost_s < finish_s + demand.remaining_s
+    if finish_s > demand.lost_s:
+        return False
+    is_in_time = finish_s <= demand.objective_s
+    is_last_chance = finish_s + demand.remaining_s > demand.lost_s
+    ratio = URGENT_COST_RATIO if is_in_time or is_last_chance else LATE_COST_RATIO
+    return cost_core_s <= ratio * own_work_core_s(demand.unit)
 
 
 def lost_work_core_s(unit: progress.Unit, now_s: float) -> float:
--- a/libs/scheduling/tests/test_urgent_load.py
+++ b/libs/scheduling/tests/test_urgent_load.py
@@ -130,3 +130,9 @@
     bench.wait(make_step(3, 8, is_gang=True), URGENT)
     (start,) = bench.plan().starts
     assert "node-0" not in start.nodes
+
+
+def test_urgent_work_that_is_late_stops_checkpointed_work(bench, make_step):
+    _fill(bench, make_step, BULK, 15.0, is_checkpointed=True)
+    bench.wait(make_step(1, is_gang=True), URGENT, objective_s=103.0)
+    assert len(bench.plan().stops) == 1
