Order a run only in the life of the worker that it was given to

A worker crashed before it answered a start and began another life under the same id. The agent, finding out what had become of the start, was answered by the new life, took the run for not begun and ordered it again, there; the lead heard of the new life at that moment and gave the task to another worker.

The agent now gives up when another life answers; a run that is listed in a new life after all is adopted by the lead and not given away; runs that were ordered after the look that shows a new life stay known until a later look. Ruled out: telling lives apart by the worker's clock (an old clock's expiry is far in the new one's future).

--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -198,11 +198,15 @@
         listed = {row.task: row for row in told.runs}
         for task in self._state.work.on_node(link.node):
             row = listed.get(task.key)
+            is_listed = row is not None and row.run == task.record.run
             if task.record.incarnation != incarnation:
-                if not task.is_starting:
+                if is_listed:
+                    # Its order reached the new life of a worker that kept its id.
+                    self._state.work.adopt(task, incarnation)
+                elif not task.is_starting:
                     self._state.work.release(task, "another life of the worker")
                 continue
-            if row is not None and row.run == task.record.run:
+            if is_listed and row is not None:
                 self._state.work.observe(task, row, now_s)
                 continue
             if not task.is_starting:
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -182,6 +182,10 @@
             task.begin(now_s)
             task.checkpoint = checkpoint
 
+    def adopt(self, task: progress.Task, incarnation: tasks.Incarnation) -> None:
+        """Note that a run goes on in another life of its worker."""
+        self._set(task, attrs.evolve(task.record, incarnation=incarnation))
+
     def release(self, task: progress.Task, reason: str) -> None:
         """Let a task wait again: its run ended, was lost or never began."""
         if not task.is_assigned:
--- a/libs/lead/tests/test_no_task_twice.py
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -205,3 +205,23 @@
         await site.add_entry("entry-2")
         await site.until(lambda: len(site.witness.starts) == 2)
         assert [worker for worker in site.witness.running.values() if worker] == [{"node-1"}]
+
+
+async def test_run_that_goes_on_in_a_new_life_is_not_given_to_another_worker(running, make_job):
+    """Found by the soak, seed 31: an order may reach the next life of a worker with the same id."""
+    async with running() as site:
+        lead = await site.add_entry("entry-1")
+        agent = await site.add_agent("node-1")
+        agent.worker.run_time_s = 60.0
+        site.submit(make_job(1))
+        await site.until(lambda: len(site.witness.starts) == 1)
+        link = lead.election.held.link("node-1")
+        await site.until(lambda: bool(link.state.runs))
+        key = tasks.TaskKey(make_job(1).job_id, 0, 0, 0)
+        newer = attrs.evolve(link.state.incarnation, born_ms=link.state.incarnation.born_ms + 1)
+        told = attrs.evolve(link.state, incarnation=newer)
+        await site.add_agent("node-2")
+        lead.election.held.state_changed(link, told)
+        await site.until(lambda: site.stored_task(key).incarnation == newer)
+        await anyio.sleep(0.3)
+        assert len(site.witness.starts) == 1
--- a/libs/runs/src/papayaspar_runs/keeper.py
+++ b/libs/runs/src/papayaspar_runs/keeper.py
@@ -193,9 +193,12 @@
         """Send the order until it is certain; return why it did not begin, or ``None``."""
         reason = workers.RefusalReason.TOKEN
         for _ in range(START_TRIES):
+            if order.incarnation != self._incarnation:
+                return workers.RefusalReason.INCARNATION
             token = self._token
             try:
-                await self._worker.start(self._start_order(order, token))
+                expiry_ms = self._worker_clock_ms() + START_EXPIRY_MS
+                await self._worker.start(order.for_worker(expiry_ms, token))
             except workers.OrderRefusedError as error:
                 if error.reason is workers.RefusalReason.TOKEN and token < self._token:
                     continue
@@ -212,17 +215,6 @@
             return None
         return reason
 
-    def _start_order(self, order: messages.StartRun, token: int) -> workers.StartOrder:
-        return workers.StartOrder(
-            order.task,
-            order.run,
-            order.payload,
-            order.checkpoint,
-            self._worker_clock_ms() + START_EXPIRY_MS,
-            token,
-            order.incarnation.worker,
-        )
-
     async def _resolve(self, order: messages.StartRun) -> workers.RefusalReason | None:
         """Find out what became of a start without an answer: raise the token, then look."""
         self._token += 1
@@ -251,6 +243,9 @@
                 continue
             if self._table.has_begun(order.task, order.run, look):
                 return None
+            if look.born_ms != order.incarnation.born_ms:
+                # A new life under the same id answers; it has confirmed the raised token.
+                return workers.RefusalReason.INCARNATION
             return workers.RefusalReason.UNREACHABLE
         return workers.RefusalReason.INCARNATION
 
@@ -393,7 +388,7 @@
                 lines.EventKind.WORKER_REPLACED, detail=f"born_ms={self._born_ms} now={born_ms}"
             )
             self._seen_end = 0
-            self._table.clear()
+            self._table.forget_life(self._look_number)
             self._is_answering = False
         self._born_ms = born_ms
         self._clock_offset_ms = None
--- a/libs/runs/src/papayaspar_runs/messages.py
+++ b/libs/runs/src/papayaspar_runs/messages.py
@@ -62,6 +62,22 @@
     room: specs.Room
     incarnation: tasks.Incarnation
 
+    def for_worker(self, expiry_ms: int, token: int) -> workers.StartOrder:
+        """Return the order to the worker.
+
+        :param expiry_ms: when the worker refuses it, on the worker's clock.
+        :param token: fencing token.
+        """
+        return workers.StartOrder(
+            self.task,
+            self.run,
+            self.payload,
+            self.checkpoint,
+            expiry_ms,
+            token,
+            self.incarnation.worker,
+        )
+
 
 @attrs.frozen
 class StartOutcome:
--- a/libs/runs/src/papayaspar_runs/table.py
+++ b/libs/runs/src/papayaspar_runs/table.py
@@ -33,9 +33,15 @@
         """Return the runs that have started."""
         return tuple(run.row for run in self._runs.values() if not run.is_starting)
 
-    def clear(self) -> None:
-        """Forget all: another life of the worker began."""
-        self._runs.clear()
+    def forget_life(self, look: int) -> None:
+        """Forget what a former life of the worker ran.
+
+        :param look: number of the look that showed the new life; runs that were ordered since may
+            have begun in either, and stay until a later look lists them or does not.
+        """
+        for task, run in list(self._runs.items()):
+            if not run.is_starting and run.since_look < look:
+                del self._runs[task]
         self.ends = ()
 
     def fits(self, room: specs.Room, capacity: specs.Room) -> bool:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,9 @@
 REGRESSIONS = (
     # A listener's descriptor had two owners; the second closed a caller's connection at SIGTERM.
     22,
+    # An agent ordered a run again in the next life of a worker that kept its id, while the lead had
+    # given the task to another worker: the task ran on two at once.
+    31,
 )
 FRESH = (1,)
 
