--- a/tests/soak/systems.py
+++ b/tests/soak/systems.py
@@ -17,8 +17,8 @@
 import proxies
 
 HERE = pathlib.Path(__file__).parent
-# A whole 127.x network for one run, so that runs beside one another do not meet.
-NETWORK = 40 + os.getpid() % 200
+# A whole 127.x network for each system, so that runs beside or after one another do not meet.
+NETWORKS = [40 + os.getpid() % 200]
 STORE_PORT, WORKER_PORT, FRONT_PORT, READY_PORT, CONTROL_PORT = 8200, 8080, 8521, 8523, 8526
 STORE_NUMBER = 9
 ENTRY_NUMBERS, AGENT_NUMBERS = 1, 2
@@ -32,7 +32,7 @@
 
 def address(group, number, port):
     """Return host and port of a machine."""
-    return f"127.{NETWORK}.{group}.{number}", port
+    return f"127.{NETWORKS[-1]}.{group}.{number}", port
 
 
 def joined(host, port):
@@ -121,6 +121,7 @@
     """
 
     def __init__(self, folder, entries=3, agents=4, run_time_s=1.5):
+        NETWORKS.append(40 + (NETWORKS[-1] + 7) % 200)
         self._folder = folder
         self._run_time_s = run_time_s
         self._store = None
