--- a/libs/lead/tests/test_taking_the_duty.py
+++ b/libs/lead/tests/test_taking_the_duty.py
@@ -4,7 +4,6 @@
 
 from papayaspar_jobs import books, specs
 from papayaspar_standin import keyed_stores, memory_workers
-from papayaspar_store import records
 
 pytestmark = pytest.mark.anyio
 
