--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -7,7 +7,7 @@
 from papayaspar_events import journal, lines
 from papayaspar_jobs import tasks
 from papayaspar_model import causality, clock, errors
-from papayaspar_runs import keeper, messages, service, workers
+from papayaspar_runs import lease, messages, service, workers
 from papayaspar_scheduling import fleet
 from papayaspar_store import records
 from papayaspar_wire import peers, transports
@@ -32,7 +32,7 @@
     :param lease_max_s: longest lease a worker grants.
     :return: a time on the clock of ``vouched_s``.
     """
-    return vouched_s + keeper.ORPHAN_S + lease_max_s * keeper.CLOCK_DRIFT_RATIO + LAPSE_SLACK_S
+    return vouched_s + lease.ORPHAN_S + lease_max_s * lease.CLOCK_DRIFT_RATIO + LAPSE_SLACK_S
 
 
 class LinkOwner(abc.ABC):
--- a/libs/runs/src/papayaspar_runs/keeper.py
+++ b/libs/runs/src/papayaspar_runs/keeper.py
@@ -6,14 +6,8 @@
 from papayaspar_events import journal, lines
 from papayaspar_jobs import tasks
 from papayaspar_model import clock, errors, signals
-from papayaspar_runs import messages, table, workers
+from papayaspar_runs import lease, messages, table, workers
 
-MILLISECONDS_PER_SECOND = 1000.0
-# A worker's clock may be this much slow (protocol page: 2%), with room for rounding.
-CLOCK_DRIFT_RATIO = 1.025
-# An agent renews the lease for so long after a lead last vouched for it, in seconds: a dead lead is
-# replaced within 2.5 s plus the time to dial the agents.
-ORPHAN_S = 6.0
 # How long a worker may hold a look back for a new end (protocol page: at most 2,000 ms).
 LOOK_WAIT_MS = 1000
 # A worker on the same machine answers in milliseconds; without an answer a call is given up.
@@ -61,9 +55,8 @@
     ) -> None:
         self._node = node
         self._worker = worker
-        self._limits = limits
-        self._clock = source
         self._events = events
+        self._lease = lease.Lease(limits.lease_max_s, source, events)
         self._table = table.RunTable()
         self._heartbeat: workers.Heartbeat | None = None
         self._born_ms: int | None = None
@@ -71,12 +64,7 @@
         self._confirmed_token = 0
         self._seen_end = 0
         self._look_number = 0
-        self._clock_offset_ms: float | None = None
-        self._vouched_until_s = 0.0
         self._is_answering = False
-        self._was_renewing = False
-        # An earlier process may have renewed the lease until just now.
-        self._lease_until_s = source.now_s() + limits.lease_max_s * CLOCK_DRIFT_RATIO
         self.changes = signals.ChangeSignal()
         self._looked = signals.ChangeSignal()
         self._hurry = signals.ChangeSignal()
@@ -90,13 +78,12 @@
 
     def state(self) -> messages.AgentState:
         """Return what is known of the worker."""
-        is_lapsed = not self._is_answering and self._clock.now_s() > self._lease_until_s
         return messages.AgentState(
             node=self._node,
             heartbeat=self._heartbeat,
             incarnation=self._incarnation,
             is_answering=self._is_answering and self._confirmed_token >= self._token,
-            has_lapsed=is_lapsed,
+            has_lapsed=not self._is_answering and self._lease.has_run_out,
             runs=self._table.rows(),
             ends=self._table.ends,
         )
@@ -139,8 +126,8 @@
 
     def vouched(self, asked_s: float) -> None:
         """Note that a lead held the duty when it was asked at a time on this machine's clock."""
-        self._vouched_until_s = max(self._vouched_until_s, asked_s + ORPHAN_S)
-        if not self._was_renewing:
+        self._lease.vouch(asked_s)
+        if not self._lease.is_renewing:
             self._hurry.changed()
 
     def acknowledge(self, incarnation: tasks.Incarnation, number: int) -> None:
@@ -177,13 +164,13 @@
         return messages.StartOutcome(False, reason)
 
     def _obstacle(self, order: messages.StartRun) -> workers.RefusalReason | None:
-        if self._clock.now_s() >= self._vouched_until_s:
+        if not self._lease.is_vouched:
             return workers.RefusalReason.NOT_VOUCHED
         if order.incarnation != self._incarnation or self._heartbeat is None:
             return workers.RefusalReason.INCARNATION
         if self._heartbeat.condition is workers.Condition.DRAINING:
             return workers.RefusalReason.DRAINING
-        if not self._is_answering or self._clock_offset_ms is None:
+        if not self._is_answering or not self._lease.is_clock_known:
             return workers.RefusalReason.UNREACHABLE
         if not self._table.fits(order.room, self._heartbeat.capacity):
             return workers.RefusalReason.ROOM
@@ -197,7 +184,7 @@
                 return workers.RefusalReason.INCARNATION
             token = self._token
             try:
-                expiry_ms = self._worker_clock_ms() + START_EXPIRY_MS
+                expiry_ms = self._lease.worker_clock_ms + START_EXPIRY_MS
                 await self._worker.start(order.for_worker(expiry_ms, token))
             except workers.OrderRefusedError as error:
                 if error.reason is workers.RefusalReason.TOKEN and token < self._token:
@@ -301,10 +288,8 @@
     async def _look(self) -> bool:
         self._look_number += 1
         number, token = self._look_number, self._token
-        expiry_ms = self._next_expiry_ms()
-        if expiry_ms is not None:
-            self._extend_lease_bound(expiry_ms)
-        is_settled = self._confirmed_token == token and self._clock_offset_ms is not None
+        expiry_ms = self._lease.renew(self._is_answering)
+        is_settled = self._confirmed_token == token and self._lease.is_clock_known
         wait_ms = LOOK_WAIT_MS if is_settled and not self._table.ends else 0
         worker = self._heartbeat.worker if self._heartbeat is not None else ""
         try:
@@ -318,27 +303,6 @@
         self._take_look(look, number, token)
         return True
 
-    def _next_expiry_ms(self) -> int | None:
-        """Return the next end of the lease on the worker's clock, or ``None`` to let it run out."""
-        is_renewing = self._clock.now_s() < self._vouched_until_s
-        if self._was_renewing and not is_renewing:
-            self._events.record(lines.EventKind.LEASE_LAPSED, detail="no lead vouches any more")
-        self._was_renewing = is_renewing
-        if not is_renewing or self._clock_offset_ms is None or not self._is_answering:
-            # A renewal without an answer may have been taken: a silent worker is sent none, so that
-            # there is a moment after which its lease has run out.
-            return None
-        lease_ms = self._limits.lease_max_s * MILLISECONDS_PER_SECOND
-        return int(self._worker_clock_ms() + lease_ms)
-
-    def _worker_clock_ms(self) -> int:
-        return int(self._clock.now_s() * MILLISECONDS_PER_SECOND + (self._clock_offset_ms or 0.0))
-
-    def _extend_lease_bound(self, expiry_ms: int) -> None:
-        left_s = (expiry_ms - self._worker_clock_ms()) / MILLISECONDS_PER_SECOND
-        until_s = self._clock.now_s() + left_s * CLOCK_DRIFT_RATIO
-        self._lease_until_s = max(self._lease_until_s, until_s)
-
     def _note_refused(self, error: workers.OrderRefusedError, token: int) -> None:
         if error.reason is workers.RefusalReason.INCARNATION:
             # Another life answers; its id comes with its next heartbeat.
@@ -372,8 +336,7 @@
             if not is_first:
                 # Orders for the former life that are carried out late must find a higher token.
                 self._token += 1
-        now_ms = self._clock.now_s() * MILLISECONDS_PER_SECOND
-        self._clock_offset_ms = look.clock_ms - now_ms
+        self._lease.set_worker_clock(look.clock_ms)
         was_ready = self.state().is_answering
         self._confirmed_token = max(self._confirmed_token, token)
         self._is_answering = True
@@ -391,5 +354,5 @@
             self._table.forget_life(self._look_number)
             self._is_answering = False
         self._born_ms = born_ms
-        self._clock_offset_ms = None
+        self._lease.set_worker_clock(None)
         self.changes.changed()
