Store that a worker has left, with its ends that no lead had acknowledged

No later lead could ask, so each waited for the longest lease that a former lead could have vouched for (18.5 s, anew for each lead) and ran the task again: 43 s for a check. Ruled out: placement and order (the gang had run on time), the drain (the task ended inside it).

An agent whose worker deregisters, and then does not answer, reports the departure to its lead and stores it in its own record, with the ends as done that nobody acknowledged. Leads release the tasks of that life at once and take the ends in. A word of a former life under the same id is passed over: only a worker that drains and is silent has left.

--- a/libs/events/src/papayaspar_events/lines.py
+++ b/libs/events/src/papayaspar_events/lines.py
@@ -42,6 +42,7 @@
     WORKER_LOST = "worker_lost"
     WORKER_REPLACED = "worker_replaced"
     WORKER_DRAINING = "worker_draining"
+    WORKER_LEFT = "worker_left"
     WORKER_EJECTED = "worker_ejected"
     WORKER_READMITTED = "worker_readmitted"
     PEER_CONNECTED = "peer_connected"
--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -169,6 +169,8 @@
 
     def state_changed(self, link: links.AgentLink, told: messages.AgentState) -> None:
         """Take in ends, losses and progress on one worker."""
+        if told.departure is not None:
+            self._reconciler.take_departure(link.node, told.departure, self._state.clock.now_s())
         if told.has_lapsed:
             for task in self._state.work.on_node(link.node):
                 if not task.is_starting:
--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -1,8 +1,10 @@
 """What runs and should not, or can't any more: lapsed, leaving, stalled, no longer wanted."""
 
 from papayaspar_events import lines
+from papayaspar_jobs import tasks
 from papayaspar_lead import orders, recording, state
 from papayaspar_runs import workers
+from papayaspar_store import records
 
 MILLISECONDS_PER_SECOND = 1000.0
 # A machine whose agent was away for so long, with no task on it, is forgotten, in seconds: longer
@@ -36,6 +38,7 @@
 
         :param now_s: the lead's clock.
         """
+        self.release_departed(now_s)
         self.release_lapsed(now_s)
         self.stop_unwanted()
         self.evacuate(now_s)
@@ -62,6 +65,29 @@
             for unit in live.progress.active_units():
                 self._orders.stop_unit(unit)
 
+    def release_departed(self, now_s: float) -> None:
+        """Take in which workers have left, as the store says."""
+        for node, record in self._state.view.agents.items():
+            if record.departure is not None:
+                self.take_departure(node, record.departure, now_s)
+
+    def take_departure(self, node: str, departure: records.Departure, now_s: float) -> None:
+        """Take in the ends of a worker that left, and let the rest of its tasks wait again.
+
+        :param node: its machine.
+        :param departure: what its agent said.
+        :param now_s: the lead's clock.
+        """
+        done = {each.task: each.run for each in departure.done}
+        for task in self._state.work.on_node(node):
+            if task.record.incarnation != departure.incarnation or task.is_starting:
+                continue
+            if done.get(task.key) == task.record.run:
+                end = workers.EndRow(0, task.key, task.record.run, tasks.EndKind.DONE)
+                self._state.work.end(node, end, now_s)
+                continue
+            self._state.work.release(task, "its worker has left")
+
     def release_lapsed(self, now_s: float) -> None:
         """Let tasks wait again whose worker can't have them any more."""
         for node in {
--- a/libs/lead/tests/conftest.py
+++ b/libs/lead/tests/conftest.py
@@ -120,7 +120,7 @@
             functools.partial(listener.serve, served.serve),
             kept.run,
             functools.partial(
-                registration.keep_registered, store, record, served, self.clock, events
+                registration.keep_registered, store, record, kept, served, self.clock, events
             ),
             functools.partial(_heartbeat_forever, agent),
         )
--- a/libs/runs/src/papayaspar_runs/keeper.py
+++ b/libs/runs/src/papayaspar_runs/keeper.py
@@ -7,6 +7,7 @@
 from papayaspar_jobs import tasks
 from papayaspar_model import clock, errors, signals
 from papayaspar_runs import lease, messages, table, workers
+from papayaspar_store import records
 
 # How long a worker may hold a look back for a new end (protocol page: at most 2,000 ms).
 LOOK_WAIT_MS = 1000
@@ -65,6 +66,9 @@
         self._seen_end = 0
         self._look_number = 0
         self._is_answering = False
+        self._deregistered: tasks.Incarnation | None = None
+        self.departure: records.Departure | None = None
+        self.departures = signals.ChangeSignal()
         self.changes = signals.ChangeSignal()
         self._looked = signals.ChangeSignal()
         self._hurry = signals.ChangeSignal()
@@ -86,6 +90,7 @@
             has_lapsed=not self._is_answering and self._lease.has_run_out,
             runs=self._table.rows(),
             ends=self._table.ends,
+            departure=self.departure,
         )
 
     def take_heartbeat(self, heartbeat: workers.Heartbeat) -> None:
@@ -113,6 +118,40 @@
             self._looked.changed()
             self.changes.changed()
 
+    def take_deregistration(self, worker: str) -> None:
+        """Take in that the worker ends; it has ended once it does not answer any more.
+
+        :param worker: its id; one that did not say before that it drains is passed over, as the
+            word of a former life under the same id.
+        """
+        known = self._heartbeat
+        is_draining = known is not None and known.condition is workers.Condition.DRAINING
+        if known is None or known.worker != worker or not is_draining:
+            self._events.record(lines.EventKind.RECORD_REFUSED, worker=worker, detail="not leaving")
+            return
+        self._deregistered = tasks.Incarnation(known.worker, known.born_ms)
+        self._hurry.changed()
+
+    def _note_departure(self) -> None:
+        """Note that the worker, which does not answer, has ended if it said that it would."""
+        left = self._deregistered
+        if left is None or left != self._incarnation:
+            return
+        self._deregistered = None
+        done = tuple(
+            records.DoneRun(end.task, end.run)
+            for end in self._table.ends
+            if end.kind is tasks.EndKind.DONE
+        )
+        self.departure = records.Departure(left, done)
+        self._events.record(
+            lines.EventKind.WORKER_LEFT,
+            worker=left.worker,
+            detail=f"born_ms={left.born_ms} runs={len(self._table.rows())} done={len(done)}",
+        )
+        self.departures.changed()
+        self.changes.changed()
+
     async def attach(self, token: int) -> messages.AgentState:
         """Serve under a new token and return the state that the worker confirmed under it."""
         if token > self._token:
@@ -299,6 +338,7 @@
             return False
         except workers.WorkerError as error:
             self._note_silent(error)
+            self._note_departure()
             return False
         self._take_look(look, number, token)
         return True
--- a/libs/runs/src/papayaspar_runs/messages.py
+++ b/libs/runs/src/papayaspar_runs/messages.py
@@ -4,6 +4,7 @@
 
 from papayaspar_jobs import specs, tasks
 from papayaspar_runs import workers
+from papayaspar_store import records
 from papayaspar_wire import codecs, failures
 
 
@@ -32,6 +33,7 @@
     :param has_lapsed: whether the lease must have run out since the worker last answered.
     :param runs: its runs.
     :param ends: ends that were not acknowledged.
+    :param departure: the worker that left last, or ``None``.
     """
 
     node: str
@@ -41,6 +43,7 @@
     has_lapsed: bool = False
     runs: tuple[workers.RunningRow, ...] = ()
     ends: tuple[workers.EndRow, ...] = ()
+    departure: records.Departure | None = None
 
 
 @attrs.frozen
--- a/libs/runs/src/papayaspar_runs/registration.py
+++ b/libs/runs/src/papayaspar_runs/registration.py
@@ -1,10 +1,11 @@
-"""Making an agent known in the store, so that leads can dial it."""
+"""Making an agent known in the store, so that leads can dial it, and that its worker has left."""
 
 import anyio
+import attrs
 
 from papayaspar_events import journal, lines
 from papayaspar_model import clock, errors
-from papayaspar_runs import service
+from papayaspar_runs import keeper, service
 from papayaspar_store import records, stores
 
 # An agent that no lead has called for so long makes itself known again, in seconds: longer than a
@@ -17,26 +18,30 @@
 async def keep_registered(
     store: stores.Store,
     record: records.AgentRecord,
+    kept: keeper.Keeper,
     served: service.LeadService,
     source: clock.Clock,
     events: journal.Journal,
 ) -> None:
-    """Write the agent's record at start, and again when leads seem to have forgotten it.
+    """Write the agent's record at start, when its worker left, and when leads seem to forget it.
 
     :param store: the store.
     :param record: where the agent listens.
+    :param kept: says whether the worker has left.
     :param served: says when a lead was last heard.
     :param source: clock of that time.
     :param events: where failures are recorded.
     """
     while True:
-        await _register(store, record, events)
+        departure = kept.departure
+        await _register(store, attrs.evolve(record, departure=departure), events)
         registered_s = source.now_s()
-        while True:
+        while kept.departure == departure:
             quiet_s = source.now_s() - max(served.heard_s, registered_s)
             if quiet_s >= FORGOTTEN_AFTER_S:
                 break
-            await anyio.sleep(FORGOTTEN_AFTER_S - quiet_s)
+            with anyio.move_on_after(FORGOTTEN_AFTER_S - quiet_s):
+                await kept.departures.wait_beyond(kept.departures.sequence)
 
 
 async def _register(
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -11,6 +11,8 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 POLL_S = 0.02
+# Time that a draining worker says is left.
+DRAIN_MS = 3500
 
 
 class WorkerFault(enum.Enum):
@@ -89,6 +91,7 @@
         self.name = name
         self.fault = WorkerFault.NONE
         self.rack = "r1-1"
+        self.condition = workers.Condition.READY
         self.run_time_s = run_time_s
         self.late_by_s = 2.0
         self.stop_time_s = 0.0
@@ -118,17 +121,25 @@
             self._witness.ended(run.task, self.name, is_done=False)
         self._begin()
 
+    def leave(self) -> None:
+        """End for good, with all that runs here."""
+        for run in self._runs.values():
+            self._witness.ended(run.task, self.name, is_done=False)
+        self._runs.clear()
+        self.fault = WorkerFault.SILENT
+
     def heartbeat(self, sequence: int) -> workers.Heartbeat:
         """Return what it says of itself."""
         return workers.Heartbeat(
             worker=self.name,
             pool="pool",
-            condition=workers.Condition.READY,
+            condition=self.condition,
             capacity=specs.Room(64_000, 262_144, 8),
             labels=("a", self.rack),
             rack=self.rack,
             sequence=sequence,
             born_ms=self.born_ms,
+            remaining_ms=DRAIN_MS if self.condition is workers.Condition.DRAINING else None,
         )
 
     def clock_ms(self) -> int:
--- a/libs/store/src/papayaspar_store/records.py
+++ b/libs/store/src/papayaspar_store/records.py
@@ -7,7 +7,7 @@
 import msgpack
 from cattrs.preconf import msgpack as cattrs_msgpack
 
-from papayaspar_jobs import books, configurations, specs
+from papayaspar_jobs import books, configurations, specs, tasks
 from papayaspar_store import failures, stores
 
 R = TypeVar("R")
@@ -80,18 +80,44 @@
     attached: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class DoneRun:
+    """A run that ended as done.
+
+    :param task: its task.
+    :param run: its number.
+    """
+
+    task: tasks.TaskKey
+    run: int
+
+
+@attrs.frozen
+class Departure:
+    """The end of a worker that said that it leaves: none of its runs goes on.
+
+    :param incarnation: its last life.
+    :param done: its runs that ended as done and that no lead had acknowledged.
+    """
+
+    incarnation: tasks.Incarnation
+    done: tuple[DoneRun, ...] = ()
+
+
 @attrs.frozen
 class AgentRecord:
-    """Where an agent can be reached.
+    """Where an agent can be reached, and what leads must know of its worker without it.
 
     :param node: its machine.
     :param address: ``ip:port`` that it listens on.
     :param incarnation: identity of its process.
+    :param departure: the worker that left last, or ``None``.
     """
 
     node: str
     address: str
     incarnation: str
+    departure: Departure | None = None
 
 
 _converter = cattrs_msgpack.make_converter(omit_if_default=True)
