Listen before a program is loaded

The entries ran since 34.5 s and listened from 35.0 s on: in between they imported their libraries. Ruled out: the platform's routing (all entries were down), the order of the start (the store was read within 0.1 s of listening).

A program takes its address with the standard library alone, and then loads the rest: a connection waits for up to half a second. Readiness is still reported only when the entry can serve.

--- a/tests/soak/systems.py
+++ b/tests/soak/systems.py
@@ -74,7 +74,7 @@
         if self.process is not None and self.process.poll() is None:
             return
         environment = dict(os.environ, PAPAYASPAR_BOOT=str(self.folder / f"{self.name}.toml"))
-        command = [sys.executable, "-m", f"papayaspar_adapter.{self.program}"]
+        command = [sys.executable, "-m", "papayaspar_adapter", self.program]
         with self.log_path.open("a") as log:
             self.process = subprocess.Popen(command, stdout=log, stderr=log, env=environment)
 
@@ -142,7 +142,7 @@
         return machine
 
     def _entry(self, number):
-        machine = self._machine(ENTRY_NUMBERS, number, f"entry-{number}", "entry_program")
+        machine = self._machine(ENTRY_NUMBERS, number, f"entry-{number}", "entry")
         front = address(ENTRY_NUMBERS, number, FRONT_PORT)
         machine.links["front"] = proxies.Proxy(
             address(ENTRY_NUMBERS, number + PROXY_OFFSET, FRONT_PORT), front
@@ -161,7 +161,7 @@
         control = joined(*address(AGENT_NUMBERS, number, CONTROL_PORT))
         arguments = (f"w-{number}", joined(*worker), control, str(self._run_time_s))
         machine = self._machine(
-            AGENT_NUMBERS, number, f"agent-{number}", "agent_program", arguments=arguments
+            AGENT_NUMBERS, number, f"agent-{number}", "agent", arguments=arguments
         )
         link = proxies.Proxy(address(AGENT_NUMBERS, number + PROXY_OFFSET, WORKER_PORT), worker)
         machine.links["worker"] = link
