--- a/libs/control/src/papayaspar_control/publishing.py
+++ b/libs/control/src/papayaspar_control/publishing.py
@@ -59,6 +59,7 @@
     try:
         history = await entry.history()
     except errors.PapayasparError:
+        # The caller asks the other entries, and reports the publication as unknown if none tells.
         return None
     for revision in history.revisions:
         if revision.parent == parent:
--- a/libs/dispatch/src/papayaspar_dispatch/shard_chains.py
+++ b/libs/dispatch/src/papayaspar_dispatch/shard_chains.py
@@ -68,6 +68,7 @@
         try:
             self._place(offset, shard_records.decode(data))
         except shards.ShardMapError:
+            # Every reader passes the same bytes over, so all chains stay alike.
             pass
         self._through_offset = max(self._through_offset, offset + 1)
         return self._head if self._head != before else None
--- a/libs/entry/src/papayaspar_entry/claimant.py
+++ b/libs/entry/src/papayaspar_entry/claimant.py
@@ -162,6 +162,7 @@
                 if messages.expect(reply, calls.ClaimNoted).noted:
                     return
             except errors.PapayasparError:
+                # The owner can't be reached or is another by now: it is looked up again below.
                 pass
             await anyio.sleep(PAUSE_S)
             link = self._keeper.link
--- a/libs/entry/src/papayaspar_entry/gang_runs.py
+++ b/libs/entry/src/papayaspar_entry/gang_runs.py
@@ -169,8 +169,10 @@
                 try:
                     return await self._inquirer.follow(gang.fence, gang.lead)
                 except errors.NotFoundError:
+                    # The lead answers and has no such gang: the caller settles it.
                     return None
                 except errors.PapayasparError:
+                    # Silence says nothing about the gang; its lead is asked until time is up.
                     await anyio.sleep(INQUIRE_PAUSE_S)
         return None
 
@@ -180,6 +182,7 @@
             status = await self._inquirer.retire(gang.fence, gang.members)
             return await self._conclude(known, gang, status)
         except errors.PapayasparError:
+            # Too few agents answer to tell; both outcomes below are recorded with their code.
             pass
         if known.job.idempotent:
             self._record(lines.EventKind.GANG_WITHDRAWN, known.job, gang, code="lost")
--- a/libs/entry/src/papayaspar_entry/homekeeper.py
+++ b/libs/entry/src/papayaspar_entry/homekeeper.py
@@ -122,6 +122,7 @@
         try:
             record = records.decode(data)
         except records.InvalidRecordError:
+            # Every reader passes the same bytes over, so all have the same homes.
             return
         if not isinstance(record, records.HomesPacked):
             return
--- a/libs/entry/src/papayaspar_entry/job_board.py
+++ b/libs/entry/src/papayaspar_entry/job_board.py
@@ -155,6 +155,7 @@
                 try:
                     record = records.decode(item.data)
                 except records.InvalidRecordError:
+                    # Every reader passes the same bytes over, so all tables stay alike.
                     continue
                 if isinstance(record, records.HomesPacked):
                     continue
--- a/libs/entry/src/papayaspar_entry/moves.py
+++ b/libs/entry/src/papayaspar_entry/moves.py
@@ -32,6 +32,7 @@
             await self._runs.give_way(decision.plan)
             await anyio.sleep(PATIENCE_S)
         except errors.PapayasparError:
+            # The gang stays where it is; the move is dropped below, and chosen again if it pays.
             pass
         if self._pending.get(job_id) is decision:
             del self._pending[job_id]
--- a/libs/entry/src/papayaspar_entry/rulebook.py
+++ b/libs/entry/src/papayaspar_entry/rulebook.py
@@ -107,6 +107,7 @@
             try:
                 await self._log.append(STREAM, (records.encode(self._chain.snapshot()),))
             except errors.LogUnavailableError:
+                # The next round tries again.
                 continue
 
     async def publish(self, parent: int, publish_id: str, author: str, text: str) -> int:
--- a/libs/events/src/papayaspar_events/timeline.py
+++ b/libs/events/src/papayaspar_events/timeline.py
@@ -47,6 +47,7 @@
         try:
             events.append(lines.from_line(line))
         except lines.EventLineError:
+            # Logs hold other lines too: tracebacks, and what libraries print.
             continue
     return events
 
--- a/libs/model/src/papayaspar_model/identifiers.py
+++ b/libs/model/src/papayaspar_model/identifiers.py
@@ -36,6 +36,7 @@
     try:
         parsed = uuid.UUID(key)
     except ValueError:
+        # Callers may choose any text as their key.
         return None
     if parsed.version != UUID_VERSION_WITH_TIME:
         return None
--- a/libs/rules/src/papayaspar_rules/revisions.py
+++ b/libs/rules/src/papayaspar_rules/revisions.py
@@ -318,6 +318,7 @@
         else:
             book = parsing.parse_book(record.text)
     except faults.InvalidRulesError:
+        # Every reader finds it invalid alike, so it is in force nowhere.
         return None
     rules = book.ruleset(record.revision, record.publish_id)
     return Head(attrs.evolve(record, as_of_offset=0), book, rules)
--- a/libs/slots/src/papayaspar_slots/members.py
+++ b/libs/slots/src/papayaspar_slots/members.py
@@ -146,6 +146,7 @@
             try:
                 return await self._peers.renew(part.lead_worker, renew)
             except errors.PapayasparError:
+                # The same as no answer: the part ends with its term unless a later renewal comes.
                 return None
         return None
 
--- a/libs/slots/src/papayaspar_slots/parts.py
+++ b/libs/slots/src/papayaspar_slots/parts.py
@@ -139,6 +139,7 @@
                 await self._runner.checkpoint(part.fence, task)
                 await self._runner.throttle(part.fence, task, SAVED_SHARE_RATIO)
             except errors.PapayasparError:
+                # An older checkpoint is used then; the other tasks are saved all the same.
                 continue
 
     async def stop(self, part: Part) -> bool:
--- a/libs/standin/src/papayaspar_standin/worker_apps.py
+++ b/libs/standin/src/papayaspar_standin/worker_apps.py
@@ -160,6 +160,7 @@
     try:
         return bodies.parse_body(payload).number("service_ms")
     except errors.InvalidRequestError:
+        # Payloads are free text; without the field the worker's own time holds.
         return None
 
 
--- a/libs/wire/src/papayaspar_wire/peers.py
+++ b/libs/wire/src/papayaspar_wire/peers.py
@@ -99,6 +99,7 @@
                 await self._read(group)
                 group.cancel_scope.cancel()
         except* (errors.PapayasparError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            # The stream has ended; whoever waits on it learns so from its pending calls.
             pass
         finally:
             self.is_open = False
