Leave unsaved work on a leaving worker until there is room elsewhere

Ruled out: estimates (the runs could not have ended in time), checkpoints (these steps save none).

What can't be saved stays while there is no room; it moves by the order of work, and the room is held until it has stopped. Urgent work and work that goes on from a checkpoint is stopped at once, as before.

--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -251,14 +251,24 @@
         self._recorder.flush()
 
     def _start_waiting(self, now_s: float, wall_ms: float) -> None:
-        demands = self._state.work.demands(now_s, wall_ms)
-        for pool in sorted({self._pool_of(demand) for demand in demands}):
-            self._plan_pool(pool, demands, now_s)
+        work = self._state.work
+        demands = work.demands(now_s, wall_ms)
+        stayers = [
+            work.demand_again(unit, now_s, wall_ms) for unit in self._reconciler.stayers(now_s)
+        ]
+        for pool in sorted({self._pool_of(demand) for demand in demands + stayers}):
+            self._plan_pool(pool, demands, stayers, now_s)
 
     def _pool_of(self, demand: ordering.Demand) -> str:
         return self._state.work.queue_of(demand.unit.job).pool
 
-    def _plan_pool(self, pool: str, demands: list[ordering.Demand], now_s: float) -> None:
+    def _plan_pool(
+        self,
+        pool: str,
+        demands: list[ordering.Demand],
+        stayers: list[ordering.Demand],
+        now_s: float,
+    ) -> None:
         seats = []
         for link in self._state.links.values():
             if link.seat.pool != pool or not link.is_attached:
@@ -275,6 +285,7 @@
             self._state.work.victims(now_s),
             now_s,
             any(link.is_expected_back(now_s) for link in self._state.links.values()),
+            [demand for demand in stayers if self._pool_of(demand) == pool],
         )
         for victim, demand in plan.stops:
             self._state.events.record(
@@ -284,6 +295,8 @@
                 f" lost_core_s={victim.cost_core_s:.1f}",
             )
             self._orders.stop_unit(victim.unit)
+        for demand in plan.moves:
+            self._orders.stop_unit(demand.unit)
         for start in plan.starts:
             self._orders.assign(start, now_s)
 
--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -1,7 +1,7 @@
 """What runs and should not, or can't any more: lapsed, leaving, stalled, no longer wanted."""
 
 from papayaspar_events import lines
-from papayaspar_jobs import tasks
+from papayaspar_jobs import progress, tasks
 from papayaspar_lead import orders, recording, state
 from papayaspar_runs import workers
 from papayaspar_store import records
@@ -105,7 +105,27 @@
                     self._state.work.release(task, "its worker's lease has run out")
 
     def evacuate(self, now_s: float) -> None:
-        """Stop in time what can't end before its worker leaves."""
+        """Stop in time what can't end before its worker leaves and goes on, or must, elsewhere."""
+        for unit in self._leavers(now_s):
+            if not self._may_stay(unit):
+                self._orders.stop_unit(unit)
+
+    def stayers(self, now_s: float) -> list[progress.Unit]:
+        """Return what is lost with its worker wherever it is stopped.
+
+        It is stopped only for room elsewhere: a worker may stay longer than it says.
+        """
+        return [unit for unit in self._leavers(now_s) if self._may_stay(unit)]
+
+    def _may_stay(self, unit: progress.Unit) -> bool:
+        if unit.step.is_checkpointed or unit.step.is_lasting:
+            return False
+        # What goes first makes room for itself, and the sooner the better.
+        return self._state.work.queue_of(unit.job).priority > 0
+
+    def _leavers(self, now_s: float) -> list[progress.Unit]:
+        """Return the units with a task that can't end before its worker leaves."""
+        found: dict[tasks.TaskKey, progress.Unit] = {}
         for link in self._state.links.values():
             heartbeat = link.state.heartbeat if link.state is not None else None
             if heartbeat is None or heartbeat.condition is not workers.Condition.DRAINING:
@@ -113,7 +133,9 @@
             for task in self._state.work.on_node(link.node):
                 left_ms = task.left_s(now_s) * MILLISECONDS_PER_SECOND
                 if task.step.is_lasting or left_ms > (heartbeat.remaining_ms or 0):
-                    self._orders.stop_unit(self._state.work.unit_of(task))
+                    unit = self._state.work.unit_of(task)
+                    found[unit.members[0].key] = unit
+        return list(found.values())
 
     def restart_stalled(self, now_s: float) -> None:
         """Stop what is stalled, so that it runs elsewhere, and avoid its worker for a while."""
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -310,17 +310,18 @@
             for unit in job.waiting_units(wall_ms):
                 if unit.ready_s is None:
                     unit.ready_s = now_s
-                found.append(self._demand(job, unit, covered, now_s, wall_ms))
+                found.append(self._demand(unit, covered, now_s, wall_ms))
         return found
 
+    def demand_again(self, unit: progress.Unit, now_s: float, wall_ms: float) -> ordering.Demand:
+        """Return what a running unit would ask for if it were stopped now."""
+        running = self._demand(unit, self._covered(), now_s, wall_ms)
+        return attrs.evolve(running, waited_s=0.0)
+
     def _demand(
-        self,
-        job: progress.JobProgress,
-        unit: progress.Unit,
-        covered: frozenset[str],
-        now_s: float,
-        wall_ms: float,
+        self, unit: progress.Unit, covered: frozenset[str], now_s: float, wall_ms: float
     ) -> ordering.Demand:
+        job = unit.job
         queue = self.queue_of(job)
         begin_ms = job.booked.accepted_ms
         if job.spec.schedule is not None:
--- a/libs/lead/tests/conftest.py
+++ b/libs/lead/tests/conftest.py
@@ -137,6 +137,11 @@
             )
         )
 
+    def configure(self, *queues: configurations.Queue) -> None:
+        """Let every entry take in a version of the configuration."""
+        for entry in self.entries.values():
+            entry.election.configure(configurations.Configuration(2, queues, ()))
+
     def register(self, node: str, address: str) -> None:
         """Store an agent's record, as one does that was lost since."""
         record = records.encode(
--- a/libs/lead/tests/test_departures.py
+++ b/libs/lead/tests/test_departures.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayaspar_jobs import books
+from papayaspar_jobs import books, specs
 from papayaspar_runs import workers
 from papayaspar_standin import keyed_stores
 
@@ -64,6 +64,44 @@
         assert len(site.witness.starts) == 1
 
 
+def _long_step(**changes):
+    return specs.Step(1, specs.Room(1000, 100, 8), 30_000, **changes)
+
+
+async def test_unsaved_work_stays_on_a_leaving_worker_until_there_is_room(running, make_job):
+    """Seen on kowhai-spar scale-2: runs of 30 s were stopped 3.5 s early, and then waited."""
+    async with running() as site:
+        await site.add_entry("entry-1")
+        first = await site.add_agent("node-1")
+        first.worker.run_time_s = 30.0
+        site.submit(make_job(1, _long_step()))
+        await site.until(lambda: len(site.witness.starts) == 1)
+        await _drain(site, first)
+        await site.wait_s(1.0)
+        assert len(first.keeper.state().runs) == 1
+        await site.add_agent("node-2")
+        await site.until(lambda: len(site.witness.starts) == 2, timeout_s=5.0)
+        assert site.witness.overlaps == []
+
+
+@pytest.mark.parametrize(
+    ("priority", "is_checkpointed"), [(0, False), (1, True)], ids=["urgent", "checkpointed"]
+)
+async def test_work_that_goes_on_elsewhere_is_stopped_at_once(
+    running, make_job, make_queue, priority, is_checkpointed
+):
+    async with running() as site:
+        await site.add_entry("entry-1")
+        first = await site.add_agent("node-1")
+        first.worker.run_time_s = 30.0
+        queue = make_queue(priority=priority)
+        site.configure(queue)
+        site.submit(make_job(1, _long_step(is_checkpointed=is_checkpointed)), queue)
+        await site.until(lambda: len(site.witness.starts) == 1)
+        await _drain(site, first)
+        await site.until(lambda: not first.keeper.state().runs, timeout_s=3.0)
+
+
 async def test_word_of_a_former_life_ends_nothing(running, make_job):
     async with running() as site:
         await site.add_entry("entry-1")
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -27,10 +27,12 @@
 
     :param starts: units to start.
     :param stops: units to stop, each with the demand that needs its room.
+    :param moves: units to stop since there is room for them on workers that stay.
     """
 
     starts: tuple[Start, ...]
     stops: tuple[tuple[preemption.Victim, ordering.Demand], ...]
+    moves: tuple[ordering.Demand, ...] = ()
 
 
 class Planner:
@@ -61,6 +63,7 @@
         victims: list[preemption.Victim],
         now_s: float,
         is_settling: bool = False,
+        leaving: list[ordering.Demand] | None = None,
     ) -> Plan:
         """Plan once.
 
@@ -71,6 +74,7 @@
         :param now_s: the lead's clock.
         :param is_settling: whether workers are expected back in a moment; until then no unit takes
             racks that make it slow only because the others can't be seen.
+        :param leaving: running units that are lost with a worker that leaves, as they would wait.
         """
         self._is_settling = is_settling
         starts: list[Start] = []
@@ -78,12 +82,20 @@
         left = list(victims)
         unplaceable, unplaceable_later = _Unplaceable(), _Unplaceable()
         self._clearings.prune(now_s)
-        for demand in sorted(demands, key=lambda each: self._order.key(each, now_s)):
+        moves: list[ordering.Demand] = []
+        running = frozenset(leaving or ())
+        wanted = [*demands, *running]
+        for demand in sorted(wanted, key=lambda each: self._order.key(each, now_s)):
             nodes = self._choose(demand, free, freeing, unplaceable)
             if nodes is not None:
                 _take(demand, nodes, free)
                 _take(demand, nodes, freeing)
-                starts.append(Start(demand, nodes))
+                if demand in running:
+                    moves.append(demand)
+                else:
+                    starts.append(Start(demand, nodes))
+                continue
+            if demand in running:
                 continue
             # Room that is being cleared is awaited though its worker is silent for a moment.
             reserved = self._clearings.nodes(demand, now_s)
@@ -104,7 +116,7 @@
             if reserved is not None:
                 _take(demand, reserved, free)
                 _take(demand, reserved, freeing)
-        return Plan(tuple(starts), tuple(stops))
+        return Plan(tuple(starts), tuple(stops), tuple(moves))
 
     def _choose(
         self,
--- a/libs/scheduling/tests/conftest.py
+++ b/libs/scheduling/tests/conftest.py
@@ -71,10 +71,21 @@
                 free.take(task.record.node, task.step.counted_room, fleet.step_name(task.key))
         return free
 
-    def plan(self, now_s: float = 100.0, is_settling: bool = False) -> planner.Plan:
+    def plan(
+        self,
+        now_s: float = 100.0,
+        is_settling: bool = False,
+        leaving: list[ordering.Demand] | None = None,
+    ) -> planner.Plan:
         """Plan once, and tell what it stops to stop."""
         plan = self.plans.plan(
-            self.waiting, self.free(), self.free(False), self.running, now_s, is_settling
+            self.waiting,
+            self.free(),
+            self.free(False),
+            self.running,
+            now_s,
+            is_settling,
+            leaving,
         )
         for victim, _ in plan.stops:
             self.running.remove(victim)
