Repeat the lead's appends sooner when their answer is lost

The logs showed nothing of it. With renewals every 0.4 s a lost answer also kept the lead from renewing for longer than it takes to be missed (1.5 s). Ruled out: the agents (attached, and answering), the plan (assignments were made), room.

The first try waits for four times what the newest answer took, at least 0.25 s; later tries for twice as long each. The store takes the repeated append for the same one by its sequence. Each repetition is a line.

--- a/libs/events/src/papayaspar_events/lines.py
+++ b/libs/events/src/papayaspar_events/lines.py
@@ -54,6 +54,7 @@
     SHARDS_IN_FORCE = "shards_in_force"
     LOG_LOST = "log_lost"
     LOG_REGAINED = "log_regained"
+    APPEND_REPEATED = "append_repeated"
     RECORD_REFUSED = "record_refused"
     LEAD_TRIED = "lead_tried"
     LEAD_TAKEN = "lead_taken"
--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -197,7 +197,9 @@
         return seen_s + duty.VOUCH_S
 
     def _writer(self, partition: stores.Partition, epoch: int) -> writing.EpochWriter:
-        return writing.EpochWriter(self._store, partition, PRODUCER, epoch, self._clock)
+        return writing.EpochWriter(
+            self._store, partition, PRODUCER, epoch, self._clock, self._events
+        )
 
     def _lead_record(
         self, epoch: int, has_resigned: bool = False, attached: tuple[str, ...] = ()
--- a/libs/standin/src/papayaspar_standin/keyed_stores.py
+++ b/libs/standin/src/papayaspar_standin/keyed_stores.py
@@ -141,6 +141,8 @@
         self._log = log
         self._late: list[Append] = []
         self.fault = StoreFault.NONE
+        # How many appends to a partition are still done without an answer.
+        self.answers_to_lose: dict[stores.Partition, int] = {}
         self.append_count = 0
 
     def heal(self) -> None:
@@ -167,7 +169,10 @@
         self.append_count += 1
         await anyio.lowlevel.checkpoint()
         asked = Append(partition, appended, producer, at)
-        if self.fault in (StoreFault.LOST, StoreFault.LOST_APPENDS):
+        losses_left = self.answers_to_lose.get(partition, 0)
+        if losses_left:
+            self.answers_to_lose[partition] = losses_left - 1
+        if losses_left or self.fault in (StoreFault.LOST, StoreFault.LOST_APPENDS):
             self._log.append(asked)
             await anyio.sleep(timeout_s)
             raise failures.StoreUnavailableError("no answer", ran=errors.Ran.UNKNOWN)
--- a/libs/store/src/papayaspar_store/writing.py
+++ b/libs/store/src/papayaspar_store/writing.py
@@ -5,14 +5,20 @@
 import anyio
 import attrs
 
+from papayaspar_events import journal, lines
 from papayaspar_model import clock, errors, signals
 from papayaspar_store import failures, stores
 
 # Most records in one append: with records of a few hundred bytes well under the store's limit.
 BATCH_RECORDS = 200
-# A silent connection is given up after this, in seconds: longer than the line at a slow store, and
-# short enough that a lead can renew its record on another connection in time.
-APPEND_TIMEOUT_S = 1.2
+MILLISECONDS_PER_SECOND = 1000.0
+# An append without an answer is repeated on another connection; the store takes both for one. Since
+# a lost answer holds up all starts, the first try waits for only several times what the newest
+# answer took, within these bounds in seconds: answers take 4 ms (site files), and at a slow store
+# several appends of 0.2 s each stand in line.
+APPEND_TIMEOUT_MIN_S = 0.25
+APPEND_TIMEOUT_MAX_S = 1.2
+ANSWER_TIMES = 4.0
 RETRY_FIRST_S = 0.03
 RETRY_MAX_S = 0.3
 
@@ -31,6 +37,7 @@
     :param name: producer's name, shared by all holders of the duty.
     :param epoch: this holder's fencing token.
     :param source: clock of :attr:`confirmed_s`.
+    :param events: where appends without an answer are recorded.
     """
 
     def __init__(
@@ -40,6 +47,7 @@
         name: str,
         epoch: int,
         source: clock.Clock,
+        events: journal.Journal,
     ) -> None:
         self._store = store
         self._partition = partition
@@ -48,6 +56,8 @@
         self._sequence = 0
         self._is_sequence_known = False
         self._clock = source
+        self._events = events
+        self._first_timeout_s = APPEND_TIMEOUT_MIN_S
         self._queue: collections.deque[_Waiting] = collections.deque()
         self._queued = signals.ChangeSignal()
         self.confirmed_s: float | None = None
@@ -62,7 +72,7 @@
         asked_s = self._clock.now_s()
         producer = stores.Producer(self._name, self._epoch, self._sequence)
         await self._store.append(
-            self._partition, first, producer=producer, at=at, timeout_s=APPEND_TIMEOUT_S
+            self._partition, first, producer=producer, at=at, timeout_s=APPEND_TIMEOUT_MAX_S
         )
         self._sequence += 1
         self._is_sequence_known = bool(first)
@@ -106,13 +116,13 @@
         return batch
 
     async def _append(self, appended: tuple[stores.KeyedRecord, ...]) -> None:
-        pause_s = RETRY_FIRST_S
+        pause_s, timeout_s = RETRY_FIRST_S, self._first_timeout_s
         while True:
             asked_s = self._clock.now_s()
             producer = stores.Producer(self._name, self._epoch, self._sequence)
             try:
                 await self._store.append(
-                    self._partition, appended, producer=producer, timeout_s=APPEND_TIMEOUT_S
+                    self._partition, appended, producer=producer, timeout_s=timeout_s
                 )
             except failures.SequenceError as error:
                 if not self._is_sequence_known:
@@ -125,10 +135,22 @@
                 # The lost answer of this very append: it is stored.
             except failures.FencedError:
                 raise
-            except errors.LogUnavailableError:
+            except errors.LogUnavailableError as error:
+                self._events.record(
+                    lines.EventKind.APPEND_REPEATED,
+                    code=error.code,
+                    duration_ms=(self._clock.now_s() - asked_s) * MILLISECONDS_PER_SECOND,
+                    detail=f"partition={self._partition.topic}/{self._partition.number}"
+                    f" sequence={self._sequence} records={len(appended)} {error.detail}",
+                )
                 await anyio.sleep(pause_s)
                 pause_s = min(RETRY_MAX_S, pause_s * 2)
+                timeout_s = min(APPEND_TIMEOUT_MAX_S, timeout_s * 2)
                 continue
+            took_s = self._clock.now_s() - asked_s
+            self._first_timeout_s = min(
+                APPEND_TIMEOUT_MAX_S, max(APPEND_TIMEOUT_MIN_S, ANSWER_TIMES * took_s)
+            )
             self._sequence += 1
             self._is_sequence_known = True
             self.confirmed_s = asked_s
