--- a/libs/lead/tests/conftest.py
+++ b/libs/lead/tests/conftest.py
@@ -126,6 +126,19 @@
         )
         return agent
 
+    async def start_one(
+        self, spec: specs.JobSpec, run_time_s: float, through: configurations.Queue | None = None
+    ) -> tuple[EntryUnderTest, AgentUnderTest]:
+        """Start an entry and an agent, and a job's first task, which takes so long in seconds."""
+        entry = await self.add_entry("entry-1")
+        agent = await self.add_agent("node-1")
+        agent.worker.run_time_s = run_time_s
+        if through is not None:
+            self.configure(through)
+        self.submit(spec, through)
+        await self.until(lambda: len(self.witness.starts) == 1)
+        return entry, agent
+
     def submit(self, spec: specs.JobSpec, through: configurations.Queue | None = None) -> None:
         """Accept a job, as an entry's job service does."""
         record = records.JobRecord(
--- a/libs/lead/tests/test_departures.py
+++ b/libs/lead/tests/test_departures.py
@@ -27,11 +27,7 @@
     running, make_job
 ):
     async with running() as site:
-        await site.add_entry("entry-1")
-        first = await site.add_agent("node-1")
-        first.worker.run_time_s = 60.0
-        site.submit(make_job(1))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        _, first = await site.start_one(make_job(1), 60.0)
         await site.add_agent("node-2")
         await _drain(site, first)
         _leave(first)
@@ -46,11 +42,7 @@
     The worker leaves, its machine a second later, and only then is there another lead.
     """
     async with running() as site:
-        lead = await site.add_entry("entry-1")
-        leaving = await site.add_agent("node-1")
-        leaving.worker.run_time_s = 1.0
-        site.submit(make_job(1))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        lead, leaving = await site.start_one(make_job(1), 1.0)
         await _drain(site, leaving)
         lead.store.fault = keyed_stores.StoreFault.BUSY
         await site.until(lambda: bool(site.witness.done))
@@ -71,11 +63,7 @@
 async def test_unsaved_work_stays_on_a_leaving_worker_until_there_is_room(running, make_job):
     """Seen on kowhai-spar scale-2: runs of 30 s were stopped 3.5 s early, and then waited."""
     async with running() as site:
-        await site.add_entry("entry-1")
-        first = await site.add_agent("node-1")
-        first.worker.run_time_s = 30.0
-        site.submit(make_job(1, _long_step()))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        _, first = await site.start_one(make_job(1, _long_step()), 30.0)
         await _drain(site, first)
         await site.wait_s(1.0)
         assert len(first.keeper.state().runs) == 1
@@ -91,24 +79,16 @@
     running, make_job, make_queue, priority, is_checkpointed
 ):
     async with running() as site:
-        await site.add_entry("entry-1")
-        first = await site.add_agent("node-1")
-        first.worker.run_time_s = 30.0
         queue = make_queue(priority=priority)
-        site.configure(queue)
-        site.submit(make_job(1, _long_step(is_checkpointed=is_checkpointed)), queue)
-        await site.until(lambda: len(site.witness.starts) == 1)
+        spec = make_job(1, _long_step(is_checkpointed=is_checkpointed))
+        _, first = await site.start_one(spec, 30.0, queue)
         await _drain(site, first)
         await site.until(lambda: not first.keeper.state().runs, timeout_s=3.0)
 
 
 async def test_word_of_a_former_life_ends_nothing(running, make_job):
     async with running() as site:
-        await site.add_entry("entry-1")
-        agent = await site.add_agent("node-1")
-        agent.worker.run_time_s = 60.0
-        site.submit(make_job(1))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        _, agent = await site.start_one(make_job(1), 60.0)
         agent.keeper.take_deregistration(agent.worker.name)
         await site.wait_s(1.5)
         assert agent.keeper.departure is None
--- a/libs/lead/tests/test_no_task_twice.py
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -14,11 +14,7 @@
 async def test_end_is_not_acknowledged_before_it_is_stored(running, make_job):
     """Seen on booth-cloud trouble-1: a second report of an end acknowledged it unrecorded."""
     async with running() as site:
-        lead = await site.add_entry("entry-1")
-        agent = await site.add_agent("node-1")
-        agent.worker.run_time_s = 0.6
-        site.submit(make_job(1))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        lead, agent = await site.start_one(make_job(1), 0.6)
         lead.store.fault = keyed_stores.StoreFault.BUSY
         await site.add_entry("entry-2")
         await site.until(lambda: bool(site.witness.done))
@@ -32,11 +28,7 @@
 async def test_end_that_was_not_taken_in_is_not_acknowledged(running, make_job):
     """Seen on kowhai-spar mix 493746742155 (TWICE): a report under a token not yet confirmed."""
     async with running() as site:
-        lead = await site.add_entry("entry-1")
-        agent = await site.add_agent("node-1")
-        agent.worker.run_time_s = 60.0
-        site.submit(make_job(1))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        lead, _ = await site.start_one(make_job(1), 60.0)
         link = lead.election.held.link("node-1")
         await site.until(lambda: bool(link.state.runs))
         key = tasks.TaskKey(make_job(1).job_id, 0, 0, 0)
@@ -49,11 +41,7 @@
 
 async def test_killed_lead_is_replaced_and_its_tasks_run_on(running, make_job):
     async with running() as site:
-        lead = await site.add_entry("entry-1")
-        agent = await site.add_agent("node-1")
-        agent.worker.run_time_s = 4.0
-        site.submit(make_job(1))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        lead, _ = await site.start_one(make_job(1), 4.0)
         await site.add_entry("entry-2")
         lead.scope.cancel()
         await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.SUCCEEDED)
@@ -62,11 +50,7 @@
 
 async def test_killed_agent_renews_the_lease_in_time(running, make_job):
     async with running() as site:
-        await site.add_entry("entry-1")
-        agent = await site.add_agent("node-1")
-        agent.worker.run_time_s = 9.0
-        site.submit(make_job(1))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        _, agent = await site.start_one(make_job(1), 9.0)
         agent.scope.cancel()
         await site.add_agent("node-1", agent.worker)
         await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.SUCCEEDED)
@@ -102,11 +86,7 @@
 
 async def test_task_of_an_unreachable_agent_waits_for_its_lease(running, make_job):
     async with running() as site:
-        await site.add_entry("entry-1")
-        first = await site.add_agent("node-1")
-        first.worker.run_time_s = 60.0
-        site.submit(make_job(1))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        _, first = await site.start_one(make_job(1), 60.0)
         first.scope.cancel()
         first.worker.fault = memory_workers.WorkerFault.SILENT
         second = await site.add_agent("node-2")
@@ -120,11 +100,7 @@
 async def test_task_of_a_silent_worker_runs_elsewhere_after_its_lease(running, make_job):
     """Found by deploy/days/workers-reborn (LOST): looks to a dead worker put its lapse off."""
     async with running() as site:
-        await site.add_entry("entry-1")
-        first = await site.add_agent("node-1")
-        first.worker.run_time_s = 60.0
-        site.submit(make_job(1))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        _, first = await site.start_one(make_job(1), 60.0)
         first.worker.fault = memory_workers.WorkerFault.SILENT
         await site.add_agent("node-2")
         await site.until(lambda: len(site.witness.starts) == 2)
@@ -135,11 +111,7 @@
 async def test_crashed_worker_loses_its_task_to_another_run(running, make_job, clock_back_ms):
     """A clock that was set back makes the new life look older than the former one."""
     async with running() as site:
-        await site.add_entry("entry-1")
-        agent = await site.add_agent("node-1")
-        agent.worker.run_time_s = 60.0
-        site.submit(make_job(1))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        _, agent = await site.start_one(make_job(1), 60.0)
         agent.worker.run_time_s = 0.1
         agent.worker.crash(clock_back_ms)
         await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.SUCCEEDED)
@@ -162,11 +134,7 @@
 
 async def test_cancelled_job_is_stopped_and_starts_no_more(running, make_job):
     async with running() as site:
-        await site.add_entry("entry-1")
-        agent = await site.add_agent("node-1")
-        agent.worker.run_time_s = 60.0
-        site.submit(make_job(1))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        await site.start_one(make_job(1), 60.0)
         site.cancel(make_job(1).job_id)
         await site.until(lambda: not any(site.witness.running.values()))
         await site.until(lambda: site.phase(make_job(1).job_id) is books.JobPhase.CANCELLED)
@@ -210,11 +178,7 @@
 async def test_run_that_goes_on_in_a_new_life_is_not_given_to_another_worker(running, make_job):
     """Found by the soak, seed 31: an order may reach the next life of a worker with the same id."""
     async with running() as site:
-        lead = await site.add_entry("entry-1")
-        agent = await site.add_agent("node-1")
-        agent.worker.run_time_s = 60.0
-        site.submit(make_job(1))
-        await site.until(lambda: len(site.witness.starts) == 1)
+        lead, _ = await site.start_one(make_job(1), 60.0)
         link = lead.election.held.link("node-1")
         await site.until(lambda: bool(link.state.runs))
         key = tasks.TaskKey(make_job(1).job_id, 0, 0, 0)
