--- a/libs/events/src/papayaspar_events/lines.py
+++ b/libs/events/src/papayaspar_events/lines.py
@@ -38,6 +38,7 @@
     GANG_WITHDRAWN = "gang_withdrawn"
     TASK_STARTED = "task_started"
     TASK_STOPPED = "task_stopped"
+    STOP_ORDERED = "stop_ordered"
     WORKER_JOINED = "worker_joined"
     WORKER_LOST = "worker_lost"
     WORKER_REPLACED = "worker_replaced"
--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -294,9 +294,9 @@
                 detail=f"for={demand.unit.job.spec.job_id} rank={demand.rank.name}"
                 f" lost_core_s={victim.cost_core_s:.1f}",
             )
-            self._orders.stop_unit(victim.unit)
+            self._orders.stop_unit(victim.unit, f"room for {demand.unit.job.spec.job_id}")
         for demand in plan.moves:
-            self._orders.stop_unit(demand.unit)
+            self._orders.stop_unit(demand.unit, "its worker leaves, and there is room elsewhere")
         for start in plan.starts:
             self._orders.assign(start, now_s)
 
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -66,7 +66,7 @@
                 group.start_soon(self._start_task, unit, task, run)
         if any(task.record.run == run and task.is_waiting for task in unit.members):
             # A gang runs whole or not at all.
-            self.stop_unit(unit)
+            self.stop_unit(unit, "a member did not start")
         self._recorder.flush()
         self._state.changes.changed()
 
@@ -110,8 +110,12 @@
         booked = job.booked
         return booked.phase is books.JobPhase.CANCELLED or job.has_failed
 
-    def stop_unit(self, unit: progress.Unit) -> None:
-        """Stop the members of a unit that run."""
+    def stop_unit(self, unit: progress.Unit, reason: str) -> None:
+        """Stop the members of a unit that run.
+
+        :param unit: the unit.
+        :param reason: why, for the log.
+        """
         for task in unit.members:
             if not task.is_assigned or task.is_starting or task.is_stopping:
                 continue
@@ -119,6 +123,13 @@
             if link is None or not link.is_attached:
                 continue
             task.is_stopping = True
+            self._state.events.record(
+                lines.EventKind.STOP_ORDERED,
+                worker=link.node,
+                job=task.key.job_id,
+                attempt=task.record.run,
+                detail=f"task={task.key} reason={reason}",
+            )
             self._state.spawner.start(self._stop_task, link, task)
 
     async def _stop_task(self, link: links.AgentLink, task: progress.Task) -> None:
--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -62,8 +62,9 @@
         for live in self._state.work.jobs():
             if not live.is_cancelled and not live.progress.has_failed:
                 continue
+            reason = "cancelled" if live.is_cancelled else "the job has failed"
             for unit in live.progress.active_units():
-                self._orders.stop_unit(unit)
+                self._orders.stop_unit(unit, reason)
 
     def release_departed(self, now_s: float) -> None:
         """Take in which workers have left, as the store says."""
@@ -108,12 +109,12 @@
         """Stop in time what can't end before its worker leaves and goes on, or must, elsewhere."""
         for unit in self._leavers(now_s):
             if not self._may_stay(unit):
-                self._orders.stop_unit(unit)
+                self._orders.stop_unit(unit, "its worker leaves")
 
     def stayers(self, now_s: float) -> list[progress.Unit]:
-        """Return what is lost with its worker wherever it is stopped.
+        """Return the units on leaving workers that begin anew whenever they are stopped.
 
-        It is stopped only for room elsewhere: a worker may stay longer than it says.
+        They are stopped only for room elsewhere: a worker may stay longer than it says.
         """
         return [unit for unit in self._leavers(now_s) if self._may_stay(unit)]
 
@@ -154,4 +155,4 @@
                     detail=f"task={task.key} percent={task.percent:.0f}"
                     f" still_s={now_s - task.moved_s:.1f}",
                 )
-            self._orders.stop_unit(unit)
+            self._orders.stop_unit(unit, "stalled")
