Free the room of a start whose lead went away meanwhile

A worker left starts unanswered; while its agent raised tokens to find out what had become of them, the lead's stream ended and the orders were cancelled where they stood. Their runs stayed noted as starting for good, each with its room, and no look takes those out. The agent then refused whole gangs for want of room, and the lead ordered the same start 2,200 times in a minute.

A cancelled start counts as begun until a later look does not list it; its order is refused under the next lead's token. An agent that refuses a start for what the lead does not see gets none for half a second.

--- a/libs/lead/src/papayaspar_lead/duty.py
+++ b/libs/lead/src/papayaspar_lead/duty.py
@@ -273,6 +273,8 @@
         for link in self._state.links.values():
             if link.seat.pool != pool or not link.is_attached:
                 continue
+            if link.has_refused_lately(now_s):
+                continue
             outcomes = self._state.work.outcomes(link.node)
             link.seat.is_trusted = not outcomes.is_ejected(now_s)
             link.seat.slowness = outcomes.slowness
--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -23,6 +23,9 @@
 # An agent that is away is expected back for so long, in seconds: a process that was killed starts
 # again after half a second, needs 0.8 s to listen, and is dialled within `REDIAL_MAX_S`.
 EXPECT_BACK_S = 2.0
+# An agent that refused a start knows more than the lead: it gets none for so long, in seconds, two
+# plans for what only time brings (`duty.PLAN_INTERVAL_S`).
+REFUSAL_PAUSE_S = 0.5
 
 
 def lapse_s(vouched_s: float, lease_max_s: float) -> float:
@@ -98,6 +101,7 @@
         self._redial = anyio.Event()
         self._scope = anyio.CancelScope()
         self.away_since_s = source.now_s()
+        self._refused_s = float("-inf")
 
     @property
     def node(self) -> str:
@@ -109,6 +113,17 @@
         """Whether the agent takes orders now."""
         return self._peer is not None
 
+    def note_refusal(self) -> None:
+        """Note that the agent refused a start for what the lead does not see."""
+        self._refused_s = self._clock.now_s()
+
+    def has_refused_lately(self, now_s: float) -> bool:
+        """Return whether the agent should get no start for a moment.
+
+        :param now_s: the lead's clock.
+        """
+        return now_s - self._refused_s < REFUSAL_PAUSE_S
+
     def is_expected_back(self, now_s: float) -> bool:
         """Return whether the agent went away a moment ago and its worker is not about to leave.
 
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -12,6 +12,12 @@
 from papayaspar_scheduling import planner
 
 MILLISECONDS_PER_SECOND = 1000.0
+# Reasons that stand until the agent or its worker changes, and that the lead may not see.
+LASTING_REASONS = (
+    workers.RefusalReason.ROOM,
+    workers.RefusalReason.NOT_VOUCHED,
+    workers.RefusalReason.UNREACHABLE,
+)
 
 
 class Orders:
@@ -103,6 +109,8 @@
             return
         reason = outcome.reason.value if outcome.reason is not None else "unknown"
         self._state.work.release(task, f"refused: {reason}")
+        if outcome.reason in LASTING_REASONS:
+            link.note_refusal()
         if outcome.reason in (workers.RefusalReason.UNHEALTHY, workers.RefusalReason.INVALID):
             task.failed_nodes.add(link.node)
 
--- a/libs/lead/tests/conftest.py
+++ b/libs/lead/tests/conftest.py
@@ -107,7 +107,7 @@
         worker = worker or memory_workers.MemoryWorker(node, self.witness, self.clock)
         store = keyed_stores.MemoryStore(self.log)
         events = self._events(node)
-        kept = keeper.Keeper(node, worker, keeper.KeeperLimits(LEASE_MAX_S), self.clock, events)
+        kept = keeper.Keeper(node, worker, LEASE_MAX_S, self.clock, events)
         served = service.LeadService(node, kept, self.clock, events.stamps, events)
         listener = await service.listen(LOOPBACK, (0, 0))
         record = records.AgentRecord(node, str(listener.address), f"boot-{self._boots}")
--- a/libs/runs/src/papayaspar_runs/keeper.py
+++ b/libs/runs/src/papayaspar_runs/keeper.py
@@ -1,7 +1,6 @@
 """The keeper of one worker: the only one that orders it, and that renews its lease."""
 
 import anyio
-import attrs
 
 from papayaspar_events import journal, lines
 from papayaspar_jobs import tasks
@@ -26,22 +25,12 @@
 ATTACH_TIMEOUT_S = 1.0
 
 
-@attrs.frozen
-class KeeperLimits:
-    """Bounds of the installation.
-
-    :param lease_max_s: longest lease that a worker grants, on its own clock.
-    """
-
-    lease_max_s: float
-
-
 class Keeper:
     """Keeps one worker for whichever lead holds the duty.
 
     :param node: name of this machine.
     :param worker: the worker's client.
-    :param limits: bounds of the installation.
+    :param lease_max_s: longest lease that the worker grants, on its own clock.
     :param source: clock that counts suspension.
     :param events: where decisions are recorded.
     """
@@ -50,14 +39,14 @@
         self,
         node: str,
         worker: workers.Worker,
-        limits: KeeperLimits,
+        lease_max_s: float,
         source: clock.Clock,
         events: journal.Journal,
     ) -> None:
         self._node = node
         self._worker = worker
         self._events = events
-        self._lease = lease.Lease(limits.lease_max_s, source, events)
+        self._lease = lease.Lease(lease_max_s, source, events)
         self._table = table.RunTable()
         self._heartbeat: workers.Heartbeat | None = None
         self._born_ms: int | None = None
@@ -182,7 +171,12 @@
         if reason is not None:
             return messages.StartOutcome(False, reason)
         self._table.begin(order.task, order.run, order.room, self._look_number)
-        reason = await self._order_start(order)
+        try:
+            reason = await self._order_start(order)
+        except anyio.get_cancelled_exc_class():
+            # The lead's stream has ended; a look under the next token shows whether it began.
+            self._table.abandon(order.task, order.run, self._look_number)
+            raise
         if reason is None:
             self._table.started(order.task, order.run, self._look_number)
             self._events.record(
--- a/libs/runs/src/papayaspar_runs/table.py
+++ b/libs/runs/src/papayaspar_runs/table.py
@@ -73,6 +73,17 @@
         if known is not None and known.row.run == run and known.is_starting:
             del self._runs[task]
 
+    def abandon(self, task: tasks.TaskKey, run: int, look: int) -> None:
+        """Note that nobody waits any more for a start that may or may not have begun.
+
+        :param look: number of the newest look that was sent; a later one that does not list the
+            run shows that it never began, since its order is refused under a new token.
+        """
+        known = self._runs.get(task)
+        if known is not None and known.row.run == run and known.is_starting:
+            known.is_starting = False
+            known.since_look = look
+
     def has_begun(self, task: tasks.TaskKey, run: int, look: workers.Look) -> bool:
         """Return whether a look shows a run, running or ended."""
         for row in look.running:
--- /dev/null
+++ b/libs/runs/tests/test_lost_leads.py
@@ -0,0 +1,71 @@
+"""A lead that goes away while the agent carries out its order."""
+
+import anyio
+import pytest
+
+from papayaspar_events import journal, metrics
+from papayaspar_jobs import specs, tasks
+from papayaspar_model import causality, clock, errors
+from papayaspar_runs import keeper, messages, workers
+
+pytestmark = pytest.mark.anyio
+
+BORN_MS = 1_000
+WHOLE = specs.Room(1000, 1000, 8)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class DeafWorker(workers.Worker):
+    """Answers looks that ask nothing of its time, and no start; begins nothing."""
+
+    def __init__(self):
+        self.is_deaf = False
+        self.starts = 0
+
+    async def start(self, order):
+        self.starts += 1
+        if self.is_deaf:
+            raise workers.WorkerError("no answer", ran=errors.Ran.UNKNOWN)
+
+    async def stop(self, task, run, token, worker):
+        raise AssertionError
+
+    async def look(self, token, seen_end, expiry_ms, wait_ms, worker):
+        if self.is_deaf:
+            await anyio.sleep(0.05)
+            raise workers.WorkerError("no answer", ran=errors.Ran.UNKNOWN)
+        await anyio.sleep(min(wait_ms, 50) / 1000.0)
+        return workers.Look(500, BORN_MS, (), ())
+
+
+def _order(state, index):
+    key = tasks.TaskKey("0" * 16, 0, 0, index)
+    return messages.StartRun(key, 1, "", "", WHOLE, state.incarnation)
+
+
+async def test_start_whose_lead_has_gone_takes_no_room_for_good():
+    """Found by the soak, seed 10: an agent refused all starts for want of room for a minute."""
+    source = clock.BootClock()
+    events = journal.Journal("node", "dc", causality.HybridClock(source), metrics.Metrics())
+    worker = DeafWorker()
+    kept = keeper.Keeper("node", worker, 6.0, source, events)
+    heartbeat = workers.Heartbeat("w-1", "pool", workers.Condition.READY, WHOLE, (), "", 1, BORN_MS)
+    async with anyio.create_task_group() as group:
+        group.start_soon(kept.run)
+        kept.take_heartbeat(heartbeat)
+        state = await kept.attach(64)
+        kept.vouched(source.now_s())
+        worker.is_deaf = True
+        with anyio.move_on_after(0.3):
+            await kept.start(_order(state, 0))
+        worker.is_deaf = False
+        state = await kept.attach(256)
+        await anyio.sleep(0.3)
+        outcome = await kept.start(_order(state, 1))
+        group.cancel_scope.cancel()
+    assert outcome.is_started
+    assert worker.starts == 2
--- a/libs/runs/tests/test_new_lives.py
+++ b/libs/runs/tests/test_new_lives.py
@@ -60,7 +60,7 @@
     source = clock.BootClock()
     events = journal.Journal("node", "dc", causality.HybridClock(source), metrics.Metrics())
     worker = RebornWorker()
-    kept = keeper.Keeper("node", worker, keeper.KeeperLimits(6.0), source, events)
+    kept = keeper.Keeper("node", worker, 6.0, source, events)
     async with anyio.create_task_group() as group:
         group.start_soon(kept.run)
         kept.take_heartbeat(_heartbeat(FIRST_LIFE))
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -23,6 +23,8 @@
     SILENT = "silent"
     # Answers no starts and carries them out later.
     LATE = "late"
+    # Refuses starts for want of room.
+    FULL = "full"
     # Fails all that it starts.
     FAILS = "fails"
 
@@ -149,6 +151,8 @@
     async def start(self, order: workers.StartOrder) -> None:
         """Start a run."""
         await self._suffer()
+        if self.fault is WorkerFault.FULL:
+            raise workers.OrderRefusedError(workers.RefusalReason.ROOM)
         if self.late_starts > 0 or self.fault is WorkerFault.LATE:
             self.late_starts -= 1
             self._late.append((self._clock.now_s() + self.late_by_s, order))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,8 @@
 
 # Each seed that ever broke a promise stays here, with a line on its cause.
 REGRESSIONS = (
+    # A start whose lead went away while the agent sought its outcome took room on the worker for good.
+    10,
     # A listener's descriptor had two owners; the second closed a caller's connection at SIGTERM.
     22,
     # An agent ordered a run again in the next life of a worker that kept its id, while the lead had
