--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,7 @@
 
 # Each seed that ever broke a promise stays here, with a line on its cause.
 REGRESSIONS = (
-    # A start whose lead went away while the agent sought its outcome took room on the worker for good.
+    # A start whose lead went away while the agent sought its outcome took room for good.
     10,
     # A listener's descriptor had two owners; the second closed a caller's connection at SIGTERM.
     22,
