Log dropped reports, refused connections and waits for unreachable workers

- report_dropped: the lead received an agent's state on a stream that is not attached (yet).
- worker_lost is recorded again when a poll fails in another way; worker_not_listening means that the worker's VM refused the connection.
- task_unconfirmed: a run on an unreachable worker, and when it will count as ended.

--- a/libs/events/src/papayaspar_events/lines.py
+++ b/libs/events/src/papayaspar_events/lines.py
@@ -70,6 +70,8 @@
     TASK_LOST = "task_lost"
     TASK_STALLED = "task_stalled"
     TASK_UNKNOWN = "task_unknown"
+    TASK_UNCONFIRMED = "task_unconfirmed"
+    REPORT_DROPPED = "report_dropped"
     JOB_CANCELLED = "job_cancelled"
     JOB_SHOWN = "job_shown"
     CALL_REFUSED = "call_refused"
--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -231,8 +231,17 @@
 
     async def handle_notice(self, peer: peers.Peer, message: object) -> None:
         """Apply the state that the agent reports."""
-        if isinstance(message, messages.AgentState) and peer is self._peer:
-            self._apply_state(message)
+        if not isinstance(message, messages.AgentState):
+            return
+        if peer is not self._peer:
+            self._events.record(
+                lines.EventKind.REPORT_DROPPED,
+                worker=self.node,
+                detail=f"runs={len(message.runs)} ends={len(message.ends)}"
+                " the attachment is not complete",
+            )
+            return
+        self._apply_state(message)
 
     def _apply_state(self, state: messages.AgentState) -> None:
         self.state = state
--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -33,6 +33,8 @@
         self._orders = order_sender
         self._recorder = recorder
         self._unlinked_expiry_s = unlinked_expiry_s
+        # Recorded runs on unreachable workers, by VM.
+        self._unconfirmed: dict[str, set[tuple[tasks.TaskKey, int]]] = {}
 
     def reconcile(self, now_s: float) -> None:
         """Requeue or stop the tasks that can't continue on their workers, and forget lost agents.
@@ -102,12 +104,35 @@
             worker_lease_expiry_s = (
                 link.worker_lease_expiry_s() if link is not None else self._unlinked_expiry_s
             )
-            if (link is not None and link.is_attached) or now_s < worker_lease_expiry_s:
+            if link is not None and link.is_attached:
+                self._unconfirmed.pop(node, None)
                 continue
+            if now_s < worker_lease_expiry_s:
+                self._record_unconfirmed(node, worker_lease_expiry_s - now_s)
+                continue
+            self._unconfirmed.pop(node, None)
             for task in self._state.work.tasks_on_node(node):
                 if not task.is_starting:
                     self._state.work.release(task, "its worker's lease has expired")
 
+    def _record_unconfirmed(self, node: str, remaining_s: float) -> None:
+        """Record once for each run on an unreachable worker when it counts as ended.
+
+        :param node: VM of the worker.
+        :param remaining_s: time until the worker's lease has certainly expired, in seconds.
+        """
+        recorded = self._unconfirmed.setdefault(node, set())
+        current = {(task.key, task.record.run) for task in self._state.work.tasks_on_node(node)}
+        for key, run in sorted(current - recorded):
+            recorded.add((key, run))
+            self._state.events.record(
+                lines.EventKind.TASK_UNCONFIRMED,
+                worker=node,
+                job=key.job_id,
+                attempt=run,
+                detail=f"task={key} lost_in_s={remaining_s:.1f} the agent is not attached",
+            )
+
     def evacuate(self, now_s: float) -> None:
         """Stop the units that can't finish on a draining worker, except the deferred ones."""
         for unit in self._evacuating_units(now_s):
--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -59,6 +59,8 @@
         self._acknowledged_number = 0
         self._poll_number = 0
         self._is_answering = False
+        # Code of the newest recorded failure of a poll, or empty.
+        self._failure_code = ""
         self._deregistered: tasks.Incarnation | None = None
         self.departure: records.Departure | None = None
         self.departure_changes = signals.ChangeSignal()
@@ -383,13 +385,15 @@
         self._handle_no_answer(error)
 
     def _handle_no_answer(self, error: errors.PapayasparError) -> None:
-        if self._is_answering:
+        if self._is_answering or error.code != self._failure_code:
+            self._failure_code = error.code
             self._events.record(
                 lines.EventKind.WORKER_LOST,
                 worker=self._heartbeat.worker if self._heartbeat is not None else "",
                 code=error.code,
                 detail=error.detail,
             )
+        if self._is_answering:
             self._is_answering = False
             self.changes.notify()
             return
@@ -408,6 +412,7 @@
         was_ready = self.state().is_answering
         self._confirmed_token = max(self._confirmed_token, token)
         self._is_answering = True
+        self._failure_code = ""
         has_changed = self._table.apply_status(status, number)
         self._polled.notify()
         if has_changed or not was_ready:
--- a/libs/runs/src/papayaspar_runs/workers.py
+++ b/libs/runs/src/papayaspar_runs/workers.py
@@ -17,6 +17,13 @@
     title = "The worker did not answer"
 
 
+class NotListeningError(WorkerError):
+    """No process listens on the worker's port, so its VM refused the connection."""
+
+    code = "worker_not_listening"
+    title = "The worker does not listen"
+
+
 class RefusalReason(enum.Enum):
     """Reason for which a worker, or its agent, refused an order.
 
