Apply reports that arrive while a lead attaches to an agent

Cause: an agent reports changes only. A lead dropped each report that it read between the answer to its attachment and the moment its own coroutine resumed with that answer; a lead that takes over 74 agents resumes up to a second later. Results in a dropped report were never applied, so their tasks counted as running until the next change on that worker.

Change: states carry a number; a report received during the attachment is kept, and the newest of it and the answer is applied.

--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -106,6 +106,9 @@
         self._hybrid_clock = hybrid_clock
         self._events = events
         self._peer: peers.Peer | None = None
+        # Stream of which the attachment is not complete, and the newest report received on it.
+        self._attaching_peer: peers.Peer | None = None
+        self._early_report: messages.AgentState | None = None
         self._redial = anyio.Event()
         self._scope = anyio.CancelScope()
         self.disconnected_since_s = clock_source.now_s()
@@ -195,9 +198,7 @@
                 stream, codec, self, self._hybrid_clock, service.PEER_LIMITS
             ) as peer:
                 attach = messages.Attach(self._epoch, self._owner.next_token(), self._lead)
-                state = await peer.call(attach, ATTACH_TIMEOUT_S)
-                if not isinstance(state, messages.AgentState):
-                    raise errors.ProtocolError(f"AgentState expected, not {type(state).__name__}")
+                state = await self._attach(peer, attach)
                 self._peer = peer
                 self._events.record(
                     lines.EventKind.AGENT_ATTACHED,
@@ -209,12 +210,27 @@
                 await anyio.sleep_forever()
         finally:
             was_attached = self._peer is not None
-            self._peer = None
+            self._peer = self._attaching_peer = None
             if was_attached:
                 self.disconnected_since_s = self._clock.now_s()
                 self._events.record(lines.EventKind.AGENT_LOST, worker=self.node)
                 self._owner.handle_link_lost(self)
 
+    async def _attach(self, peer: peers.Peer, attach: messages.Attach) -> messages.AgentState:
+        """Attach to the agent, and return the newest state that it has sent.
+
+        Reports may arrive before this coroutine resumes with the answer. An agent reports only
+        changes, so none of them may be dropped.
+        """
+        self._attaching_peer, self._early_report = peer, None
+        state = await peer.call(attach, ATTACH_TIMEOUT_S)
+        if not isinstance(state, messages.AgentState):
+            raise errors.ProtocolError(f"AgentState expected, not {type(state).__name__}")
+        report, self._attaching_peer = self._early_report, None
+        if report is not None and report.sequence > state.sequence:
+            return report
+        return state
+
     def _record_connection_error(self, error: errors.PapayasparError) -> None:
         self._events.record(
             lines.EventKind.PEER_LOST, worker=self.node, code=error.code, detail=error.detail
@@ -233,12 +249,14 @@
         """Apply the state that the agent reports."""
         if not isinstance(message, messages.AgentState):
             return
+        if peer is self._attaching_peer:
+            self._early_report = message
+            return
         if peer is not self._peer:
             self._events.record(
                 lines.EventKind.REPORT_DROPPED,
                 worker=self.node,
-                detail=f"runs={len(message.runs)} ends={len(message.ends)}"
-                " the attachment is not complete",
+                detail=f"runs={len(message.runs)} ends={len(message.ends)} the stream was replaced",
             )
             return
         self._apply_state(message)
--- a/libs/lead/tests/conftest.py
+++ b/libs/lead/tests/conftest.py
@@ -16,9 +16,11 @@
 from papayaspar_runs import registration, service, worker_control
 from papayaspar_standin import keyed_stores, memory_workers
 from papayaspar_store import following, records, views
+from papayaspar_wire import transports
 
 LOOPBACK = "127.0.0.1"
 LEASE_MAX_S = 6.0
+STREAM_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
 LIMITS = scheduling.SchedulerLimits(LEASE_MAX_S)
 
 
@@ -55,6 +57,53 @@
     scope: anyio.CancelScope
 
 
+class BatchingRelay:
+    """A relay that delays an agent's messages to the lead and delivers them together.
+
+    :param target: address of the agent.
+    :param delay_s: time for which messages are collected, in seconds.
+    """
+
+    def __init__(self, target: transports.Address, delay_s: float) -> None:
+        self._target = target
+        self._delay_s = delay_s
+
+    async def serve(self, stream: anyio.abc.ByteStream) -> None:
+        """Relay one stream until either side closes it."""
+        upstream = await transports.connect(self._target)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._relay_orders, stream, upstream, group.cancel_scope)
+            group.start_soon(self._relay_reports, upstream, stream, group.cancel_scope)
+
+    async def _relay_orders(
+        self,
+        lead: anyio.abc.ByteStream,
+        agent: anyio.abc.ByteStream,
+        scope: anyio.CancelScope,
+    ) -> None:
+        try:
+            while True:
+                await agent.send(await lead.receive())
+        except STREAM_ERRORS:
+            scope.cancel()
+
+    async def _relay_reports(
+        self,
+        agent: anyio.abc.ByteStream,
+        lead: anyio.abc.ByteStream,
+        scope: anyio.CancelScope,
+    ) -> None:
+        try:
+            while True:
+                collected = await agent.receive()
+                with anyio.move_on_after(self._delay_s):
+                    while True:
+                        collected += await agent.receive()
+                await lead.send(collected)
+        except STREAM_ERRORS:
+            scope.cancel()
+
+
 class Cluster:
     """Entries and agents that share one store.
 
@@ -101,6 +150,17 @@
         self._group.start_soon(_run_within, scope, follower.run, candidate.run)
         return entry
 
+    async def add_relay(self, target: str, delay_s: float) -> str:
+        """Start a relay to an agent, and return its address.
+
+        :param target: address of the agent.
+        :param delay_s: time for which the agent's messages are collected, in seconds.
+        """
+        relay = BatchingRelay(transports.Address.parse(target), delay_s)
+        listener = await service.listen(LOOPBACK, (0, 0))
+        self._group.start_soon(listener.serve, relay.serve)
+        return str(listener.address)
+
     async def add_agent(
         self, node: str, worker: memory_workers.MemoryWorker | None = None
     ) -> AgentUnderTest:
--- a/libs/runs/src/papayaspar_runs/messages.py
+++ b/libs/runs/src/papayaspar_runs/messages.py
@@ -34,6 +34,7 @@
     :param runs: running tasks of the worker.
     :param ends: results that the lead has not acknowledged yet.
     :param departure: last departure of a worker on this VM, or ``None``.
+    :param sequence: number of the state within the agent's process; a later state has a higher one.
     """
 
     node: str
@@ -44,6 +45,7 @@
     runs: tuple[workers.RunStatus, ...] = ()
     ends: tuple[workers.RunResult, ...] = ()
     departure: records.Departure | None = None
+    sequence: int = 0
 
 
 @attrs.frozen
--- a/libs/runs/src/papayaspar_runs/service.py
+++ b/libs/runs/src/papayaspar_runs/service.py
@@ -5,6 +5,7 @@
 
 import anyio
 import anyio.abc
+import attrs
 
 from papayaspar_events import journal, lines
 from papayaspar_model import causality, clock, errors
@@ -45,6 +46,7 @@
         self._events = events
         self._epoch = 0
         self._lead: peers.Peer | None = None
+        self._state_count = 0
         self.lead_confirmed_s = clock_source.now_s()
 
     async def serve(self, stream: anyio.abc.ByteStream) -> None:
@@ -91,7 +93,12 @@
             detail=f"lead={attach.lead} epoch={attach.epoch} token={attach.token}",
         )
         await self._renew_lead_lease(peer)
-        return await self._controller.attach(attach.token)
+        return self._numbered(await self._controller.attach(attach.token))
+
+    def _numbered(self, state: messages.AgentState) -> messages.AgentState:
+        """Return a state with the next number; to be called before any later state is read."""
+        self._state_count += 1
+        return attrs.evolve(state, sequence=self._state_count)
 
     async def _renew_lead_lease_forever(self, peer: peers.Peer) -> None:
         while True:
@@ -117,7 +124,7 @@
             if peer is not self._lead:
                 continue
             try:
-                await peer.notify(self._controller.state())
+                await peer.notify(self._numbered(self._controller.state()))
             except errors.PeerError as error:
                 self._events.record(lines.EventKind.PEER_LOST, code=error.code)
                 return
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -138,6 +138,11 @@
         self._runs.clear()
         self.fault = WorkerFault.SILENT
 
+    def finish_runs(self) -> None:
+        """End all runs successfully now."""
+        for run in self._runs.values():
+            run.end_s = self._clock.now_s()
+
     def heartbeat(self, sequence: int) -> workers.Heartbeat:
         """Return the worker's heartbeat message."""
         return workers.Heartbeat(
