Count a worker as terminated when its VM refuses connections

Cause: the agent knew after 0.1 s that no process listened on the worker's port, and did not tell. The runs counted as possibly running until the lease must have expired: 12.5 s after the lead last confirmed its leadership to the agent, which runs on for seconds; a new lead counted from its own election.

Change: after two refused polls in a row the agent records the departure of the incarnation, as it does for workers that deregister; the record is stored, so that a new lead knows it too. A departed incarnation gets no more orders.

Result: test_tasks_of_a_worker_that_is_gone_start_elsewhere_at_once fails without the change for the same and for a new lead (no second start within 5 s) and passes with it.

--- a/libs/lead/tests/test_departures.py
+++ b/libs/lead/tests/test_departures.py
@@ -4,7 +4,7 @@
 
 from papayaspar_jobs import registries, specs
 from papayaspar_runs import workers
-from papayaspar_standin import keyed_stores
+from papayaspar_standin import keyed_stores, memory_workers
 
 pytestmark = pytest.mark.anyio
 
@@ -59,6 +59,39 @@
         assert len(cluster.run_recorder.starts) == 1
 
 
+# Guards against a lead that waits for the lease of a worker that is gone without a word: gangs that
+# had lost a member waited 15 s, and the wait began anew with each lead (booth-cloud-grown scale-1).
+@pytest.mark.parametrize("is_lead_replaced", [False, True], ids=["same-lead", "new-lead"])
+async def test_tasks_of_a_worker_that_is_gone_start_elsewhere_at_once(
+    start_cluster, make_job, is_lead_replaced
+):
+    async with start_cluster() as cluster:
+        lead, first = await cluster.start_single_task(make_job(1), 60.0)
+        await cluster.add_entry("entry-2")
+        if is_lead_replaced:
+            lead.scope.cancel()
+            await cluster.wait_until(lambda: cluster.lead() == "")
+        first.worker.terminate(memory_workers.WorkerFault.GONE)
+        await cluster.sleep(1.0)
+        first.scope.cancel()
+        await cluster.add_agent("node-2")
+        await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == 2, timeout_s=5.0)
+        assert cluster.run_recorder.overlaps == []
+
+
+async def test_departed_worker_that_answers_again_gets_no_work(start_cluster, make_job):
+    async with start_cluster() as cluster:
+        _, agent = await cluster.start_single_task(make_job(1), 60.0)
+        agent.worker.terminate(memory_workers.WorkerFault.GONE)
+        await cluster.wait_until(lambda: agent.controller.departure is not None)
+        agent.worker.fault = memory_workers.WorkerFault.NONE
+        await cluster.sleep(1.5)
+        assert len(cluster.run_recorder.starts) == 1
+        agent.worker.crash()
+        await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == 2)
+        assert cluster.run_recorder.overlaps == []
+
+
 def _long_step(**changes):
     return specs.Step(1, specs.Resources(1000, 100, 8), 30_000, **changes)
 
--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -24,6 +24,9 @@
 UNACKNOWLEDGED_POLL_INTERVAL_S = 0.25
 # Distance between the tokens of two attachments; an agent raises its own token in the gap.
 TOKEN_STRIDE = 64
+# Number of consecutive polls that must be refused by the worker's VM before the worker counts as
+# terminated.
+REFUSED_POLLS_MIN = 2
 # A worker is reported as not answering when it has not confirmed a new token within this time, in
 # seconds.
 ATTACH_TIMEOUT_S = 1.0
@@ -61,6 +64,7 @@
         self._is_answering = False
         # Code of the newest recorded failure of a poll, or empty.
         self._failure_code = ""
+        self._refused_polls = 0
         self._deregistered: tasks.Incarnation | None = None
         self.departure: records.Departure | None = None
         self.departure_changes = signals.ChangeSignal()
@@ -70,10 +74,17 @@
 
     @property
     def _incarnation(self) -> tasks.Incarnation | None:
-        """The current incarnation, or ``None`` unless the newest heartbeat and poll agree on it."""
+        """The current incarnation, or ``None``.
+
+        It is ``None`` unless the newest heartbeat and poll agree on it, and after its departure.
+        """
         if self._heartbeat is None or self._heartbeat.born_ms != self._born_ms:
             return None
-        return tasks.Incarnation(self._heartbeat.worker, self._heartbeat.born_ms)
+        incarnation = tasks.Incarnation(self._heartbeat.worker, self._heartbeat.born_ms)
+        return None if self._has_departed(incarnation) else incarnation
+
+    def _has_departed(self, incarnation: tasks.Incarnation) -> bool:
+        return self.departure is not None and self.departure.incarnation == incarnation
 
     def state(self) -> messages.AgentState:
         """Return the state of the worker to report to the lead."""
@@ -139,9 +150,15 @@
         self._wakeup.notify()
 
     def _record_departure(self) -> None:
-        """Record the departure of a worker that deregistered and does not answer."""
-        departed = self._deregistered
-        if departed is None or departed != self._incarnation:
+        """Record the departure of a worker that does not answer and has certainly terminated.
+
+        Either it had deregistered, or its VM refuses connections: no process listens on its port,
+        and a worker that starts again there is a new incarnation without runs.
+        """
+        departed = self._incarnation
+        if departed is None:
+            return
+        if departed != self._deregistered and self._refused_polls < REFUSED_POLLS_MIN:
             return
         self._deregistered = None
         done = tuple(
@@ -366,9 +383,12 @@
             self._handle_refusal(error, token)
             return False
         except workers.WorkerError as error:
+            is_refused = isinstance(error, workers.NotListeningError)
+            self._refused_polls = self._refused_polls + 1 if is_refused else 0
             self._handle_no_answer(error)
             self._record_departure()
             return False
+        self._refused_polls = 0
         self._apply_status(status, number, token)
         return True
 
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -21,6 +21,8 @@
     NONE = "none"
     # Never responds; calls have no effect.
     SILENT = "silent"
+    # Has terminated; its VM refuses connections.
+    GONE = "gone"
     # Never responds to start orders, which take effect after a delay.
     LATE = "late"
     # Rejects start orders for lack of capacity.
@@ -131,12 +133,15 @@
             self._run_recorder.record_end(run.task, self.name, is_done=False)
         self._start_incarnation()
 
-    def terminate(self) -> None:
-        """Terminate all runs and stop responding."""
+    def terminate(self, fault: WorkerFault = WorkerFault.SILENT) -> None:
+        """Terminate all runs and stop responding.
+
+        :param fault: how calls fail from now on.
+        """
         for run in self._runs.values():
             self._run_recorder.record_end(run.task, self.name, is_done=False)
         self._runs.clear()
-        self.fault = WorkerFault.SILENT
+        self.fault = fault
 
     def finish_runs(self) -> None:
         """End all runs successfully now."""
@@ -212,6 +217,8 @@
         until_s = self._clock.now_s() + wait_ms / MILLISECONDS_PER_SECOND
         while not self._ends and self._clock.now_s() < until_s:
             await anyio.sleep(POLL_INTERVAL_S)
+            if self.fault is WorkerFault.GONE:
+                raise workers.WorkerError("the connection was closed", ran=errors.Ran.UNKNOWN)
             self.advance()
         running = tuple(
             workers.RunStatus(
@@ -234,6 +241,8 @@
         if self.fault is WorkerFault.SILENT:
             await anyio.sleep(0.5)
             raise workers.WorkerError("no response", ran=errors.Ran.UNKNOWN)
+        if self.fault is WorkerFault.GONE:
+            raise workers.NotListeningError("no process listens on the port")
         self.advance()
 
     def _check_token(self, token: int) -> None:
