Give a worker whose newest run failed one unit at a time

Cause: a worker that fails all it starts while its health check is good frees its capacity within 30 to 400 ms and was given the next task, and the next. It was ejected only after failures of two different jobs, each success of a run that had started before the fault reset the count, second attempts went to workers of the same kind, and units that had waited for longer than their estimate were given to ejected workers as well.

Change: a worker whose newest run failed is on trial. After a pause that grows with each failed trial it gets one unit, until a run that started after the failure succeeds or shows progress; the trials of a pool are ignored when more than half of it is on trial. A unit that has failed before is not used for trials and goes where starts succeeded last. Waiting long is a reason to use workers that are not trusted only if the unit would not fit on the others even when they are idle.

--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -94,6 +94,11 @@
             self.percent = percent
             self.progressed_s = now_s
 
+    @property
+    def has_proven_start(self) -> bool:
+        """Whether the run shows progress since its own start, not only that of a checkpoint."""
+        return self._is_fresh_start and self.percent >= PACE_PERCENT_MIN
+
     def pace_ratio(self, now_s: float) -> float | None:
         """Return the projected duration of the run as a multiple of its estimate.
 
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -8,7 +8,7 @@
 from papayaspar_lead import links, orders, reconciling, recording, state, workload
 from papayaspar_model import causality, clock
 from papayaspar_runs import messages
-from papayaspar_scheduling import ordering, planner
+from papayaspar_scheduling import fleet, health, ordering, planner
 from papayaspar_store import following, records, stores, views, writing
 
 MILLISECONDS_PER_SECOND = 1000.0
@@ -22,6 +22,9 @@
 # the attachment times the stride; agents raise their own tokens within a stride.
 EPOCH_SHIFT_BITS = 24
 TOKEN_STRIDE = 64
+# When more than this share of the workers are on trial, their runs fail for reasons of the jobs
+# rather than of the workers.
+TRIAL_SHARE_MAX = 0.5
 # Default retention of the records of ended jobs, in seconds.
 RETENTION_S = 120.0
 
@@ -292,10 +295,9 @@
                 continue
             if link.has_refused_recently(now_s):
                 continue
-            outcomes = self._state.work.outcomes(link.node)
-            link.worker.is_trusted = not outcomes.is_ejected(now_s)
-            link.worker.slowness = outcomes.slowness
+            self._update_health(link.worker, now_s)
             candidates.append(link.worker)
+        _end_uninformative_trials(candidates)
         unassigned = self._unassigned_runs()
         plan = self._planner.plan(
             [demand for demand in demands if self._pool_of(demand) == pool],
@@ -319,6 +321,13 @@
         for start in plan.starts:
             self._orders.assign(start, now_s)
 
+    def _update_health(self, worker: fleet.Worker, now_s: float) -> None:
+        outcomes = self._state.work.outcomes(worker.node)
+        worker.is_trusted = not outcomes.is_ejected(now_s)
+        worker.slowness = outcomes.slowness
+        worker.trial = outcomes.trial(now_s, self._state.work.newest_start_s(worker.node))
+        worker.proven_s = outcomes.proven_s
+
     def _unassigned_runs(self) -> list[tuple[str, specs.Resources]]:
         """Return the runs on workers that no task is assigned to, such as runs of cancelled jobs.
 
@@ -354,3 +363,12 @@
             ):
                 continue
             self._recorder.delete_job(accepted_job)
+
+
+def _end_uninformative_trials(workers: list[fleet.Worker]) -> None:
+    """Ignore the trials of a pool in which more than ``TRIAL_SHARE_MAX`` are on trial."""
+    on_trial = [worker for worker in workers if worker.trial is not health.Trial.NONE]
+    if len(on_trial) <= TRIAL_SHARE_MAX * len(workers):
+        return
+    for worker in on_trial:
+        worker.trial = health.Trial.NONE
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -153,6 +153,11 @@
         """Return the tasks that are assigned to a VM."""
         return list(self._tasks_by_node.get(node, ()))
 
+    def newest_start_s(self, node: str) -> float:
+        """Return when the newest run on a VM started, on the lead's clock; ``-inf`` if none."""
+        starts_s = (task.started_s for task in self._tasks_by_node.get(node, ()))
+        return max(starts_s, default=float("-inf"))
+
     def pop_changed(self) -> list[progress.Task]:
         """Return the tasks whose records changed since the last call, and clear the list."""
         changed = list(self._changed_tasks.values())
@@ -259,6 +264,8 @@
         if run_status.percent > task.percent:
             task.update_progress(run_status.percent, now_s)
             self._record_pace(task, now_s)
+            if task.has_proven_start:
+                self.outcomes(task.record.node).record_health(task.started_s)
         if not run_status.checkpoint or not task.step.is_checkpointed:
             return
         task.checkpoint = run_status.checkpoint
@@ -276,7 +283,7 @@
         self.outcomes(task.record.node).record_pace(ratio)
 
     def _apply_success(self, node: str, task: progress.Task) -> None:
-        self.outcomes(node).record_success()
+        self.outcomes(node).record_success(task.started_s)
         for member in self.unit_of(task).members:
             # A gang is done as soon as one of its members is done.
             if not member.is_done:
@@ -286,7 +293,7 @@
         unit = self.unit_of(task)
         task.failed_nodes.add(node)
         self._requeue(task, unit.failures + 1)
-        if self.outcomes(node).record_failure(task.key.job_id, now_s):
+        if self.outcomes(node).record_failure(task.key.job_id, now_s, task.started_s):
             self._events.record(
                 lines.EventKind.WORKER_EJECTED,
                 detail=f"node={node} until_s={self.outcomes(node).ejected_until_s:.1f}",
--- a/libs/scheduling/src/papayaspar_scheduling/fleet.py
+++ b/libs/scheduling/src/papayaspar_scheduling/fleet.py
@@ -5,6 +5,7 @@
 import attrs
 
 from papayaspar_jobs import specs, tasks
+from papayaspar_scheduling import health
 
 
 @attrs.define
@@ -20,6 +21,8 @@
     :param is_open: whether the worker accepts new work.
     :param is_trusted: whether the worker is not ejected for the outcomes of its runs.
     :param slowness: run time of work on the worker divided by its estimate.
+    :param trial: whether the worker is on trial since its newest run failed.
+    :param proven_s: latest start of a run that succeeded or made progress, on the lead's clock.
     """
 
     node: str
@@ -31,6 +34,8 @@
     is_open: bool = False
     is_trusted: bool = True
     slowness: float = 1.0
+    trial: health.Trial = health.Trial.NONE
+    proven_s: float = float("-inf")
 
 
 class FreeCapacity:
@@ -43,6 +48,7 @@
         self._workers = {worker.node: worker for worker in workers}
         self._free = {worker.node: worker.capacity for worker in workers}
         self._step_counts: dict[tuple[str, str], int] = {}
+        self._trials: dict[str, str] = {}
 
     def copy(self) -> "FreeCapacity":
         """Return a copy whose reservations are independent."""
@@ -50,6 +56,7 @@
         duplicate._workers = self._workers
         duplicate._free = dict(self._free)
         duplicate._step_counts = dict(self._step_counts)
+        duplicate._trials = dict(self._trials)
         return duplicate
 
     def worker(self, node: str) -> Worker:
@@ -81,6 +88,24 @@
         self._free[node] = self._free[node].plus(resources)
         self._step_counts[node, step_name] = self._step_counts.get((node, step_name), 0) - 1
 
+    def begin_trial(self, node: str, unit_name: str) -> None:
+        """Reserve a worker that is on trial for one unit, in addition to its resources.
+
+        :param node: VM of the worker.
+        :param unit_name: name of the unit that tries the worker.
+        """
+        self._trials[node] = unit_name
+
+    def may_try(self, node: str, unit_name: str) -> bool:
+        """Return whether a unit may run on a worker that is on trial.
+
+        :param node: VM of the worker.
+        :param unit_name: name of the unit.
+        """
+        if self._workers[node].trial is not health.Trial.OPEN:
+            return False
+        return self._trials.get(node, unit_name) == unit_name
+
     def count(self, node: str, step_name: str) -> int:
         """Return the number of tasks of a step for which resources are reserved on a worker."""
         return self._step_counts.get((node, step_name), 0)
--- a/libs/scheduling/src/papayaspar_scheduling/health.py
+++ b/libs/scheduling/src/papayaspar_scheduling/health.py
@@ -3,8 +3,15 @@
 The mechanism is that of Envoy's outlier detection: no probes, ejection after consecutive failures,
 and an ejection time that grows with each repetition. A worker whose ejection has ended gets work
 again, but a single failure before its next success ejects it again.
+
+A worker that fails whatever it starts frees its capacity at once and would get the next unit, and
+the next. So a worker whose newest run failed is on trial, like a half-open circuit breaker: it gets
+one unit at a time, after a pause that grows with each failed trial, until a run that it started
+later succeeds or makes progress.
 """
 
+import enum
+
 import attrs
 
 # Number of consecutive failures, of different jobs, that eject a worker. If a tenth of all runs
@@ -13,12 +20,27 @@
 # Duration of the first ejection and of the longest one, in seconds: impairments last 3 to 12 s.
 EJECTION_S = 6.0
 EJECTION_MAX_S = 30.0
+# Pause before the first trial after a failure, in seconds; it doubles with each failed trial.
+TRIAL_PAUSE_S = 0.5
+TRIAL_PAUSE_MAX_S = 6.0
 # A worker is slow when its work takes at least this multiple of the estimate: estimates are off by
 # a fifth, healthy workers differ by a quarter (site files), and slow ones take at least four times
 # as long.
 SLOW_RATIO = 2.0
 
 
+class Trial(enum.Enum):
+    """Whether a worker is on trial since its newest run failed.
+
+    ``NONE``: it is not on trial. ``OPEN``: it may try one unit. ``CLOSED``: it tries a unit now, or
+    pauses after the failure.
+    """
+
+    NONE = "none"
+    OPEN = "open"
+    CLOSED = "closed"
+
+
 @attrs.define
 class Outcomes:
     """Outcomes of a worker's recent runs.
@@ -28,26 +50,59 @@
     :param ejected_until_s: when the worker gets work again, on the lead's clock.
     :param ejections: number of ejections since the last success.
     :param slowness: run time of the newest work divided by its estimate; 1 for healthy workers.
+    :param failed_s: time of the newest failure, on the lead's clock; ``None`` unless the worker is
+        on trial.
+    :param failed_trials: number of consecutive failures, each of a run that started after the one
+        before.
+    :param proven_s: latest start of a run that succeeded or made progress, on the lead's clock.
     """
 
     failed_jobs: set[str] = attrs.field(factory=set)
     ejected_until_s: float = 0.0
     ejections: int = 0
     slowness: float = 1.0
+    failed_s: float | None = None
+    failed_trials: int = 0
+    proven_s: float = float("-inf")
+
+    def record_success(self, started_s: float = float("inf")) -> None:
+        """Record a successful run.
 
-    def record_success(self) -> None:
-        """Record a successful run."""
+        A run that was already running at the newest failure proves nothing about runs that the
+        worker starts now.
+
+        :param started_s: start of the run, on the lead's clock; the default is after any failure.
+        """
+        if not self.record_health(started_s):
+            return
         self.failed_jobs.clear()
         self.ejections = 0
         self.ejected_until_s = 0.0
 
-    def record_failure(self, job_id: str, now_s: float) -> bool:
+    def record_health(self, started_s: float) -> bool:
+        """Record that a run succeeded or makes progress.
+
+        :param started_s: start of the run, on the lead's clock.
+        :return: whether the run started after the newest failure, which ends the trial.
+        """
+        self.proven_s = max(self.proven_s, started_s)
+        if self.failed_s is not None and started_s <= self.failed_s:
+            return False
+        self.failed_s = None
+        self.failed_trials = 0
+        return True
+
+    def record_failure(self, job_id: str, now_s: float, started_s: float = float("inf")) -> bool:
         """Record a failed run.
 
         :param job_id: job of the run.
         :param now_s: the lead's clock.
+        :param started_s: start of the run, on the lead's clock; the default is after any failure.
         :return: whether the failure ejects the worker.
         """
+        if self.failed_s is None or started_s > self.failed_s:
+            self.failed_trials += 1
+        self.failed_s = now_s
         self.failed_jobs.add(job_id)
         failure_limit = 1 if self.ejections else FAILURES_TO_EJECT
         if len(self.failed_jobs) < failure_limit or self.is_ejected(now_s):
@@ -71,6 +126,19 @@
         """
         self.slowness = ratio if ratio >= SLOW_RATIO else 1.0
 
+    def trial(self, now_s: float, newest_start_s: float) -> Trial:
+        """Return whether the worker is on trial.
+
+        :param now_s: the lead's clock.
+        :param newest_start_s: start of the newest run on the worker, on the lead's clock.
+        """
+        if self.failed_s is None:
+            return Trial.NONE
+        pause_s = min(TRIAL_PAUSE_MAX_S, TRIAL_PAUSE_S * 2 ** (self.failed_trials - 1))
+        if newest_start_s > self.failed_s or now_s < self.failed_s + pause_s:
+            return Trial.CLOSED
+        return Trial.OPEN
+
     def is_ejected(self, now_s: float) -> bool:
         """Return whether the worker is ejected and gets no work."""
         return now_s < self.ejected_until_s
--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -6,7 +6,7 @@
 import attrs
 
 from papayaspar_jobs import specs
-from papayaspar_scheduling import fleet, ordering
+from papayaspar_scheduling import fleet, health, ordering
 
 
 @attrs.frozen
@@ -15,8 +15,8 @@
 
     :param is_remote_allowed: whether the tasks may run on other racks than their data or than each
         other, which makes them slow.
-    :param is_untrusted_allowed: whether ejected workers, and workers on which the unit failed, are
-        allowed.
+    :param is_untrusted_allowed: whether ejected workers, workers on trial, and workers on which the
+        unit failed are allowed.
     """
 
     is_remote_allowed: bool = False
@@ -101,10 +101,29 @@
             continue
         if not scope.is_untrusted_allowed and worker.node in failed_nodes:
             continue
+        if not scope.is_untrusted_allowed and not _is_admitted(demand, free, worker):
+            continue
         usable.append(worker)
     return usable
 
 
+def _is_admitted(demand: ordering.Demand, free: fleet.FreeCapacity, worker: fleet.Worker) -> bool:
+    """Return whether a unit may run on a worker as far as its trial is concerned.
+
+    A unit that has failed before is not used for trials, since another failure may be its last.
+    """
+    if worker.trial is health.Trial.NONE:
+        return True
+    if demand.unit.failures > 0:
+        return False
+    return free.may_try(worker.node, unit_name(demand))
+
+
+def unit_name(demand: ordering.Demand) -> str:
+    """Return a name of a demand's unit that no other unit has."""
+    return str(demand.unit.members[0].key)
+
+
 def candidate_groups(
     demand: ordering.Demand, free: fleet.FreeCapacity, scope: PlacementScope
 ) -> Iterable[list[fleet.Worker]]:
@@ -149,18 +168,29 @@
 def _pack(
     demand: ordering.Demand, free: fleet.FreeCapacity, group: list[fleet.Worker]
 ) -> tuple[str, ...] | None:
-    ordered = sorted(
-        group,
-        key=lambda worker: (
-            round(worker.slowness, 1),
-            free.free(worker.node).accelerators,
-            free.free(worker.node).cpu_millicores,
-            worker.node,
-        ),
-    )
+    ordered = sorted(group, key=lambda worker: _packing_key(demand, free, worker))
     return _first_fit(demand, free, ordered)
 
 
+def _packing_key(
+    demand: ordering.Demand, free: fleet.FreeCapacity, worker: fleet.Worker
+) -> tuple[float | bool | str, ...]:
+    """Return a sort key; the smallest is filled first.
+
+    A unit that has failed before runs on the workers that most recently proved that they can start
+    work.
+    """
+    available = free.free(worker.node)
+    return (
+        worker.trial is not health.Trial.NONE,
+        round(worker.slowness, 1),
+        -worker.proven_s if demand.unit.failures > 0 else 0.0,
+        available.accelerators,
+        available.cpu_millicores,
+        worker.node,
+    )
+
+
 def _first_fit(
     demand: ordering.Demand, free: fleet.FreeCapacity, group: list[fleet.Worker]
 ) -> tuple[str, ...] | None:
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -4,8 +4,8 @@
 
 from papayaspar_scheduling import evictions, fleet, ordering, placement, preemption
 
-# A unit may use remote racks, which make it slow, and ejected workers once it has waited this
-# multiple of its estimate.
+# A unit may use remote racks, which make it slow, once it has waited this multiple of its estimate;
+# also workers that are not trusted, if it would not fit on the others even when they are idle.
 REMOTE_AFTER_ESTIMATES = 1.0
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -192,13 +192,22 @@
             )
             if has_waited_long or not (fits or self._is_reconnect_expected):
                 scopes.append(placement.PlacementScope(is_remote_allowed=True))
-        if has_waited_long:
+        if has_waited_long and not _fits_trusted(demand, free_after_stops):
             scopes.append(
                 placement.PlacementScope(is_remote_allowed=True, is_untrusted_allowed=True)
             )
         return scopes
 
 
+def _fits_trusted(demand: ordering.Demand, free: fleet.FreeCapacity) -> bool:
+    """Return whether a unit would fit on the trusted workers of all racks if they were idle."""
+    scope = placement.PlacementScope(is_remote_allowed=True)
+    return any(
+        placement.can_hold_when_empty(demand, group)
+        for group in placement.candidate_groups(demand, free, scope)
+    )
+
+
 class _UnplaceableKeys:
     """Placement keys of the units that do not fit into the free capacity, which only shrinks.
 
@@ -232,6 +241,7 @@
         step.is_same_rack,
         len(demand.unit.members),
         demand.unit.failed_nodes,
+        demand.unit.failures > 0,
         _has_waited_long(demand),
         limited_step,
     )
@@ -245,6 +255,7 @@
 def _reserve(demand: ordering.Demand, nodes: tuple[str, ...], free: fleet.FreeCapacity) -> None:
     for task, node in zip(demand.unit.members, nodes, strict=True):
         free.reserve(node, task.step.counted_resources, fleet.step_name(task.key))
+        free.begin_trial(node, placement.unit_name(demand))
 
 
 def _release(victim: preemption.Victim, free: fleet.FreeCapacity) -> None:
--- a/libs/scheduling/tests/test_health.py
+++ b/libs/scheduling/tests/test_health.py
@@ -35,3 +35,30 @@
     assert outcomes.slowness == 6.5
     outcomes.record_pace(1.1)
     assert outcomes.slowness == 1.0
+
+
+def test_success_of_a_run_that_started_before_a_failure_does_not_clear_it():
+    outcomes = health.Outcomes()
+    outcomes.record_failure("job-1", 10.0, started_s=9.9)
+    outcomes.record_success(started_s=5.0)
+    assert outcomes.trial(20.0, 5.0) is health.Trial.OPEN
+    outcomes.record_success(started_s=11.0)
+    assert outcomes.trial(20.0, 11.0) is health.Trial.NONE
+
+
+def test_worker_is_tried_again_after_a_pause_that_grows_with_failed_trials():
+    outcomes = health.Outcomes()
+    outcomes.record_failure("job-1", 10.0, started_s=9.9)
+    assert outcomes.trial(10.0, 9.9) is health.Trial.CLOSED
+    assert outcomes.trial(10.0 + health.TRIAL_PAUSE_S, 9.9) is health.Trial.OPEN
+    assert outcomes.trial(11.0, 10.9) is health.Trial.CLOSED
+    outcomes.record_failure("job-1", 11.0, started_s=10.9)
+    assert outcomes.trial(11.0 + health.TRIAL_PAUSE_S, 10.9) is health.Trial.CLOSED
+    assert outcomes.trial(11.0 + 2 * health.TRIAL_PAUSE_S, 10.9) is health.Trial.OPEN
+
+
+def test_runs_that_fail_together_count_as_one_failed_trial():
+    outcomes = health.Outcomes()
+    for _ in range(8):
+        outcomes.record_failure("job-1", 10.0, started_s=9.9)
+    assert outcomes.failed_trials == 1
--- /dev/null
+++ b/libs/scheduling/tests/test_trials.py
@@ -0,0 +1,69 @@
+"""Placement while workers fail whatever they start and say that they are healthy.
+
+The load is a job of many equal tasks, as of overnight print sheets: each task that fails at once
+frees its place for the next one.
+"""
+
+from papayaspar_jobs import tasks
+from papayaspar_scheduling import health, ordering
+
+NORMAL = ordering.Rank.NORMAL
+
+
+def _put_on_trial(cluster, node, trial=health.Trial.OPEN):
+    for worker in cluster.workers:
+        if worker.node == node:
+            worker.trial = trial
+
+
+def _nodes(plan):
+    return [node for start in plan.starts for node in start.nodes]
+
+
+def test_worker_on_trial_gets_one_unit_at_a_time(cluster, make_step):
+    _put_on_trial(cluster, "node-0")
+    for _ in range(4 * 8):
+        cluster.add_waiting_unit(make_step(accelerators=1), NORMAL)
+    nodes = _nodes(cluster.plan())
+    assert nodes.count("node-0") == 1
+    assert len(nodes) == 3 * 8 + 1
+
+
+def test_worker_that_tries_a_unit_or_pauses_gets_no_other(cluster, make_step):
+    _put_on_trial(cluster, "node-0", health.Trial.CLOSED)
+    for _ in range(4 * 8):
+        cluster.add_waiting_unit(make_step(accelerators=1), NORMAL)
+    assert "node-0" not in _nodes(cluster.plan())
+
+
+def test_unit_that_has_failed_waits_rather_than_trying_a_worker(cluster, make_step):
+    for node in ("node-0", "node-1", "node-2"):
+        cluster.add_running_unit(make_step(), node, rank=NORMAL)
+    _put_on_trial(cluster, "node-3")
+    unit = cluster.add_waiting_unit(make_step(accelerators=1), NORMAL, waited_s=60.0)
+    unit.members[0].record = tasks.TaskRecord(failures=1)
+    assert cluster.plan().starts == ()
+
+
+def test_unit_that_has_failed_runs_where_starts_succeeded_last(cluster, make_step):
+    for number, worker in enumerate(cluster.workers):
+        worker.proven_s = {2: 90.0, 3: 50.0}.get(number, float("-inf"))
+    unit = cluster.add_waiting_unit(make_step(accelerators=1), NORMAL)
+    unit.members[0].record = tasks.TaskRecord(failures=1)
+    assert _nodes(cluster.plan()) == ["node-2"]
+
+
+def test_overload_is_no_reason_to_use_an_ejected_worker(cluster, make_step):
+    for node in ("node-0", "node-1", "node-2"):
+        cluster.add_running_unit(make_step(), node, rank=NORMAL)
+    cluster.workers[3].is_trusted = False
+    cluster.add_waiting_unit(make_step(), NORMAL, waited_s=60.0)
+    assert cluster.plan().starts == ()
+
+
+def test_ejected_worker_is_used_when_no_other_could_hold_the_unit(cluster, make_step):
+    for worker in cluster.workers[:3]:
+        worker.is_open = False
+    cluster.workers[3].is_trusted = False
+    cluster.add_waiting_unit(make_step(), NORMAL, waited_s=60.0)
+    assert _nodes(cluster.plan()) == ["node-3"]
