Refuse odd frames and addresses instead of ending the process

Here, a text that is no address (a port out of range, too many digits, a host name) raised OverflowError or ValueError in whatever task dialled it, and a frame with a list as a map key or an unknown kind ended the process that read it.

Change: Address.parse validates the host and the port and raises AddressError, which callers that dial handle like any other lost peer; the codec turns every decoding error into ProtocolError.

Result: libs/wire/tests/test_peers.py -k odd; these cases raised other errors before.

--- a/libs/agent/src/papayaspar_agent/process.py
+++ b/libs/agent/src/papayaspar_agent/process.py
@@ -180,8 +180,15 @@
         for address in addresses:
             if address in self._known_entries:
                 continue
+            try:
+                parsed_address = transports.Address.parse(address)
+            except transports.AddressError as error:
+                self._journal.record(
+                    lines.EventKind.RECORD_REFUSED, code=error.code, detail=error.detail
+                )
+                continue
             self._known_entries.add(address)
-            self._group.start_soon(self._maintain_entry_stream, transports.Address.parse(address))
+            self._group.start_soon(self._maintain_entry_stream, parsed_address)
 
     def report(self) -> workers.WorkerReport:
         """Return the current state of the worker."""
--- a/libs/wire/src/papayaspar_wire/codecs.py
+++ b/libs/wire/src/papayaspar_wire/codecs.py
@@ -15,6 +15,8 @@
 # A complete message and the bytes that follow it in the same read.
 BUFFER_MAX_BYTES = MESSAGE_MAX_BYTES + 128 * 1024
 INTEGER_MAX = 2**63 - 1
+# Errors that values of other types or of extreme size cause when they are structured.
+STRUCTURE_ERRORS = (KeyError, TypeError, ValueError, OverflowError, RecursionError)
 
 
 class FrameKind(enum.Enum):
@@ -86,7 +88,8 @@
         try:
             unpacker.feed(data)
             decoded = list(unpacker)
-        except (msgpack.UnpackException, ValueError) as error:
+        except (msgpack.UnpackException, ValueError, TypeError, RecursionError) as error:
+            # TypeError: a map has a key that is not hashable.
             raise errors.ProtocolError(f"not msgpack: {type(error).__name__}") from error
         for fields in decoded:
             yield self.structure(fields)
@@ -102,12 +105,13 @@
             kind, call_id, stamp, name, body = cast(tuple[str, int, int, str, object], fields)
             _check_integer(call_id)
             _check_integer(stamp)
+            frame_kind = FrameKind(kind)
             if not name:
-                return Frame(FrameKind(kind), call_id, stamp)
+                return Frame(frame_kind, call_id, stamp)
             message: object = self._converter.structure(body, self._types[name])
-        except (cattrs.BaseValidationError, KeyError, TypeError, ValueError) as error:
+        except (cattrs.BaseValidationError, *STRUCTURE_ERRORS) as error:
             raise errors.ProtocolError(f"not a frame: {type(error).__name__}") from error
-        return Frame(FrameKind(kind), call_id, stamp, message)
+        return Frame(frame_kind, call_id, stamp, message)
 
 
 def _check_integer(value: object) -> None:
--- a/libs/wire/src/papayaspar_wire/transports.py
+++ b/libs/wire/src/papayaspar_wire/transports.py
@@ -1,5 +1,6 @@
 """TCP connections to IP addresses, with optional mutual TLS."""
 
+import ipaddress
 import pathlib
 import ssl
 from collections.abc import Awaitable, Callable
@@ -12,6 +13,17 @@
 from papayaspar_model import errors
 
 CONNECT_TIMEOUT_S = 3.0
+PORT_MAX = 65_535
+PORT_DIGITS_MAX = 5
+# Number of characters of an invalid address that an error shows.
+ADDRESS_SHOWN_MAX = 64
+
+
+class AddressError(errors.PeerError):
+    """A text is not an IP address and a port."""
+
+    code = "address_invalid"
+    title = "The address is not valid"
 
 
 @attrs.frozen
@@ -27,9 +39,22 @@
 
     @classmethod
     def parse(cls, text: str) -> "Address":
-        """Return the address written as ``ip:port``; the settings have validated the text."""
+        """Return the address written as ``ip:port``.
+
+        :raises AddressError: when the text is not an IP address and a port.
+        """
         host, _, port = text.rpartition(":")
-        return cls(host.strip("[]"), int(port))
+        if host.startswith("[") and host.endswith("]"):
+            host = host[1:-1]
+        if not (port.isascii() and port.isdecimal()) or len(port) > PORT_DIGITS_MAX:
+            raise AddressError(f"not ip:port: {text[:ADDRESS_SHOWN_MAX]!r}")
+        if int(port) > PORT_MAX:
+            raise AddressError(f"the port is out of range: {text[:ADDRESS_SHOWN_MAX]!r}")
+        try:
+            ipaddress.ip_address(host)
+        except ValueError as error:
+            raise AddressError(f"not an IP address: {text[:ADDRESS_SHOWN_MAX]!r}") from error
+        return cls(host, int(port))
 
     def __str__(self) -> str:
         return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
--- a/libs/wire/tests/test_peers.py
+++ b/libs/wire/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Tests of streams: replies, late replies, silent peers, limits and invalid frames."""
 
 import anyio
+import msgpack
 import pytest
 
 from papayaspar_model import causality, clock, errors
@@ -117,3 +118,48 @@
     frame = codecs.Frame(codecs.FrameKind.CALL, 1, 0, messages.EventsWanted(1))
     with pytest.raises(errors.ProtocolError):
         codec.pack(frame)
+
+
+# Guards against a process that ends at an odd frame of any process that can reach its port.
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x91" * 100_000 + b"\xc0",
+        b"\x81\x90\x01",
+        msgpack.packb(["?", 1, 0, "", None]),
+        msgpack.packb([[], 1, 0, "EventsWanted", {"limit": 1}]),
+        msgpack.packb(["n", 1, 0, ["EventsWanted"], {}]),
+        msgpack.packb(["n", 1, 2**64 - 1, "EventsWanted", {"limit": 1}]),
+        msgpack.packb(["n", 1, 0, "EventsWanted", {"limit": float("inf")}]),
+        msgpack.packb(["n", 1, 0, "EventsWanted", {"limit": float("nan")}]),
+        b"\xc1",
+    ],
+    ids=[
+        "nested",
+        "list-as-key",
+        "unknown-kind",
+        "kind-is-a-list",
+        "name-is-a-list",
+        "large-stamp",
+        "infinity",
+        "not-a-number",
+        "no-msgpack",
+    ],
+)
+def test_odd_frame_is_a_protocol_error(data):
+    codec = messages.codec()
+    with pytest.raises(errors.ProtocolError):
+        list(codec.read(codec.unpacker(), data))
+
+
+@pytest.mark.parametrize(
+    "text", ["10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:", "10.0.0.1", ":80", "host:80", "[::1:80"]
+)
+def test_odd_address_is_refused(text):
+    with pytest.raises(transports.AddressError):
+        transports.Address.parse(text)
+
+
+def test_address_is_parsed():
+    assert transports.Address.parse("10.0.0.1:65535") == transports.Address("10.0.0.1", 65535)
+    assert transports.Address.parse("[::1]:80") == transports.Address("::1", 80)
