Skip odd records of another writer in the store

What would have happened: one agent's record with a port out of range ended the lead, and then each entry that took over; a task record that can't be read made every new lead give up; a lead's record with an epoch near 2^64 made every election fail; numbers that no message can hold were accepted and could not be stored again.

Cause: records were decoded into types, but neither their numbers and texts nor their addresses and keys were checked, and a record that failed later raised errors that nobody handles.

Change: decoding refuses numbers that are not finite or beyond 2^53 and texts that are not Unicode; the view checks jobs as their submission is checked, and that a record belongs to its key; a new lead skips task records that it can't read.

--- a/libs/jobs/src/papayaspar_jobs/specs.py
+++ b/libs/jobs/src/papayaspar_jobs/specs.py
@@ -15,6 +15,10 @@
 # Maximum number of tasks in all steps of a job together; the largest gang at the scale that the
 # system is designed for has 512 tasks.
 TASKS_MAX = 10_000
+# Maximum number of tasks in all occurrences of a job together.
+SCHEDULED_TASKS_MAX = 100_000
+# Largest number in a job: it fits into every message.
+NUMBER_MAX = 2**53
 
 
 class InvalidJobError(errors.InvalidRequestError):
@@ -212,6 +216,12 @@
         raise InvalidJobError(f"a job must not exceed {TASKS_MAX} tasks", field="steps")
     for step_number, step in enumerate(spec.steps):
         _validate_step(step_number, step)
+    task_count = sum(step.task_count for step in spec.steps)
+    if spec.schedule is not None and spec.schedule.times * task_count > SCHEDULED_TASKS_MAX:
+        raise InvalidJobError(
+            f"a job must not exceed {SCHEDULED_TASKS_MAX} tasks in all occurrences",
+            field="schedule",
+        )
     if spec.schedule is not None and (spec.schedule.times < 1 or spec.schedule.interval_ms < 0):
         raise InvalidJobError(
             "a schedule must have at least one occurrence and no negative interval",
@@ -225,6 +235,11 @@
         raise InvalidJobError("a step must have at least one task", field=f"{path}.count")
     if min(step.room.cpu_millicores, step.room.memory_mb, step.room.accelerators) < 0:
         raise InvalidJobError("a task's resources must not be negative", field=f"{path}.room")
+    numbers = (step.room.cpu_millicores, step.room.memory_mb, step.room.accelerators)
+    if max(*numbers, step.estimate_ms, step.per_worker_max) > NUMBER_MAX:
+        raise InvalidJobError("a number is too large", field=path)
+    if step.estimate_ms < 0 or step.per_worker_max < 0:
+        raise InvalidJobError("a step must not have negative numbers", field=path)
     for predecessor in step.after:
         if not 0 <= predecessor < step_number:
             raise InvalidJobError("a step may only depend on earlier steps", field=f"{path}.after")
--- a/libs/jobs/src/papayaspar_jobs/tasks.py
+++ b/libs/jobs/src/papayaspar_jobs/tasks.py
@@ -7,6 +7,10 @@
 from papayaspar_model import errors
 
 KEY_PARTS = 4
+# Largest number of digits of a number in a task key.
+KEY_DIGITS_MAX = 9
+# Number of characters of an invalid key that an error shows.
+KEY_SHOWN_MAX = 64
 
 
 @attrs.frozen(order=True, cache_hash=True)
@@ -35,11 +39,17 @@
         """
         parts = text.split(".")
         numbers = parts[1:]
-        if len(parts) != KEY_PARTS or not all(part.isdecimal() for part in numbers):
-            raise errors.InvalidRequestError(f"not a task key: {text!r}", field="task")
+        if len(parts) != KEY_PARTS or not all(_is_number(part) for part in numbers):
+            raise errors.InvalidRequestError(
+                f"not a task key: {text[:KEY_SHOWN_MAX]!r}", field="task"
+            )
         return cls(parts[0], int(numbers[0]), int(numbers[1]), int(numbers[2]))
 
 
+def _is_number(text: str) -> bool:
+    return text.isdecimal() and len(text) <= KEY_DIGITS_MAX
+
+
 class TaskPhase(enum.Enum):
     """Scheduling state of a task."""
 
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -6,7 +6,7 @@
 from papayaspar_events import journal, lines
 from papayaspar_jobs import configurations, specs, tasks
 from papayaspar_lead import links, orders, reconciling, recording, state, workload
-from papayaspar_model import causality, clock
+from papayaspar_model import causality, clock, errors
 from papayaspar_runs import messages
 from papayaspar_scheduling import fleet, health, ordering, planner
 from papayaspar_store import following, records, stores, views, writing
@@ -105,8 +105,15 @@
         for record in snapshot.records:
             if not record.value or not record.key.startswith(records.TASK_PREFIX):
                 continue
-            key = tasks.TaskKey.parse(record.key.removeprefix(records.TASK_PREFIX))
-            stored = records.decode(record, tasks.TaskRecord)
+            try:
+                key = tasks.TaskKey.parse(record.key.removeprefix(records.TASK_PREFIX))
+                stored = records.decode(record, tasks.TaskRecord)
+            except errors.PapayasparError as error:
+                # Another writer's record names no task of this system.
+                self._state.events.record(
+                    lines.EventKind.RECORD_REFUSED, code=error.code, detail=f"key={record.key}"
+                )
+                continue
             self._state.work.restore(key, stored, self._state.clock.now_s())
 
     def link(self, node: str) -> links.AgentLink | None:
--- a/libs/store/src/papayaspar_store/records.py
+++ b/libs/store/src/papayaspar_store/records.py
@@ -12,6 +12,11 @@
 
 RecordT = TypeVar("RecordT")
 
+# Largest absolute value of a number in a record: it fits into every message.
+NUMBER_MAX = 2**53
+# Largest epoch of a lead, so that fencing tokens made of it fit into 63 bits.
+EPOCH_MAX = 2**38
+
 TOPIC = "keyed.papayaspar"
 # Partition of jobs, cancellations, job states, the lead and agents; every entry follows it.
 SHARED_PARTITION = stores.Partition(TOPIC, 0)
@@ -125,6 +130,9 @@
     departure: Departure | None = None
 
 
+# Errors that values of other types or of extreme size cause when they are structured.
+STRUCTURE_ERRORS = (ValueError, TypeError, KeyError, OverflowError, RecursionError)
+
 _converter = cattrs_msgpack.make_converter(omit_if_default=True)
 
 
@@ -137,9 +145,41 @@
 def decode(record: stores.KeyedRecord, record_type: type[RecordT]) -> RecordT:
     """Return a record decoded from the store.
 
-    :raises RecordError: when the value is not a record of the type.
+    :raises RecordError: when the value is not a record of the type, or has a number or a text that
+        can't be stored again.
     """
     try:
-        return _converter.structure(msgpack.unpackb(record.value), record_type)
-    except (cattrs.BaseValidationError, ValueError, TypeError, KeyError) as error:
+        decoded = _converter.structure(msgpack.unpackb(record.value), record_type)
+    except (cattrs.BaseValidationError, *STRUCTURE_ERRORS) as error:
         raise failures.RecordError(f"{record.key}: {type(error).__name__}") from error
+    _check(decoded, record.key)
+    return decoded
+
+
+def _check(value: object, key: str) -> None:
+    """Check the numbers and texts of a decoded value.
+
+    :raises RecordError: when a number is not finite or too large, or a text is not valid Unicode.
+    """
+    if isinstance(value, int | float):
+        if not abs(value) <= NUMBER_MAX:
+            raise failures.RecordError(f"{key}: a number is out of range")
+        return
+    if isinstance(value, str):
+        if not _is_encodable(value):
+            raise failures.RecordError(f"{key}: a text is not valid Unicode")
+        return
+    if isinstance(value, tuple | frozenset):
+        for element in value:
+            _check(element, key)
+        return
+    for name in getattr(type(value), "__match_args__", ()):
+        _check(getattr(value, name), key)
+
+
+def _is_encodable(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/libs/store/src/papayaspar_store/views.py
+++ b/libs/store/src/papayaspar_store/views.py
@@ -1,6 +1,6 @@
 """An entry's view of the shared partition: jobs, the lead and the agents."""
 
-from papayaspar_jobs import registries
+from papayaspar_jobs import registries, specs
 from papayaspar_model import clock
 from papayaspar_store import failures, following, records, stores
 
@@ -35,6 +35,7 @@
             return
         if key.startswith(records.JOB_PREFIX):
             job = records.decode(record, records.JobRecord)
+            _check_job(job, key)
             self.jobs.accept(job.spec, job.queue, job.accepted_ms)
         elif key.startswith(records.CANCEL_PREFIX):
             self.jobs.cancel(key.removeprefix(records.CANCEL_PREFIX))
@@ -43,6 +44,8 @@
             self._apply_state(key.removeprefix(records.STATE_PREFIX), state)
         elif key.startswith(records.AGENT_PREFIX):
             agent = records.decode(record, records.AgentRecord)
+            if agent.node != key.removeprefix(records.AGENT_PREFIX):
+                raise failures.RecordError(f"{key}: the record is of another VM")
             self.agents[agent.node] = agent
         elif key == records.LEAD_KEY:
             self._apply_lead(records.decode(record, records.LeadRecord))
@@ -56,6 +59,8 @@
             job.ended_s = self._clock.now_s()
 
     def _apply_lead(self, lead: records.LeadRecord) -> None:
+        if not 0 <= lead.epoch <= records.EPOCH_MAX:
+            raise failures.RecordError("the epoch of the lead is out of range")
         if self.lead is not None and lead.epoch < self.lead.epoch:
             return
         self.lead = lead
@@ -66,3 +71,16 @@
             self.jobs.forget(key.removeprefix(records.JOB_PREFIX))
         elif key.startswith(records.AGENT_PREFIX):
             self.agents.pop(key.removeprefix(records.AGENT_PREFIX), None)
+
+
+def _check_job(job: records.JobRecord, key: str) -> None:
+    """Check a job's record as its submission was checked.
+
+    :raises RecordError: when the job is not valid or is stored under another key.
+    """
+    if job.spec.job_id != key.removeprefix(records.JOB_PREFIX):
+        raise failures.RecordError(f"{key}: the record is of another job")
+    try:
+        specs.validate(job.spec)
+    except specs.InvalidJobError as error:
+        raise failures.RecordError(f"{key}: {error.detail}") from error
