Refuse odd numbers and texts in the platform's messages

One heartbeat with a lone surrogate in a label or a capacity beyond 2^64 ended the agent when it reported its state; NaN, infinity or 400 digits in a configuration or a job raised errors that nobody handles; one odd item kept a follower from ever loading a partition.

--- a/tests/adapter/test_clients.py
+++ b/tests/adapter/test_clients.py
@@ -176,3 +176,24 @@
     with pytest.raises(workers.WorkerError) as caught:
         await worker.poll(7, 0, None, 0, "")
     assert caught.value.ran is errors.Ran.UNKNOWN
+
+
+# Guards against a reader that never finishes loading a partition because of one odd item.
+@pytest.mark.parametrize(
+    "odd_item",
+    [
+        3,
+        {},
+        {"key": 3, "value": "", "offset": 1},
+        {"key": "odd", "value": "é", "offset": 1},
+        {"key": "odd", "value": "a", "offset": 1},
+        {"key": "odd", "value": "", "offset": 10**40},
+        {"key": "odd", "value": "", "offset": [[]]},
+    ],
+)
+async def test_snapshot_leaves_out_an_odd_item(server, store, odd_item):
+    item = {"key": "k", "value": base64.b64encode(b"v").decode(), "offset": 4}
+    page = {"items": [item, odd_item], "has_more": False, "end": 6}
+    server[0].queue_answer(200, page)
+    snapshot = await store.read_snapshot(PARTITION)
+    assert [record.key for record in snapshot.records if record.key] == ["k"]
