Let units that do not fit claim capacity that will be released

Cause: a waiting unit that does not fit had no claim on anything. Each accelerator that a small task released was given to the next one, whatever its rank, so that no worker ever became free as a whole.

Change: the first units in the order that do not fit claim the workers on which they can start first, from the estimated ends of what runs there. Later units use that capacity only if they end before the claim begins. Bulk work claims nothing, at most half of the workers are claimed, and nothing is claimed while less than half of the accelerators are used.

--- /dev/null
+++ b/libs/scheduling/src/papayaspar_scheduling/claims.py
@@ -0,0 +1,132 @@
+"""Claims of waiting units on capacity that running units will release (backfilling).
+
+Without a claim, a gang of whole workers waits for as long as smaller tasks keep coming: each of
+them takes the place of the one that ended before, whatever its rank. A unit that does not fit
+claims the workers on which it can start first. Units that come later in the order use that
+capacity only if they are expected to end before the claim begins, as in EASY backfilling (Lifka,
+"The ANL/IBM SP scheduling system", 1995).
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from papayaspar_jobs import specs
+from papayaspar_scheduling import fleet, ordering, preemption
+
+
+@attrs.frozen
+class Claim:
+    """A claim of one unit.
+
+    :param nodes: VM of each member.
+    :param starts_in_s: expected time until all members can start, in seconds.
+    """
+
+    nodes: tuple[str, ...]
+    starts_in_s: float
+
+
+class Releases:
+    """Resources that running units are expected to release, by VM.
+
+    :param running: the running units.
+    :param now_s: the lead's clock.
+    """
+
+    def __init__(self, running: Iterable[preemption.Victim], now_s: float) -> None:
+        self._by_node: dict[str, list[tuple[float, specs.Resources]]] = {}
+        for victim in running:
+            members = [task for task in victim.unit.members if task.is_assigned]
+            remaining_s = max((task.remaining_s(now_s) for task in members), default=0.0)
+            for task in members:
+                released = (remaining_s, task.step.counted_resources)
+                self._by_node.setdefault(task.record.node, []).append(released)
+        for releases in self._by_node.values():
+            releases.sort(key=lambda release: release[0])
+
+    def on_node(self, node: str) -> list[tuple[float, specs.Resources]]:
+        """Return the releases on a VM, earliest first: time until then in seconds, resources."""
+        return self._by_node.get(node, [])
+
+
+def earliest(
+    demand: ordering.Demand,
+    groups: Iterable[list[fleet.Worker]],
+    free: fleet.FreeCapacity,
+    releases: Releases,
+) -> Claim | None:
+    """Return the claim with which a unit can start first, or ``None`` if it never fits.
+
+    :param demand: demand of the waiting unit.
+    :param groups: sets of workers on which the unit may be placed as a whole.
+    :param free: free capacity.
+    :param releases: resources that running units will release.
+    """
+    best: Claim | None = None
+    best_key = (0.0, 0.0)
+    member_count = len(demand.unit.members)
+    for group in groups:
+        slots: list[tuple[float, float, str]] = []
+        for worker in group:
+            for starts_in_s in _slot_times(demand, worker, free, releases):
+                slots.append((round(worker.slowness, 1), starts_in_s, worker.node))
+        if len(slots) < member_count:
+            continue
+        chosen = sorted(slots)[:member_count]
+        starts_in_s = max(slot[1] for slot in chosen)
+        key = (chosen[-1][0], starts_in_s)
+        if best is None or key < best_key:
+            best, best_key = Claim(tuple(slot[2] for slot in chosen), starts_in_s), key
+    return best
+
+
+def _slot_times(
+    demand: ordering.Demand,
+    worker: fleet.Worker,
+    free: fleet.FreeCapacity,
+    releases: Releases,
+) -> list[float]:
+    """Return when a worker has room for one member, for another, and so on, in seconds from now."""
+    step = demand.unit.step
+    resources = step.counted_resources
+    slots_max = len(demand.unit.members)
+    if step.per_worker_max:
+        step_name = fleet.step_name(demand.unit.members[0].key)
+        slots_max = min(slots_max, step.per_worker_max - free.count(worker.node, step_name))
+    available = free.unclaimed(worker.node)
+    times: list[float] = []
+    for starts_in_s, released in [(0.0, specs.Resources()), *releases.on_node(worker.node)]:
+        available = available.plus(released)
+        while len(times) < slots_max and available.holds(resources):
+            times.append(starts_in_s)
+            available = available.minus(resources)
+    return times
+
+
+def begin(claim: Claim, demand: ordering.Demand, capacities: Iterable[fleet.FreeCapacity]) -> None:
+    """Enter a claim in free capacities.
+
+    :param claim: the claim.
+    :param demand: demand of the claiming unit.
+    :param capacities: free capacities of the planning round.
+    """
+    for free in capacities:
+        for task, node in zip(demand.unit.members, claim.nodes, strict=True):
+            free.claim(node, task.step.counted_resources, claim.starts_in_s)
+
+
+def used_share(free: fleet.FreeCapacity) -> float:
+    """Return the share of the accelerators that are used or reserved."""
+    total = sum(worker.capacity.accelerators for worker in free.workers())
+    if not total:
+        return 0.0
+    return 1.0 - sum(free.free(worker.node).accelerators for worker in free.workers()) / total
+
+
+def claimed_share(free: fleet.FreeCapacity) -> float:
+    """Return the share of the workers on which capacity is claimed."""
+    workers = list(free.workers())
+    if not workers:
+        return 0.0
+    return sum(free.is_claimed(worker.node) for worker in workers) / len(workers)
--- a/libs/scheduling/src/papayaspar_scheduling/fleet.py
+++ b/libs/scheduling/src/papayaspar_scheduling/fleet.py
@@ -49,6 +49,8 @@
         self._free = {worker.node: worker.capacity for worker in workers}
         self._step_counts: dict[tuple[str, str], int] = {}
         self._trials: dict[str, str] = {}
+        self._claimed: dict[str, specs.Resources] = {}
+        self._claimed_in_s: dict[str, float] = {}
 
     def copy(self) -> "FreeCapacity":
         """Return a copy whose reservations are independent."""
@@ -57,6 +59,8 @@
         duplicate._free = dict(self._free)
         duplicate._step_counts = dict(self._step_counts)
         duplicate._trials = dict(self._trials)
+        duplicate._claimed = dict(self._claimed)
+        duplicate._claimed_in_s = dict(self._claimed_in_s)
         return duplicate
 
     def worker(self, node: str) -> Worker:
@@ -88,6 +92,34 @@
         self._free[node] = self._free[node].plus(resources)
         self._step_counts[node, step_name] = self._step_counts.get((node, step_name), 0) - 1
 
+    def claim(self, node: str, resources: specs.Resources, starts_in_s: float) -> None:
+        """Claim resources of a worker for a unit that can't start yet.
+
+        :param node: VM of the worker.
+        :param resources: resources of one member of the unit.
+        :param starts_in_s: expected time until the unit starts, in seconds.
+        """
+        self._claimed[node] = self._claimed.get(node, specs.Resources()).plus(resources)
+        self._claimed_in_s[node] = min(starts_in_s, self._claimed_in_s.get(node, starts_in_s))
+
+    def is_claimed(self, node: str) -> bool:
+        """Return whether resources of a worker are claimed."""
+        return node in self._claimed
+
+    def unclaimed(self, node: str) -> specs.Resources:
+        """Return the free resources of a worker that are not claimed."""
+        return self._free[node].minus(self._claimed.get(node, specs.Resources()))
+
+    def available(self, node: str, duration_s: float) -> specs.Resources:
+        """Return the free resources of a worker for work that ends before a claim begins, or not.
+
+        :param node: VM of the worker.
+        :param duration_s: estimated duration of the work, in seconds.
+        """
+        if duration_s <= self._claimed_in_s.get(node, float("inf")):
+            return self._free[node]
+        return self.unclaimed(node)
+
     def begin_trial(self, node: str, unit_name: str) -> None:
         """Reserve a worker that is on trial for one unit, in addition to its resources.
 
--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -8,6 +8,8 @@
 from papayaspar_jobs import specs
 from papayaspar_scheduling import fleet, health, ordering
 
+MILLISECONDS_PER_SECOND = 1000.0
+
 
 @attrs.frozen
 class PlacementScope:
@@ -198,9 +200,10 @@
     step_name = fleet.step_name(demand.unit.members[0].key)
     resources = step.counted_resources
     member_count = len(demand.unit.members)
+    duration_s = step.estimate_ms / MILLISECONDS_PER_SECOND
     nodes: list[str] = []
     for worker in group:
-        remaining = free.free(worker.node)
+        remaining = free.available(worker.node, duration_s)
         step_count = free.count(worker.node, step_name)
         while len(nodes) < member_count and remaining.holds(resources):
             if step.per_worker_max and step_count >= step.per_worker_max:
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -2,12 +2,17 @@
 
 import attrs
 
-from papayaspar_scheduling import evictions, fleet, ordering, placement, preemption
+from papayaspar_scheduling import claims, evictions, fleet, ordering, placement, preemption
 
 # A unit may use remote racks, which make it slow, once it has waited this multiple of its estimate;
 # also workers that are not trusted, if it would not fit on the others even when they are idle.
 REMOTE_AFTER_ESTIMATES = 1.0
 MILLISECONDS_PER_SECOND = 1000.0
+# Units claim capacity until this share of the workers is claimed; the rest stays open to all.
+CLAIMED_SHARE_MAX = 0.5
+# Nothing is claimed while less than this share of the accelerators is used: a job may not wait for
+# long beside workers that are mostly free.
+CLAIMS_USED_SHARE_MIN = 0.5
 
 
 @attrs.frozen(eq=False)
@@ -85,6 +90,7 @@
         preemptible = list(victims)
         unplaceable, unplaceable_after_stops = _UnplaceableKeys(), _UnplaceableKeys()
         self._evictions.prune(now_s)
+        releases = claims.Releases(victims, now_s)
         moves: list[ordering.Demand] = []
         deferred_demands = frozenset(deferred or ())
         all_demands = [*demands, *deferred_demands]
@@ -120,9 +126,11 @@
                     unplaceable_after_stops.clear()
                 if reserved is not None:
                     self._evictions.begin(demand, reserved, chosen_victims, now_s)
-            if reserved is not None:
-                _reserve(demand, reserved, free)
-                _reserve(demand, reserved, free_after_stops)
+            if reserved is None:
+                self._claim(demand, free, free_after_stops, releases, now_s)
+                continue
+            _reserve(demand, reserved, free)
+            _reserve(demand, reserved, free_after_stops)
         return Plan(tuple(starts), tuple(stops), tuple(moves))
 
     def _choose_nodes(
@@ -164,6 +172,28 @@
             return (), None
         return chosen_victims, nodes
 
+    def _claim(
+        self,
+        demand: ordering.Demand,
+        free: fleet.FreeCapacity,
+        free_after_stops: fleet.FreeCapacity,
+        releases: claims.Releases,
+        now_s: float,
+    ) -> None:
+        """Claim capacity for a unit that does not fit, unless it would be worthless by then."""
+        if demand.rank is ordering.Rank.BULK or claims.used_share(free) < CLAIMS_USED_SHARE_MIN:
+            return
+        if claims.claimed_share(free) >= CLAIMED_SHARE_MAX:
+            return
+        for scope in self._scopes(demand, free_after_stops):
+            groups = placement.candidate_groups(demand, free, scope)
+            claim = claims.earliest(demand, groups, free, releases)
+            if claim is None:
+                continue
+            if now_s + claim.starts_in_s + demand.remaining_s <= demand.worthless_s:
+                claims.begin(claim, demand, (free, free_after_stops))
+            return
+
     def _choose_victims(
         self,
         demand: ordering.Demand,
@@ -257,6 +287,8 @@
         len(demand.unit.members),
         demand.unit.failed_nodes,
         demand.unit.failures > 0,
+        # Work that ends before a claim begins fits where longer work does not.
+        step.estimate_ms,
         _has_waited_long(demand),
         limited_step,
     )
--- a/libs/scheduling/tests/conftest.py
+++ b/libs/scheduling/tests/conftest.py
@@ -61,6 +61,21 @@
         )
         return unit
 
+    def start_unit(self, start: planner.Start, now_s: float) -> None:
+        """Run a unit that the planner started."""
+        self.waiting.remove(start.demand)
+        unit = start.demand.unit
+        for task, node in zip(unit.members, start.nodes, strict=True):
+            task.record = tasks.TaskRecord(tasks.TaskPhase.ASSIGNED, 1, node)
+            task.started_s = now_s
+        self.running.append(preemption.Victim(unit, start.demand.rank, 0.0))
+
+    def end_unit(self, unit: progress.Unit) -> None:
+        """End a running unit successfully."""
+        self.running = [victim for victim in self.running if victim.unit is not unit]
+        for task in unit.members:
+            task.record = tasks.TaskRecord(tasks.TaskPhase.DONE)
+
     def free(self, is_stopping_counted: bool = True) -> fleet.FreeCapacity:
         """Return the free capacity; stopping tasks use capacity if ``is_stopping_counted``."""
         free = fleet.FreeCapacity(self.workers)
