Cancel only jobs of the caller's team

What callers saw: a caller could cancel the job of another team, and was told that there is no such job.

Cause: a cancellation was stored and applied before the team was checked, and its record named no team.

Change: the cancellation of another team's known job is refused without being stored; records name the team, so that a cancellation that arrives before the job's own record has an effect for that team only. An id that no job can have is refused at once.

--- a/libs/intake/src/papayaspar_intake/job_service.py
+++ b/libs/intake/src/papayaspar_intake/job_service.py
@@ -128,8 +128,8 @@
         :param job_id: id of the job.
         :param team: team of the caller.
         :param timeout_s: timeout of the caller, in seconds.
-        :raises NotFoundError: when the team has no such job; the cancellation is stored
-            nevertheless.
+        :raises NotFoundError: when the team has no such job. The cancellation of an unknown job is
+            stored nevertheless; that of another team's job is not.
         :raises StoreUnavailableError: when the cancellation is certainly not stored, or when it is
             stored but the view has no such job and can't be updated now.
         :raises JobTimeoutError: when it is unknown whether the cancellation is stored.
@@ -138,12 +138,17 @@
         job = self._find_job(job_id, team)
         if job is not None and job.phase.is_final:
             return
+        is_foreign = job is None and self._view.jobs.find(job_id) is not None
+        if is_foreign or not specs.JOB_ID_PATTERN.match(job_id):
+            raise errors.NotFoundError("no such job")
         # A job without a record is cancelled as well, since its record may not have arrived yet.
-        record = records.encode(records.CANCEL_PREFIX + job_id, records.CancelRecord(self._node))
+        record = records.encode(
+            records.CANCEL_PREFIX + job_id, records.CancelRecord(self._node, team)
+        )
         await self._store_record(
-            record, job_id, deadline_s, lambda: self._view.jobs.is_cancelled(job_id)
+            record, job_id, deadline_s, lambda: self._view.jobs.is_cancelled(job_id, team)
         )
-        self._view.jobs.cancel(job_id)
+        self._view.jobs.cancel(job_id, team)
         self._follower.changes.notify()
         self._events.record(
             lines.EventKind.JOB_CANCELLED, job=job_id, detail=f"known={job is not None}"
--- a/libs/intake/tests/test_job_service.py
+++ b/libs/intake/tests/test_job_service.py
@@ -96,6 +96,27 @@
         await service.jobs.phase(spec.job_id, "others")
 
 
+# Guards against a caller who cancels the job of another team and is told that there is none.
+@pytest.mark.parametrize("is_known", [True, False], ids=["after-its-record", "before-its-record"])
+async def test_job_of_another_team_is_not_cancelled(service, spec, is_known):
+    if is_known:
+        await service.jobs.submit(spec, service.authorization, 3.0)
+    with pytest.raises(errors.NotFoundError):
+        await service.jobs.cancel(spec.job_id, "others", 3.0)
+    await service.jobs.submit(spec, service.authorization, 3.0)
+    assert await service.jobs.phase(spec.job_id, "team") is registries.JobPhase.QUEUED
+    assert service.is_stored(records.CANCEL_PREFIX + spec.job_id) is not is_known
+    await service.jobs.cancel(spec.job_id, "team", 3.0)
+    assert await service.jobs.phase(spec.job_id, "team") is registries.JobPhase.CANCELLED
+
+
+@pytest.mark.parametrize("job_id", ["", "x", "0" * 300, "0123456789abcde\n"])
+async def test_cancellation_of_an_invalid_id_is_not_stored(service, job_id):
+    with pytest.raises(errors.NotFoundError):
+        await service.jobs.cancel(job_id, "team", 3.0)
+    assert not service.is_stored(records.CANCEL_PREFIX + job_id)
+
+
 async def test_unknown_job_is_not_reported_missing_while_the_store_is_unavailable(service, spec):
     service.store.fault = keyed_stores.StoreFault.BUSY
     with pytest.raises(failures.StoreUnavailableError):
--- a/libs/jobs/src/papayaspar_jobs/registries.py
+++ b/libs/jobs/src/papayaspar_jobs/registries.py
@@ -52,7 +52,8 @@
 
     def __init__(self) -> None:
         self._jobs: dict[str, AcceptedJob] = {}
-        self._cancelled: set[str] = set()
+        # Teams that cancelled a job; ``None`` stands for a cancellation that names no team.
+        self._cancelling_teams: dict[str, set[str | None]] = {}
         self._early_phases: dict[str, JobPhase] = {}
 
     def __iter__(self) -> Iterator[AcceptedJob]:
@@ -65,9 +66,10 @@
         """Return a job, or ``None`` if its record has not been read."""
         return self._jobs.get(job_id)
 
-    def is_cancelled(self, job_id: str) -> bool:
-        """Return whether a cancellation was read, even if the job's own record was not."""
-        return job_id in self._cancelled
+    def is_cancelled(self, job_id: str, team: str) -> bool:
+        """Return whether a team's cancellation was read, even if the job's own record was not."""
+        teams = self._cancelling_teams.get(job_id, set())
+        return team in teams or None in teams
 
     def accept(
         self, spec: specs.JobSpec, queue: configurations.Queue, accepted_ms: int
@@ -85,15 +87,21 @@
         job = AcceptedJob(spec, queue, accepted_ms)
         self._jobs[spec.job_id] = job
         job.phase = self._early_phases.pop(spec.job_id, job.phase)
-        if spec.job_id in self._cancelled and not job.phase.is_final:
+        if self.is_cancelled(spec.job_id, spec.team) and not job.phase.is_final:
             job.phase = JobPhase.CANCELLED
         return job
 
-    def cancel(self, job_id: str) -> None:
-        """Cancel a job; a job in a final phase does not change."""
-        self._cancelled.add(job_id)
+    def cancel(self, job_id: str, team: str | None = None) -> None:
+        """Cancel a job; a job in a final phase, or of another team, does not change.
+
+        :param job_id: id of the job.
+        :param team: team of the caller; ``None`` in records that name no team.
+        """
+        self._cancelling_teams.setdefault(job_id, set()).add(team)
         job = self._jobs.get(job_id)
-        if job is not None and not job.phase.is_final:
+        if job is None or job.phase.is_final:
+            return
+        if self.is_cancelled(job_id, job.spec.team):
             job.phase = JobPhase.CANCELLED
 
     def set_phase(self, job_id: str, phase: JobPhase) -> None:
@@ -115,7 +123,7 @@
     def forget(self, job_id: str) -> None:
         """Remove a job and its pending cancellation and phase."""
         self._jobs.pop(job_id, None)
-        self._cancelled.discard(job_id)
+        self._cancelling_teams.pop(job_id, None)
         self._early_phases.pop(job_id, None)
 
     def queued_count(self, queue: str) -> int:
--- a/libs/store/src/papayaspar_store/records.py
+++ b/libs/store/src/papayaspar_store/records.py
@@ -54,9 +54,12 @@
     """A cancellation of a job.
 
     :param entry: name of the entry that received the cancellation.
+    :param team: team of the caller; only its job is cancelled. ``None`` in records of former
+        versions, which were stored for any team.
     """
 
     entry: str
+    team: str | None = None
 
 
 @attrs.frozen
--- a/libs/store/src/papayaspar_store/views.py
+++ b/libs/store/src/papayaspar_store/views.py
@@ -38,7 +38,8 @@
             _check_job(job, key)
             self.jobs.accept(job.spec, job.queue, job.accepted_ms)
         elif key.startswith(records.CANCEL_PREFIX):
-            self.jobs.cancel(key.removeprefix(records.CANCEL_PREFIX))
+            cancellation = records.decode(record, records.CancelRecord)
+            self.jobs.cancel(key.removeprefix(records.CANCEL_PREFIX), cancellation.team)
         elif key.startswith(records.STATE_PREFIX):
             state = records.decode(record, records.StateRecord)
             self._apply_state(key.removeprefix(records.STATE_PREFIX), state)
