Bound the doublings of ejections and pauses

Change: at most 16 doublings. Whether a unit has failed before is also computed once for each placement instead of once for each worker.

Result: test_pauses_stay_bounded_over_thousands_of_failures fails without the change.

--- a/libs/scheduling/src/papayaspar_scheduling/fleet.py
+++ b/libs/scheduling/src/papayaspar_scheduling/fleet.py
@@ -111,7 +111,9 @@
         return self._free[node].minus(self._claimed.get(node, specs.Resources()))
 
     def available(self, node: str, duration_s: float) -> specs.Resources:
-        """Return the free resources of a worker for work that ends before a claim begins, or not.
+        """Return the free resources of a worker for work of a duration.
+
+        Claimed resources count as free for work that ends before the claim begins.
 
         :param node: VM of the worker.
         :param duration_s: estimated duration of the work, in seconds.
--- a/libs/scheduling/src/papayaspar_scheduling/health.py
+++ b/libs/scheduling/src/papayaspar_scheduling/health.py
@@ -23,6 +23,9 @@
 # Pause before the first trial after a failure, in seconds; it doubles with each failed trial.
 TRIAL_PAUSE_S = 0.5
 TRIAL_PAUSE_MAX_S = 6.0
+# Largest number of doublings of a pause or an ejection; a power of two of the number of failures of
+# many hours would not fit into a float.
+DOUBLINGS_MAX = 16
 # A worker is slow when its work takes at least this multiple of the estimate: estimates are off by
 # a fifth, healthy workers differ by a quarter (site files), and slow ones take at least four times
 # as long.
@@ -108,7 +111,7 @@
         if len(self.failed_jobs) < failure_limit or self.is_ejected(now_s):
             return False
         self.ejections += 1
-        self.ejected_until_s = now_s + min(EJECTION_MAX_S, EJECTION_S * 2 ** (self.ejections - 1))
+        self.ejected_until_s = now_s + _doubled(EJECTION_S, self.ejections, EJECTION_MAX_S)
         self.failed_jobs.clear()
         return True
 
@@ -134,7 +137,7 @@
         """
         if self.failed_s is None:
             return Trial.NONE
-        pause_s = min(TRIAL_PAUSE_MAX_S, TRIAL_PAUSE_S * 2 ** (self.failed_trials - 1))
+        pause_s = _doubled(TRIAL_PAUSE_S, self.failed_trials, TRIAL_PAUSE_MAX_S)
         if newest_start_s > self.failed_s or now_s < self.failed_s + pause_s:
             return Trial.CLOSED
         return Trial.OPEN
@@ -142,3 +145,9 @@
     def is_ejected(self, now_s: float) -> bool:
         """Return whether the worker is ejected and gets no work."""
         return now_s < self.ejected_until_s
+
+
+def _doubled(first_s: float, repetitions: int, longest_s: float) -> float:
+    """Return a time that doubles with each repetition after the first, up to a longest one."""
+    doublings = min(repetitions - 1, DOUBLINGS_MAX)
+    return float(min(longest_s, first_s * 2**doublings))
--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -170,12 +170,13 @@
 def _pack(
     demand: ordering.Demand, free: fleet.FreeCapacity, group: list[fleet.Worker]
 ) -> tuple[str, ...] | None:
-    ordered = sorted(group, key=lambda worker: _packing_key(demand, free, worker))
+    has_failed = demand.unit.failures > 0
+    ordered = sorted(group, key=lambda worker: _packing_key(worker, free, has_failed))
     return _first_fit(demand, free, ordered)
 
 
 def _packing_key(
-    demand: ordering.Demand, free: fleet.FreeCapacity, worker: fleet.Worker
+    worker: fleet.Worker, free: fleet.FreeCapacity, has_failed: bool
 ) -> tuple[float | bool | str, ...]:
     """Return a sort key; the smallest is filled first.
 
@@ -186,7 +187,7 @@
     return (
         worker.trial is not health.Trial.NONE,
         round(worker.slowness, 1),
-        -worker.proven_s if demand.unit.failures > 0 else 0.0,
+        -worker.proven_s if has_failed else 0.0,
         available.accelerators,
         available.cpu_millicores,
         worker.node,
--- a/libs/scheduling/tests/test_health.py
+++ b/libs/scheduling/tests/test_health.py
@@ -62,3 +62,11 @@
     for _ in range(8):
         outcomes.record_failure("job-1", 10.0, started_s=9.9)
     assert outcomes.failed_trials == 1
+
+
+def test_pauses_stay_bounded_over_thousands_of_failures():
+    outcomes = health.Outcomes()
+    for number in range(3000):
+        outcomes.record_failure(f"job-{number}", number * 100.0)
+    assert outcomes.ejected_until_s == 2999 * 100.0 + health.EJECTION_MAX_S
+    assert outcomes.trial(3000 * 100.0, 0.0) is health.Trial.OPEN
