Keep the next run's start apart from a late answer to the last one

Cause: a run that fails within 30 ms ends before the lead reads the answer to its start order.

Change: the answer, and an order that was overtaken before it was sent, change nothing unless their run is still the task's newest.

--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -78,9 +78,12 @@
         self._state.changes.notify()
 
     async def _start_task(self, unit: progress.Unit, task: progress.Task, run: int) -> None:
+        if task.record.run != run:
+            # The run has ended already, and the task was assigned again.
+            return
         job = unit.job
         link = self._state.links[task.record.node]
-        if task.record.run != run or not task.is_assigned or task.record.incarnation is None:
+        if not task.is_assigned or task.record.incarnation is None:
             task.is_starting = False
             return
         if self._state.is_stopped or not self._is_lead_lease_valid() or self._is_ended(job):
@@ -99,14 +102,19 @@
             outcome = await link.start(order)
         except errors.PeerError:
             # The agent's state at the next attachment shows whether the run started.
-            task.is_starting = False
+            if task.record.run == run:
+                task.is_starting = False
             link.disconnect()
             return
-        if outcome.is_started and task.record.run == run:
+        if task.record.run != run:
+            # A run may end before the answer to its start order is read. The task's next run is
+            # being started then, and must not look as if it had been.
+            return
+        if outcome.is_started:
             task.mark_started(self._state.clock.now_s())
             return
         task.is_starting = False
-        if task.record.run != run or not task.is_assigned:
+        if not task.is_assigned:
             return
         reason = outcome.reason.value if outcome.reason is not None else "unknown"
         self._state.work.release(task, f"refused: {reason}")
--- a/libs/lead/tests/test_no_task_twice.py
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -236,3 +236,48 @@
         await cluster.wait_until(lambda: cluster.stored_task(key).incarnation == newer)
         await anyio.sleep(0.3)
         assert len(cluster.run_recorder.starts) == 1
+
+
+class SlowToStartWorker(memory_workers.MemoryWorker):
+    """Starts runs, and answers start orders, after a time."""
+
+    start_after_s = 0.0
+    answer_after_s = 0.0
+
+    async def start(self, order):
+        await anyio.sleep(self.start_after_s)
+        await super().start(order)
+        await anyio.sleep(self.answer_after_s)
+
+
+# Guards against a start whose answer is read after its run has failed: the next run counted as
+# started, was released when its worker did not list it yet, and ran beside another (TWICE on
+# booth-cloud-grown scale-1).
+async def test_late_answer_to_a_start_does_not_release_the_next_run(start_cluster, make_job):
+    async with start_cluster() as cluster:
+        await cluster.add_entry("entry-1")
+        workers_by_node = {
+            node: SlowToStartWorker(node, cluster.run_recorder, cluster.clock)
+            for node in ("node-1", "node-2", "node-3")
+        }
+        failing = workers_by_node["node-1"]
+        failing.fault = memory_workers.WorkerFault.FAILS
+        failing.run_time_s, failing.answer_after_s = 0.02, 0.3
+        await cluster.add_agent("node-1", failing)
+        await cluster.wait_until(lambda: cluster.lead() != "")
+        cluster.submit(make_job(1))
+        await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == 1)
+        for node in ("node-2", "node-3"):
+            workers_by_node[node].start_after_s = 0.5
+            workers_by_node[node].run_time_s = 1.0
+            await cluster.add_agent(node, workers_by_node[node])
+        with anyio.move_on_after(2.0):
+            while True:
+                for node in ("node-2", "node-3"):
+                    cluster.agents[node].controller.changes.notify()
+                await anyio.sleep(0.02)
+        await cluster.wait_until(
+            lambda: cluster.phase(make_job(1).job_id) is registries.JobPhase.SUCCEEDED
+        )
+        assert cluster.run_recorder.overlaps == []
+        assert len(cluster.run_recorder.starts) == 2
