--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -107,8 +107,8 @@
             link.disconnect()
             return
         if task.record.run != run:
-            # A run may end before the answer to its start order is read. The task's next run is
-            # being started then, and must not look as if it had been.
+            # The run ended before the answer to its start order was read: the state of the task
+            # is that of its next run.
             return
         if outcome.is_started:
             task.mark_started(self._state.clock.now_s())
--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -33,7 +33,7 @@
         self._orders = order_sender
         self._recorder = recorder
         self._unlinked_expiry_s = unlinked_expiry_s
-        # Recorded runs on unreachable workers, by VM.
+        # Runs on unreachable workers that were recorded as such, by VM.
         self._unconfirmed: dict[str, set[tuple[tasks.TaskKey, int]]] = {}
 
     def reconcile(self, now_s: float) -> None:
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -109,7 +109,7 @@
                 key = tasks.TaskKey.parse(record.key.removeprefix(records.TASK_PREFIX))
                 stored = records.decode(record, tasks.TaskRecord)
             except errors.PapayasparError as error:
-                # Another writer's record names no task of this system.
+                # The record of another writer, or a damaged one: the task starts anew.
                 self._state.events.record(
                     lines.EventKind.RECORD_REFUSED, code=error.code, detail=f"key={record.key}"
                 )
--- a/libs/scheduling/src/papayaspar_scheduling/fleet.py
+++ b/libs/scheduling/src/papayaspar_scheduling/fleet.py
@@ -48,7 +48,9 @@
         self._workers = {worker.node: worker for worker in workers}
         self._free = {worker.node: worker.capacity for worker in workers}
         self._step_counts: dict[tuple[str, str], int] = {}
+        # Name of the unit that tries each worker.
         self._trials: dict[str, str] = {}
+        # Claimed resources of each worker, and the time until the first claim on it begins.
         self._claimed: dict[str, specs.Resources] = {}
         self._claimed_in_s: dict[str, float] = {}
 
--- a/libs/store/src/papayaspar_store/records.py
+++ b/libs/store/src/papayaspar_store/records.py
@@ -176,6 +176,7 @@
         for element in value:
             _check(element, key)
         return
+    # The names of the fields, if the value is of an attrs class.
     for name in getattr(type(value), "__match_args__", ()):
         _check(getattr(value, name), key)
 
