--- a/libs/lead/tests/test_attachments.py
+++ b/libs/lead/tests/test_attachments.py
@@ -13,7 +13,7 @@
 
 
 # Guards against a lead that drops the report of a run that ended while it was attaching: the job
-# stayed "running" for good, and nothing of it ran (LOST on booth-cloud-grown scale-1).
+# stayed "running" for good, and nothing of it ran (issue 17).
 async def test_run_that_ends_during_an_attachment_is_applied(start_cluster, make_job):
     async with start_cluster() as cluster:
         former, agent = await cluster.start_single_task(make_job(1), 60.0)
--- a/libs/lead/tests/test_departures.py
+++ b/libs/lead/tests/test_departures.py
@@ -60,7 +60,7 @@
 
 
 # Guards against a lead that waits for the lease of a worker that is gone without a word: gangs that
-# had lost a member waited 15 s, and the wait began anew with each lead (booth-cloud-grown scale-1).
+# had lost a member waited 15 s, and the wait began anew with each lead (issue 17).
 @pytest.mark.parametrize("is_lead_replaced", [False, True], ids=["same-lead", "new-lead"])
 async def test_tasks_of_a_worker_that_is_gone_start_elsewhere_at_once(
     start_cluster, make_job, is_lead_replaced
--- a/libs/lead/tests/test_failing_workers.py
+++ b/libs/lead/tests/test_failing_workers.py
@@ -15,7 +15,7 @@
 
 
 # Guards against a worker that draws the next task the faster the sooner it fails: jobs that could
-# be done were shown as failed within 1.4 s (SHORT on booth-cloud-grown scale-1).
+# be done were shown as failed within 1.4 s (issue 17).
 async def test_worker_that_fails_every_run_does_not_fail_a_job(start_cluster, make_job):
     step = specs.Step(80, specs.Resources(1000, 100, 1), 800)
     async with start_cluster() as cluster:
--- a/libs/lead/tests/test_no_task_twice.py
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -251,8 +251,7 @@
 
 
 # Guards against a start whose answer is read after its run has failed: the next run counted as
-# started, was released when its worker did not list it yet, and ran beside another (TWICE on
-# booth-cloud-grown scale-1).
+# started, was released when its worker did not list it yet, and ran beside another (issue 17).
 async def test_late_answer_to_a_start_does_not_release_the_next_run(start_cluster, make_job):
     async with start_cluster() as cluster:
         await cluster.add_entry("entry-1")
--- a/libs/scheduling/tests/test_claims.py
+++ b/libs/scheduling/tests/test_claims.py
@@ -70,8 +70,7 @@
 
 
 # Guards against a gang that waits for as long as small tasks of lower rank keep coming: gangs of
-# whole workers waited 20 to 33 s while such tasks held most accelerators (SHORT on
-# booth-cloud-grown scale-1).
+# whole workers waited 20 to 33 s while such tasks held most of the accelerators.
 def test_gang_starts_once_the_small_tasks_that_run_when_it_comes_have_ended(cluster, make_step):
     run_time_s, now_s = 12.0, 100.0
     ends = []
--- a/libs/scheduling/tests/test_preemption.py
+++ b/libs/scheduling/tests/test_preemption.py
@@ -155,7 +155,7 @@
 
 
 # Guards against preempting units for a gang that is then not placed: their capacity went to other
-# units, and the gang preempted again in each round, 393 units in 5 s (booth-cloud-grown scale-1).
+# units, and the gang preempted again in each round, 393 units in 5 s (issue 17).
 def test_nothing_is_preempted_on_racks_that_the_gang_may_not_use(cluster, make_step):
     for node, elapsed_s in (("node-0", 20.0), ("node-1", 0.1), ("node-2", 20.0), ("node-3", 0.1)):
         cluster.add_running_unit(
