Examine only workers with room in a planning round

Cause: each placement compared all workers of the pool, full or not, and the search for units to preempt examined every worker again for each member of a gang.

Change: the free capacity keeps the VMs with room by the resources of a task; what does not change in a round is evaluated once; victims are indexed by VM, and only workers that a choice changed are looked at again.

Both new tests fail without the change.

--- a/libs/scheduling/src/papayaspar_scheduling/claims.py
+++ b/libs/scheduling/src/papayaspar_scheduling/claims.py
@@ -7,13 +7,16 @@
 "The ANL/IBM SP scheduling system", 1995).
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 
 from papayaspar_jobs import specs
 from papayaspar_scheduling import fleet, ordering, preemption
 
+# Release of no resources at the present time.
+NOTHING_NOW = (0.0, specs.Resources())
+
 
 @attrs.frozen
 class Claim:
@@ -44,10 +47,14 @@
                 self._by_node.setdefault(task.record.node, []).append(released)
         for releases in self._by_node.values():
             releases.sort(key=lambda release: release[0])
+            releases.insert(0, NOTHING_NOW)
+
+    def on_node(self, node: str) -> Sequence[tuple[float, specs.Resources]]:
+        """Return the releases on a VM, earliest first: time until then in seconds, resources.
 
-    def on_node(self, node: str) -> list[tuple[float, specs.Resources]]:
-        """Return the releases on a VM, earliest first: time until then in seconds, resources."""
-        return self._by_node.get(node, [])
+        The first one stands for the present and releases nothing.
+        """
+        return self._by_node.get(node, (NOTHING_NOW,))
 
 
 def earliest(
@@ -95,12 +102,27 @@
         step_name = fleet.step_name(demand.unit.members[0].key)
         slots_max = min(slots_max, step.per_worker_max - free.count(worker.node, step_name))
     available = free.unclaimed(worker.node)
+    # Plain integers: this runs for each worker and each claim.
+    cpu_millicores = available.cpu_millicores
+    memory_mb = available.memory_mb
+    accelerators = available.accelerators
     times: list[float] = []
-    for starts_in_s, released in [(0.0, specs.Resources()), *releases.on_node(worker.node)]:
-        available = available.plus(released)
-        while len(times) < slots_max and available.holds(resources):
+    for starts_in_s, released in releases.on_node(worker.node):
+        cpu_millicores += released.cpu_millicores
+        memory_mb += released.memory_mb
+        accelerators += released.accelerators
+        while (
+            len(times) < slots_max
+            and resources.cpu_millicores <= cpu_millicores
+            and resources.memory_mb <= memory_mb
+            and resources.accelerators <= accelerators
+        ):
             times.append(starts_in_s)
-            available = available.minus(resources)
+            cpu_millicores -= resources.cpu_millicores
+            memory_mb -= resources.memory_mb
+            accelerators -= resources.accelerators
+        if len(times) >= slots_max:
+            break
     return times
 
 
--- a/libs/scheduling/src/papayaspar_scheduling/fleet.py
+++ b/libs/scheduling/src/papayaspar_scheduling/fleet.py
@@ -1,6 +1,6 @@
 """The workers of the fleet, and the free capacity of each."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Collection, Hashable, Iterator
 
 import attrs
 
@@ -41,15 +41,22 @@
 class FreeCapacity:
     """Free capacity of each worker during one planning round.
 
+    ``has_trials`` tells whether any worker is on trial.
+
     :param workers: the workers, all of them idle at first.
     """
 
     def __init__(self, workers: list[Worker]) -> None:
         self._workers = {worker.node: worker for worker in workers}
+        self.has_trials = any(worker.trial is not health.Trial.NONE for worker in workers)
         self._free = {worker.node: worker.capacity for worker in workers}
         self._step_counts: dict[tuple[str, str], int] = {}
         # Name of the unit that tries each worker.
         self._trials: dict[str, str] = {}
+        # Workers that :meth:`select` found, by its key; shared with copies.
+        self._selections: dict[Hashable, list[Worker]] = {}
+        # VMs with room for one task, by the resources of the task; filled on first use.
+        self._nodes_with_room: dict[specs.Resources, set[str]] = {}
         # Claimed resources of each worker, and the time until the first claim on it begins.
         self._claimed: dict[str, specs.Resources] = {}
         self._claimed_in_s: dict[str, float] = {}
@@ -58,6 +65,8 @@
         """Return a copy whose reservations are independent."""
         duplicate = FreeCapacity([])
         duplicate._workers = self._workers
+        duplicate.has_trials = self.has_trials
+        duplicate._selections = self._selections
         duplicate._free = dict(self._free)
         duplicate._step_counts = dict(self._step_counts)
         duplicate._trials = dict(self._trials)
@@ -76,6 +85,30 @@
         """Return all workers."""
         return iter(self._workers.values())
 
+    def select(self, key: Hashable, is_selected: Callable[[Worker], bool]) -> list[Worker]:
+        """Return the workers for which a condition holds; it is evaluated once for each key.
+
+        :param key: key of all that the condition depends on, besides the workers' own state, which
+            does not change during a planning round.
+        :param is_selected: the condition.
+        """
+        selected = self._selections.get(key)
+        if selected is None:
+            selected = [worker for worker in self._workers.values() if is_selected(worker)]
+            self._selections[key] = selected
+        return selected
+
+    def nodes_with_room(self, resources: specs.Resources) -> Collection[str]:
+        """Return the VMs whose free resources hold at least one task.
+
+        :param resources: resources of the task.
+        """
+        nodes = self._nodes_with_room.get(resources)
+        if nodes is None:
+            nodes = {node for node, free in self._free.items() if free.holds(resources)}
+            self._nodes_with_room[resources] = nodes
+        return nodes
+
     def free(self, node: str) -> specs.Resources:
         """Return the free resources of a worker; negative where more is reserved than it has."""
         return self._free[node]
@@ -84,16 +117,24 @@
         """Reserve resources on a worker; unknown workers are ignored."""
         if node not in self._free:
             return
-        self._free[node] = self._free[node].minus(resources)
+        self._set_free(node, self._free[node].minus(resources))
         self._step_counts[node, step_name] = self._step_counts.get((node, step_name), 0) + 1
 
     def release(self, node: str, resources: specs.Resources, step_name: str = "") -> None:
         """Release what :meth:`reserve` reserved."""
         if node not in self._free:
             return
-        self._free[node] = self._free[node].plus(resources)
+        self._set_free(node, self._free[node].plus(resources))
         self._step_counts[node, step_name] = self._step_counts.get((node, step_name), 0) - 1
 
+    def _set_free(self, node: str, free: specs.Resources) -> None:
+        self._free[node] = free
+        for resources, nodes in self._nodes_with_room.items():
+            if free.holds(resources):
+                nodes.add(node)
+                continue
+            nodes.discard(node)
+
     def claim(self, node: str, resources: specs.Resources, starts_in_s: float) -> None:
         """Claim resources of a worker for a unit that can't start yet.
 
--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -1,6 +1,7 @@
 """Placement of the tasks of a unit on workers."""
 
 import abc
+import functools
 from collections.abc import Iterable
 
 import attrs
@@ -9,6 +10,8 @@
 from papayaspar_scheduling import fleet, health, ordering
 
 MILLISECONDS_PER_SECOND = 1000.0
+# Number of pairs of a capacity and a task's resources whose quotient is cached.
+MAX_TASKS_CACHE_SIZE = 1024
 
 
 @attrs.frozen
@@ -50,7 +53,7 @@
         step = demand.unit.step
         best: tuple[str, ...] | None = None
         best_key: tuple[float, ...] = ()
-        for group in candidate_groups(demand, free, scope):
+        for group in _groups_with_room(demand, free, scope):
             nodes = _pack(demand, free, group)
             if nodes is None:
                 continue
@@ -78,7 +81,7 @@
         self, demand: ordering.Demand, free: fleet.FreeCapacity, scope: PlacementScope
     ) -> tuple[str, ...] | None:
         """Return the first VMs by name that have enough capacity."""
-        for group in candidate_groups(demand, free, scope):
+        for group in _groups_with_room(demand, free, scope):
             nodes = _first_fit(demand, free, sorted(group, key=lambda worker: worker.node))
             if nodes is not None:
                 return nodes
@@ -90,23 +93,23 @@
 ) -> list[fleet.Worker]:
     """Return the workers that may run a unit, regardless of their free capacity."""
     step = demand.unit.step
+    resources = step.counted_resources
     failed_nodes = demand.unit.failed_nodes
-    usable = []
-    for worker in free.workers():
-        if not worker.is_open:
-            continue
+
+    def is_usable(worker: fleet.Worker) -> bool:
+        if not worker.is_open or not worker.capacity.holds(resources):
+            return False
         if step.required_label and step.required_label not in worker.labels:
-            continue
-        if not worker.capacity.holds(step.counted_resources):
-            continue
-        if not scope.is_untrusted_allowed and not worker.is_trusted:
-            continue
-        if not scope.is_untrusted_allowed and worker.node in failed_nodes:
-            continue
-        if not scope.is_untrusted_allowed and not _is_admitted(demand, free, worker):
-            continue
-        usable.append(worker)
-    return usable
+            return False
+        if scope.is_untrusted_allowed:
+            return True
+        return worker.is_trusted and worker.node not in failed_nodes
+
+    key = (step.required_label, resources, failed_nodes, scope.is_untrusted_allowed)
+    usable = free.select(key, is_usable)
+    if scope.is_untrusted_allowed or not free.has_trials:
+        return usable
+    return [worker for worker in usable if _is_admitted(demand, free, worker)]
 
 
 def _is_admitted(demand: ordering.Demand, free: fleet.FreeCapacity, worker: fleet.Worker) -> bool:
@@ -130,8 +133,24 @@
     demand: ordering.Demand, free: fleet.FreeCapacity, scope: PlacementScope
 ) -> Iterable[list[fleet.Worker]]:
     """Return the sets of workers on which a unit may be placed as a whole."""
+    return _grouped(demand, usable_workers(demand, free, scope), scope)
+
+
+def _groups_with_room(
+    demand: ordering.Demand, free: fleet.FreeCapacity, scope: PlacementScope
+) -> Iterable[list[fleet.Worker]]:
+    """Return the candidate groups, without the workers that have no room for any member."""
+    nodes = free.nodes_with_room(demand.unit.step.counted_resources)
+    if not nodes:
+        return ()
+    workers = [worker for worker in usable_workers(demand, free, scope) if worker.node in nodes]
+    return _grouped(demand, workers, scope)
+
+
+def _grouped(
+    demand: ordering.Demand, workers: list[fleet.Worker], scope: PlacementScope
+) -> Iterable[list[fleet.Worker]]:
     step = demand.unit.step
-    workers = usable_workers(demand, free, scope)
     if scope.is_remote_allowed:
         return [workers]
     if step.data_rack:
@@ -147,12 +166,15 @@
 def can_hold_when_empty(demand: ordering.Demand, group: list[fleet.Worker]) -> bool:
     """Return whether a unit would fit on a set of workers if they were idle."""
     resources = demand.unit.step.counted_resources
-    fitting_count = 0
+    missing_count = len(demand.unit.members)
     for worker in group:
-        fitting_count += _max_tasks(worker.capacity, resources, demand.unit.step.per_worker_max)
-    return fitting_count >= len(demand.unit.members)
+        missing_count -= _max_tasks(worker.capacity, resources, demand.unit.step.per_worker_max)
+        if missing_count <= 0:
+            return True
+    return False
 
 
+@functools.lru_cache(maxsize=MAX_TASKS_CACHE_SIZE)
 def _max_tasks(capacity: specs.Resources, resources: specs.Resources, per_worker_max: int) -> int:
     counts = []
     if resources.cpu_millicores:
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -87,7 +87,7 @@
         self._is_reconnect_expected = is_reconnect_expected
         starts: list[Start] = []
         stops: list[tuple[preemption.Victim, ordering.Demand]] = []
-        preemptible = list(victims)
+        preemptible = preemption.VictimIndex(victims)
         unplaceable, unplaceable_after_stops = _UnplaceableKeys(), _UnplaceableKeys()
         self._evictions.prune(now_s)
         releases = claims.Releases(victims, now_s)
@@ -153,7 +153,7 @@
         self,
         demand: ordering.Demand,
         free_after_stops: fleet.FreeCapacity,
-        victims: list[preemption.Victim],
+        victims: preemption.VictimIndex,
         now_s: float,
     ) -> tuple[tuple[preemption.Victim, ...], tuple[str, ...] | None]:
         """Return the units to preempt for a demand, and the VMs that it gets.
@@ -198,19 +198,16 @@
         self,
         demand: ordering.Demand,
         free_after_stops: fleet.FreeCapacity,
-        victims: list[preemption.Victim],
+        victims: preemption.VictimIndex,
         now_s: float,
     ) -> tuple[preemption.Victim, ...]:
         if demand.rank > ordering.Rank.URGENT:
             return ()
-        allowed_victims = [victim for victim in victims if victim.rank > demand.rank]
         best: tuple[preemption.Victim, ...] | None = None
         best_cost = 0.0
         for scope in self._scopes(demand, free_after_stops):
             for group in placement.candidate_groups(demand, free_after_stops, scope):
-                chosen = self._preemption_policy.choose(
-                    demand, group, free_after_stops, allowed_victims
-                )
+                chosen = self._preemption_policy.choose(demand, group, free_after_stops, victims)
                 if chosen is None:
                     continue
                 cost = sum(victim.cost_core_s for victim in chosen)
--- a/libs/scheduling/src/papayaspar_scheduling/preemption.py
+++ b/libs/scheduling/src/papayaspar_scheduling/preemption.py
@@ -1,6 +1,7 @@
 """Selection of the units to stop for urgent work, by the cost of the work that is lost."""
 
 import abc
+from collections.abc import Container, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -30,6 +31,33 @@
     rank: ordering.Rank
     cost_core_s: float
 
+    @property
+    def nodes(self) -> frozenset[str]:
+        """VMs on which the unit runs."""
+        return frozenset(task.record.node for task in self.unit.members if task.is_assigned)
+
+
+class VictimIndex:
+    """The units of a planning round that may be preempted, by VM.
+
+    :param victims: running units.
+    """
+
+    def __init__(self, victims: Iterable[Victim]) -> None:
+        self._by_node: dict[str, list[Victim]] = {}
+        for victim in sorted(victims, key=lambda victim: (-victim.rank, victim.cost_core_s)):
+            for node in victim.nodes:
+                self._by_node.setdefault(node, []).append(victim)
+
+    def on_node(self, node: str) -> Sequence[Victim]:
+        """Return the units on a VM, the lowest rank first, and then the lowest cost."""
+        return self._by_node.get(node, ())
+
+    def remove(self, victim: Victim) -> None:
+        """Remove a unit that was chosen to be stopped."""
+        for node in victim.nodes:
+            self._by_node[node].remove(victim)
+
 
 # Urgent work beyond its team's guarantee may cause a loss of other work up to this share of its own
 # work: with a larger loss, fewer callers are served than if it waits.
@@ -93,17 +121,25 @@
         demand: ordering.Demand,
         group: list[fleet.Worker],
         free: fleet.FreeCapacity,
-        victims: list[Victim],
+        victims: VictimIndex,
     ) -> tuple[Victim, ...] | None:
         """Return the units to stop so that a demand fits on a set of workers, or ``None``.
 
         :param demand: demand of the unit that needs the capacity.
         :param group: workers on which the unit must fit.
         :param free: free capacity, including that of units that are being stopped.
-        :param victims: units that may be stopped.
+        :param victims: running units, of which those of a lower rank may be stopped.
         """
 
 
+@attrs.frozen
+class _Option:
+    """Victims that must be stopped so that one member fits on a worker, and their cost."""
+
+    cost_core_s: float
+    victims: tuple[Victim, ...]
+
+
 class LowestCostPreemption(PreemptionPolicy):
     """Free capacity for one member at a time, each on the worker with the lowest cost."""
 
@@ -112,62 +148,71 @@
         demand: ordering.Demand,
         group: list[fleet.Worker],
         free: fleet.FreeCapacity,
-        victims: list[Victim],
+        victims: VictimIndex,
     ) -> tuple[Victim, ...] | None:
         """Return the units that a greedy search for the lowest cost selects."""
         resources = demand.unit.step.counted_resources
         trial = free.copy()
-        by_node = _victims_by_node(victims)
-        chosen: list[Victim] = []
+        chosen: dict[Victim, None] = {}
+        options: dict[str, _Option | None] = {}
+        for worker in group:
+            options[worker.node] = self._option(worker.node, demand, trial, victims, chosen)
         for _ in demand.unit.members:
-            best = self._lowest_cost_worker(resources, group, trial, by_node, chosen)
-            if best is None:
+            node = _cheapest_node(options)
+            if node is None:
                 return None
-            node, node_victims = best
-            for victim in node_victims:
-                chosen.append(victim)
+            option = options[node]
+            assert option is not None
+            changed_nodes = {node}
+            for victim in option.victims:
+                chosen[victim] = None
                 _release(victim, trial)
+                changed_nodes |= victim.nodes
             trial.reserve(node, resources)
+            for changed_node in changed_nodes:
+                if changed_node not in options:
+                    continue
+                options[changed_node] = self._option(changed_node, demand, trial, victims, chosen)
         return tuple(chosen)
 
-    def _lowest_cost_worker(
+    def _option(
         self,
-        resources: specs.Resources,
-        group: list[fleet.Worker],
+        node: str,
+        demand: ordering.Demand,
         trial: fleet.FreeCapacity,
-        by_node: dict[str, list[Victim]],
-        chosen: list[Victim],
-    ) -> tuple[str, list[Victim]] | None:
-        best: tuple[str, list[Victim]] | None = None
-        best_cost = 0.0
-        for worker in group:
-            available = trial.free(worker.node)
-            node_victims: list[Victim] = []
-            cost = 0.0
-            for victim in by_node.get(worker.node, ()):
-                if available.holds(resources):
-                    break
-                if victim in chosen:
-                    continue
-                node_victims.append(victim)
-                cost += victim.cost_core_s
-                for task in victim.unit.members:
-                    if task.record.node == worker.node and task.is_assigned:
-                        available = available.plus(task.step.counted_resources)
-            if not available.holds(resources):
+        victims: VictimIndex,
+        chosen: Container[Victim],
+    ) -> _Option | None:
+        """Return the cheapest way to fit one member on a worker, or ``None`` if there is none."""
+        resources = demand.unit.step.counted_resources
+        available = trial.free(node)
+        node_victims: list[Victim] = []
+        cost_core_s = 0.0
+        for victim in victims.on_node(node):
+            if available.holds(resources):
+                break
+            if victim.rank <= demand.rank or victim in chosen:
                 continue
-            if best is None or cost < best_cost:
-                best, best_cost = (worker.node, node_victims), cost
-        return best
-
-
-def _victims_by_node(victims: list[Victim]) -> dict[str, list[Victim]]:
-    """Return the victims on each VM, sorted by urgency and then by cost, lowest first."""
-    by_node: dict[str, list[Victim]] = {}
-    for victim in sorted(victims, key=lambda victim: (-victim.rank, victim.cost_core_s)):
-        for node in {task.record.node for task in victim.unit.members if task.is_assigned}:
-            by_node.setdefault(node, []).append(victim)
-    return by_node
+            node_victims.append(victim)
+            cost_core_s += victim.cost_core_s
+            for task in victim.unit.members:
+                if task.record.node == node and task.is_assigned:
+                    available = available.plus(task.step.counted_resources)
+        if not available.holds(resources):
+            return None
+        return _Option(cost_core_s, tuple(node_victims))
+
+
+def _cheapest_node(options: Mapping[str, _Option | None]) -> str | None:
+    """Return the first node with the lowest cost, or ``None`` if no node has an option."""
+    best: str | None = None
+    best_cost = 0.0
+    for node, option in options.items():
+        if option is None:
+            continue
+        if best is None or option.cost_core_s < best_cost:
+            best, best_cost = node, option.cost_core_s
+    return best
 
 
 def _release(victim: Victim, trial: fleet.FreeCapacity) -> None:
--- a/libs/scheduling/tests/test_planning_cost.py
+++ b/libs/scheduling/tests/test_planning_cost.py
@@ -3,7 +3,9 @@
 Seen on the simulated day booth-cloud-grown trouble-2.
 """
 
-from papayaspar_scheduling import ordering, placement, planner
+import attrs
+
+from papayaspar_scheduling import ordering, placement, planner, preemption
 
 BULK = ordering.Rank.BULK
 
@@ -47,3 +49,44 @@
     cluster.add_waiting_unit(make_step(1, 8), ordering.Rank.GUARANTEED)
     plan = cluster.plan()
     assert len(plan.stops) == 1
+
+
+def test_only_workers_with_room_are_compared(cluster, make_step, monkeypatch):
+    """A round for 160 workers took 70 ms: each placement compared all of them, full or not."""
+    first = cluster.workers[0]
+    cluster.workers[:] = [
+        attrs.evolve(first, node=f"node-{number}", rack=f"r1-{number // 8}")
+        for number in range(160)
+    ]
+    for number in range(2, 160):
+        cluster.add_running_unit(make_step(), f"node-{number}", rank=BULK)
+    for count in range(3, 53):
+        cluster.add_waiting_unit(make_step(count, 4, is_gang=True), BULK)
+    compared = []
+    packing_key = placement._packing_key
+    monkeypatch.setattr(
+        placement,
+        "_packing_key",
+        lambda worker, *arguments: compared.append(worker.node) or packing_key(worker, *arguments),
+    )
+    plan = cluster.plan()
+    assert [len(start.nodes) for start in plan.starts] == [3]
+    assert len(compared) <= 2 * 50
+
+
+def test_preemption_looks_again_only_at_workers_that_changed(cluster, make_step, monkeypatch):
+    """Choosing victims for a gang of 12 examined each of 160 workers 12 times."""
+    first = cluster.workers[0]
+    cluster.workers[:] = [attrs.evolve(first, node=f"node-{number}") for number in range(160)]
+    for number in range(160):
+        cluster.add_running_unit(make_step(), f"node-{number}", rank=BULK)
+    cluster.add_waiting_unit(make_step(12, is_gang=True), ordering.Rank.GUARANTEED)
+    examined = []
+    on_node = preemption.VictimIndex.on_node
+    monkeypatch.setattr(
+        preemption.VictimIndex,
+        "on_node",
+        lambda index, node: examined.append(node) or on_node(index, node),
+    )
+    assert len(cluster.plan().stops) == 12
+    assert len(examined) <= 160 + 12
