Split the time from acceptance to start by stage

Logs told when a unit was assigned and started, but not whether it had waited for the lead, for room, for preempted units to end, for the store or for the agent.

--- a/libs/events/src/papayaspar_events/lines.py
+++ b/libs/events/src/papayaspar_events/lines.py
@@ -66,6 +66,7 @@
     AGENT_FORGOTTEN = "agent_forgotten"
     TASK_ASSIGNED = "task_assigned"
     TASK_REFUSED = "task_refused"
+    UNIT_STARTED = "unit_started"
     TASK_ENDED = "task_ended"
     TASK_LOST = "task_lost"
     TASK_STALLED = "task_stalled"
--- a/libs/events/src/papayaspar_events/metrics.py
+++ b/libs/events/src/papayaspar_events/metrics.py
@@ -27,6 +27,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._stages = prometheus_client.Histogram(
+            "papayaspar_stage_duration_seconds",
+            "Duration of a stage of scheduling: planning rounds, and the stages of a job's start.",
+            ("stage",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
         self._gauges = prometheus_client.Gauge(
             "papayaspar_state",
             "Sizes of the process's state: workers, slots, queues, revision, short guarantees.",
@@ -42,6 +49,10 @@
         """Record the duration of a request."""
         self._latency.labels(urgency).observe(duration_s)
 
+    def observe_stage(self, stage: str, duration_s: float) -> None:
+        """Record the duration of a stage of scheduling."""
+        self._stages.labels(stage).observe(duration_s)
+
     def set_state(self, name: str, value: float) -> None:
         """Set a gauge of the process's state."""
         self._gauges.labels(name).set(value)
--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -165,12 +165,15 @@
     :param members: tasks of the unit.
     :param ready_s: time at which the unit became ready to start, in seconds on the lead's clock,
         or ``None`` before.
+    :param preempting_s: time at which other units were first stopped for this unit since it became
+        ready, in seconds on the lead's clock, or ``None``.
     """
 
     job: "JobProgress"
     step: specs.Step
     members: list[Task]
     ready_s: float | None = None
+    preempting_s: float | None = None
 
     @property
     def is_waiting(self) -> bool:
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -62,15 +62,59 @@
             detail=f"task={unit.members[0].key} count={len(unit.members)}"
             f" nodes={','.join(sorted(set(start.nodes)))} rank={start.demand.rank.name}",
         )
-        self._state.spawner.start(self._start_unit, unit, unit.members[0].record.run)
+        stages = self._stages_until_assignment(start, now_s)
+        self._state.spawner.start(self._start_unit, unit, unit.members[0].record.run, stages)
 
-    async def _start_unit(self, unit: progress.Unit, run: int) -> None:
+    def _stages_until_assignment(self, start: planner.Start, now_s: float) -> dict[str, float]:
+        """Return the stages of a unit's start up to its assignment, with their durations.
+
+        The stages are: ``seen``, from the job's acceptance until the lead read its record (only for
+        a job's first run); ``room``, until the unit was assigned or other units were stopped for
+        it; ``stops``, until those had ended.
+
+        :return: seconds by stage.
+        """
+        unit = start.demand.unit
+        stages: dict[str, float] = {}
+        active = self._state.work.job(unit.job.spec.job_id)
+        if active is not None and unit.members[0].record.run == 1 and not unit.step.after:
+            accepted_s = unit.job.accepted_job.accepted_ms / MILLISECONDS_PER_SECOND
+            age_s = self._state.clock.wall_s() - accepted_s
+            stages["seen"] = max(0.0, age_s - (now_s - active.first_seen_s))
+        stops_s = now_s - unit.preempting_s if unit.preempting_s is not None else 0.0
+        stages["room"] = max(0.0, start.demand.waited_s - stops_s)
+        stages["stops"] = stops_s
+        return stages
+
+    def _record_start(self, unit: progress.Unit, run: int, stages: dict[str, float]) -> None:
+        """Record the stages of the start of a unit."""
+        for stage, duration_s in stages.items():
+            self._state.events.metrics.observe_stage(f"start_{stage}", duration_s)
+        self._state.events.record(
+            lines.EventKind.UNIT_STARTED,
+            job=unit.job.spec.job_id,
+            attempt=run,
+            duration_ms=sum(stages.values()) * MILLISECONDS_PER_SECOND,
+            detail=f"task={unit.members[0].key} count={len(unit.members)} "
+            + " ".join(
+                f"{stage}_ms={duration_s * MILLISECONDS_PER_SECOND:.0f}"
+                for stage, duration_s in stages.items()
+            ),
+        )
+
+    async def _start_unit(self, unit: progress.Unit, run: int, stages: dict[str, float]) -> None:
         """Order the start of each member of a unit once the assignment is stored."""
+        assigned_s = self._state.clock.now_s()
         # The planning round that made the assignment queues its record before this coroutine runs.
         await self._recorder.wait_written()
+        stored_s = self._state.clock.now_s()
+        stages["stored"] = stored_s - assigned_s
         async with anyio.create_task_group() as group:
             for task in unit.members:
                 group.start_soon(self._start_task, unit, task, run)
+        stages["answered"] = self._state.clock.now_s() - stored_s
+        if all(task.record.run == run and task.is_assigned for task in unit.members):
+            self._record_start(unit, run, stages)
         if any(task.record.run == run and task.is_waiting for task in unit.members):
             # The members of a gang run all together or not at all.
             self.stop_unit(unit, "a member did not start")
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -322,6 +322,8 @@
                 detail=f"for={demand.unit.job.spec.job_id} rank={demand.rank.name}"
                 f" lost_core_s={victim.cost_core_s:.1f}",
             )
+            if demand.unit.preempting_s is None:
+                demand.unit.preempting_s = now_s
             self._orders.stop_unit(victim.unit, f"preempted for {demand.unit.job.spec.job_id}")
         for demand in plan.moves:
             self._orders.stop_unit(demand.unit, "its worker is draining, and another has capacity")
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -219,7 +219,8 @@
             ),
         )
         task.is_stopping = False
-        self.unit_of(task).ready_s = None
+        unit = self.unit_of(task)
+        unit.ready_s = unit.preempting_s = None
 
     def apply_end(self, node: str, end: workers.RunResult, now_s: float) -> None:
         """Apply the result of a run that a worker lists.
