Leave time for orders between planning rounds

Cause: agents report the progress of each run at least every second, and each report triggered a planning round. With 160 agents one round followed another; an order passes through several coroutines (record, store, order, answer), each of which waited for a whole round.

Change: progress alone triggers no round, and rounds use at most 0.4 of the lead's time.

--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -57,8 +57,18 @@
         """Return whether the store confirmed the leadership recently enough to send orders."""
 
     @abc.abstractmethod
-    def handle_state(self, link: "AgentLink", reported: messages.AgentState) -> None:
-        """Apply the state that an agent reports for its worker."""
+    def handle_state(
+        self,
+        link: "AgentLink",
+        reported: messages.AgentState,
+        previous: messages.AgentState | None = None,
+    ) -> None:
+        """Apply the state that an agent reports for its worker.
+
+        :param link: the link to the agent.
+        :param reported: the state.
+        :param previous: the state that the agent reported before on the same stream, or ``None``.
+        """
 
     @abc.abstractmethod
     def handle_link_lost(self, link: "AgentLink") -> None:
@@ -206,7 +216,7 @@
                     detail=f"token={attach.token} answering={state.is_answering}"
                     f" runs={len(state.runs)} ends={len(state.ends)}",
                 )
-                self._apply_state(state)
+                self._apply_state(state, None)
                 await anyio.sleep_forever()
         finally:
             was_attached = self._peer is not None
@@ -259,9 +269,11 @@
                 detail=f"runs={len(message.runs)} ends={len(message.ends)} the stream was replaced",
             )
             return
-        self._apply_state(message)
+        self._apply_state(message, self.state)
 
-    def _apply_state(self, state: messages.AgentState) -> None:
+    def _apply_state(
+        self, state: messages.AgentState, previous: messages.AgentState | None
+    ) -> None:
         self.state = state
         heartbeat = state.heartbeat
         if heartbeat is not None:
@@ -272,7 +284,7 @@
         self.worker.incarnation = state.incarnation
         is_ready = heartbeat is not None and heartbeat.condition is workers.Condition.READY
         self.worker.is_open = is_ready and state.is_answering and state.incarnation is not None
-        self._owner.handle_state(self, state)
+        self._owner.handle_state(self, state, previous)
 
     async def start(self, order: messages.StartRun) -> messages.StartOutcome:
         """Order the agent to start a run, and return the outcome.
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -18,6 +18,9 @@
 # A planning round runs at each change, and at this interval in seconds for conditions that depend
 # on time.
 PLAN_INTERVAL_S = 0.25
+# Planning rounds use at most this share of the lead's time: an order passes through several
+# coroutines, each of which would wait for a whole round if one followed another at once.
+PLAN_TIME_SHARE = 0.4
 # The fencing token of an attachment is the epoch shifted left by this many bits, plus the number of
 # the attachment times the stride; agents raise their own tokens within a stride.
 EPOCH_SHIFT_BITS = 24
@@ -187,8 +190,17 @@
         link.worker.is_open = False
         self._state.changes.notify()
 
-    def handle_state(self, link: links.AgentLink, reported: messages.AgentState) -> None:
-        """Apply the results, losses and progress that an agent reports for its worker."""
+    def handle_state(
+        self,
+        link: links.AgentLink,
+        reported: messages.AgentState,
+        previous: messages.AgentState | None = None,
+    ) -> None:
+        """Apply the results, losses and progress that an agent reports for its worker.
+
+        Progress alone triggers no planning round, as a loaded fleet reports it all the time; the
+        next round takes it into account.
+        """
         if reported.departure is not None:
             self._reconciler.handle_departure(
                 link.node, reported.departure, self._state.clock.now_s()
@@ -201,7 +213,8 @@
             self._apply_ends(link, reported, reported.incarnation)
             self._apply_runs(link, reported, reported.incarnation)
         self._recorder.flush()
-        self._state.changes.notify()
+        if previous is None or reported.has_more_than_progress(previous):
+            self._state.changes.notify()
 
     def _apply_ends(
         self, link: links.AgentLink, reported: messages.AgentState, incarnation: tasks.Incarnation
@@ -259,8 +272,12 @@
 
     async def _plan_forever(self) -> None:
         while True:
+            started_s = self._state.clock.now_s()
             self._plan()
             seen_sequence = self._state.changes.sequence
+            round_s = self._state.clock.now_s() - started_s
+            self._state.events.metrics.observe_stage("planning_round", round_s)
+            await anyio.sleep(planning_pause_s(round_s))
             with anyio.move_on_after(PLAN_INTERVAL_S):
                 await self._state.changes.wait_for_change(seen_sequence)
 
@@ -374,6 +391,14 @@
             self._recorder.delete_job(accepted_job)
 
 
+def planning_pause_s(round_s: float) -> float:
+    """Return the pause after a planning round, in seconds.
+
+    :param round_s: duration of the round, in seconds.
+    """
+    return min(PLAN_INTERVAL_S, round_s * (1.0 / PLAN_TIME_SHARE - 1.0))
+
+
 def _end_uninformative_trials(workers: list[fleet.Worker]) -> None:
     """Ignore the trials of a pool in which more than ``TRIAL_SHARE_MAX`` are on trial."""
     on_trial = [worker for worker in workers if worker.trial is not health.Trial.NONE]
--- a/libs/runs/src/papayaspar_runs/messages.py
+++ b/libs/runs/src/papayaspar_runs/messages.py
@@ -47,6 +47,27 @@
     departure: records.Departure | None = None
     sequence: int = 0
 
+    def has_more_than_progress(self, previous: "AgentState") -> bool:
+        """Return whether this state differs from an earlier one in more than the runs' progress.
+
+        :param previous: the state that the same agent reported before.
+        """
+        if self.ends and self.ends != previous.ends:
+            return True
+        if (self.incarnation, self.departure) != (previous.incarnation, previous.departure):
+            return True
+        if self.is_answering != previous.is_answering or self.has_lapsed != previous.has_lapsed:
+            return True
+        if self.heartbeat is None or previous.heartbeat is None:
+            return self.heartbeat is not previous.heartbeat
+        if previous.heartbeat.has_changes(self.heartbeat):
+            return True
+        return _run_numbers(self.runs) != _run_numbers(previous.runs)
+
+
+def _run_numbers(runs: tuple[workers.RunStatus, ...]) -> set[tuple[tasks.TaskKey, int]]:
+    return {(run_status.task, run_status.run) for run_status in runs}
+
 
 @attrs.frozen
 class StartRun:
