Let VMs with less than a core lead only if no larger one does

Cause: any entry could become lead, whatever its VM; more than half of the entry VMs of the large deployment have half a core, on which a planning round takes four times as long as on the others.

Change: an entry with less than one core waits 0.3 s longer before it becomes a candidate, the time in which all larger ones try. A lead that has been elected stays.

Result: the new test fails without the change; take-over by a small VM takes up to 0.3 s longer where no larger one lives.

--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -22,6 +22,9 @@
 VIEW_AGE_MAX_S = 1.2
 # Maximum random delay of a candidate, in seconds, so that one append usually decides the election.
 CANDIDATE_JITTER_S = 0.3
+# A VM with fewer cores is a candidate only after all larger ones had time to become lead: planning
+# for a few hundred workers takes most of a core while many jobs wait.
+LEAD_CPU_CORES_MIN = 1.0
 # The follower's long poll returns the lead's own record within this time, in seconds; otherwise the
 # poll hangs, and the lead reads without waiting instead.
 READ_BACK_TIMEOUT_S = 0.1
@@ -44,6 +47,7 @@
     :param clock_source: clock of timeouts.
     :param hybrid_clock: clock of event stamps.
     :param events: journal of leadership changes.
+    :param cpu_cores: CPU of this VM, in cores.
     """
 
     def __init__(
@@ -57,9 +61,11 @@
         clock_source: clock.Clock,
         hybrid_clock: causality.HybridClock,
         events: journal.Journal,
+        cpu_cores: float = LEAD_CPU_CORES_MIN,
     ) -> None:
         self._node = node
         self._incarnation = incarnation
+        self._candidate_delay_s = CANDIDATE_JITTER_S if cpu_cores < LEAD_CPU_CORES_MIN else 0.0
         self._store = store
         self._view = view
         self._follower = follower
@@ -116,7 +122,7 @@
         )
 
     async def _wait_until_expired(self) -> None:
-        jitter_s = random.uniform(0.0, CANDIDATE_JITTER_S)
+        jitter_s = self._candidate_delay_s + random.uniform(0.0, CANDIDATE_JITTER_S)
         expired_since_s: float | None = None
         while not self._is_resigning:
             now_s, lead_remaining_s = self._clock.now_s(), self._lead_remaining_s()
--- a/libs/lead/tests/conftest.py
+++ b/libs/lead/tests/conftest.py
@@ -123,8 +123,14 @@
         hybrid_clock = causality.HybridClock(self.clock)
         return journal.Journal(node, "dc", hybrid_clock, metrics.Metrics())
 
-    async def add_entry(self, node: str) -> EntryUnderTest:
-        """Start the scheduling part of an entry."""
+    async def add_entry(
+        self, node: str, cpu_cores: float = election.LEAD_CPU_CORES_MIN
+    ) -> EntryUnderTest:
+        """Start the scheduling part of an entry.
+
+        :param node: name of the VM.
+        :param cpu_cores: CPU of the VM, in cores.
+        """
         self._process_count += 1
         store = keyed_stores.MemoryStore(self.log)
         view = views.SharedView(self.clock)
@@ -142,6 +148,7 @@
             self.clock,
             events.hybrid_clock,
             events,
+            cpu_cores,
         )
         candidate.configure(configurations.Configuration(1, (queue(),), ()))
         scope = anyio.CancelScope()
--- a/libs/lead/tests/test_election.py
+++ b/libs/lead/tests/test_election.py
@@ -114,3 +114,13 @@
             lambda: cluster.phase(make_job(1).job_id) is registries.JobPhase.SUCCEEDED
         )
         assert {node for _, _, node in cluster.run_recorder.starts} == {"node-1", "node-3"}
+
+
+async def test_smaller_vm_becomes_lead_only_if_no_larger_one_does(start_cluster):
+    """The lead of a fleet of hundreds of workers ran on the smallest VM, and fell behind."""
+    async with start_cluster() as cluster:
+        small = await cluster.add_entry("entry-small", cpu_cores=0.5)
+        large = await cluster.add_entry("entry-large", cpu_cores=2.0)
+        await cluster.wait_until(lambda: cluster.lead() == "entry-large")
+        large.scope.cancel()
+        await cluster.wait_until(lambda: small.election.is_lead, timeout_s=3.0)
