Restart a unit where it failed after progress

Trace of the late check: a gang of three on one rack failed by its own fault after 3.6 s of work, 96% done, and then waited 2.8 s for room elsewhere: the worker on which it had failed was excluded for it and put on trial, although its capacity was free and it had just shown that it runs work.

Change: a failure after progress neither excludes the worker for the unit nor puts the worker on trial. It still counts towards an ejection, as failures of two jobs in a row do.

--- a/libs/bench/src/papayaspar_bench/reference.py
+++ b/libs/bench/src/papayaspar_bench/reference.py
@@ -26,8 +26,8 @@
         "papayaspar_stage_duration_seconds",
         "histogram",
         "stage",
-        "duration of planning rounds and of the stages of a unit's start: seen, room, stops, stored,"
-        " answered",
+        "duration of planning rounds and of the stages of a unit's start: seen, room, stops,"
+        " stored, answered",
     ),
     ("papayaspar_state", "gauge", "name", "sizes of the state: workers, slots, revisions, short"),
 )
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -292,9 +292,13 @@
 
     def _apply_failure(self, node: str, task: progress.Task, now_s: float) -> None:
         unit = self.unit_of(task)
-        task.failed_nodes.add(node)
+        had_progress = task.has_proven_start
+        if not had_progress:
+            # A run that fails after it made progress most likely failed by its own fault, and the
+            # capacity that it leaves is the first that the unit can have.
+            task.failed_nodes.add(node)
         self._requeue(task, unit.failures + 1)
-        if self.outcomes(node).record_failure(task.key.job_id, now_s, task.started_s):
+        if self.outcomes(node).record_failure(task.key.job_id, now_s, task.started_s, had_progress):
             self._events.record(
                 lines.EventKind.WORKER_EJECTED,
                 detail=f"node={node} until_s={self.outcomes(node).ejected_until_s:.1f}",
--- a/libs/scheduling/src/papayaspar_scheduling/health.py
+++ b/libs/scheduling/src/papayaspar_scheduling/health.py
@@ -95,17 +95,26 @@
         self.failed_trials = 0
         return True
 
-    def record_failure(self, job_id: str, now_s: float, started_s: float = float("inf")) -> bool:
+    def record_failure(
+        self,
+        job_id: str,
+        now_s: float,
+        started_s: float = float("inf"),
+        had_progress: bool = False,
+    ) -> bool:
         """Record a failed run.
 
         :param job_id: job of the run.
         :param now_s: the lead's clock.
         :param started_s: start of the run, on the lead's clock; the default is after any failure.
+        :param had_progress: whether the run had made progress, which shows that the worker can run
+            work; its failure puts the worker on no trial.
         :return: whether the failure ejects the worker.
         """
-        if self.failed_s is None or started_s > self.failed_s:
-            self.failed_trials += 1
-        self.failed_s = now_s
+        if not had_progress:
+            if self.failed_s is None or started_s > self.failed_s:
+                self.failed_trials += 1
+            self.failed_s = now_s
         self.failed_jobs.add(job_id)
         failure_limit = 1 if self.ejections else FAILURES_TO_EJECT
         if len(self.failed_jobs) < failure_limit or self.is_ejected(now_s):
