Keep the places of a gang while its members end one after another

Cause: when one member of a gang fails, the others end within a fifth of a second. Tasks of lower ranks took the places of the members that had ended first; the gang then preempted them, which takes up to 0.9 s.

Change: the places of ended members are kept for at most a second while the others end by themselves.

--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -165,6 +165,8 @@
     :param members: tasks of the unit.
     :param ready_s: time at which the unit became ready to start, in seconds on the lead's clock,
         or ``None`` before.
+    :param ending_s: time at which the first member of the current run was seen to have ended before
+        the others, in seconds on the lead's clock, or ``None``.
     :param preempting_s: time at which other units were first stopped for this unit since it became
         ready, in seconds on the lead's clock, or ``None``.
     """
@@ -173,6 +175,7 @@
     step: specs.Step
     members: list[Task]
     ready_s: float | None = None
+    ending_s: float | None = None
     preempting_s: float | None = None
 
     @property
@@ -190,6 +193,15 @@
         """Whether any member is assigned to a worker."""
         return any(task.is_assigned for task in self.members)
 
+    @property
+    def is_ending_by_itself(self) -> bool:
+        """Whether some members have ended, and the others will end without having been stopped."""
+        if not self.is_active or self.is_done:
+            return False
+        if any(task.is_stopping or task.is_starting for task in self.members):
+            return False
+        return any(task.is_waiting for task in self.members)
+
     @property
     def next_run(self) -> int:
         """Number of the unit's next run, which all members of a gang share."""
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -323,11 +323,12 @@
             candidates.append(link.worker)
         _end_uninformative_trials(candidates)
         unassigned = self._unassigned_runs()
+        work = self._state.work
         plan = self._planner.plan(
             [demand for demand in demands if self._pool_of(demand) == pool],
-            self._state.work.free_capacity(candidates, unassigned, is_stopping_counted=True),
-            self._state.work.free_capacity(candidates, unassigned, is_stopping_counted=False),
-            self._state.work.victims(now_s),
+            work.free_capacity(candidates, unassigned, now_s, is_stopping_counted=True),
+            work.free_capacity(candidates, unassigned, now_s, is_stopping_counted=False),
+            work.victims(now_s),
             now_s,
             any(link.is_reconnect_expected(now_s) for link in self._state.links.values()),
             [demand for demand in deferred if self._pool_of(demand) == pool],
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -21,6 +21,10 @@
 # records (`writing.BATCH_RECORDS`), and the store handles several hundred appends per second.
 CHECKPOINTS_PER_S = 200.0
 
+# The members of a gang end within this time after the first one that failed, in seconds, unless the
+# VM of one of them is unreachable.
+GANG_END_TIMEOUT_S = 1.0
+
 
 @attrs.define(eq=False)
 class ActiveJob:
@@ -177,6 +181,7 @@
     ) -> None:
         """Assign the members of a unit to workers."""
         run, checkpoint = unit.next_run, unit.newest_checkpoint
+        unit.ending_s = None
         for task, node in zip(unit.members, nodes, strict=True):
             self._set_record(
                 task,
@@ -394,6 +399,7 @@
         self,
         candidates: list[fleet.Worker],
         unassigned: Iterable[tuple[str, specs.Resources]],
+        now_s: float,
         is_stopping_counted: bool,
     ) -> fleet.FreeCapacity:
         """Return the free capacity of workers.
@@ -401,6 +407,7 @@
         :param candidates: the workers.
         :param unassigned: VM and resources of runs without an assigned task; they use capacity
             until the worker lists their end.
+        :param now_s: the lead's clock.
         :param is_stopping_counted: whether tasks that are being stopped use capacity.
         """
         free = fleet.FreeCapacity(candidates)
@@ -411,4 +418,27 @@
                 if task.is_stopping and not is_stopping_counted:
                     continue
                 free.reserve(node, task.step.counted_resources, fleet.step_name(task.key))
+        for task in self._vacating_members(now_s):
+            free.reserve(task.record.node, task.step.counted_resources)
         return free
+
+    def _vacating_members(self, now_s: float) -> Iterator[progress.Task]:
+        """Return the ended members of gangs whose other members are about to end.
+
+        Their capacity is kept until the gang can start again as a whole: small tasks would take it
+        within the fraction of a second in which the others end, and the gang would have to preempt
+        them.
+        """
+        for active in self._jobs.values():
+            if active.is_cancelled:
+                continue
+            for unit in active.progress.active_units():
+                if len(unit.members) == 1 or not unit.is_ending_by_itself:
+                    continue
+                if active.progress.has_failed:
+                    break
+                if unit.ending_s is None:
+                    unit.ending_s = now_s
+                if now_s - unit.ending_s > GANG_END_TIMEOUT_S:
+                    continue
+                yield from (task for task in unit.members if task.is_waiting and task.record.node)
