Move unsaved work to new workers while others are replaced

Cause: in a rolling release, a gang that was moved off a draining worker went to workers that began to drain a second later.

Change: while any worker of a pool drains, work without checkpoints prefers workers that started within the last 20 s, and checkpointed work leaves them free. The stand-in worker reports its start by the wall clock, as real ones do.

--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -155,6 +155,12 @@
         heartbeat = self.state.heartbeat if self.state is not None else None
         return heartbeat is None or heartbeat.condition is workers.Condition.READY
 
+    @property
+    def is_worker_draining(self) -> bool:
+        """Whether the worker has announced that it will terminate."""
+        heartbeat = self.state.heartbeat if self.state is not None else None
+        return heartbeat is not None and heartbeat.condition is workers.Condition.DRAINING
+
     @property
     def incarnation(self) -> tasks.Incarnation | None:
         """The worker's current incarnation, or ``None`` if it is unknown."""
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -28,6 +28,9 @@
 # When more than this share of the workers are on trial, their runs fail for reasons of the jobs
 # rather than of the workers.
 TRIAL_SHARE_MAX = 0.5
+# While workers of a pool are leaving, one that started within this time is a replacement, in
+# seconds: replacements start before the workers that they replace begin to drain.
+REPLACEMENT_AGE_MAX_S = 20.0
 # Default retention of the records of ended jobs, in seconds.
 RETENTION_S = 120.0
 
@@ -322,6 +325,7 @@
             self._update_health(link.worker, now_s)
             candidates.append(link.worker)
         _end_uninformative_trials(candidates)
+        self._mark_replacements(pool)
         unassigned = self._unassigned_runs()
         work = self._state.work
         plan = self._planner.plan(
@@ -348,6 +352,19 @@
         for start in plan.starts:
             self._orders.assign(start, now_s)
 
+    def _mark_replacements(self, pool: str) -> None:
+        """Mark the new workers of a pool while others of it are leaving."""
+        pool_links = [link for link in self._state.links.values() if link.worker.pool == pool]
+        is_replacing = any(link.is_worker_draining for link in pool_links)
+        born_after_s = self._state.clock.wall_s() - REPLACEMENT_AGE_MAX_S
+        for link in pool_links:
+            incarnation = link.worker.incarnation
+            link.worker.is_replacement = (
+                is_replacing
+                and incarnation is not None
+                and incarnation.born_ms / MILLISECONDS_PER_SECOND >= born_after_s
+            )
+
     def _update_health(self, worker: fleet.Worker, now_s: float) -> None:
         outcomes = self._state.work.outcomes(worker.node)
         worker.is_trusted = not outcomes.is_ejected(now_s)
--- a/libs/scheduling/src/papayaspar_scheduling/fleet.py
+++ b/libs/scheduling/src/papayaspar_scheduling/fleet.py
@@ -23,6 +23,7 @@
     :param slowness: run time of work on the worker divided by its estimate.
     :param trial: whether the worker is on trial since its newest run failed.
     :param proven_s: latest start of a run that succeeded or made progress, on the lead's clock.
+    :param is_replacement: whether the worker started recently while others of its pool are leaving.
     """
 
     node: str
@@ -36,6 +37,7 @@
     slowness: float = 1.0
     trial: health.Trial = health.Trial.NONE
     proven_s: float = float("-inf")
+    is_replacement: bool = False
 
 
 class FreeCapacity:
--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -193,21 +193,24 @@
     demand: ordering.Demand, free: fleet.FreeCapacity, group: list[fleet.Worker]
 ) -> tuple[str, ...] | None:
     has_failed = demand.unit.failures > 0
-    ordered = sorted(group, key=lambda worker: _packing_key(worker, free, has_failed))
+    is_saved = demand.unit.step.is_checkpointed
+    ordered = sorted(group, key=lambda worker: _packing_key(worker, free, has_failed, is_saved))
     return _first_fit(demand, free, ordered)
 
 
 def _packing_key(
-    worker: fleet.Worker, free: fleet.FreeCapacity, has_failed: bool
+    worker: fleet.Worker, free: fleet.FreeCapacity, has_failed: bool, is_saved: bool
 ) -> tuple[float | bool | str, ...]:
     """Return a sort key; the smallest is filled first.
 
     A unit that has failed before runs on the workers that most recently proved that they can start
-    work.
+    work. While workers are replaced one after the other, work that restarts from the beginning
+    prefers those that are new, which won't leave next; checkpointed work leaves them free.
     """
     available = free.free(worker.node)
     return (
         worker.trial is not health.Trial.NONE,
+        worker.is_replacement is is_saved,
         round(worker.slowness, 1),
         -worker.proven_s if has_failed else 0.0,
         available.accelerators,
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -84,6 +84,7 @@
     :param clock_source: clock of the worker.
     :param lease_max_s: maximum remaining time of the lease, in seconds.
     :param run_time_s: run time of each task, in seconds.
+    :param age_s: time since the start of the first incarnation, in seconds.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         clock_source: clock.Clock,
         lease_max_s: float = 6.0,
         run_time_s: float = 0.2,
+        age_s: float = 0.0,
     ) -> None:
         self.name = name
         self.fault = WorkerFault.NONE
@@ -105,15 +107,16 @@
         self.saves_progress = False
         self.starts_to_delay = 0
         self._wall_clock_offset_ms = 0
+        self._age_ms = int(age_s * MILLISECONDS_PER_SECOND)
         self._run_recorder = run_recorder
         self._clock = clock_source
         self._lease_max_s = lease_max_s
         self._start_incarnation()
 
     def _start_incarnation(self) -> None:
-        self.born_ms = (
-            int(self._clock.now_s() * MILLISECONDS_PER_SECOND) + self._wall_clock_offset_ms
-        )
+        wall_ms = int(self._clock.wall_s() * MILLISECONDS_PER_SECOND)
+        self.born_ms = wall_ms + self._wall_clock_offset_ms - self._age_ms
+        self._age_ms = 0
         self._incarnation_started_s = self._clock.now_s()
         self._token = 0
         self.lease_expiry_ms = 0
