Stop no run as stalled right after a pause of the lead

Cause: runs count as stalled when the lead has read no progress for three seconds.

Change: no run counts as stalled until rounds have followed one another for as long as a stall takes.

--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -11,6 +11,10 @@
 # longer than any disruption after which it returns under its name.
 FORGET_TIMEOUT_S = 60.0
 
+# The lead was paused, or could not keep up, if this much time passed between two rounds, in
+# seconds: four times the planning interval (`scheduling.PLAN_INTERVAL_S`).
+PAUSE_MIN_S = 1.0
+
 
 class Reconciler:
     """Reconcile assigned tasks with the state of their workers, before each planning.
@@ -33,6 +37,9 @@
         self._orders = order_sender
         self._recorder = recorder
         self._unlinked_expiry_s = unlinked_expiry_s
+        self._last_round_s: float | None = None
+        # Since when rounds have followed one another without a pause, on the lead's clock.
+        self._steady_since_s = float("-inf")
         # Runs on unreachable workers that were recorded as such, by VM.
         self._unconfirmed: dict[str, set[tuple[tasks.TaskKey, int]]] = {}
 
@@ -41,6 +48,9 @@
 
         :param now_s: the lead's clock.
         """
+        if self._last_round_s is not None and now_s - self._last_round_s > PAUSE_MIN_S:
+            self._steady_since_s = now_s
+        self._last_round_s = now_s
         self.release_departed(now_s)
         self.release_expired(now_s)
         self.stop_cancelled_and_failed()
@@ -168,7 +178,13 @@
         return list(units.values())
 
     def restart_stalled(self, now_s: float) -> None:
-        """Stop stalled units, so that they restart elsewhere, and eject their stalled workers."""
+        """Stop stalled units, so that they restart elsewhere, and eject their stalled workers.
+
+        After a pause of the lead, reports that arrived meanwhile have not been read yet: no run
+        counts as stalled until the lead has been running for as long as a stall takes.
+        """
+        if now_s - self._steady_since_s < progress.STALL_TIMEOUT_S:
+            return
         for unit in self._state.work.stalled_units(now_s):
             stalled_tasks = [task for task in unit.members if task.is_stalled(now_s)]
             stalled_links = [self._state.links.get(task.record.node) for task in stalled_tasks]
