--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import anyio
+import attrs
 
 from papayaspar_events import lines
 from papayaspar_jobs import progress, registries, tasks
@@ -21,6 +22,25 @@
 )
 
 
+@attrs.define
+class StartStages:
+    """Durations of the stages of a unit's start, in seconds.
+
+    :param seen_s: from the job's acceptance until the lead read its record; 0 unless the unit is
+        one of the first of its job, in its first run.
+    :param room_s: until the unit was assigned, or other units were stopped for it.
+    :param stops_s: until those units had ended.
+    :param stored_s: until the assignment was stored.
+    :param answered_s: until the agents had answered the start orders.
+    """
+
+    seen_s: float = 0.0
+    room_s: float = 0.0
+    stops_s: float = 0.0
+    stored_s: float = 0.0
+    answered_s: float = 0.0
+
+
 class Orders:
     """Send orders to agents.
 
@@ -65,54 +85,51 @@
         stages = self._stages_until_assignment(start, now_s)
         self._state.spawner.start(self._start_unit, unit, unit.members[0].record.run, stages)
 
-    def _stages_until_assignment(self, start: planner.Start, now_s: float) -> dict[str, float]:
-        """Return the stages of a unit's start up to its assignment, with their durations.
-
-        The stages are: ``seen``, from the job's acceptance until the lead read its record (only for
-        a job's first run); ``room``, until the unit was assigned or other units were stopped for
-        it; ``stops``, until those had ended.
-
-        :return: seconds by stage.
-        """
+    def _stages_until_assignment(self, start: planner.Start, now_s: float) -> StartStages:
+        """Return the stages of a unit's start up to its assignment."""
         unit = start.demand.unit
-        stages: dict[str, float] = {}
+        stages = StartStages()
         active = self._state.work.job(unit.job.spec.job_id)
         if active is not None and unit.members[0].record.run == 1 and not unit.step.after:
             accepted_s = unit.job.accepted_job.accepted_ms / MILLISECONDS_PER_SECOND
             age_s = self._state.clock.wall_s() - accepted_s
-            stages["seen"] = max(0.0, age_s - (now_s - active.first_seen_s))
-        stops_s = now_s - unit.preempting_s if unit.preempting_s is not None else 0.0
-        stages["room"] = max(0.0, start.demand.waited_s - stops_s)
-        stages["stops"] = stops_s
+            stages.seen_s = max(0.0, age_s - (now_s - active.first_seen_s))
+        if unit.preempting_s is not None:
+            stages.stops_s = now_s - unit.preempting_s
+        stages.room_s = max(0.0, start.demand.waited_s - stages.stops_s)
         return stages
 
-    def _record_start(self, unit: progress.Unit, run: int, stages: dict[str, float]) -> None:
+    def _record_start(self, unit: progress.Unit, run: int, stages: StartStages) -> None:
         """Record the stages of the start of a unit."""
-        for stage, duration_s in stages.items():
+        durations_s = {
+            field.name.removesuffix("_s"): getattr(stages, field.name)
+            for field in attrs.fields(StartStages)
+        }
+        for stage, duration_s in durations_s.items():
             self._state.events.metrics.observe_stage(f"start_{stage}", duration_s)
         self._state.events.record(
             lines.EventKind.UNIT_STARTED,
             job=unit.job.spec.job_id,
             attempt=run,
-            duration_ms=sum(stages.values()) * MILLISECONDS_PER_SECOND,
+            duration_ms=sum(durations_s.values()) * MILLISECONDS_PER_SECOND,
             detail=f"task={unit.members[0].key} count={len(unit.members)} "
             + " ".join(
                 f"{stage}_ms={duration_s * MILLISECONDS_PER_SECOND:.0f}"
-                for stage, duration_s in stages.items()
+                for stage, duration_s in durations_s.items()
             ),
         )
 
-    async def _start_unit(self, unit: progress.Unit, run: int, stages: dict[str, float]) -> None:
+    async def _start_unit(self, unit: progress.Unit, run: int, stages: StartStages) -> None:
         """Order the start of each member of a unit once the assignment is stored."""
         assigned_s = self._state.clock.now_s()
         # The planning round that made the assignment queues its record before this coroutine runs.
         await self._recorder.wait_written()
         stored_s = self._state.clock.now_s()
-        stages["stored"] = stored_s - assigned_s
+        stages.stored_s = stored_s - assigned_s
         async with anyio.create_task_group() as group:
             for task in unit.members:
                 group.start_soon(self._start_task, unit, task, run)
-        stages["answered"] = self._state.clock.now_s() - stored_s
+        stages.answered_s = self._state.clock.now_s() - stored_s
         if all(task.record.run == run and task.is_assigned for task in unit.members):
             self._record_start(unit, run, stages)
         if any(task.record.run == run and task.is_waiting for task in unit.members):
--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -10,7 +10,6 @@
 # A VM without tasks is forgotten when its agent has been disconnected for this long, in seconds:
 # longer than any disruption after which it returns under its name.
 FORGET_TIMEOUT_S = 60.0
-
 # The lead was paused, or could not keep up, if this much time passed between two rounds, in
 # seconds: four times the planning interval (`scheduling.PLAN_INTERVAL_S`).
 PAUSE_MIN_S = 1.0
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -20,7 +20,6 @@
 # Maximum number of checkpoints stored per second in the whole domain: one append holds as many
 # records (`writing.BATCH_RECORDS`), and the store handles several hundred appends per second.
 CHECKPOINTS_PER_S = 200.0
-
 # The members of a gang end within this time after the first one that failed, in seconds, unless the
 # VM of one of them is unreachable.
 GANG_END_TIMEOUT_S = 1.0
