--- a/libs/scheduling/tests/test_replacements.py
+++ b/libs/scheduling/tests/test_replacements.py
@@ -1,4 +1,4 @@
-"""Placement while the workers of a pool are replaced one after the other, as in a rolling release."""
+"""Placement while the workers of a pool are replaced one after the other (rolling release)."""
 
 from papayaspar_scheduling import ordering
 
