--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,8 +18,8 @@
 ESTIMATE_MS = 60_000
 # All tasks end within this time, in seconds.
 ENDS_SPAN_S = 3.0
-# Length of the outage (site file: platform_down, for 4.5 s).
-DOWN_S = 4.5
+# Length of the outage (site file: platform_down, busy, for 4.2 s).
+DOWN_S = 4.2
 START_TIMEOUT_S = 50.0
 
 
