Keep runs whose results a worker does not list yet

Cause: a worker lists 500 results at a time, and the next ones only after an acknowledgement, which waits for the store. The agent and the lead took a run that is in neither list for one that had been lost, and an unanswered start for one that had not been executed. Change: `WorkerStatus.has_more_ends` says that the list may be incomplete. The lead gives up no run on a worker while it is set, also after a restart of the agent or a change of the lead, and an unanswered start stays open.

--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -249,8 +249,10 @@
             if is_listed and run_status is not None:
                 self._state.work.apply_progress(task, run_status, now_s)
                 continue
-            if not task.is_starting:
-                self._state.work.release(task, "its worker does not list the run")
+            if task.is_starting or reported.has_more_ends:
+                # A run that has ended is listed once the results before its own are acknowledged.
+                continue
+            self._state.work.release(task, "its worker does not list the run")
         for run_status in reported.runs:
             known_task = self._state.work.find_task(run_status.task)
             if (
--- a/libs/lead/tests/test_no_task_twice.py
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -280,3 +280,52 @@
         )
         assert cluster.run_recorder.overlaps == []
         assert len(cluster.run_recorder.starts) == 2
+
+
+async def test_run_whose_result_is_not_listed_yet_is_not_started_again(start_cluster, make_job):
+    """Runs that ended while the store was down, beyond what a worker lists, counted as lost.
+
+    Seen in case 1 of the review: the worker lists the oldest results until they are acknowledged.
+    """
+    async with start_cluster() as cluster:
+        lead = await cluster.add_entry("entry-1")
+        agent = await cluster.add_agent("node-1")
+        agent.worker.ends_listed_max = 3
+        agent.worker.run_time_s = 60.0
+        spec = make_job(1, specs.Step(8, specs.Resources(1000, 100)))
+        cluster.submit(spec)
+        await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == 8)
+        lead.store.fault = keyed_stores.StoreFault.BUSY
+        agent.worker.finish_runs()
+        await cluster.wait_until(lambda: len(cluster.run_recorder.done) == 8)
+        await cluster.sleep(1.0)
+        lead.store.heal()
+        await cluster.wait_until(
+            lambda: cluster.phase(spec.job_id) is registries.JobPhase.SUCCEEDED
+        )
+        assert cluster.run_recorder.restarts == []
+        assert len(cluster.run_recorder.starts) == 8
+
+
+async def test_new_lead_waits_for_results_that_are_not_listed_yet(start_cluster, make_job):
+    """The restarted agent knows no runs, and the new lead only those that the worker lists."""
+    async with start_cluster() as cluster:
+        lead = await cluster.add_entry("entry-1")
+        agent = await cluster.add_agent("node-1")
+        agent.worker.ends_listed_max = 3
+        agent.worker.run_time_s = 60.0
+        spec = make_job(1, specs.Step(8, specs.Resources(1000, 100)))
+        cluster.submit(spec)
+        await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == 8)
+        lead.store.fault = keyed_stores.StoreFault.BUSY
+        agent.worker.finish_runs()
+        await cluster.wait_until(lambda: len(cluster.run_recorder.done) == 8)
+        lead.scope.cancel()
+        agent.scope.cancel()
+        await cluster.add_entry("entry-2")
+        await cluster.add_agent("node-1", agent.worker)
+        await cluster.wait_until(
+            lambda: cluster.phase(spec.job_id) is registries.JobPhase.SUCCEEDED
+        )
+        assert cluster.run_recorder.restarts == []
+        assert len(cluster.run_recorder.starts) == 8
--- a/libs/runs/src/papayaspar_runs/messages.py
+++ b/libs/runs/src/papayaspar_runs/messages.py
@@ -33,6 +33,8 @@
     :param has_lapsed: whether the lease has certainly expired since the worker last answered.
     :param runs: running tasks of the worker.
     :param ends: results that the lead has not acknowledged yet.
+    :param has_more_ends: whether the worker may have more results than ``ends``; a run that is not
+        listed may be among them.
     :param departure: last departure of a worker on this VM, or ``None``.
     :param sequence: number of the state within the agent's process; a later state has a higher one.
     """
@@ -46,6 +48,7 @@
     ends: tuple[workers.RunResult, ...] = ()
     departure: records.Departure | None = None
     sequence: int = 0
+    has_more_ends: bool = False
 
     def has_more_than_progress(self, previous: "AgentState") -> bool:
         """Return whether this state differs from an earlier one in more than the runs' progress.
--- a/libs/runs/src/papayaspar_runs/table.py
+++ b/libs/runs/src/papayaspar_runs/table.py
@@ -29,6 +29,8 @@
     def __init__(self) -> None:
         self._runs: dict[tasks.TaskKey, Run] = {}
         self.ends: tuple[workers.RunResult, ...] = ()
+        # Whether the worker may have more results than `ends`.
+        self.has_more_ends = False
 
     def statuses(self) -> tuple[workers.RunStatus, ...]:
         """Return the statuses of the runs that have started."""
@@ -44,6 +46,7 @@
             if not run.is_starting and run.since_poll < poll_number:
                 del self._runs[task]
         self.ends = ()
+        self.has_more_ends = False
 
     def fits(self, resources: specs.Resources, capacity: specs.Resources) -> bool:
         """Return whether a task fits beside the runs whose resources are known."""
@@ -87,12 +90,20 @@
             known_run.is_starting = False
             known_run.since_poll = poll_number
 
-    def has_started(self, task: tasks.TaskKey, run: int, status: workers.WorkerStatus) -> bool:
-        """Return whether a worker's status lists a run as running or ended."""
+    def has_started(
+        self, task: tasks.TaskKey, run: int, status: workers.WorkerStatus
+    ) -> bool | None:
+        """Return whether a worker's status lists a run as running or ended.
+
+        :return: ``None`` if the worker does not list the run, but may have more results.
+        """
         for run_status in status.running:
             if run_status.task == task and run_status.run == run:
                 return True
-        return any(end.task == task and end.run == run for end in status.ended)
+        for end in status.ended:
+            if end.task == task and end.run == run:
+                return True
+        return None if status.has_more_ends else False
 
     def apply_status(self, status: workers.WorkerStatus, number: int) -> bool:
         """Apply the status that a poll returned.
@@ -101,7 +112,7 @@
         :param number: number of the poll, which rises with each one sent.
         :return: whether runs or results changed.
         """
-        previous = (self.statuses(), self.ends)
+        previous = (self.statuses(), self.ends, self.has_more_ends)
         listed = {run_status.task: run_status for run_status in status.running}
         for run_status in status.running:
             known_run = self._runs.get(run_status.task)
@@ -119,4 +130,5 @@
             if task not in listed or listed[task].run != run.status.run:
                 del self._runs[task]
         self.ends = status.ended
-        return previous != (self.statuses(), self.ends)
+        self.has_more_ends = status.has_more_ends
+        return previous != (self.statuses(), self.ends, self.has_more_ends)
--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -96,6 +96,7 @@
             has_lapsed=not self._is_answering and self._lease.has_expired,
             runs=self._table.statuses(),
             ends=self._table.ends,
+            has_more_ends=self._table.has_more_ends,
             departure=self.departure,
         )
 
@@ -306,12 +307,17 @@
                     return workers.RefusalReason.UNREACHABLE
                 await anyio.sleep(RETRY_INTERVAL_S)
                 continue
-            if self._table.has_started(order.task, order.run, status):
+            has_started = self._table.has_started(order.task, order.run, status)
+            if has_started:
                 return None
             if status.born_ms != order.incarnation.born_ms:
                 # A new incarnation with the same id answers; it has confirmed the raised token.
                 return workers.RefusalReason.INCARNATION
-            return workers.RefusalReason.UNREACHABLE
+            if has_started is not None:
+                return workers.RefusalReason.UNREACHABLE
+            # The run may have ended: the worker lists its result once the lead has acknowledged
+            # those before it.
+            await anyio.sleep(UNACKNOWLEDGED_POLL_INTERVAL_S)
         return workers.RefusalReason.INCARNATION
 
     async def stop(self, task: tasks.TaskKey, run: int) -> None:
--- a/libs/runs/src/papayaspar_runs/workers.py
+++ b/libs/runs/src/papayaspar_runs/workers.py
@@ -152,13 +152,16 @@
     :param clock_ms: monotonic clock of the worker.
     :param born_ms: start of the worker, in milliseconds since the Unix epoch; 0 if not reported.
     :param running: statuses of the running tasks.
-    :param ended: results that were not acknowledged yet.
+    :param ended: results that were not acknowledged yet, the oldest first.
+    :param has_more_ends: whether the worker may have more results than it lists: a run that is
+        neither in ``running`` nor in ``ended`` may have ended with any result.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[RunStatus, ...]
     ended: tuple[RunResult, ...]
+    has_more_ends: bool = False
 
 
 @attrs.frozen
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -106,6 +106,8 @@
         self.stop_time_s = 0.0
         self.saves_progress = False
         self.starts_to_delay = 0
+        # Maximum number of results in one answer to a poll.
+        self.ends_listed_max = 500
         self._wall_clock_offset_ms = 0
         self._age_ms = int(age_s * MILLISECONDS_PER_SECOND)
         self._run_recorder = run_recorder
@@ -229,7 +231,11 @@
             )
             for run in self._runs.values()
         )
-        return workers.WorkerStatus(self.clock_ms(), self.born_ms, running, tuple(self._ends))
+        listed = tuple(self._ends[: self.ends_listed_max])
+        has_more_ends = len(listed) >= self.ends_listed_max
+        return workers.WorkerStatus(
+            self.clock_ms(), self.born_ms, running, listed, has_more_ends=has_more_ends
+        )
 
     def _percent(self, run: _Run) -> float:
         worked_s = self.run_time_s - (run.end_s - self._clock.now_s())
--- a/tests/adapter/test_clients.py
+++ b/tests/adapter/test_clients.py
@@ -197,3 +197,15 @@
     server[0].queue_answer(200, page)
     snapshot = await store.read_snapshot(PARTITION)
     assert [record.key for record in snapshot.records if record.key] == ["k"]
+
+
+@pytest.mark.parametrize(("count", "has_more_ends"), [(499, False), (500, True)])
+async def test_full_list_of_results_may_not_be_all(server, worker, count, has_more_ends):
+    """A worker lists 500 results at a time; a run beyond them must not be taken for lost."""
+    ended = [
+        [number, f"{TASK.job_id}.0.0.{number}", 1, "done", ""] for number in range(1, count + 1)
+    ]
+    server[0].queue_answer(200, {"clock_ms": 1, "running": [], "ended": ended})
+    status = await worker.poll(7, 0, None, 0, "w-1")
+    assert len(status.ended) == count
+    assert status.has_more_ends is has_more_ends
