--- /dev/null
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -0,0 +1,229 @@
+"""Execution state of tasks and units of scheduling: progress, pace and stalls."""
+
+import typing
+
+import attrs
+
+from papayaspar_jobs import specs, tasks
+
+if typing.TYPE_CHECKING:
+    from papayaspar_jobs import progress
+
+MILLISECONDS_PER_SECOND = 1000.0
+# Minimum time without progress, in seconds, after which a run counts as stalled: progress is
+# reported in whole percents, and one percent takes up to three seconds on a slow worker.
+STALL_TIMEOUT_S = 3.0
+# Progress in percent whose estimated time must also pass before a run counts as stalled: a long run
+# takes more than the minimum time from one reported percent to the next.
+STALL_PROGRESS_PERCENT = 5.0
+# Progress in percent from which the pace of a run is computed; the startup time then has little
+# influence on it.
+PACE_PERCENT_MIN = 5.0
+
+
+@attrs.define(eq=False)
+class Task:
+    """The lead's state of a task.
+
+    :param key: key of the task.
+    :param step: step that the task belongs to.
+    :param record: persistent state.
+    :param is_starting: whether a start order is in progress.
+    :param is_stopping: whether a stop order was sent.
+    :param started_s: start time of the current run, in seconds on the lead's clock.
+    :param percent: progress of the current run, 0 to 100.
+    :param progressed_s: time at which the progress last increased, in seconds on the lead's clock.
+    :param checkpoint: newest checkpoint reported by the current run.
+    :param checkpoint_stored_s: time at which a checkpoint of the current run was last stored, in
+        seconds on the lead's clock.
+    :param failed_nodes: VMs on which a run of the task failed.
+    """
+
+    key: tasks.TaskKey
+    step: specs.Step
+    record: tasks.TaskRecord = attrs.field(factory=tasks.TaskRecord)
+    is_starting: bool = False
+    is_stopping: bool = False
+    started_s: float = 0.0
+    percent: float = 0.0
+    progressed_s: float = 0.0
+    checkpoint: str = ""
+    checkpoint_stored_s: float = 0.0
+    failed_nodes: set[str] = attrs.field(factory=set)
+    _is_start_time_known: bool = attrs.field(default=True, init=False)
+    _is_fresh_start: bool = attrs.field(default=False, init=False)
+
+    def mark_starting(self, now_s: float) -> None:
+        """Record that a run is being started.
+
+        :param now_s: current time in seconds on the lead's clock.
+        """
+        self.is_starting = True
+        self.is_stopping = False
+        self._is_fresh_start = not self.record.checkpoint
+        self.started_s = self.progressed_s = self.checkpoint_stored_s = now_s
+        self.percent = 0.0
+
+    def mark_started(self, now_s: float) -> None:
+        """Record that the worker has started the run.
+
+        The start time is set again because the assignment may have waited seconds for a slow store.
+
+        :param now_s: current time in seconds on the lead's clock.
+        """
+        self.is_starting = False
+        self.started_s = self.progressed_s = self.checkpoint_stored_s = now_s
+
+    def mark_taken_over(self, now_s: float) -> None:
+        """Record that this lead takes over a run started by a former lead.
+
+        The start time is unknown until :meth:`update_progress` derives it from the progress.
+        """
+        self.started_s = self.progressed_s = self.checkpoint_stored_s = now_s
+        self.percent = 0.0
+        self._is_fresh_start = False
+        self._is_start_time_known = False
+
+    def update_progress(self, percent: float, now_s: float) -> None:
+        """Update the progress of the run.
+
+        :param percent: reported progress, 0 to 100.
+        :param now_s: current time in seconds on the lead's clock.
+        """
+        if not self._is_start_time_known:
+            self._is_start_time_known = True
+            self.started_s -= self.step.estimate_ms / MILLISECONDS_PER_SECOND * percent / 100.0
+        if percent > self.percent:
+            self.percent = percent
+            self.progressed_s = now_s
+
+    @property
+    def has_proven_start(self) -> bool:
+        """Whether the run shows progress since its own start, not only that of a checkpoint."""
+        return self._is_fresh_start and self.percent >= PACE_PERCENT_MIN
+
+    def pace_ratio(self, now_s: float) -> float | None:
+        """Return the projected duration of the run as a multiple of its estimate.
+
+        The ratio is ``None`` without an estimate or enough progress, and for runs that resumed
+        from a checkpoint or were started by a former lead: their start time or initial progress
+        is unknown.
+
+        :param now_s: time at which :attr:`percent` was reported, in seconds on the lead's clock.
+        """
+        if not self._is_fresh_start or self.step.estimate_ms <= 0:
+            return None
+        if self.percent < PACE_PERCENT_MIN:
+            return None
+        duration_s = (now_s - self.started_s) * 100.0 / self.percent
+        return duration_s * MILLISECONDS_PER_SECOND / self.step.estimate_ms
+
+    def remaining_s(self, now_s: float) -> float:
+        """Return the estimated remaining time of the run, in seconds.
+
+        It is computed from the run's progress where possible, because the caller's estimate may be
+        far off.
+        """
+        return max(0.0, self.started_s + self._estimated_duration_s() - now_s)
+
+    def _estimated_duration_s(self) -> float:
+        elapsed_s = self.progressed_s - self.started_s
+        if self.percent > 0 and elapsed_s > 0:
+            return elapsed_s * 100.0 / self.percent
+        return self.step.estimate_ms / MILLISECONDS_PER_SECOND
+
+    def is_stalled(self, now_s: float) -> bool:
+        """Return whether the run has stalled so long that a restart costs less than waiting."""
+        idle_s = now_s - self.progressed_s
+        progress_time_s = self._estimated_duration_s() * STALL_PROGRESS_PERCENT / 100.0
+        # The timeout grows with the number of runs, so that a task isn't restarted endlessly.
+        if idle_s < max(STALL_TIMEOUT_S, progress_time_s) * max(1, self.record.run):
+            return False
+        return self.step.is_checkpointed or idle_s >= self.progressed_s - self.started_s
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the task waits to be started."""
+        return self.record.phase is tasks.TaskPhase.WAITING
+
+    @property
+    def is_assigned(self) -> bool:
+        """Whether the task is assigned to a worker, which may or may not run it already."""
+        return self.record.phase is tasks.TaskPhase.ASSIGNED
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the task has completed successfully."""
+        return self.record.phase is tasks.TaskPhase.DONE
+
+
+@attrs.define(eq=False)
+class Unit:
+    """Unit of scheduling: a gang, or a single task.
+
+    The members start, stop and fail together.
+
+    :param job: job that the unit belongs to.
+    :param step: step that the unit belongs to.
+    :param members: tasks of the unit.
+    :param ready_s: time at which the unit became ready to start, in seconds on the lead's clock,
+        or ``None`` before.
+    :param ending_s: time at which the first member of the current run was seen to have ended before
+        the others, in seconds on the lead's clock, or ``None``.
+    :param preempting_s: time at which other units were first stopped for this unit since it became
+        ready, in seconds on the lead's clock, or ``None``.
+    """
+
+    job: "progress.JobProgress"
+    step: specs.Step
+    members: list[Task]
+    ready_s: float | None = None
+    ending_s: float | None = None
+    preempting_s: float | None = None
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether every member waits to be started."""
+        return all(task.is_waiting for task in self.members)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every member has completed successfully."""
+        return all(task.is_done for task in self.members)
+
+    @property
+    def is_active(self) -> bool:
+        """Whether any member is assigned to a worker."""
+        return any(task.is_assigned for task in self.members)
+
+    @property
+    def is_ending_by_itself(self) -> bool:
+        """Whether some members have ended, and the others will end without having been stopped."""
+        if not self.is_active or self.is_done:
+            return False
+        if any(task.is_stopping or task.is_starting for task in self.members):
+            return False
+        return any(task.is_waiting for task in self.members)
+
+    @property
+    def next_run(self) -> int:
+        """Number of the unit's next run, which all members of a gang share."""
+        return max(task.record.run for task in self.members) + 1
+
+    @property
+    def failures(self) -> int:
+        """Number of failed runs."""
+        return max(task.record.failures for task in self.members)
+
+    @property
+    def newest_checkpoint(self) -> str:
+        """Checkpoint from which all members resume in the next run, or empty."""
+        for task in self.members:
+            if task.record.checkpoint:
+                return task.record.checkpoint
+        return ""
+
+    @property
+    def failed_nodes(self) -> frozenset[str]:
+        """VMs on which a run of any member failed."""
+        return frozenset(node for task in self.members for node in task.failed_nodes)
--- a/libs/jobs/tests/test_progress.py
+++ b/libs/jobs/tests/test_progress.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from papayaspar_jobs import configurations, progress, registries, specs, tasks
+from papayaspar_jobs import configurations, progress, registries, specs, tasks, units
 
 QUEUE = configurations.Queue("queue", "host", "/queue/", "pool", 3000)
 
@@ -177,17 +177,17 @@
     on the simulated day booth-cloud-grown trouble-2, where 74 tasks were restarted.
     """
     step = specs.Step(1, specs.Resources(1000, 100, 1), 15_000, is_checkpointed=True)
-    task = progress.Task(tasks.TaskKey("0" * 16, 0, 0, 0), step)
+    task = units.Task(tasks.TaskKey("0" * 16, 0, 0, 0), step)
     task.record = tasks.TaskRecord(tasks.TaskPhase.ASSIGNED, 1, "node-1")
     task.mark_starting(100.0)
     task.mark_started(103.0)
     assert not task.is_stalled(103.5)
-    assert task.is_stalled(103.0 + progress.STALL_TIMEOUT_S)
+    assert task.is_stalled(103.0 + units.STALL_TIMEOUT_S)
 
 
 def test_pace_is_computed_only_for_runs_that_start_without_a_checkpoint():
     step = specs.Step(1, specs.Resources(1000, 100, 1), 10_000, is_checkpointed=True)
-    task = progress.Task(tasks.TaskKey("0" * 16, 0, 0, 0), step)
+    task = units.Task(tasks.TaskKey("0" * 16, 0, 0, 0), step)
     task.mark_starting(100.0)
     task.record = tasks.TaskRecord(tasks.TaskPhase.ASSIGNED, 1, "node-1", checkpoint="saved")
     task.update_progress(10.0, 106.0)
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -6,7 +6,7 @@
 import attrs
 
 from papayaspar_events import lines
-from papayaspar_jobs import progress, registries, tasks
+from papayaspar_jobs import progress, registries, tasks, units
 from papayaspar_lead import links, recording, state
 from papayaspar_model import errors
 from papayaspar_runs import messages, workers
@@ -99,7 +99,7 @@
         stages.room_s = max(0.0, start.demand.waited_s - stages.stops_s)
         return stages
 
-    def _record_start(self, unit: progress.Unit, run: int, stages: StartStages) -> None:
+    def _record_start(self, unit: units.Unit, run: int, stages: StartStages) -> None:
         """Record the stages of the start of a unit."""
         durations_s = {
             field.name.removesuffix("_s"): getattr(stages, field.name)
@@ -119,7 +119,7 @@
             ),
         )
 
-    async def _start_unit(self, unit: progress.Unit, run: int, stages: StartStages) -> None:
+    async def _start_unit(self, unit: units.Unit, run: int, stages: StartStages) -> None:
         """Order the start of each member of a unit once the assignment is stored."""
         assigned_s = self._state.clock.now_s()
         # The planning round that made the assignment queues its record before this coroutine runs.
@@ -138,7 +138,7 @@
         self._recorder.flush()
         self._state.changes.notify()
 
-    async def _start_task(self, unit: progress.Unit, task: progress.Task, run: int) -> None:
+    async def _start_task(self, unit: units.Unit, task: units.Task, run: int) -> None:
         if task.record.run != run:
             # The run has ended already, and the task was assigned again.
             return
@@ -188,7 +188,7 @@
         accepted_job = job.accepted_job
         return accepted_job.phase is registries.JobPhase.CANCELLED or job.has_failed
 
-    def stop_unit(self, unit: progress.Unit, reason: str) -> None:
+    def stop_unit(self, unit: units.Unit, reason: str) -> None:
         """Order the stop of a unit's running members.
 
         :param unit: the unit.
@@ -210,7 +210,7 @@
             )
             self._state.spawner.start(self._stop_task, link, task)
 
-    async def _stop_task(self, link: links.AgentLink, task: progress.Task) -> None:
+    async def _stop_task(self, link: links.AgentLink, task: units.Task) -> None:
         run = task.record.run
         if not await self.stop_run(link, task.key, run) and task.record.run == run:
             task.is_stopping = False
--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -1,7 +1,7 @@
 """Reconciliation of runs: expired leases, draining workers, stalled tasks and cancelled jobs."""
 
 from papayaspar_events import lines
-from papayaspar_jobs import progress, tasks
+from papayaspar_jobs import tasks, units
 from papayaspar_lead import orders, recording, state
 from papayaspar_runs import workers
 from papayaspar_store import records
@@ -148,7 +148,7 @@
             if not self._is_deferrable(unit):
                 self._orders.stop_unit(unit, "its worker is draining")
 
-    def deferred_units(self, now_s: float) -> list[progress.Unit]:
+    def deferred_units(self, now_s: float) -> list[units.Unit]:
         """Return the units on draining workers that restart from the beginning when stopped.
 
         They are stopped only once another worker has capacity, since a draining worker may run
@@ -156,15 +156,15 @@
         """
         return [unit for unit in self._evacuating_units(now_s) if self._is_deferrable(unit)]
 
-    def _is_deferrable(self, unit: progress.Unit) -> bool:
+    def _is_deferrable(self, unit: units.Unit) -> bool:
         if unit.step.is_checkpointed or unit.step.is_lasting:
             return False
         # Urgent work may preempt other work elsewhere, so it is moved without delay.
         return self._state.work.queue_of(unit.job).priority > 0
 
-    def _evacuating_units(self, now_s: float) -> list[progress.Unit]:
+    def _evacuating_units(self, now_s: float) -> list[units.Unit]:
         """Return the units with a task that can't finish before its draining worker terminates."""
-        units: dict[tasks.TaskKey, progress.Unit] = {}
+        evacuating: dict[tasks.TaskKey, units.Unit] = {}
         for link in self._state.links.values():
             heartbeat = link.state.heartbeat if link.state is not None else None
             if heartbeat is None or heartbeat.condition is not workers.Condition.DRAINING:
@@ -173,8 +173,8 @@
                 remaining_ms = task.remaining_s(now_s) * MILLISECONDS_PER_SECOND
                 if task.step.is_lasting or remaining_ms > (heartbeat.remaining_ms or 0):
                     unit = self._state.work.unit_of(task)
-                    units[unit.members[0].key] = unit
-        return list(units.values())
+                    evacuating[unit.members[0].key] = unit
+        return list(evacuating.values())
 
     def restart_stalled(self, now_s: float) -> None:
         """Stop stalled units, so that they restart elsewhere, and eject their stalled workers.
@@ -182,7 +182,7 @@
         After a pause of the lead, reports that arrived meanwhile have not been read yet: no run
         counts as stalled until the lead has been running for as long as a stall takes.
         """
-        if now_s - self._steady_since_s < progress.STALL_TIMEOUT_S:
+        if now_s - self._steady_since_s < units.STALL_TIMEOUT_S:
             return
         for unit in self._state.work.stalled_units(now_s):
             stalled_tasks = [task for task in unit.members if task.is_stalled(now_s)]
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -5,7 +5,7 @@
 import attrs
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import configurations, progress, registries, specs, tasks
+from papayaspar_jobs import configurations, progress, registries, specs, tasks, units
 from papayaspar_runs import workers
 from papayaspar_scheduling import fleet, guarantees, health, ordering, preemption
 
@@ -50,9 +50,9 @@
         self._jobs: dict[str, ActiveJob] = {}
         # Ended jobs are kept until their records are deleted: the view may not show their end yet.
         self._ended_jobs: set[str] = set()
-        self._tasks_by_node: dict[str, set[progress.Task]] = {}
+        self._tasks_by_node: dict[str, set[units.Task]] = {}
         self._outcomes: dict[str, health.Outcomes] = {}
-        self._changed_tasks: dict[tasks.TaskKey, progress.Task] = {}
+        self._changed_tasks: dict[tasks.TaskKey, units.Task] = {}
         self._queues: dict[str, configurations.Queue] = {}
         self._guaranteed_accelerators: dict[str, int] = {}
         self._checkpointed_count = 0
@@ -113,9 +113,9 @@
             task.mark_taken_over(now_s)
             self._index_task(task)
 
-    def stalled_units(self, now_s: float) -> list[progress.Unit]:
+    def stalled_units(self, now_s: float) -> list[units.Unit]:
         """Return the units with a member that makes no progress on its worker."""
-        stalled: list[progress.Unit] = []
+        stalled: list[units.Unit] = []
         for active in self._jobs.values():
             for unit in active.progress.active_units():
                 if unit.step.is_lasting:
@@ -143,16 +143,16 @@
         task = self.find_task(key)
         return task is not None and task.is_done and task.record.run == run
 
-    def find_task(self, key: tasks.TaskKey) -> progress.Task | None:
+    def find_task(self, key: tasks.TaskKey) -> units.Task | None:
         """Return a task of an unfinished job, or ``None``."""
         active = self._jobs.get(key.job_id)
         return active.progress.task(key) if active is not None else None
 
-    def unit_of(self, task: progress.Task) -> progress.Unit:
+    def unit_of(self, task: units.Task) -> units.Unit:
         """Return the unit of a task that :meth:`find_task` returned."""
         return self._jobs[task.key.job_id].progress.unit_of(task)
 
-    def tasks_on_node(self, node: str) -> list[progress.Task]:
+    def tasks_on_node(self, node: str) -> list[units.Task]:
         """Return the tasks that are assigned to a VM."""
         return list(self._tasks_by_node.get(node, ()))
 
@@ -161,7 +161,7 @@
         starts_s = (task.started_s for task in self._tasks_by_node.get(node, ()))
         return max(starts_s, default=float("-inf"))
 
-    def pop_changed(self) -> list[progress.Task]:
+    def pop_changed(self) -> list[units.Task]:
         """Return the tasks whose records changed since the last call, and clear the list."""
         changed = list(self._changed_tasks.values())
         self._changed_tasks.clear()
@@ -173,7 +173,7 @@
 
     def assign(
         self,
-        unit: progress.Unit,
+        unit: units.Unit,
         nodes: tuple[str, ...],
         incarnations: dict[str, tasks.Incarnation],
         now_s: float,
@@ -196,11 +196,11 @@
             task.mark_starting(now_s)
             task.checkpoint = checkpoint
 
-    def adopt(self, task: progress.Task, incarnation: tasks.Incarnation) -> None:
+    def adopt(self, task: units.Task, incarnation: tasks.Incarnation) -> None:
         """Record that a run continues in a new incarnation of its worker."""
         self._set_record(task, attrs.evolve(task.record, incarnation=incarnation))
 
-    def release(self, task: progress.Task, reason: str) -> None:
+    def release(self, task: units.Task, reason: str) -> None:
         """Return a task to the queue after its run ended, was lost or never started."""
         if not task.is_assigned:
             return
@@ -212,7 +212,7 @@
         )
         self._requeue(task, task.record.failures)
 
-    def _requeue(self, task: progress.Task, failures: int) -> None:
+    def _requeue(self, task: units.Task, failures: int) -> None:
         self._set_record(
             task,
             attrs.evolve(
@@ -257,9 +257,7 @@
         else:
             self._requeue(task, task.record.failures)
 
-    def apply_progress(
-        self, task: progress.Task, run_status: workers.RunStatus, now_s: float
-    ) -> None:
+    def apply_progress(self, task: units.Task, run_status: workers.RunStatus, now_s: float) -> None:
         """Apply the progress of a run, and store its newest checkpoint if the interval has passed.
 
         :param task: the task.
@@ -281,20 +279,20 @@
         if run_status.checkpoint != task.record.checkpoint:
             self._set_record(task, attrs.evolve(task.record, checkpoint=run_status.checkpoint))
 
-    def _record_pace(self, task: progress.Task, now_s: float) -> None:
+    def _record_pace(self, task: units.Task, now_s: float) -> None:
         ratio = task.pace_ratio(now_s)
         if ratio is None or task.step.is_lasting or task.step.is_same_rack or task.step.data_rack:
             return
         self.outcomes(task.record.node).record_pace(ratio)
 
-    def _apply_success(self, node: str, task: progress.Task) -> None:
+    def _apply_success(self, node: str, task: units.Task) -> None:
         self.outcomes(node).record_success(task.started_s)
         for member in self.unit_of(task).members:
             # A gang is done as soon as one of its members is done.
             if not member.is_done:
                 self._set_record(member, attrs.evolve(member.record, phase=tasks.TaskPhase.DONE))
 
-    def _apply_failure(self, node: str, task: progress.Task, now_s: float) -> None:
+    def _apply_failure(self, node: str, task: units.Task, now_s: float) -> None:
         unit = self.unit_of(task)
         had_progress = task.has_proven_start
         if not had_progress:
@@ -308,7 +306,7 @@
                 detail=f"node={node} until_s={self.outcomes(node).ejected_until_s:.1f}",
             )
 
-    def _set_record(self, task: progress.Task, record: tasks.TaskRecord) -> None:
+    def _set_record(self, task: units.Task, record: tasks.TaskRecord) -> None:
         if task.is_assigned:
             self._tasks_by_node.get(task.record.node, set()).discard(task)
             self._checkpointed_count -= task.step.is_checkpointed
@@ -317,7 +315,7 @@
             self._index_task(task)
         self._changed_tasks[task.key] = task
 
-    def _index_task(self, task: progress.Task) -> None:
+    def _index_task(self, task: units.Task) -> None:
         self._tasks_by_node.setdefault(task.record.node, set()).add(task)
         self._checkpointed_count += task.step.is_checkpointed
 
@@ -336,13 +334,13 @@
                 demands.append(self._demand(unit, covered, now_s, wall_ms))
         return demands
 
-    def restart_demand(self, unit: progress.Unit, now_s: float, wall_ms: float) -> ordering.Demand:
+    def restart_demand(self, unit: units.Unit, now_s: float, wall_ms: float) -> ordering.Demand:
         """Return the demand of a running unit if it were stopped now."""
         demand = self._demand(unit, self._covered_jobs(), now_s, wall_ms)
         return attrs.evolve(demand, waited_s=0.0)
 
     def _demand(
-        self, unit: progress.Unit, covered: frozenset[str], now_s: float, wall_ms: float
+        self, unit: units.Unit, covered: frozenset[str], now_s: float, wall_ms: float
     ) -> ordering.Demand:
         job = unit.job
         queue = self.queue_of(job)
@@ -421,7 +419,7 @@
             free.reserve(task.record.node, task.step.counted_resources)
         return free
 
-    def _vacating_members(self, now_s: float) -> Iterator[progress.Task]:
+    def _vacating_members(self, now_s: float) -> Iterator[units.Task]:
         """Return the ended members of gangs whose other members are about to end.
 
         Their capacity is kept until the gang can start again as a whole: small tasks would take it
--- a/libs/lead/tests/test_paused_lead.py
+++ b/libs/lead/tests/test_paused_lead.py
@@ -9,7 +9,7 @@
 import pytest
 
 from papayaspar_events import journal, lines, metrics
-from papayaspar_jobs import configurations, progress, registries, specs, tasks
+from papayaspar_jobs import configurations, registries, specs, tasks, units
 from papayaspar_lead import reconciling, state, workload
 from papayaspar_model import causality, clock
 from papayaspar_runs import workers
@@ -81,6 +81,6 @@
 def test_run_that_stands_still_is_stopped_also_after_a_pause(lead):
     _run_rounds(lead, 100.0, 101.0, progress_per_s=10.0)
     lead.reconciler.reconcile(105.0)
-    _run_rounds(lead, 105.25, 105.0 + progress.STALL_TIMEOUT_S + ROUND_S)
+    _run_rounds(lead, 105.25, 105.0 + units.STALL_TIMEOUT_S + ROUND_S)
     assert "stalled" in lead.orders.stopped
     assert any(event.kind is lines.EventKind.TASK_STALLED for event in lead.events.newest(10))
--- a/libs/scheduling/src/papayaspar_scheduling/evictions.py
+++ b/libs/scheduling/src/papayaspar_scheduling/evictions.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from papayaspar_jobs import progress, tasks
+from papayaspar_jobs import tasks, units
 from papayaspar_scheduling import ordering, preemption
 
 # A stop counts as failed when its run has not ended within this time, in seconds: the longest stop
@@ -21,7 +21,7 @@
     """
 
     nodes: tuple[str, ...]
-    runs: tuple[tuple[progress.Task, int], ...]
+    runs: tuple[tuple[units.Task, int], ...]
     deadline_s: float
 
     def is_in_progress(self, now_s: float) -> bool:
--- a/libs/scheduling/src/papayaspar_scheduling/ordering.py
+++ b/libs/scheduling/src/papayaspar_scheduling/ordering.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from papayaspar_jobs import progress
+from papayaspar_jobs import units
 
 # Share of the remaining run time that is subtracted from the next loss of value to get the latest
 # start. The whole run time would be exact; with a smaller share, long work starts after short work
@@ -45,7 +45,7 @@
     :param waited_s: how long the unit has waited, in seconds.
     """
 
-    unit: progress.Unit
+    unit: units.Unit
     rank: Rank
     objective_s: float
     worthless_s: float
--- a/libs/scheduling/src/papayaspar_scheduling/preemption.py
+++ b/libs/scheduling/src/papayaspar_scheduling/preemption.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from papayaspar_jobs import progress, specs
+from papayaspar_jobs import specs, units
 from papayaspar_scheduling import fleet, ordering
 
 # Number of cores that one accelerator counts as in the cost of lost work (prices in the platform's
@@ -27,7 +27,7 @@
     :param cost_core_s: work that is lost when it is stopped, in core-seconds.
     """
 
-    unit: progress.Unit
+    unit: units.Unit
     rank: ordering.Rank
     cost_core_s: float
 
@@ -67,7 +67,7 @@
 LATE_COST_RATIO_MAX = 0.1
 
 
-def estimated_work_core_s(unit: progress.Unit) -> float:
+def estimated_work_core_s(unit: units.Unit) -> float:
     """Return the estimated work of a unit, in core-seconds."""
     estimate_s = unit.step.estimate_ms / MILLISECONDS_PER_SECOND
     return _cores(unit.step) * estimate_s * len(unit.members)
@@ -97,7 +97,7 @@
     return cost_core_s <= ratio_max * estimated_work_core_s(demand.unit)
 
 
-def lost_work_core_s(unit: progress.Unit, now_s: float) -> float:
+def lost_work_core_s(unit: units.Unit, now_s: float) -> float:
     """Return the cost of stopping a unit, in core-seconds.
 
     A checkpointed task costs only its restart, since a stop saves its progress.
--- a/libs/scheduling/tests/conftest.py
+++ b/libs/scheduling/tests/conftest.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 
-from papayaspar_jobs import configurations, progress, registries, specs, tasks
+from papayaspar_jobs import configurations, progress, registries, specs, tasks, units
 from papayaspar_scheduling import fleet, ordering, planner, preemption
 
 CAPACITY = specs.Resources(64_000, 262_144, 8)
@@ -23,7 +23,7 @@
     job_count: int = 0
     unit_planner: planner.Planner = attrs.field(factory=planner.Planner)
 
-    def new_unit(self, step: specs.Step) -> progress.Unit:
+    def new_unit(self, step: specs.Step) -> units.Unit:
         """Return the first unit of a new job of one step."""
         self.job_count += 1
         spec = specs.JobSpec(f"{self.job_count:016x}", "queue", "team", "", (step,))
@@ -33,7 +33,7 @@
 
     def add_running_unit(
         self, step: specs.Step, *nodes: str, rank: ordering.Rank, elapsed_s: float = 5.0
-    ) -> progress.Unit:
+    ) -> units.Unit:
         """Add a unit that has run on the given VMs for ``elapsed_s`` seconds."""
         unit = self.new_unit(step)
         for task, node in zip(unit.members, nodes, strict=True):
@@ -50,7 +50,7 @@
         waited_s: float = 0.0,
         objective_s: float = 110.0,
         worthless_after_s: float = 30.0,
-    ) -> progress.Unit:
+    ) -> units.Unit:
         """Add a waiting unit."""
         unit = self.new_unit(step)
         remaining_s = step.estimate_ms / 1000.0
@@ -70,7 +70,7 @@
             task.started_s = now_s
         self.running.append(preemption.Victim(unit, start.demand.rank, 0.0))
 
-    def end_unit(self, unit: progress.Unit) -> None:
+    def end_unit(self, unit: units.Unit) -> None:
         """End a running unit successfully."""
         self.running = [victim for victim in self.running if victim.unit is not unit]
         for task in unit.members:
