Renew the leadership while the stored tasks are read

Cause: a new lead renewed its record only after it had read and restored all task records, and restored them without a pause. With more than a second's worth of records its leadership expired first, and the next entry met the same. Change: writing to the shared partition, renewals and the watch for a successor begin once the leadership is confirmed; reading and restoring run beside them, and let other coroutines run every 100 records. The configuration is applied after that, so that a version that arrives meanwhile counts. Evidence: `test_leadership_is_renewed_while_the_stored_tasks_are_read` (a read of 3 s) failed before the change and passes with it; the 75 tests of `libs/lead` pass.

--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -172,6 +172,37 @@
         )
         await shared.open(self._follower.offset, self._lead_record(epoch))
         await self._confirm(epoch)
+        async with anyio.create_task_group() as group:
+            group.start_soon(shared.run)
+            # The leadership is renewed from now on: with many records, it would expire before the
+            # tasks are restored.
+            group.start_soon(self._renew, epoch, shared)
+            group.start_soon(self._watch_successor, epoch, group.cancel_scope)
+            group.start_soon(
+                self._schedule, epoch, former_epoch, former_confirmed_s, shared, group.cancel_scope
+            )
+            await self._resign_when_told(epoch, shared)
+            group.cancel_scope.cancel()
+
+    async def _resign_when_told(self, epoch: int, shared: writing.EpochWriter) -> None:
+        """Wait for :meth:`resign`, and store the resignation."""
+        seen_sequence = 0
+        while not self._is_resigning:
+            seen_sequence = await self._resigning.wait_for_change(seen_sequence)
+        if self._scheduler is not None:
+            self._scheduler.resign()
+        with anyio.move_on_after(service.LEAD_LEASE_RENEW_TIMEOUT_S):
+            await shared.write(self._lead_record(epoch, has_resigned=True))
+
+    async def _schedule(
+        self,
+        epoch: int,
+        former_epoch: int,
+        former_confirmed_s: float,
+        shared: writing.EpochWriter,
+        scope: anyio.CancelScope,
+    ) -> None:
+        """Restore the stored tasks, and schedule until the leadership is lost."""
         tasks_writer = self._writer(records.TASKS_PARTITION, epoch)
         await tasks_writer.open()
         snapshot = await self._store.read_snapshot(records.TASKS_PARTITION)
@@ -189,9 +220,9 @@
             self._hybrid_clock,
             self._events,
         )
+        await scheduler.restore(snapshot)
         if self._configuration is not None:
             scheduler.configure(self._configuration)
-        scheduler.restore(snapshot)
         self._events.record(
             lines.EventKind.LEAD_TAKEN,
             detail=f"epoch={epoch} former={former_epoch} tasks={len(snapshot.records)}"
@@ -199,11 +230,16 @@
         )
         self._scheduler = scheduler
         try:
-            await self._serve(scheduler, epoch, shared, tasks_writer)
+            async with anyio.create_task_group() as group:
+                group.start_soon(tasks_writer.run)
+                group.start_soon(scheduler.run)
+                await scheduler.lost.wait()
+                group.cancel_scope.cancel()
         finally:
             self._scheduler = None
             scheduler.resign()
             self._events.record(lines.EventKind.LEAD_RESIGNED, detail=f"epoch={epoch}")
+        scope.cancel()
 
     def _former_confirmed_s(self, former: records.LeadRecord | None) -> float:
         """Return the latest time at which a former lead may have confirmed its leadership."""
@@ -237,37 +273,14 @@
         if lead is None or lead.epoch != epoch:
             raise failures.FencedError("another candidate won the election")
 
-    async def _serve(
-        self,
-        scheduler: scheduling.Scheduler,
-        epoch: int,
-        shared: writing.EpochWriter,
-        tasks_writer: writing.EpochWriter,
-    ) -> None:
-        async with anyio.create_task_group() as group:
-            group.start_soon(shared.run)
-            group.start_soon(tasks_writer.run)
-            group.start_soon(scheduler.run)
-            group.start_soon(self._renew, scheduler, epoch, shared)
-            group.start_soon(self._watch_successor, epoch, group.cancel_scope)
-            group.start_soon(_cancel_when_lost, scheduler, group.cancel_scope)
-            seen_sequence = 0
-            while not self._is_resigning:
-                seen_sequence = await self._resigning.wait_for_change(seen_sequence)
-            scheduler.resign()
-            with anyio.move_on_after(service.LEAD_LEASE_RENEW_TIMEOUT_S):
-                await shared.write(self._lead_record(epoch, has_resigned=True))
-            group.cancel_scope.cancel()
-
-    async def _renew(
-        self, scheduler: scheduling.Scheduler, epoch: int, shared: writing.EpochWriter
-    ) -> None:
+    async def _renew(self, epoch: int, shared: writing.EpochWriter) -> None:
         while True:
             await anyio.sleep(RENEW_INTERVAL_S)
             if self._is_resigning:
                 return
             renewal_started_s = self._clock.now_s()
-            await shared.write(self._lead_record(epoch, attached=scheduler.attached_nodes()))
+            attached = self._scheduler.attached_nodes() if self._scheduler is not None else ()
+            await shared.write(self._lead_record(epoch, attached=attached))
             await anyio.sleep(READ_BACK_TIMEOUT_S)
             if (self._view.lead_seen_s or 0.0) < renewal_started_s:
                 await self._read_back()
@@ -290,8 +303,3 @@
                 scope.cancel()
                 return
             seen_sequence = await self._follower.changes.wait_for_change(seen_sequence)
-
-
-async def _cancel_when_lost(scheduler: scheduling.Scheduler, scope: anyio.CancelScope) -> None:
-    await scheduler.lost.wait()
-    scope.cancel()
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -1,6 +1,7 @@
 """The lead's scheduler: plan, record assignments, send orders and apply what agents report."""
 
 import anyio
+import anyio.lowlevel
 import attrs
 
 from papayaspar_events import journal, lines
@@ -31,6 +32,9 @@
 # While workers of a pool are leaving, one that started within this time is a replacement, in
 # seconds: replacements start before the workers that they replace begin to drain.
 REPLACEMENT_AGE_MAX_S = 20.0
+# Number of task records that a new lead restores before it lets other coroutines run, such as the
+# renewal of its leadership.
+RESTORED_AT_ONCE = 100
 # Default retention of the records of ended jobs, in seconds.
 RETENTION_S = 120.0
 
@@ -105,22 +109,27 @@
         self._state.work.configure(configuration)
         self._state.changes.notify()
 
-    def restore(self, snapshot: stores.Snapshot) -> None:
+    async def restore(self, snapshot: stores.Snapshot) -> None:
         """Restore the stored tasks; to be called before :meth:`run`."""
         self._state.work.sync(self._state.view.jobs, self._state.clock.now_s())
-        for record in snapshot.records:
+        for number, record in enumerate(snapshot.records, 1):
+            if number % RESTORED_AT_ONCE == 0:
+                await anyio.lowlevel.checkpoint()
             if not record.value or not record.key.startswith(records.TASK_PREFIX):
                 continue
-            try:
-                key = tasks.TaskKey.parse(record.key.removeprefix(records.TASK_PREFIX))
-                stored = records.decode(record, tasks.TaskRecord)
-            except errors.PapayasparError as error:
-                # The record of another writer, or a damaged one: the task starts anew.
-                self._state.events.record(
-                    lines.EventKind.RECORD_REFUSED, code=error.code, detail=f"key={record.key}"
-                )
-                continue
-            self._state.work.restore(key, stored, self._state.clock.now_s())
+            self._restore_task(record)
+
+    def _restore_task(self, record: stores.KeyedRecord) -> None:
+        try:
+            key = tasks.TaskKey.parse(record.key.removeprefix(records.TASK_PREFIX))
+            stored = records.decode(record, tasks.TaskRecord)
+        except errors.PapayasparError as error:
+            # The record of another writer, or a damaged one: the task starts anew.
+            self._state.events.record(
+                lines.EventKind.RECORD_REFUSED, code=error.code, detail=f"key={record.key}"
+            )
+            return
+        self._state.work.restore(key, stored, self._state.clock.now_s())
 
     def link(self, node: str) -> links.AgentLink | None:
         """Return the link to the agent on a VM, or ``None`` if there is none."""
--- a/libs/lead/tests/test_large_jobs.py
+++ b/libs/lead/tests/test_large_jobs.py
@@ -2,9 +2,11 @@
 
 import time
 
+import anyio
 import pytest
 
 from papayaspar_jobs import registries, specs
+from papayaspar_store import records
 
 pytestmark = pytest.mark.anyio
 
@@ -33,3 +35,30 @@
             lambda: cluster.phase(make_job(99).job_id) is registries.JobPhase.SUCCEEDED, 15.0
         )
         assert cluster.run_recorder.restarts == []
+
+
+async def test_leadership_is_renewed_while_the_stored_tasks_are_read(start_cluster, make_job):
+    """Each entry's leadership expired before it had read the tasks of many jobs."""
+    async with start_cluster() as cluster:
+        epochs = []
+        for node in ("entry-1", "entry-2"):
+            entry = await cluster.add_entry(node)
+            entry.store.read_snapshot = _slow_snapshot(entry.store.read_snapshot)
+        await cluster.add_agent("node-1")
+        cluster.submit(make_job(1))
+        with anyio.fail_after(10.0):
+            while cluster.phase(make_job(1).job_id) is not registries.JobPhase.SUCCEEDED:
+                for entry in cluster.entries.values():
+                    if entry.view.lead is not None:
+                        epochs.append(entry.view.lead.epoch)
+                await anyio.sleep(0.02)
+        assert len(set(epochs)) == 1
+
+
+def _slow_snapshot(read_snapshot):
+    async def read(partition):
+        if partition == records.TASKS_PARTITION:
+            await anyio.sleep(3.0)
+        return await read_snapshot(partition)
+
+    return read
