Limit the starts that are in progress at once

Callers saw that one plain job of 2,000 tasks stopped all starts, without any disruption.

Cause: a planning round started every unit that fitted. Each start takes several steps of its own coroutine, and with thousands of coroutines each step of the leadership's renewal waited for one of every start. Starts that have waited for a worker for more than a second do not count, so that silent workers hold up no others.

--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -22,6 +22,12 @@
 # Planning rounds use at most this share of the lead's time: an order passes through several
 # coroutines, each of which would wait for a whole round if one followed another at once.
 PLAN_TIME_SHARE = 0.4
+# Maximum number of tasks whose start is in progress: each start takes several steps of its own
+# coroutine, and with thousands at once the renewal of the leadership would wait for all of them.
+STARTING_TASKS_MAX = 200
+# A start that takes longer than this, in seconds, waits for a worker rather than for the lead, and
+# no longer counts towards `STARTING_TASKS_MAX`.
+STARTING_COUNTED_S = 1.0
 # The fencing token of an attachment is the epoch shifted left by this many bits, plus the number of
 # the attachment times the stride; agents raise their own tokens within a stride.
 EPOCH_SHIFT_BITS = 24
@@ -309,6 +315,8 @@
 
     def _start_waiting(self, now_s: float, wall_ms: float) -> None:
         work = self._state.work
+        if self._starting_tasks_left(now_s) <= 0:
+            return
         demands = work.demands(now_s, wall_ms)
         deferred = [
             work.restart_demand(unit, now_s, wall_ms)
@@ -317,6 +325,11 @@
         for pool in sorted({self._pool_of(demand) for demand in demands + deferred}):
             self._plan_pool(pool, demands, deferred, now_s)
 
+    def _starting_tasks_left(self, now_s: float) -> int:
+        """Return how many more tasks may be started now."""
+        since_s = now_s - STARTING_COUNTED_S
+        return STARTING_TASKS_MAX - self._state.work.starting_count(since_s)
+
     def _pool_of(self, demand: ordering.Demand) -> str:
         return self._state.work.queue_of(demand.unit.job).pool
 
@@ -347,6 +360,7 @@
             now_s,
             any(link.is_reconnect_expected(now_s) for link in self._state.links.values()),
             [demand for demand in deferred if self._pool_of(demand) == pool],
+            self._starting_tasks_left(now_s),
         )
         for victim, demand in plan.stops:
             self._state.events.record(
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -157,6 +157,18 @@
         """Return the VMs to which tasks are assigned."""
         return [node for node, assigned in self._tasks_by_node.items() if assigned]
 
+    def starting_count(self, since_s: float) -> int:
+        """Return the number of tasks whose start is in progress.
+
+        :param since_s: starts that were begun before are not counted; on the lead's clock.
+        """
+        count = 0
+        for assigned in self._tasks_by_node.values():
+            for task in assigned:
+                if task.is_starting and task.started_s >= since_s:
+                    count += 1
+        return count
+
     def newest_start_s(self, node: str) -> float:
         """Return when the newest run on a VM started, on the lead's clock; ``-inf`` if none."""
         starts_s = (task.started_s for task in self._tasks_by_node.get(node, ()))
--- a/libs/lead/tests/test_large_jobs.py
+++ b/libs/lead/tests/test_large_jobs.py
@@ -55,6 +55,26 @@
         assert len(set(epochs)) == 1
 
 
+async def test_lead_starts_other_jobs_beside_one_of_thousands_of_tasks(start_cluster, make_job):
+    """One plain job of 2,000 tasks stopped all starts: no leadership outlasted a round."""
+    async with start_cluster() as cluster:
+        await cluster.add_entry("entry-1")
+        await cluster.add_entry("entry-2")
+        for number in range(4):
+            agent = await cluster.add_agent(f"node-{number}")
+            agent.worker.run_time_s = 1.0
+        await cluster.wait_until(lambda: cluster.lead() != "")
+        lead = cluster.lead()
+        cluster.submit(make_job(1, specs.Step(4000, SMALL, 1000)))
+        cluster.submit(make_job(2, specs.Step(1, SMALL, 1000)))
+        await cluster.wait_until(
+            lambda: cluster.phase(make_job(2).job_id) is registries.JobPhase.SUCCEEDED, 20.0
+        )
+        await cluster.wait_until(lambda: len(cluster.run_recorder.done) >= 2000, 40.0)
+        assert cluster.lead() == lead
+        assert cluster.run_recorder.restarts == []
+
+
 def _slow_snapshot(read_snapshot):
     async def read(partition):
         if partition == records.TASKS_PARTITION:
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -70,6 +70,7 @@
         now_s: float,
         is_reconnect_expected: bool = False,
         deferred: list[ordering.Demand] | None = None,
+        starting_tasks_max: int | None = None,
     ) -> Plan:
         """Plan one round.
 
@@ -83,9 +84,12 @@
             unit is placed on remote racks only because workers on its own rack are disconnected.
         :param deferred: demands that units running on draining workers would have if stopped;
             such a unit is stopped only when other workers have capacity for it.
+        :param starting_tasks_max: number of tasks after which no more units are started; the rest
+            of the demands is left to the next round. ``None`` for no limit.
         """
         self._is_reconnect_expected = is_reconnect_expected
         starts: list[Start] = []
+        starting_tasks = 0
         stops: list[tuple[preemption.Victim, ordering.Demand]] = []
         preemptible = preemption.VictimIndex(victims)
         unplaceable, unplaceable_after_stops = _UnplaceableKeys(), _UnplaceableKeys()
@@ -97,6 +101,8 @@
         for demand in sorted(
             all_demands, key=lambda demand: self._ordering_policy.key(demand, now_s)
         ):
+            if starting_tasks_max is not None and starting_tasks >= starting_tasks_max:
+                break
             nodes = self._choose_nodes(demand, free, free_after_stops, unplaceable)
             if nodes is not None:
                 _reserve(demand, nodes, free)
@@ -105,6 +111,7 @@
                     moves.append(demand)
                 else:
                     starts.append(Start(demand, nodes))
+                    starting_tasks += len(nodes)
                 continue
             if demand in deferred_demands:
                 continue
--- a/libs/scheduling/tests/test_planning_cost.py
+++ b/libs/scheduling/tests/test_planning_cost.py
@@ -90,3 +90,22 @@
     )
     assert len(cluster.plan().stops) == 12
     assert len(examined) <= 160 + 12
+
+
+def test_starts_of_a_round_are_limited(cluster, make_step):
+    """2,000 starts at once kept the lead busy until its leadership had expired."""
+    for _ in range(100):
+        cluster.add_waiting_unit(make_step(1, 0), BULK)
+    assert len(cluster.plan(starting_tasks_max=7).starts) == 7
+
+
+def test_gang_larger_than_the_limit_starts_as_a_whole(cluster, make_step):
+    cluster.add_waiting_unit(make_step(4, 8, is_gang=True), BULK)
+    (start,) = cluster.plan(starting_tasks_max=1).starts
+    assert len(start.nodes) == 4
+
+
+def test_units_of_lower_rank_wait_for_the_next_round(cluster, make_step):
+    first = cluster.add_waiting_unit(make_step(1, 0), ordering.Rank.URGENT)
+    cluster.add_waiting_unit(make_step(1, 0), BULK)
+    assert [start.demand.unit for start in cluster.plan(starting_tasks_max=1).starts] == [first]
