Split appends by size, and leave out records that the store refuses

Cause: the deletions of a job's task records were queued as one append, also for occurrences that never had a record: 90,720 records of 35 bytes, more than the store takes in one call. It refused the append, and the writer of the tasks' partition repeated it for ever; starts, acknowledgements and job states wait for that writer. The records of one planning round also went into one append. Change: the writer fills appends up to 64 KiB, or the limit in the settings, and splits a group over several; an answer that can never succeed has an error of its own, after which the writer halves the append until it has found the refused record, leaves it out and says so. A unit whose assignment was refused is not started. Only tasks that have a record are deleted, and the job's own record last, so that a new lead finds an interrupted deletion. Since the records of a gang may now be in two appends, a restored gang with a member that is done counts as done.

--- a/libs/intake/src/papayaspar_intake/job_service.py
+++ b/libs/intake/src/papayaspar_intake/job_service.py
@@ -232,12 +232,12 @@
         self, record: stores.KeyedRecord, timeout_s: float, is_read_back: Callable[[], bool]
     ) -> None:
         """Append a record; return when the store confirms it or the follower has read it."""
-        failure: errors.LogUnavailableError | None = None
+        failure: errors.PapayasparError | None = None
         async with anyio.create_task_group() as group:
             group.start_soon(self._cancel_when_read_back, is_read_back, group.cancel_scope)
             try:
                 await self._store.append(records.SHARED_PARTITION, (record,), timeout_s=timeout_s)
-            except errors.LogUnavailableError as error:
+            except (errors.LogUnavailableError, failures.AppendRefusedError) as error:
                 failure = error
             group.cancel_scope.cancel()
         if failure is not None:
--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -249,6 +249,11 @@
         """Whether every member has completed successfully."""
         return self._done_count == len(self.members)
 
+    @property
+    def has_done_member(self) -> bool:
+        """Whether any member has completed successfully."""
+        return self._done_count > 0
+
     @property
     def is_active(self) -> bool:
         """Whether any member is assigned to a worker."""
--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -254,7 +254,13 @@
 
     def _writer(self, partition: stores.Partition, epoch: int) -> writing.EpochWriter:
         return writing.EpochWriter(
-            self._store, partition, PRODUCER, epoch, self._clock, self._events
+            self._store,
+            partition,
+            PRODUCER,
+            epoch,
+            self._clock,
+            self._events,
+            self._limits.append_bytes_max,
         )
 
     def _lead_record(
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -124,6 +124,9 @@
         assigned_s = self._state.clock.now_s()
         # The planning round that made the assignment queues its record before this coroutine runs.
         await self._recorder.wait_written()
+        if any(self._recorder.is_refused(task.key) for task in unit.members):
+            self._release_unstored(unit, run)
+            return
         stored_s = self._state.clock.now_s()
         stages.stored_s = stored_s - assigned_s
         async with anyio.create_task_group() as group:
@@ -138,6 +141,15 @@
         self._recorder.flush()
         self._state.changes.notify()
 
+    def _release_unstored(self, unit: units.Unit, run: int) -> None:
+        """Return a unit to the queue, since a new lead would not know of its run."""
+        for task in unit.members:
+            if task.record.run != run:
+                continue
+            task.is_starting = False
+            self._state.work.release(task, "not started: its assignment can't be stored")
+        self._recorder.flush()
+
     async def _start_task(self, unit: units.Unit, task: units.Task, run: int) -> None:
         if task.record.run != run:
             # The run has ended already, and the task was assigned again.
--- a/libs/lead/src/papayaspar_lead/recording.py
+++ b/libs/lead/src/papayaspar_lead/recording.py
@@ -27,11 +27,21 @@
         self._shared = shared
         self._tasks_writer = tasks_writer
         self._published_phases: dict[str, registries.JobPhase] = {}
+        # Tasks that have a record, by job.
+        self._stored_tasks: dict[str, set[tasks.TaskKey]] = {}
 
     async def wait_written(self) -> None:
         """Wait until all records queued for the tasks' partition are stored."""
         await self._tasks_writer.write()
 
+    def is_refused(self, key: tasks.TaskKey) -> bool:
+        """Return whether the store refused the newest record of a task."""
+        return self._tasks_writer.is_refused(f"{records.TASK_PREFIX}{key}")
+
+    def note_stored(self, key: tasks.TaskKey) -> None:
+        """Note that a task has a record, which is deleted with its job."""
+        self._stored_tasks.setdefault(key.job_id, set()).add(key)
+
     def flush(self) -> None:
         """Queue the records of changed tasks, and publish the phases of their jobs."""
         changed = self._state.work.pop_changed()
@@ -40,6 +50,8 @@
         self._tasks_writer.enqueue(
             *(records.encode(f"{records.TASK_PREFIX}{task.key}", task.record) for task in changed)
         )
+        for task in changed:
+            self.note_stored(task.key)
         for job_id in {task.key.job_id for task in changed}:
             self.publish_phase(job_id)
 
@@ -95,20 +107,23 @@
         self._shared.enqueue(stores.KeyedRecord(records.AGENT_PREFIX + node, b""))
 
     def delete_job(self, accepted_job: registries.AcceptedJob) -> None:
-        """Delete all records of a job whose retention time has passed."""
+        """Delete all records of a job whose retention time has passed.
+
+        The job's own record is deleted last: a new lead finds the rest of a deletion by it.
+        """
         job_id = accepted_job.spec.job_id
         self._state.view.jobs.forget(job_id)
         self._state.work.forget(job_id)
         self._published_phases.pop(job_id, None)
-        self._shared.enqueue(
-            stores.KeyedRecord(records.JOB_PREFIX + job_id, b""),
+        stored_tasks = sorted(self._stored_tasks.pop(job_id, ()))
+        self._state.spawner.start(self._delete_records, job_id, stored_tasks)
+
+    async def _delete_records(self, job_id: str, stored_tasks: list[tasks.TaskKey]) -> None:
+        await self._tasks_writer.write(
+            *(stores.KeyedRecord(f"{records.TASK_PREFIX}{key}", b"") for key in stored_tasks)
+        )
+        await self._shared.write(
             stores.KeyedRecord(records.STATE_PREFIX + job_id, b""),
             stores.KeyedRecord(records.CANCEL_PREFIX + job_id, b""),
+            stores.KeyedRecord(records.JOB_PREFIX + job_id, b""),
         )
-        keys = []
-        for occurrence in range(accepted_job.spec.occurrences):
-            for step_index, step in enumerate(accepted_job.spec.steps):
-                for index in range(step.task_count):
-                    key = tasks.TaskKey(job_id, occurrence, step_index, index)
-                    keys.append(stores.KeyedRecord(f"{records.TASK_PREFIX}{key}", b""))
-        self._tasks_writer.enqueue(*keys)
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -51,10 +51,12 @@
 
     :param lease_max_s: longest lease a worker grants, in seconds.
     :param retention_s: retention of the records of ended jobs, in seconds.
+    :param append_bytes_max: largest append that the store accepts, in bytes.
     """
 
     lease_max_s: float
     retention_s: float = RETENTION_S
+    append_bytes_max: int = writing.APPEND_BYTES_MAX
 
 
 class Scheduler(links.LinkOwner):
@@ -135,6 +137,8 @@
                 lines.EventKind.RECORD_REFUSED, code=error.code, detail=f"key={record.key}"
             )
             return
+        if self._state.view.jobs.find(key.job_id) is not None:
+            self._recorder.note_stored(key)
         self._state.work.restore(key, stored, self._state.clock.now_s())
 
     def link(self, node: str) -> links.AgentLink | None:
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -18,7 +18,7 @@
 # (`checkpoint_s`).
 CHECKPOINT_INTERVAL_S = 2.0
 # Maximum number of checkpoints stored per second in the whole domain: one append holds as many
-# records (`writing.BATCH_RECORDS`), and the store handles several hundred appends per second.
+# records (`writing.APPEND_BYTES_MAX`), and the store handles several hundred appends per second.
 CHECKPOINTS_PER_S = 200.0
 # Maximum number of units of one step that a planning round considers; the units of a step differ in
 # little, and a round starts no more of them (`scheduling.STARTING_TASKS_MAX`).
@@ -110,6 +110,9 @@
         if task is None:
             return
         task.checkpoint = record.checkpoint
+        if task.unit.has_done_member:
+            # The former lead stored only some of the records of a gang that is done.
+            self._complete(task.unit)
         if task.is_assigned:
             task.mark_taken_over(now_s)
             self._index_task(task)
@@ -300,8 +303,11 @@
 
     def _apply_success(self, node: str, task: units.Task) -> None:
         self.outcomes(node).record_success(task.started_s)
-        for member in task.unit.members:
-            # A gang is done as soon as one of its members is done.
+        self._complete(task.unit)
+
+    def _complete(self, unit: units.Unit) -> None:
+        """Mark a unit as done: a gang is, as soon as one of its members is."""
+        for member in unit.members:
             if not member.is_done:
                 self._set_record(member, attrs.evolve(member.record, phase=tasks.TaskPhase.DONE))
 
--- a/libs/lead/tests/conftest.py
+++ b/libs/lead/tests/conftest.py
@@ -117,6 +117,7 @@
         self.run_recorder = memory_workers.RunRecorder()
         self.entries: dict[str, EntryUnderTest] = {}
         self.agents: dict[str, AgentUnderTest] = {}
+        self.limits = LIMITS
         self._process_count = 0
 
     def _events(self, node: str) -> journal.Journal:
@@ -144,7 +145,7 @@
             store,
             view,
             follower,
-            LIMITS,
+            self.limits,
             self.clock,
             events.hybrid_clock,
             events,
--- a/libs/standin/src/papayaspar_standin/keyed_stores.py
+++ b/libs/standin/src/papayaspar_standin/keyed_stores.py
@@ -67,6 +67,9 @@
 
     def __init__(self) -> None:
         self._partitions: dict[stores.Partition, _Partition] = {}
+        # Largest append and largest record that are accepted, in bytes.
+        self.append_bytes_max = 2_097_152
+        self.record_bytes_max = 262_144
         self.changes = signals.ChangeSignal()
 
     def partition(self, partition: stores.Partition) -> _Partition:
@@ -82,6 +85,11 @@
 
         A retry of a remembered append returns its original offset.
         """
+        sizes_bytes = [record.size_bytes for record in append.records]
+        if sum(sizes_bytes) > self.append_bytes_max:
+            raise failures.AppendRefusedError("the append is too large")
+        if max(sizes_bytes, default=0) > self.record_bytes_max:
+            raise failures.AppendRefusedError("a record is too large")
         part = self.partition(append.partition)
         original_offset = self._check_producer(part, append.producer)
         if isinstance(original_offset, int):
--- a/libs/store/src/papayaspar_store/failures.py
+++ b/libs/store/src/papayaspar_store/failures.py
@@ -20,6 +20,17 @@
     title = "Another writer has taken over"
 
 
+class AppendRefusedError(errors.PapayasparError):
+    """The store does not accept the content of an append, such as one that is too large.
+
+    Nothing was appended, and the same append will be refused again.
+    """
+
+    code = "append_refused"
+    status = 503
+    title = "The store does not accept the records"
+
+
 class SequenceError(errors.ConflictError):
     """The sequence number of an append does not directly follow the writer's previous one.
 
--- a/libs/store/src/papayaspar_store/stores.py
+++ b/libs/store/src/papayaspar_store/stores.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# Size of a record's two length fields on the wire, in bytes.
+RECORD_OVERHEAD_BYTES = 5
+
 
 @attrs.frozen
 class KeyedRecord:
@@ -18,6 +21,11 @@
     value: bytes
     offset: int = -1
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of the record in an append, in bytes."""
+        return RECORD_OVERHEAD_BYTES + len(self.key.encode()) + len(self.value)
+
 
 @attrs.frozen
 class Partition:
@@ -101,6 +109,7 @@
         :raises FencedError: when the store has seen a higher epoch.
         :raises SequenceError: when the sequence number is not the expected one.
         :raises PositionError: when the partition ends at another offset.
+        :raises AppendRefusedError: when the store will never accept the append.
         """
 
     @abc.abstractmethod
--- a/libs/store/src/papayaspar_store/writing.py
+++ b/libs/store/src/papayaspar_store/writing.py
@@ -9,9 +9,9 @@
 from papayaspar_model import clock, errors, signals
 from papayaspar_store import failures, stores
 
-# Maximum number of records in one append: with records of a few hundred bytes, an append stays well
-# below the store's size limit.
-BATCH_RECORDS = 200
+# Maximum size of one append, in bytes, unless the store accepts less: the store handles larger ones
+# more slowly than it answers.
+APPEND_BYTES_MAX = 65_536
 MILLISECONDS_PER_SECOND = 1000.0
 # An unanswered append is retried on another connection; the store deduplicates the attempts by
 # sequence number. A lost answer blocks all task starts, so the timeout of the first attempt is only
@@ -26,23 +26,38 @@
 
 
 @attrs.define
-class _QueuedAppend:
-    new_records: tuple[stores.KeyedRecord, ...]
+class _QueuedGroup:
+    """Records that were queued together, and the event that is set when they are stored."""
+
+    pending: collections.deque[stores.KeyedRecord]
     done: anyio.Event = attrs.field(factory=anyio.Event)
 
 
+@attrs.frozen
+class _Batch:
+    """Records of the next append, and the groups of which it stores the last record."""
+
+    new_records: tuple[stores.KeyedRecord, ...]
+    completed: tuple[_QueuedGroup, ...]
+
+
 class EpochWriter:
     """Writes to one partition in one epoch.
 
     :attr:`confirmed_s` is the time at which the latest confirmed append was sent, or ``None``
     before the first. At that time, the store had seen no higher epoch.
 
+    Records are stored in the order in which they were queued, in appends of limited size: a large
+    group is stored in several. A record that the store refuses is left out, so that it does not
+    hold up those behind it; :meth:`is_refused` tells.
+
     :param store: client of the store.
     :param partition: partition to write to.
     :param name: name of the producer, shared by all leads.
     :param epoch: epoch of the writer, which serves as its fencing token.
     :param clock_source: clock for :attr:`confirmed_s` and latencies.
     :param events: journal for unanswered appends.
+    :param append_bytes_max: largest append that the store accepts, in bytes.
     """
 
     def __init__(
@@ -53,7 +68,11 @@
         epoch: int,
         clock_source: clock.Clock,
         events: journal.Journal,
+        append_bytes_max: int = APPEND_BYTES_MAX,
     ) -> None:
+        self._append_bytes_max = min(append_bytes_max, APPEND_BYTES_MAX)
+        # Keys of which the store refused the newest record.
+        self._refused_keys: set[str] = set()
         self._store = store
         self._partition = partition
         self._name = name
@@ -63,7 +82,7 @@
         self._clock = clock_source
         self._events = events
         self._initial_timeout_s = APPEND_TIMEOUT_MIN_S
-        self._queue: collections.deque[_QueuedAppend] = collections.deque()
+        self._queue: collections.deque[_QueuedGroup] = collections.deque()
         self._queue_changes = signals.ChangeSignal()
         self.confirmed_s: float | None = None
 
@@ -96,7 +115,7 @@
 
     def enqueue(self, *new_records: stores.KeyedRecord) -> anyio.Event:
         """Queue records and return an event that is set when they are stored."""
-        queued = _QueuedAppend(new_records)
+        queued = _QueuedGroup(collections.deque(new_records))
         self._queue.append(queued)
         self._queue_changes.notify()
         return queued.done
@@ -111,22 +130,56 @@
             seen_sequence = await self._queue_changes.wait_for_change(seen_sequence)
             while self._queue:
                 batch = self._next_batch()
-                new_records = tuple(record for queued in batch for record in queued.new_records)
-                if new_records:
-                    await self._append(new_records)
-                for queued in batch:
-                    queued.done.set()
-
-    def _next_batch(self) -> list[_QueuedAppend]:
-        batch: list[_QueuedAppend] = []
-        record_count = 0
-        while self._queue and (
-            not batch or record_count + len(self._queue[0].new_records) <= BATCH_RECORDS
-        ):
-            queued = self._queue.popleft()
-            record_count += len(queued.new_records)
-            batch.append(queued)
-        return batch
+                await self._store_batch(batch.new_records)
+                for group in batch.completed:
+                    group.done.set()
+
+    def is_refused(self, key: str) -> bool:
+        """Return whether the store refused the newest record of a key."""
+        return key in self._refused_keys
+
+    def _next_batch(self) -> _Batch:
+        """Remove the records of the next append from the queue."""
+        new_records: list[stores.KeyedRecord] = []
+        completed: list[_QueuedGroup] = []
+        size_bytes = 0
+        while self._queue:
+            group = self._queue[0]
+            while group.pending:
+                size_bytes += group.pending[0].size_bytes
+                if new_records and size_bytes > self._append_bytes_max:
+                    return _Batch(tuple(new_records), tuple(completed))
+                new_records.append(group.pending.popleft())
+            completed.append(self._queue.popleft())
+        return _Batch(tuple(new_records), tuple(completed))
+
+    async def _store_batch(self, new_records: tuple[stores.KeyedRecord, ...]) -> None:
+        """Append records; those that the store refuses are found by halving and left out."""
+        parts = [new_records]
+        while parts:
+            part = parts.pop()
+            if not part:
+                continue
+            try:
+                await self._append(part)
+            except failures.AppendRefusedError as error:
+                if len(part) == 1:
+                    self._record_refused(part[0], error)
+                    continue
+                middle = len(part) // 2
+                parts += (part[middle:], part[:middle])
+                continue
+            self._refused_keys.difference_update(record.key for record in part)
+
+    def _record_refused(
+        self, record: stores.KeyedRecord, error: failures.AppendRefusedError
+    ) -> None:
+        self._refused_keys.add(record.key)
+        self._events.record(
+            lines.EventKind.RECORD_REFUSED,
+            code=error.code,
+            detail=f"key={record.key} bytes={record.size_bytes} {error.detail}",
+        )
 
     async def _append(self, new_records: tuple[stores.KeyedRecord, ...]) -> None:
         backoff_s, timeout_s = BACKOFF_MIN_S, self._initial_timeout_s
--- a/tests/adapter/test_clients.py
+++ b/tests/adapter/test_clients.py
@@ -209,3 +209,17 @@
     status = await worker.poll(7, 0, None, 0, "w-1")
     assert len(status.ended) == count
     assert status.has_more_ends is has_more_ends
+
+
+@pytest.mark.parametrize("status", [400, 403, 413])
+async def test_append_that_can_never_succeed_is_told_from_an_outage(server, store, status):
+    server[0].queue_answer(status)
+    with pytest.raises(failures.AppendRefusedError):
+        await store.append(PARTITION, (stores.KeyedRecord("k", b"v"),))
+
+
+@pytest.mark.parametrize("status", [429, 500, 503, 507])
+async def test_append_that_may_succeed_later_counts_as_an_outage(server, store, status):
+    server[0].queue_answer(status)
+    with pytest.raises(failures.StoreUnavailableError):
+        await store.append(PARTITION, (stores.KeyedRecord("k", b"v"),))
