Do not send a start again that the lead has withdrawn

Cause: an agent sends a start that got no answer again, up to three times, once a poll has shown that it was not executed. That may take as long as the worker is silent, and only the incarnation was checked then. The lead ordered no stop for a task whose start was in progress. Change: the lead orders the stop of such tasks too. The agent marks the run as withdrawn, and before each attempt it checks that mark, the lead's lease and whether the worker drains. A stop that the worker refuses with 400 is no longer repeated by the agent. Starting and stopping runs moved from the controller to `run_orders`, behind the abstract `OrderOwner`.

--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -163,6 +163,10 @@
             task.is_starting = False
             self._state.work.release(task, "not started: the lead resigned or the job ended")
             return
+        if task.is_stopping:
+            task.is_starting = False
+            self._state.work.release(task, "not started: its stop was ordered")
+            return
         order = messages.StartRun(
             task.key,
             run,
@@ -201,13 +205,15 @@
         return accepted_job.phase is registries.JobPhase.CANCELLED or job.has_failed
 
     def stop_unit(self, unit: units.Unit, reason: str) -> None:
-        """Order the stop of a unit's running members.
+        """Order the stop of a unit's members that run or are being started.
+
+        An agent sends a start that got no answer again; the stop ends that, too.
 
         :param unit: the unit.
         :param reason: reason to record in the journal.
         """
         for task in unit.members:
-            if not task.is_assigned or task.is_starting or task.is_stopping:
+            if not task.is_assigned or task.is_stopping:
                 continue
             link = self._state.links.get(task.record.node)
             if link is None or not link.is_attached:
--- /dev/null
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -0,0 +1,244 @@
+"""Orders of the lead to start and stop runs, executed until their outcome is certain."""
+
+import abc
+
+import anyio
+
+from papayaspar_events import journal, lines
+from papayaspar_jobs import specs, tasks
+from papayaspar_model import errors
+from papayaspar_runs import messages, table, workers
+
+# The worker refuses a start that arrives later than this, in milliseconds.
+START_EXPIRY_MS = 1500
+# Maximum number of attempts to start one run, so that a gang starts whole within its time limit
+# although some attempts get no answer.
+START_ATTEMPTS_MAX = 3
+# Interval between attempts of a call that failed, in seconds.
+RETRY_INTERVAL_S = 0.1
+# Interval between polls while results wait for their acknowledgement, in seconds: a worker answers
+# such polls at once, and polls renew its lease.
+UNACKNOWLEDGED_POLL_INTERVAL_S = 0.25
+
+
+class OrderOwner(abc.ABC):
+    """State of the worker that decides about orders: the controller of the worker."""
+
+    @property
+    @abc.abstractmethod
+    def incarnation(self) -> tasks.Incarnation | None:
+        """The current incarnation of the worker, or ``None`` while it is unknown."""
+
+    @property
+    @abc.abstractmethod
+    def token(self) -> int:
+        """Newest fencing token."""
+
+    @abc.abstractmethod
+    def raise_token(self, minimum: int = 0) -> int:
+        """Raise the fencing token above its present value, and return it.
+
+        :param minimum: the new token is at least this.
+        """
+
+    @property
+    @abc.abstractmethod
+    def capacity(self) -> specs.Resources:
+        """Total resources of the worker."""
+
+    @property
+    @abc.abstractmethod
+    def has_lapsed(self) -> bool:
+        """Whether the lease has certainly expired since the worker last answered."""
+
+    @property
+    @abc.abstractmethod
+    def worker_clock_ms(self) -> int:
+        """Current time on the worker's monotonic clock, in milliseconds."""
+
+    @property
+    @abc.abstractmethod
+    def acknowledged_number(self) -> int:
+        """Number up to which the lead has stored the worker's results."""
+
+    @property
+    @abc.abstractmethod
+    def poll_number(self) -> int:
+        """Number of the newest poll that was sent."""
+
+    @property
+    @abc.abstractmethod
+    def is_reachable(self) -> bool:
+        """Whether the worker answered the newest poll, and its clock is known."""
+
+    @abc.abstractmethod
+    def refusal_reason(self, order: messages.StartRun) -> workers.RefusalReason | None:
+        """Return why a run may not be started now, or ``None`` if it may.
+
+        Whether the worker is reachable and has room is not considered.
+        """
+
+
+class RunOrders:
+    """Start and stop runs on one worker.
+
+    :param owner: state of the worker.
+    :param worker: client of the worker.
+    :param run_table: table of the worker's runs.
+    :param events: journal of decisions.
+    """
+
+    def __init__(
+        self,
+        owner: OrderOwner,
+        worker: workers.Worker,
+        run_table: table.RunTable,
+        events: journal.Journal,
+    ) -> None:
+        self._owner = owner
+        self._worker = worker
+        self._table = run_table
+        self._events = events
+
+    async def start(self, order: messages.StartRun) -> messages.StartOutcome:
+        """Start a run; return only once it is certain whether it started."""
+        reason = self._refusal_reason(order)
+        if reason is not None:
+            return messages.StartOutcome(False, reason)
+        self._table.begin_start(order.task, order.run, order.room, self._owner.poll_number)
+        try:
+            reason = await self._send_start(order)
+        except anyio.get_cancelled_exc_class():
+            # The lead's stream ended; a poll under the next token shows whether the run started.
+            self._table.abandon_start(order.task, order.run, self._owner.poll_number)
+            raise
+        if reason is None:
+            self._table.record_started(order.task, order.run, self._owner.poll_number)
+            self._events.record(
+                lines.EventKind.TASK_STARTED,
+                job=order.task.job_id,
+                attempt=order.run,
+                detail=f"task={order.task} token={self._owner.token}",
+            )
+            return messages.StartOutcome(True)
+        self._table.record_not_started(order.task, order.run)
+        self._events.record(
+            lines.EventKind.TASK_REFUSED,
+            job=order.task.job_id,
+            attempt=order.run,
+            code=reason.value,
+            detail=f"task={order.task} token={self._owner.token}",
+        )
+        return messages.StartOutcome(False, reason)
+
+    def _refusal_reason(self, order: messages.StartRun) -> workers.RefusalReason | None:
+        reason = self._owner.refusal_reason(order)
+        if reason is not None:
+            return reason
+        if not self._owner.is_reachable:
+            return workers.RefusalReason.UNREACHABLE
+        if not self._table.fits(order.room, self._owner.capacity):
+            return workers.RefusalReason.ROOM
+        return None
+
+    async def _send_start(self, order: messages.StartRun) -> workers.RefusalReason | None:
+        """Send the order until the outcome is certain; return the reason of a refusal, or ``None``.
+
+        After an attempt without an answer, its outcome is determined before the next attempt. That
+        may take seconds, in which the lead may have withdrawn the order, or lost its leadership, or
+        the worker may have begun to drain: each attempt is made only if the first one would be.
+        """
+        reason = workers.RefusalReason.TOKEN
+        for _ in range(START_ATTEMPTS_MAX):
+            if self._table.is_withdrawn(order.task, order.run):
+                return workers.RefusalReason.WITHDRAWN
+            new_reason = self._owner.refusal_reason(order)
+            if new_reason is not None:
+                return new_reason
+            token = self._owner.token
+            try:
+                expiry_ms = self._owner.worker_clock_ms + START_EXPIRY_MS
+                await self._worker.start(order.for_worker(expiry_ms, token))
+            except workers.OrderRefusedError as error:
+                if error.reason is workers.RefusalReason.TOKEN and token < self._owner.token:
+                    continue
+                return error.reason
+            except workers.WorkerError as error:
+                if error.ran is errors.Ran.NO:
+                    return workers.RefusalReason.UNREACHABLE
+                outcome = await self._resolve_start(order)
+                if outcome is not workers.RefusalReason.UNREACHABLE:
+                    return outcome
+                # The run has certainly not started, and the raised token prevents a late start, so
+                # that it may be ordered again under the same number.
+                reason = outcome
+                continue
+            return None
+        return reason
+
+    async def _resolve_start(self, order: messages.StartRun) -> workers.RefusalReason | None:
+        """Determine the outcome of an unanswered start: raise the token, then poll the worker."""
+        token = self._owner.raise_token()
+        self._events.record(
+            lines.EventKind.TOKEN_RAISED,
+            job=order.task.job_id,
+            attempt=order.run,
+            detail=f"task={order.task} token={token}",
+        )
+        while order.incarnation == self._owner.incarnation:
+            try:
+                status = await self._worker.poll(
+                    token, self._owner.acknowledged_number, None, 0, order.incarnation.worker
+                )
+            except workers.OrderRefusedError as error:
+                if error.reason is not workers.RefusalReason.TOKEN:
+                    return workers.RefusalReason.INCARNATION
+                token = self._owner.raise_token(token + 1)
+                continue
+            except workers.WorkerError:
+                if self._owner.has_lapsed:
+                    return workers.RefusalReason.UNREACHABLE
+                await anyio.sleep(RETRY_INTERVAL_S)
+                continue
+            has_started = self._table.has_started(order.task, order.run, status)
+            if has_started:
+                return None
+            if status.born_ms != order.incarnation.born_ms:
+                # A new incarnation with the same id answers; it has confirmed the raised token.
+                return workers.RefusalReason.INCARNATION
+            if has_started is not None:
+                return workers.RefusalReason.UNREACHABLE
+            # The run may have ended: the worker lists its result once the lead has acknowledged
+            # those before it.
+            await anyio.sleep(UNACKNOWLEDGED_POLL_INTERVAL_S)
+        return workers.RefusalReason.INCARNATION
+
+    async def stop(self, task: tasks.TaskKey, run: int) -> None:
+        """Stop a run; return once the worker has accepted the order or has lost the run.
+
+        A start of the run that is in progress is not attempted again.
+
+        :raises OrderRefusedError: when the worker does not accept the order's content.
+        """
+        self._table.withdraw(task, run)
+        incarnation = self._owner.incarnation
+        while incarnation is not None and incarnation == self._owner.incarnation:
+            try:
+                await self._worker.stop(task, run, self._owner.token, incarnation.worker)
+            except workers.OrderRefusedError as error:
+                if error.reason is workers.RefusalReason.INCARNATION:
+                    return
+                if error.reason is workers.RefusalReason.INVALID:
+                    raise
+            except workers.WorkerError:
+                if self._owner.has_lapsed:
+                    return
+            else:
+                self._events.record(
+                    lines.EventKind.TASK_STOPPED,
+                    job=task.job_id,
+                    attempt=run,
+                    detail=f"task={task} token={self._owner.token}",
+                )
+                return
+            await anyio.sleep(RETRY_INTERVAL_S)
--- a/libs/runs/src/papayaspar_runs/service.py
+++ b/libs/runs/src/papayaspar_runs/service.py
@@ -67,9 +67,9 @@
             return await self._attach(peer, message)
         self._check_lead(peer)
         if isinstance(message, messages.StartRun):
-            return await self._controller.start(message)
+            return await self._controller.orders.start(message)
         if isinstance(message, messages.StopRun):
-            await self._controller.stop(message.task, message.run)
+            await self._controller.orders.stop(message.task, message.run)
             return messages.Stopped()
         raise errors.ProtocolError(f"unexpected call {type(message).__name__}")
 
--- a/libs/runs/src/papayaspar_runs/table.py
+++ b/libs/runs/src/papayaspar_runs/table.py
@@ -15,12 +15,14 @@
     :param is_starting: whether the worker has not answered the start order yet.
     :param since_poll: number of a poll; if a poll with a higher number does not list the run, it is
         not running.
+    :param is_withdrawn: whether the lead ordered a stop while the start was in progress.
     """
 
     status: workers.RunStatus
     resources: specs.Resources | None
     is_starting: bool
     since_poll: int
+    is_withdrawn: bool = False
 
 
 class RunTable:
@@ -79,6 +81,17 @@
         if known_run is not None and known_run.status.run == run and known_run.is_starting:
             del self._runs[task]
 
+    def withdraw(self, task: tasks.TaskKey, run: int) -> None:
+        """Record that a run whose start is in progress is not wanted any more."""
+        known_run = self._runs.get(task)
+        if known_run is not None and known_run.status.run == run and known_run.is_starting:
+            known_run.is_withdrawn = True
+
+    def is_withdrawn(self, task: tasks.TaskKey, run: int) -> bool:
+        """Return whether a run was withdrawn while its start was in progress."""
+        known_run = self._runs.get(task)
+        return known_run is not None and known_run.status.run == run and known_run.is_withdrawn
+
     def abandon_start(self, task: tasks.TaskKey, run: int, poll_number: int) -> None:
         """Record that the lead disconnected before the outcome of a start was known.
 
--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -3,25 +3,15 @@
 import anyio
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import tasks
+from papayaspar_jobs import specs, tasks
 from papayaspar_model import clock, errors, signals
-from papayaspar_runs import lease, messages, table, workers
+from papayaspar_runs import lease, messages, run_orders, table, workers
 from papayaspar_store import records
 
 # Maximum time that a worker holds a poll while it has no new result (worker API: at most 2,000 ms).
 POLL_WAIT_MS = 1000
 # Timeout of calls to the worker, in seconds; a worker on the same VM answers within milliseconds.
 CALL_TIMEOUT_S = 0.8
-# The worker refuses a start that arrives later than this, in milliseconds.
-START_EXPIRY_MS = 1500
-# Maximum number of attempts to start one run, so that a gang starts whole within its time limit
-# although some attempts get no answer.
-START_ATTEMPTS_MAX = 3
-# Interval between attempts of a call that failed, in seconds.
-RETRY_INTERVAL_S = 0.1
-# Interval between polls while results wait for their acknowledgement, in seconds: a worker answers
-# such polls at once, and polls renew its lease.
-UNACKNOWLEDGED_POLL_INTERVAL_S = 0.25
 # Distance between the tokens of two attachments; an agent raises its own token in the gap.
 TOKEN_STRIDE = 64
 # Number of consecutive polls that must be refused by the worker's VM before the worker counts as
@@ -32,7 +22,7 @@
 ATTACH_TIMEOUT_S = 1.0
 
 
-class WorkerController:
+class WorkerController(run_orders.OrderOwner):
     """Control one worker on behalf of the current lead.
 
     :param node: name of this VM.
@@ -71,9 +61,11 @@
         self.changes = signals.ChangeSignal()
         self._polled = signals.ChangeSignal()
         self._wakeup = signals.ChangeSignal()
+        # Starts and stops of runs.
+        self.orders = run_orders.RunOrders(self, worker, self._table, events)
 
     @property
-    def _incarnation(self) -> tasks.Incarnation | None:
+    def incarnation(self) -> tasks.Incarnation | None:
         """The current incarnation, or ``None``.
 
         It is ``None`` unless the newest heartbeat and poll agree on it, and after its departure.
@@ -86,14 +78,49 @@
     def _has_departed(self, incarnation: tasks.Incarnation) -> bool:
         return self.departure is not None and self.departure.incarnation == incarnation
 
+    @property
+    def token(self) -> int:
+        """Newest fencing token."""
+        return self._token
+
+    @property
+    def capacity(self) -> specs.Resources:
+        """Total resources of the worker; none before its first heartbeat."""
+        return self._heartbeat.capacity if self._heartbeat is not None else specs.Resources()
+
+    @property
+    def has_lapsed(self) -> bool:
+        """Whether the lease has certainly expired since the worker last answered."""
+        return not self._is_answering and self._lease.has_expired
+
+    @property
+    def worker_clock_ms(self) -> int:
+        """Current time on the worker's monotonic clock, in milliseconds."""
+        return self._lease.worker_clock_ms
+
+    @property
+    def acknowledged_number(self) -> int:
+        """Number up to which the lead has stored the worker's results."""
+        return self._acknowledged_number
+
+    @property
+    def poll_number(self) -> int:
+        """Number of the newest poll that was sent."""
+        return self._poll_number
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the worker answered the newest poll, and its clock is known."""
+        return self._is_answering and self._lease.is_clock_known
+
     def state(self) -> messages.AgentState:
         """Return the state of the worker to report to the lead."""
         return messages.AgentState(
             node=self._node,
             heartbeat=self._heartbeat,
-            incarnation=self._incarnation,
+            incarnation=self.incarnation,
             is_answering=self._is_answering and self._confirmed_token >= self._token,
-            has_lapsed=not self._is_answering and self._lease.has_expired,
+            has_lapsed=self.has_lapsed,
             runs=self._table.statuses(),
             ends=self._table.ends,
             has_more_ends=self._table.has_more_ends,
@@ -156,7 +183,7 @@
         Either it had deregistered, or its VM refuses connections: no process listens on its port,
         and a worker that starts again there is a new incarnation without runs.
         """
-        departed = self._incarnation
+        departed = self.incarnation
         if departed is None:
             return
         if departed != self._deregistered and self._refused_polls < REFUSED_POLLS_MIN:
@@ -187,7 +214,7 @@
             self._wakeup.notify()
         with anyio.move_on_after(ATTACH_TIMEOUT_S):
             seen_sequence = 0
-            while not self.state().is_answering or self._incarnation is None:
+            while not self.state().is_answering or self.incarnation is None:
                 seen_sequence = await self._polled.wait_for_change(seen_sequence)
         return self.state()
 
@@ -202,146 +229,26 @@
 
     def acknowledge(self, incarnation: tasks.Incarnation, number: int) -> None:
         """Record that the lead has stored the results up to a number."""
-        if incarnation != self._incarnation or number <= self._acknowledged_number:
+        if incarnation != self.incarnation or number <= self._acknowledged_number:
             return
         self._acknowledged_number = number
         self._wakeup.notify()
 
-    async def start(self, order: messages.StartRun) -> messages.StartOutcome:
-        """Start a run; return only once it is certain whether it started."""
-        reason = self._refusal_reason(order)
-        if reason is not None:
-            return messages.StartOutcome(False, reason)
-        self._table.begin_start(order.task, order.run, order.room, self._poll_number)
-        try:
-            reason = await self._order_start(order)
-        except anyio.get_cancelled_exc_class():
-            # The lead's stream ended; a poll under the next token shows whether the run started.
-            self._table.abandon_start(order.task, order.run, self._poll_number)
-            raise
-        if reason is None:
-            self._table.record_started(order.task, order.run, self._poll_number)
-            self._events.record(
-                lines.EventKind.TASK_STARTED,
-                job=order.task.job_id,
-                attempt=order.run,
-                detail=f"task={order.task} token={self._token}",
-            )
-            return messages.StartOutcome(True)
-        self._table.record_not_started(order.task, order.run)
-        self._events.record(
-            lines.EventKind.TASK_REFUSED,
-            job=order.task.job_id,
-            attempt=order.run,
-            code=reason.value,
-            detail=f"task={order.task} token={self._token}",
-        )
-        return messages.StartOutcome(False, reason)
+    def raise_token(self, minimum: int = 0) -> int:
+        """Raise the fencing token above its present value, and return it."""
+        self._token = max(self._token + 1, minimum)
+        return self._token
 
-    def _refusal_reason(self, order: messages.StartRun) -> workers.RefusalReason | None:
+    def refusal_reason(self, order: messages.StartRun) -> workers.RefusalReason | None:
+        """Return why a run may not be started now, or ``None`` if it may."""
         if not self._lease.is_lead_lease_valid:
             return workers.RefusalReason.NOT_VOUCHED
-        if order.incarnation != self._incarnation or self._heartbeat is None:
+        if order.incarnation != self.incarnation or self._heartbeat is None:
             return workers.RefusalReason.INCARNATION
         if self._heartbeat.condition is workers.Condition.DRAINING:
             return workers.RefusalReason.DRAINING
-        if not self._is_answering or not self._lease.is_clock_known:
-            return workers.RefusalReason.UNREACHABLE
-        if not self._table.fits(order.room, self._heartbeat.capacity):
-            return workers.RefusalReason.ROOM
         return None
 
-    async def _order_start(self, order: messages.StartRun) -> workers.RefusalReason | None:
-        """Send the order until the outcome is certain; return the reason of a refusal, or ``None``.
-
-        After an attempt without an answer, its outcome is determined before the next attempt.
-        """
-        reason = workers.RefusalReason.TOKEN
-        for _ in range(START_ATTEMPTS_MAX):
-            if order.incarnation != self._incarnation:
-                return workers.RefusalReason.INCARNATION
-            token = self._token
-            try:
-                expiry_ms = self._lease.worker_clock_ms + START_EXPIRY_MS
-                await self._worker.start(order.for_worker(expiry_ms, token))
-            except workers.OrderRefusedError as error:
-                if error.reason is workers.RefusalReason.TOKEN and token < self._token:
-                    continue
-                return error.reason
-            except workers.WorkerError as error:
-                if error.ran is errors.Ran.NO:
-                    return workers.RefusalReason.UNREACHABLE
-                outcome = await self._resolve_start(order)
-                if outcome is not workers.RefusalReason.UNREACHABLE:
-                    return outcome
-                # The run has certainly not started, and the raised token prevents a late start, so
-                # that it may be ordered again under the same number.
-                reason = outcome
-                continue
-            return None
-        return reason
-
-    async def _resolve_start(self, order: messages.StartRun) -> workers.RefusalReason | None:
-        """Determine the outcome of an unanswered start: raise the token, then poll the worker."""
-        self._token += 1
-        token = self._token
-        self._events.record(
-            lines.EventKind.TOKEN_RAISED,
-            job=order.task.job_id,
-            attempt=order.run,
-            detail=f"task={order.task} token={token}",
-        )
-        while order.incarnation == self._incarnation:
-            try:
-                status = await self._worker.poll(
-                    token, self._acknowledged_number, None, 0, order.incarnation.worker
-                )
-            except workers.OrderRefusedError as error:
-                if error.reason is not workers.RefusalReason.TOKEN:
-                    return workers.RefusalReason.INCARNATION
-                token = max(token + 1, self._token)
-                self._token = token
-                continue
-            except workers.WorkerError:
-                if self.state().has_lapsed:
-                    return workers.RefusalReason.UNREACHABLE
-                await anyio.sleep(RETRY_INTERVAL_S)
-                continue
-            has_started = self._table.has_started(order.task, order.run, status)
-            if has_started:
-                return None
-            if status.born_ms != order.incarnation.born_ms:
-                # A new incarnation with the same id answers; it has confirmed the raised token.
-                return workers.RefusalReason.INCARNATION
-            if has_started is not None:
-                return workers.RefusalReason.UNREACHABLE
-            # The run may have ended: the worker lists its result once the lead has acknowledged
-            # those before it.
-            await anyio.sleep(UNACKNOWLEDGED_POLL_INTERVAL_S)
-        return workers.RefusalReason.INCARNATION
-
-    async def stop(self, task: tasks.TaskKey, run: int) -> None:
-        """Stop a run; return once the worker has accepted the order or has lost the run."""
-        incarnation = self._incarnation
-        while incarnation is not None and incarnation == self._incarnation:
-            try:
-                await self._worker.stop(task, run, self._token, incarnation.worker)
-            except workers.OrderRefusedError as error:
-                if error.reason is workers.RefusalReason.INCARNATION:
-                    return
-            except workers.WorkerError:
-                if self.state().has_lapsed:
-                    return
-            else:
-                self._events.record(
-                    lines.EventKind.TASK_STOPPED,
-                    job=task.job_id,
-                    attempt=run,
-                    detail=f"task={task} token={self._token}",
-                )
-                return
-            await anyio.sleep(RETRY_INTERVAL_S)
-
     async def run(self) -> None:
         """Poll the worker in a loop until cancelled."""
         while True:
@@ -354,7 +261,9 @@
                 continue
             # A worker does not hold polls while results wait for their acknowledgement.
             with anyio.move_on_after(
-                UNACKNOWLEDGED_POLL_INTERVAL_S if has_answered else RETRY_INTERVAL_S
+                run_orders.UNACKNOWLEDGED_POLL_INTERVAL_S
+                if has_answered
+                else run_orders.RETRY_INTERVAL_S
             ):
                 await self._wakeup.wait_for_change(seen_wakeup)
 
@@ -423,7 +332,7 @@
             self._is_answering = False
             self.changes.notify()
             return
-        if self.state().has_lapsed:
+        if self.has_lapsed:
             self.changes.notify()
 
     def _apply_status(self, status: workers.WorkerStatus, number: int, token: int) -> None:
--- a/libs/runs/src/papayaspar_runs/workers.py
+++ b/libs/runs/src/papayaspar_runs/workers.py
@@ -34,6 +34,7 @@
     content. ``ADVICE``: the worker requires a ticket from an advice call for this queue, which the
     agent never makes. ``UNREACHABLE``: the worker does not answer its agent. ``NOT_VOUCHED``: the
     lead's lease at the agent has expired. ``DRAINING``: the worker is draining.
+    ``WITHDRAWN``: the lead ordered a stop of the run before it had started.
     """
 
     TOKEN = "token"
@@ -47,6 +48,7 @@
     UNREACHABLE = "unreachable"
     NOT_VOUCHED = "not_vouched"
     DRAINING = "draining"
+    WITHDRAWN = "withdrawn"
 
 
 class OrderRefusedError(errors.PapayasparError):
--- a/libs/runs/tests/test_lost_leads.py
+++ b/libs/runs/tests/test_lost_leads.py
@@ -66,11 +66,11 @@
         controller.renew_lead_lease(clock_source.now_s())
         worker.is_silent = True
         with anyio.move_on_after(0.3):
-            await controller.start(_order(state, 0))
+            await controller.orders.start(_order(state, 0))
         worker.is_silent = False
         state = await controller.attach(256)
         await anyio.sleep(0.3)
-        outcome = await controller.start(_order(state, 1))
+        outcome = await controller.orders.start(_order(state, 1))
         group.cancel_scope.cancel()
     assert outcome.is_started
     assert worker.starts == 2
--- a/libs/runs/tests/test_new_incarnations.py
+++ b/libs/runs/tests/test_new_incarnations.py
@@ -67,7 +67,7 @@
         state = await controller.attach(64)
         controller.renew_lead_lease(clock_source.now_s())
         order = messages.StartRun(TASK, 1, "", "", specs.Resources(1, 1, 1), state.incarnation)
-        outcome = await controller.start(order)
+        outcome = await controller.orders.start(order)
         group.cancel_scope.cancel()
     assert worker.starts == 1
     assert outcome.reason is workers.RefusalReason.INCARNATION
--- a/libs/runs/tests/test_unlisted_results.py
+++ b/libs/runs/tests/test_unlisted_results.py
@@ -57,7 +57,7 @@
 
     async def start(incarnation):
         order = messages.StartRun(KEY, 1, "", "", CAPACITY, incarnation)
-        outcomes.append(await controller.start(order))
+        outcomes.append(await controller.orders.start(order))
 
     async with anyio.create_task_group() as group:
         group.start_soon(controller.run)
