Send a worker few starts at once, and poll it less often while it runs hundreds of tasks

Cause: the agent sent all starts at once. They waited for one another in its own process, beyond their expiry of 1.5 s and the timeout of 0.8 s, after which each unanswered one raised the token and polled the worker. Each end of a run also caused a poll and a report that repeat all runs, without a pause, and each start added up the resources of all runs. Change: at most 16 starts are with the worker; the others wait before their expiry is set, and are refused at once if the worker falls silent. A poll is followed by a pause of 0.1 ms for each run and result that it listed, and the used resources are a running sum.

--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -14,6 +14,9 @@
 # Maximum number of attempts to start one run, so that a gang starts whole within its time limit
 # although some attempts get no answer.
 START_ATTEMPTS_MAX = 3
+# Maximum number of starts that are sent to the worker at once. The timeout of a call and the expiry
+# of a start then measure the worker, not the queue of calls in this process.
+STARTS_AT_ONCE_MAX = 16
 # Interval between attempts of a call that failed, in seconds.
 RETRY_INTERVAL_S = 0.1
 # Interval between polls while results wait for their acknowledgement, in seconds: a worker answers
@@ -99,6 +102,7 @@
         self._worker = worker
         self._table = run_table
         self._events = events
+        self._limiter = anyio.CapacityLimiter(STARTS_AT_ONCE_MAX)
 
     async def start(self, order: messages.StartRun) -> messages.StartOutcome:
         """Start a run; return only once it is certain whether it started."""
@@ -107,7 +111,8 @@
             return messages.StartOutcome(False, reason)
         self._table.begin_start(order.task, order.run, order.room, self._owner.poll_number)
         try:
-            reason = await self._send_start(order)
+            async with self._limiter:
+                reason = await self._send_start(order)
         except anyio.get_cancelled_exc_class():
             # The lead's stream ended; a poll under the next token shows whether the run started.
             self._table.abandon_start(order.task, order.run, self._owner.poll_number)
@@ -148,6 +153,9 @@
         may take seconds, in which the lead may have withdrawn the order, or lost its leadership, or
         the worker may have begun to drain: each attempt is made only if the first one would be.
         """
+        if not self._owner.is_reachable:
+            # The worker fell silent while the order waited for those before it.
+            return workers.RefusalReason.UNREACHABLE
         reason = workers.RefusalReason.TOKEN
         for _ in range(START_ATTEMPTS_MAX):
             if self._table.is_withdrawn(order.task, order.run):
--- a/libs/runs/src/papayaspar_runs/table.py
+++ b/libs/runs/src/papayaspar_runs/table.py
@@ -30,6 +30,8 @@
 
     def __init__(self) -> None:
         self._runs: dict[tasks.TaskKey, Run] = {}
+        # Sum of the resources of the runs.
+        self._used = specs.Resources()
         self.ends: tuple[workers.RunResult, ...] = ()
         # Whether the worker may have more results than `ends`.
         self.has_more_ends = False
@@ -46,23 +48,35 @@
         """
         for task, run in list(self._runs.items()):
             if not run.is_starting and run.since_poll < poll_number:
-                del self._runs[task]
+                self._remove(task)
         self.ends = ()
         self.has_more_ends = False
 
     def fits(self, resources: specs.Resources, capacity: specs.Resources) -> bool:
         """Return whether a task fits beside the runs whose resources are known."""
-        used = resources
-        for run in self._runs.values():
-            if run.resources is not None:
-                used = used.plus(run.resources)
-        return capacity.holds(used)
+        return capacity.holds(self._used.plus(resources))
+
+    @property
+    def listed_count(self) -> int:
+        """Number of runs and results in the newest state of the worker."""
+        return len(self._runs) + len(self.ends)
+
+    def _add(self, task: tasks.TaskKey, run: Run) -> None:
+        self._remove(task)
+        self._runs[task] = run
+        if run.resources is not None:
+            self._used = self._used.plus(run.resources)
+
+    def _remove(self, task: tasks.TaskKey) -> None:
+        run = self._runs.pop(task, None)
+        if run is not None and run.resources is not None:
+            self._used = self._used.minus(run.resources)
 
     def begin_start(
         self, task: tasks.TaskKey, run: int, resources: specs.Resources, poll_number: int
     ) -> None:
         """Add a run whose start is in progress; its resources count as used from now on."""
-        self._runs[task] = Run(workers.RunStatus(task, run), resources, True, poll_number)
+        self._add(task, Run(workers.RunStatus(task, run), resources, True, poll_number))
 
     def record_started(self, task: tasks.TaskKey, run: int, poll_number: int) -> None:
         """Record that a run started.
@@ -79,7 +93,7 @@
         """Remove a run that has certainly not started."""
         known_run = self._runs.get(task)
         if known_run is not None and known_run.status.run == run and known_run.is_starting:
-            del self._runs[task]
+            self._remove(task)
 
     def withdraw(self, task: tasks.TaskKey, run: int) -> None:
         """Record that a run whose start is in progress is not wanted any more."""
@@ -132,7 +146,7 @@
             if known_run is None or (
                 known_run.status.run < run_status.run and not known_run.is_starting
             ):
-                self._runs[run_status.task] = Run(run_status, None, False, number)
+                self._add(run_status.task, Run(run_status, None, False, number))
                 continue
             if known_run.status.run == run_status.run:
                 known_run.status = run_status
@@ -141,7 +155,7 @@
             if run.is_starting or run.since_poll >= number:
                 continue
             if task not in listed or listed[task].run != run.status.run:
-                del self._runs[task]
+                self._remove(task)
         self.ends = status.ended
         self.has_more_ends = status.has_more_ends
         return previous != (self.statuses(), self.ends, self.has_more_ends)
--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -12,6 +12,9 @@
 POLL_WAIT_MS = 1000
 # Timeout of calls to the worker, in seconds; a worker on the same VM answers within milliseconds.
 CALL_TIMEOUT_S = 0.8
+# Pause after a poll for each run that the worker listed, in seconds: each poll and each report to
+# the lead repeats all of them, so that hundreds of short runs would keep this process busy.
+POLL_PAUSE_PER_RUN_S = 0.0001
 # Distance between the tokens of two attachments; an agent raises its own token in the gap.
 TOKEN_STRIDE = 64
 # Number of consecutive polls that must be refused by the worker's VM before the worker counts as
@@ -257,6 +260,7 @@
                 continue
             seen_wakeup = self._wakeup.sequence
             has_answered = await self._poll_until_wakeup(seen_wakeup)
+            await anyio.sleep(POLL_PAUSE_PER_RUN_S * self._table.listed_count)
             if has_answered and not self._table.ends:
                 continue
             # A worker does not hold polls while results wait for their acknowledgement.
