Restore tasks in a module of their own, and keep a unit's failures as a number

Cause: `scheduling` had grown with the restore, and a change of one member of a gang examined all of them for failures. Change: `restoring`; `Unit.failures` only grows, so it is kept.

--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -148,11 +148,10 @@
             self._waiting_steps[occurrence, number] = step_progress
         return True
 
-    def update_unit(self, unit: units.Unit, failures: int, has_run: bool) -> None:
+    def update_unit(self, unit: units.Unit, has_run: bool) -> None:
         """Apply a change of a unit's members.
 
         :param unit: the unit, whose counts are those after the change.
-        :param failures: number of failed runs after the change.
         :param has_run: whether the changed member has ever been assigned to a worker.
         """
         self.has_started = self.has_started or has_run
@@ -171,7 +170,7 @@
         if unit.is_active:
             self._active[unit] = None
         self._failed.discard(unit)
-        if failures >= self.attempts and not unit.is_done and not unit.step.is_lasting:
+        if unit.failures >= self.attempts and not unit.is_done and not unit.step.is_lasting:
             self._failed.add(unit)
         self._update_done(unit, step_progress)
 
--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -197,6 +197,8 @@
         the others, in seconds on the lead's clock, or ``None``.
     :param preempting_s: time at which other units were first stopped for this unit since it became
         ready, in seconds on the lead's clock, or ``None``.
+
+    :attr:`failures` is the number of failed runs.
     """
 
     job: "progress.JobProgress"
@@ -208,6 +210,7 @@
     _waiting_count: int = attrs.field(default=0, init=False)
     _assigned_count: int = attrs.field(default=0, init=False)
     _done_count: int = attrs.field(default=0, init=False)
+    failures: int = attrs.field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
         for task in self.members:
@@ -225,11 +228,8 @@
         """
         self._count(task.record.phase, -1)
         self._count(record.phase, 1)
-        failures = record.failures
-        if len(self.members) > 1:
-            others = (member for member in self.members if member is not task)
-            failures = max(failures, *(member.record.failures for member in others))
-        self.job.update_unit(self, failures, has_run=record.run > 0)
+        self.failures = max(self.failures, record.failures)
+        self.job.update_unit(self, has_run=record.run > 0)
 
     def _count(self, phase: tasks.TaskPhase, change: int) -> None:
         if phase is tasks.TaskPhase.WAITING:
@@ -273,11 +273,6 @@
         """Number of the unit's next run, which all members of a gang share."""
         return max(task.record.run for task in self.members) + 1
 
-    @property
-    def failures(self) -> int:
-        """Number of failed runs."""
-        return max(task.record.failures for task in self.members)
-
     @property
     def newest_checkpoint(self) -> str:
         """Checkpoint from which all members resume in the next run, or empty."""
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -1,13 +1,12 @@
 """The lead's scheduler: plan, record assignments, send orders and apply what agents report."""
 
 import anyio
-import anyio.lowlevel
 import attrs
 
 from papayaspar_events import journal, lines
 from papayaspar_jobs import configurations, specs, tasks
-from papayaspar_lead import links, orders, reconciling, recording, state, workload
-from papayaspar_model import causality, clock, errors
+from papayaspar_lead import links, orders, reconciling, recording, restoring, state, workload
+from papayaspar_model import causality, clock
 from papayaspar_runs import messages
 from papayaspar_scheduling import fleet, health, ordering, planner
 from papayaspar_store import following, records, stores, views, writing
@@ -38,9 +37,6 @@
 # While workers of a pool are leaving, one that started within this time is a replacement, in
 # seconds: replacements start before the workers that they replace begin to drain.
 REPLACEMENT_AGE_MAX_S = 20.0
-# Number of task records that a new lead restores before it lets other coroutines run, such as the
-# renewal of its leadership.
-RESTORED_AT_ONCE = 100
 # Default retention of the records of ended jobs, in seconds.
 RETENTION_S = 120.0
 
@@ -119,27 +115,7 @@
 
     async def restore(self, snapshot: stores.Snapshot) -> None:
         """Restore the stored tasks; to be called before :meth:`run`."""
-        self._state.work.sync(self._state.view.jobs, self._state.clock.now_s())
-        for number, record in enumerate(snapshot.records, 1):
-            if number % RESTORED_AT_ONCE == 0:
-                await anyio.lowlevel.checkpoint()
-            if not record.value or not record.key.startswith(records.TASK_PREFIX):
-                continue
-            self._restore_task(record)
-
-    def _restore_task(self, record: stores.KeyedRecord) -> None:
-        try:
-            key = tasks.TaskKey.parse(record.key.removeprefix(records.TASK_PREFIX))
-            stored = records.decode(record, tasks.TaskRecord)
-        except errors.PapayasparError as error:
-            # The record of another writer, or a damaged one: the task starts anew.
-            self._state.events.record(
-                lines.EventKind.RECORD_REFUSED, code=error.code, detail=f"key={record.key}"
-            )
-            return
-        if self._state.view.jobs.find(key.job_id) is not None:
-            self._recorder.note_stored(key)
-        self._state.work.restore(key, stored, self._state.clock.now_s())
+        await restoring.restore_tasks(self._state, self._recorder, snapshot)
 
     def link(self, node: str) -> links.AgentLink | None:
         """Return the link to the agent on a VM, or ``None`` if there is none."""
