--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -6,7 +6,7 @@
 import attrs
 
 from papayaspar_events import lines
-from papayaspar_jobs import progress, registries, tasks
+from papayaspar_jobs import progress, registries, tasks, units
 from papayaspar_lead import links, recording, state
 from papayaspar_model import errors
 from papayaspar_runs import messages, workers
@@ -99,7 +99,7 @@
         stages.room_s = max(0.0, start.demand.waited_s - stages.stops_s)
         return stages
 
-    def _record_start(self, unit: progress.Unit, run: int, stages: StartStages) -> None:
+    def _record_start(self, unit: units.Unit, run: int, stages: StartStages) -> None:
         """Record the stages of the start of a unit."""
         durations_s = {
             field.name.removesuffix("_s"): getattr(stages, field.name)
@@ -119,11 +119,14 @@
             ),
         )
 
-    async def _start_unit(self, unit: progress.Unit, run: int, stages: StartStages) -> None:
+    async def _start_unit(self, unit: units.Unit, run: int, stages: StartStages) -> None:
         """Order the start of each member of a unit once the assignment is stored."""
         assigned_s = self._state.clock.now_s()
         # The planning round that made the assignment queues its record before this coroutine runs.
         await self._recorder.wait_written()
+        if any(self._recorder.is_refused(task.key) for task in unit.members):
+            self._release_unstored(unit, run)
+            return
         stored_s = self._state.clock.now_s()
         stages.stored_s = stored_s - assigned_s
         async with anyio.create_task_group() as group:
@@ -138,7 +141,16 @@
         self._recorder.flush()
         self._state.changes.notify()
 
-    async def _start_task(self, unit: progress.Unit, task: progress.Task, run: int) -> None:
+    def _release_unstored(self, unit: units.Unit, run: int) -> None:
+        """Return a unit to the queue, since a new lead would not know of its run."""
+        for task in unit.members:
+            if task.record.run != run:
+                continue
+            task.is_starting = False
+            self._state.work.release(task, "not started: its assignment can't be stored")
+        self._recorder.flush()
+
+    async def _start_task(self, unit: units.Unit, task: units.Task, run: int) -> None:
         if task.record.run != run:
             # The run has ended already, and the task was assigned again.
             return
@@ -151,6 +163,10 @@
             task.is_starting = False
             self._state.work.release(task, "not started: the lead resigned or the job ended")
             return
+        if task.is_stopping:
+            task.is_starting = False
+            self._state.work.release(task, "not started: its stop was ordered")
+            return
         order = messages.StartRun(
             task.key,
             run,
@@ -188,14 +204,16 @@
         accepted_job = job.accepted_job
         return accepted_job.phase is registries.JobPhase.CANCELLED or job.has_failed
 
-    def stop_unit(self, unit: progress.Unit, reason: str) -> None:
-        """Order the stop of a unit's running members.
+    def stop_unit(self, unit: units.Unit, reason: str) -> None:
+        """Order the stop of a unit's members that run or are being started.
+
+        An agent sends a start that got no answer again; the stop ends that, too.
 
         :param unit: the unit.
         :param reason: reason to record in the journal.
         """
         for task in unit.members:
-            if not task.is_assigned or task.is_starting or task.is_stopping:
+            if not task.is_assigned or task.is_stopping:
                 continue
             link = self._state.links.get(task.record.node)
             if link is None or not link.is_attached:
@@ -210,7 +228,7 @@
             )
             self._state.spawner.start(self._stop_task, link, task)
 
-    async def _stop_task(self, link: links.AgentLink, task: progress.Task) -> None:
+    async def _stop_task(self, link: links.AgentLink, task: units.Task) -> None:
         run = task.record.run
         if not await self.stop_run(link, task.key, run) and task.record.run == run:
             task.is_stopping = False
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -5,8 +5,8 @@
 
 from papayaspar_events import journal, lines
 from papayaspar_jobs import configurations, specs, tasks
-from papayaspar_lead import links, orders, reconciling, recording, state, workload
-from papayaspar_model import causality, clock, errors
+from papayaspar_lead import links, orders, reconciling, recording, restoring, state, workload
+from papayaspar_model import causality, clock
 from papayaspar_runs import messages
 from papayaspar_scheduling import fleet, health, ordering, planner
 from papayaspar_store import following, records, stores, views, writing
@@ -21,6 +21,12 @@
 # Planning rounds use at most this share of the lead's time: an order passes through several
 # coroutines, each of which would wait for a whole round if one followed another at once.
 PLAN_TIME_SHARE = 0.4
+# Maximum number of tasks whose start is in progress: each start takes several steps of its own
+# coroutine, and with thousands at once the renewal of the leadership would wait for all of them.
+STARTING_TASKS_MAX = 200
+# A start that takes longer than this, in seconds, waits for a worker rather than for the lead, and
+# no longer counts towards `STARTING_TASKS_MAX`.
+STARTING_COUNTED_S = 1.0
 # The fencing token of an attachment is the epoch shifted left by this many bits, plus the number of
 # the attachment times the stride; agents raise their own tokens within a stride.
 EPOCH_SHIFT_BITS = 24
@@ -41,10 +47,12 @@
 
     :param lease_max_s: longest lease a worker grants, in seconds.
     :param retention_s: retention of the records of ended jobs, in seconds.
+    :param append_bytes_max: largest append that the store accepts, in bytes.
     """
 
     lease_max_s: float
     retention_s: float = RETENTION_S
+    append_bytes_max: int = writing.APPEND_BYTES_MAX
 
 
 class Scheduler(links.LinkOwner):
@@ -105,22 +113,9 @@
         self._state.work.configure(configuration)
         self._state.changes.notify()
 
-    def restore(self, snapshot: stores.Snapshot) -> None:
+    async def restore(self, snapshot: stores.Snapshot) -> None:
         """Restore the stored tasks; to be called before :meth:`run`."""
-        self._state.work.sync(self._state.view.jobs, self._state.clock.now_s())
-        for record in snapshot.records:
-            if not record.value or not record.key.startswith(records.TASK_PREFIX):
-                continue
-            try:
-                key = tasks.TaskKey.parse(record.key.removeprefix(records.TASK_PREFIX))
-                stored = records.decode(record, tasks.TaskRecord)
-            except errors.PapayasparError as error:
-                # The record of another writer, or a damaged one: the task starts anew.
-                self._state.events.record(
-                    lines.EventKind.RECORD_REFUSED, code=error.code, detail=f"key={record.key}"
-                )
-                continue
-            self._state.work.restore(key, stored, self._state.clock.now_s())
+        await restoring.restore_tasks(self._state, self._recorder, snapshot)
 
     def link(self, node: str) -> links.AgentLink | None:
         """Return the link to the agent on a VM, or ``None`` if there is none."""
@@ -249,8 +244,10 @@
             if is_listed and run_status is not None:
                 self._state.work.apply_progress(task, run_status, now_s)
                 continue
-            if not task.is_starting:
-                self._state.work.release(task, "its worker does not list the run")
+            if task.is_starting or reported.has_more_ends:
+                # A run that has ended is listed once the results before its own are acknowledged.
+                continue
+            self._state.work.release(task, "its worker does not list the run")
         for run_status in reported.runs:
             known_task = self._state.work.find_task(run_status.task)
             if (
@@ -298,6 +295,8 @@
 
     def _start_waiting(self, now_s: float, wall_ms: float) -> None:
         work = self._state.work
+        if self._starting_tasks_left(now_s) <= 0:
+            return
         demands = work.demands(now_s, wall_ms)
         deferred = [
             work.restart_demand(unit, now_s, wall_ms)
@@ -306,6 +305,11 @@
         for pool in sorted({self._pool_of(demand) for demand in demands + deferred}):
             self._plan_pool(pool, demands, deferred, now_s)
 
+    def _starting_tasks_left(self, now_s: float) -> int:
+        """Return how many more tasks may be started now."""
+        since_s = now_s - STARTING_COUNTED_S
+        return STARTING_TASKS_MAX - self._state.work.starting_count(since_s)
+
     def _pool_of(self, demand: ordering.Demand) -> str:
         return self._state.work.queue_of(demand.unit.job).pool
 
@@ -336,6 +340,7 @@
             now_s,
             any(link.is_reconnect_expected(now_s) for link in self._state.links.values()),
             [demand for demand in deferred if self._pool_of(demand) == pool],
+            self._starting_tasks_left(now_s),
         )
         for victim, demand in plan.stops:
             self._state.events.record(
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -5,7 +5,7 @@
 import attrs
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import configurations, progress, registries, specs, tasks
+from papayaspar_jobs import configurations, progress, registries, specs, tasks, units
 from papayaspar_runs import workers
 from papayaspar_scheduling import fleet, guarantees, health, ordering, preemption
 
@@ -18,8 +18,11 @@
 # (`checkpoint_s`).
 CHECKPOINT_INTERVAL_S = 2.0
 # Maximum number of checkpoints stored per second in the whole domain: one append holds as many
-# records (`writing.BATCH_RECORDS`), and the store handles several hundred appends per second.
+# records (`writing.APPEND_BYTES_MAX`), and the store handles several hundred appends per second.
 CHECKPOINTS_PER_S = 200.0
+# Maximum number of units of one step that a planning round considers; the units of a step differ in
+# little, and a round starts no more of them (`scheduling.STARTING_TASKS_MAX`).
+STEP_DEMANDS_MAX = 200
 # The members of a gang end within this time after the first one that failed, in seconds, unless the
 # VM of one of them is unreachable.
 GANG_END_TIMEOUT_S = 1.0
@@ -50,9 +53,9 @@
         self._jobs: dict[str, ActiveJob] = {}
         # Ended jobs are kept until their records are deleted: the view may not show their end yet.
         self._ended_jobs: set[str] = set()
-        self._tasks_by_node: dict[str, set[progress.Task]] = {}
+        self._tasks_by_node: dict[str, set[units.Task]] = {}
         self._outcomes: dict[str, health.Outcomes] = {}
-        self._changed_tasks: dict[tasks.TaskKey, progress.Task] = {}
+        self._changed_tasks: dict[tasks.TaskKey, units.Task] = {}
         self._queues: dict[str, configurations.Queue] = {}
         self._guaranteed_accelerators: dict[str, int] = {}
         self._checkpointed_count = 0
@@ -103,19 +106,20 @@
         active = self._jobs.get(key.job_id)
         if active is None:
             return
-        active.progress.create_due_tasks(0.0, restore_all=True)
-        task = active.progress.task(key)
+        task = active.progress.restore(key, record)
         if task is None:
             return
-        task.record = record
         task.checkpoint = record.checkpoint
+        if task.unit.has_done_member:
+            # The former lead stored only some of the records of a gang that is done.
+            self._complete(task.unit)
         if task.is_assigned:
             task.mark_taken_over(now_s)
             self._index_task(task)
 
-    def stalled_units(self, now_s: float) -> list[progress.Unit]:
+    def stalled_units(self, now_s: float) -> list[units.Unit]:
         """Return the units with a member that makes no progress on its worker."""
-        stalled: list[progress.Unit] = []
+        stalled: list[units.Unit] = []
         for active in self._jobs.values():
             for unit in active.progress.active_units():
                 if unit.step.is_lasting:
@@ -143,25 +147,37 @@
         task = self.find_task(key)
         return task is not None and task.is_done and task.record.run == run
 
-    def find_task(self, key: tasks.TaskKey) -> progress.Task | None:
+    def find_task(self, key: tasks.TaskKey) -> units.Task | None:
         """Return a task of an unfinished job, or ``None``."""
         active = self._jobs.get(key.job_id)
         return active.progress.task(key) if active is not None else None
 
-    def unit_of(self, task: progress.Task) -> progress.Unit:
-        """Return the unit of a task that :meth:`find_task` returned."""
-        return self._jobs[task.key.job_id].progress.unit_of(task)
-
-    def tasks_on_node(self, node: str) -> list[progress.Task]:
+    def tasks_on_node(self, node: str) -> list[units.Task]:
         """Return the tasks that are assigned to a VM."""
         return list(self._tasks_by_node.get(node, ()))
 
+    def nodes_with_tasks(self) -> list[str]:
+        """Return the VMs to which tasks are assigned."""
+        return [node for node, assigned in self._tasks_by_node.items() if assigned]
+
+    def starting_count(self, since_s: float) -> int:
+        """Return the number of tasks whose start is in progress.
+
+        :param since_s: starts that were begun before are not counted; on the lead's clock.
+        """
+        count = 0
+        for assigned in self._tasks_by_node.values():
+            for task in assigned:
+                if task.is_starting and task.started_s >= since_s:
+                    count += 1
+        return count
+
     def newest_start_s(self, node: str) -> float:
         """Return when the newest run on a VM started, on the lead's clock; ``-inf`` if none."""
         starts_s = (task.started_s for task in self._tasks_by_node.get(node, ()))
         return max(starts_s, default=float("-inf"))
 
-    def pop_changed(self) -> list[progress.Task]:
+    def pop_changed(self) -> list[units.Task]:
         """Return the tasks whose records changed since the last call, and clear the list."""
         changed = list(self._changed_tasks.values())
         self._changed_tasks.clear()
@@ -173,7 +189,7 @@
 
     def assign(
         self,
-        unit: progress.Unit,
+        unit: units.Unit,
         nodes: tuple[str, ...],
         incarnations: dict[str, tasks.Incarnation],
         now_s: float,
@@ -196,11 +212,11 @@
             task.mark_starting(now_s)
             task.checkpoint = checkpoint
 
-    def adopt(self, task: progress.Task, incarnation: tasks.Incarnation) -> None:
+    def adopt(self, task: units.Task, incarnation: tasks.Incarnation) -> None:
         """Record that a run continues in a new incarnation of its worker."""
         self._set_record(task, attrs.evolve(task.record, incarnation=incarnation))
 
-    def release(self, task: progress.Task, reason: str) -> None:
+    def release(self, task: units.Task, reason: str) -> None:
         """Return a task to the queue after its run ended, was lost or never started."""
         if not task.is_assigned:
             return
@@ -212,7 +228,7 @@
         )
         self._requeue(task, task.record.failures)
 
-    def _requeue(self, task: progress.Task, failures: int) -> None:
+    def _requeue(self, task: units.Task, failures: int) -> None:
         self._set_record(
             task,
             attrs.evolve(
@@ -223,7 +239,7 @@
             ),
         )
         task.is_stopping = False
-        unit = self.unit_of(task)
+        unit = task.unit
         unit.ready_s = unit.preempting_s = None
 
     def apply_end(self, node: str, end: workers.RunResult, now_s: float) -> None:
@@ -257,9 +273,7 @@
         else:
             self._requeue(task, task.record.failures)
 
-    def apply_progress(
-        self, task: progress.Task, run_status: workers.RunStatus, now_s: float
-    ) -> None:
+    def apply_progress(self, task: units.Task, run_status: workers.RunStatus, now_s: float) -> None:
         """Apply the progress of a run, and store its newest checkpoint if the interval has passed.
 
         :param task: the task.
@@ -281,21 +295,24 @@
         if run_status.checkpoint != task.record.checkpoint:
             self._set_record(task, attrs.evolve(task.record, checkpoint=run_status.checkpoint))
 
-    def _record_pace(self, task: progress.Task, now_s: float) -> None:
+    def _record_pace(self, task: units.Task, now_s: float) -> None:
         ratio = task.pace_ratio(now_s)
         if ratio is None or task.step.is_lasting or task.step.is_same_rack or task.step.data_rack:
             return
         self.outcomes(task.record.node).record_pace(ratio)
 
-    def _apply_success(self, node: str, task: progress.Task) -> None:
+    def _apply_success(self, node: str, task: units.Task) -> None:
         self.outcomes(node).record_success(task.started_s)
-        for member in self.unit_of(task).members:
-            # A gang is done as soon as one of its members is done.
+        self._complete(task.unit)
+
+    def _complete(self, unit: units.Unit) -> None:
+        """Mark a unit as done: a gang is, as soon as one of its members is."""
+        for member in unit.members:
             if not member.is_done:
                 self._set_record(member, attrs.evolve(member.record, phase=tasks.TaskPhase.DONE))
 
-    def _apply_failure(self, node: str, task: progress.Task, now_s: float) -> None:
-        unit = self.unit_of(task)
+    def _apply_failure(self, node: str, task: units.Task, now_s: float) -> None:
+        unit = task.unit
         had_progress = task.has_proven_start
         if not had_progress:
             # A run that fails after it made progress most likely failed by its own fault, and the
@@ -308,7 +325,7 @@
                 detail=f"node={node} until_s={self.outcomes(node).ejected_until_s:.1f}",
             )
 
-    def _set_record(self, task: progress.Task, record: tasks.TaskRecord) -> None:
+    def _set_record(self, task: units.Task, record: tasks.TaskRecord) -> None:
         if task.is_assigned:
             self._tasks_by_node.get(task.record.node, set()).discard(task)
             self._checkpointed_count -= task.step.is_checkpointed
@@ -317,7 +334,7 @@
             self._index_task(task)
         self._changed_tasks[task.key] = task
 
-    def _index_task(self, task: progress.Task) -> None:
+    def _index_task(self, task: units.Task) -> None:
         self._tasks_by_node.setdefault(task.record.node, set()).add(task)
         self._checkpointed_count += task.step.is_checkpointed
 
@@ -330,19 +347,20 @@
             if active.is_cancelled or job.has_failed:
                 continue
             job.create_due_tasks(wall_ms)
-            for unit in job.waiting_units(wall_ms):
+            job.drop_done_occurrences(now_s)
+            for unit in job.waiting_units(wall_ms, STEP_DEMANDS_MAX):
                 if unit.ready_s is None:
                     unit.ready_s = now_s
                 demands.append(self._demand(unit, covered, now_s, wall_ms))
         return demands
 
-    def restart_demand(self, unit: progress.Unit, now_s: float, wall_ms: float) -> ordering.Demand:
+    def restart_demand(self, unit: units.Unit, now_s: float, wall_ms: float) -> ordering.Demand:
         """Return the demand of a running unit if it were stopped now."""
         demand = self._demand(unit, self._covered_jobs(), now_s, wall_ms)
         return attrs.evolve(demand, waited_s=0.0)
 
     def _demand(
-        self, unit: progress.Unit, covered: frozenset[str], now_s: float, wall_ms: float
+        self, unit: units.Unit, covered: frozenset[str], now_s: float, wall_ms: float
     ) -> ordering.Demand:
         job = unit.job
         queue = self.queue_of(job)
@@ -351,7 +369,7 @@
             due_ms = job.spec.schedule.due_ms(unit.members[0].key.occurrence)
         age_s = max(0.0, (wall_ms - due_ms) / MILLISECONDS_PER_SECOND)
         objective_s = (
-            queue.stretch * job.spec.critical_path_ms + queue.objective_ms
+            queue.stretch * job.critical_path_ms + queue.objective_ms
         ) / MILLISECONDS_PER_SECOND
         return ordering.Demand(
             unit,
@@ -421,7 +439,7 @@
             free.reserve(task.record.node, task.step.counted_resources)
         return free
 
-    def _vacating_members(self, now_s: float) -> Iterator[progress.Task]:
+    def _vacating_members(self, now_s: float) -> Iterator[units.Task]:
         """Return the ended members of gangs whose other members are about to end.
 
         Their capacity is kept until the gang can start again as a whole: small tasks would take it
--- a/libs/runs/src/papayaspar_runs/table.py
+++ b/libs/runs/src/papayaspar_runs/table.py
@@ -15,12 +15,14 @@
     :param is_starting: whether the worker has not answered the start order yet.
     :param since_poll: number of a poll; if a poll with a higher number does not list the run, it is
         not running.
+    :param is_withdrawn: whether the lead ordered a stop while the start was in progress.
     """
 
     status: workers.RunStatus
     resources: specs.Resources | None
     is_starting: bool
     since_poll: int
+    is_withdrawn: bool = False
 
 
 class RunTable:
@@ -28,7 +30,11 @@
 
     def __init__(self) -> None:
         self._runs: dict[tasks.TaskKey, Run] = {}
+        # Sum of the resources of the runs.
+        self._used = specs.Resources()
         self.ends: tuple[workers.RunResult, ...] = ()
+        # Whether the worker may have more results than `ends`.
+        self.has_more_ends = False
 
     def statuses(self) -> tuple[workers.RunStatus, ...]:
         """Return the statuses of the runs that have started."""
@@ -42,22 +48,35 @@
         """
         for task, run in list(self._runs.items()):
             if not run.is_starting and run.since_poll < poll_number:
-                del self._runs[task]
+                self._remove(task)
         self.ends = ()
+        self.has_more_ends = False
 
     def fits(self, resources: specs.Resources, capacity: specs.Resources) -> bool:
         """Return whether a task fits beside the runs whose resources are known."""
-        used = resources
-        for run in self._runs.values():
-            if run.resources is not None:
-                used = used.plus(run.resources)
-        return capacity.holds(used)
+        return capacity.holds(self._used.plus(resources))
+
+    @property
+    def listed_count(self) -> int:
+        """Number of runs and results in the newest state of the worker."""
+        return len(self._runs) + len(self.ends)
+
+    def _add(self, task: tasks.TaskKey, run: Run) -> None:
+        self._remove(task)
+        self._runs[task] = run
+        if run.resources is not None:
+            self._used = self._used.plus(run.resources)
+
+    def _remove(self, task: tasks.TaskKey) -> None:
+        run = self._runs.pop(task, None)
+        if run is not None and run.resources is not None:
+            self._used = self._used.minus(run.resources)
 
     def begin_start(
         self, task: tasks.TaskKey, run: int, resources: specs.Resources, poll_number: int
     ) -> None:
         """Add a run whose start is in progress; its resources count as used from now on."""
-        self._runs[task] = Run(workers.RunStatus(task, run), resources, True, poll_number)
+        self._add(task, Run(workers.RunStatus(task, run), resources, True, poll_number))
 
     def record_started(self, task: tasks.TaskKey, run: int, poll_number: int) -> None:
         """Record that a run started.
@@ -74,7 +93,18 @@
         """Remove a run that has certainly not started."""
         known_run = self._runs.get(task)
         if known_run is not None and known_run.status.run == run and known_run.is_starting:
-            del self._runs[task]
+            self._remove(task)
+
+    def withdraw(self, task: tasks.TaskKey, run: int) -> None:
+        """Record that a run whose start is in progress is not wanted any more."""
+        known_run = self._runs.get(task)
+        if known_run is not None and known_run.status.run == run and known_run.is_starting:
+            known_run.is_withdrawn = True
+
+    def is_withdrawn(self, task: tasks.TaskKey, run: int) -> bool:
+        """Return whether a run was withdrawn while its start was in progress."""
+        known_run = self._runs.get(task)
+        return known_run is not None and known_run.status.run == run and known_run.is_withdrawn
 
     def abandon_start(self, task: tasks.TaskKey, run: int, poll_number: int) -> None:
         """Record that the lead disconnected before the outcome of a start was known.
@@ -87,12 +117,20 @@
             known_run.is_starting = False
             known_run.since_poll = poll_number
 
-    def has_started(self, task: tasks.TaskKey, run: int, status: workers.WorkerStatus) -> bool:
-        """Return whether a worker's status lists a run as running or ended."""
+    def has_started(
+        self, task: tasks.TaskKey, run: int, status: workers.WorkerStatus
+    ) -> bool | None:
+        """Return whether a worker's status lists a run as running or ended.
+
+        :return: ``None`` if the worker does not list the run, but may have more results.
+        """
         for run_status in status.running:
             if run_status.task == task and run_status.run == run:
                 return True
-        return any(end.task == task and end.run == run for end in status.ended)
+        for end in status.ended:
+            if end.task == task and end.run == run:
+                return True
+        return None if status.has_more_ends else False
 
     def apply_status(self, status: workers.WorkerStatus, number: int) -> bool:
         """Apply the status that a poll returned.
@@ -101,14 +139,14 @@
         :param number: number of the poll, which rises with each one sent.
         :return: whether runs or results changed.
         """
-        previous = (self.statuses(), self.ends)
+        previous = (self.statuses(), self.ends, self.has_more_ends)
         listed = {run_status.task: run_status for run_status in status.running}
         for run_status in status.running:
             known_run = self._runs.get(run_status.task)
             if known_run is None or (
                 known_run.status.run < run_status.run and not known_run.is_starting
             ):
-                self._runs[run_status.task] = Run(run_status, None, False, number)
+                self._add(run_status.task, Run(run_status, None, False, number))
                 continue
             if known_run.status.run == run_status.run:
                 known_run.status = run_status
@@ -117,6 +155,7 @@
             if run.is_starting or run.since_poll >= number:
                 continue
             if task not in listed or listed[task].run != run.status.run:
-                del self._runs[task]
+                self._remove(task)
         self.ends = status.ended
-        return previous != (self.statuses(), self.ends)
+        self.has_more_ends = status.has_more_ends
+        return previous != (self.statuses(), self.ends, self.has_more_ends)
--- a/libs/runs/src/papayaspar_runs/workers.py
+++ b/libs/runs/src/papayaspar_runs/workers.py
@@ -34,6 +34,7 @@
     content. ``ADVICE``: the worker requires a ticket from an advice call for this queue, which the
     agent never makes. ``UNREACHABLE``: the worker does not answer its agent. ``NOT_VOUCHED``: the
     lead's lease at the agent has expired. ``DRAINING``: the worker is draining.
+    ``WITHDRAWN``: the lead ordered a stop of the run before it had started.
     """
 
     TOKEN = "token"
@@ -47,6 +48,7 @@
     UNREACHABLE = "unreachable"
     NOT_VOUCHED = "not_vouched"
     DRAINING = "draining"
+    WITHDRAWN = "withdrawn"
 
 
 class OrderRefusedError(errors.PapayasparError):
@@ -152,13 +154,16 @@
     :param clock_ms: monotonic clock of the worker.
     :param born_ms: start of the worker, in milliseconds since the Unix epoch; 0 if not reported.
     :param running: statuses of the running tasks.
-    :param ended: results that were not acknowledged yet.
+    :param ended: results that were not acknowledged yet, the oldest first.
+    :param has_more_ends: whether the worker may have more results than it lists: a run that is
+        neither in ``running`` nor in ``ended`` may have ended with any result.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[RunStatus, ...]
     ended: tuple[RunResult, ...]
+    has_more_ends: bool = False
 
 
 @attrs.frozen
