Keep a part of the starts for jobs that have nothing running

Callers would see a job of one task wait for most of a job of thousands that is as urgent.

Cause: with the limit on starts, the first units in the order take all of them, round after round; among equally urgent jobs these are the units of the job that came first. Change: of the 200 tasks that may be starting, 50 are kept for jobs without an assigned task.

--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -273,6 +273,11 @@
                 path_ms[later_number] = max(predecessor_ends_ms) + steps[later_number].estimate_ms
         return max(path_ms.values())
 
+    @property
+    def is_active(self) -> bool:
+        """Whether any task is assigned to a worker."""
+        return bool(self._active)
+
     @property
     def has_failed(self) -> bool:
         """Whether a unit has used up its attempts."""
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -24,6 +24,8 @@
 # Maximum number of tasks whose start is in progress: each start takes several steps of its own
 # coroutine, and with thousands at once the renewal of the leadership would wait for all of them.
 STARTING_TASKS_MAX = 200
+# Part of `STARTING_TASKS_MAX` that is kept for jobs that have nothing running.
+STARTING_IDLE_JOBS_TASKS = 50
 # A start that takes longer than this, in seconds, waits for a worker rather than for the lead, and
 # no longer counts towards `STARTING_TASKS_MAX`.
 STARTING_COUNTED_S = 1.0
@@ -340,7 +342,7 @@
             now_s,
             any(link.is_reconnect_expected(now_s) for link in self._state.links.values()),
             [demand for demand in deferred if self._pool_of(demand) == pool],
-            self._starting_tasks_left(now_s),
+            planner.StartLimit(self._starting_tasks_left(now_s), STARTING_IDLE_JOBS_TASKS),
         )
         for victim, demand in plan.stops:
             self._state.events.record(
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -27,6 +27,39 @@
     nodes: tuple[str, ...]
 
 
+@attrs.define
+class StartLimit:
+    """Limit on the tasks that one round starts; the rest of the demands waits for the next round.
+
+    Thousands of waiting units of one job come before a small job that is as urgent. So a part of
+    the limit is kept for jobs that have nothing running.
+
+    :param tasks_left: number of tasks after which no more units are started.
+    :param idle_jobs_tasks: the part of it that is kept for jobs that have nothing running.
+    """
+
+    tasks_left: int
+    idle_jobs_tasks: int = 0
+    _started_job_ids: set[str] = attrs.field(factory=set, init=False)
+
+    @property
+    def is_reached(self) -> bool:
+        """Whether no more units may be started."""
+        return self.tasks_left <= 0
+
+    def allows(self, demand: ordering.Demand) -> bool:
+        """Return whether a unit may be started, as far as its job is concerned."""
+        if self.tasks_left > self.idle_jobs_tasks:
+            return True
+        job = demand.unit.job
+        return not job.is_active and job.spec.job_id not in self._started_job_ids
+
+    def count(self, demand: ordering.Demand) -> None:
+        """Count a unit that is started."""
+        self.tasks_left -= len(demand.unit.members)
+        self._started_job_ids.add(demand.unit.job.spec.job_id)
+
+
 @attrs.frozen(eq=False)
 class Plan:
     """Result of a planning round.
@@ -70,7 +103,7 @@
         now_s: float,
         is_reconnect_expected: bool = False,
         deferred: list[ordering.Demand] | None = None,
-        starting_tasks_max: int | None = None,
+        start_limit: StartLimit | None = None,
     ) -> Plan:
         """Plan one round.
 
@@ -84,12 +117,11 @@
             unit is placed on remote racks only because workers on its own rack are disconnected.
         :param deferred: demands that units running on draining workers would have if stopped;
             such a unit is stopped only when other workers have capacity for it.
-        :param starting_tasks_max: number of tasks after which no more units are started; the rest
-            of the demands is left to the next round. ``None`` for no limit.
+        :param start_limit: limit on the tasks that are started; changed by the planning. ``None``
+            for no limit.
         """
         self._is_reconnect_expected = is_reconnect_expected
         starts: list[Start] = []
-        starting_tasks = 0
         stops: list[tuple[preemption.Victim, ordering.Demand]] = []
         preemptible = preemption.VictimIndex(victims)
         unplaceable, unplaceable_after_stops = _UnplaceableKeys(), _UnplaceableKeys()
@@ -101,8 +133,10 @@
         for demand in sorted(
             all_demands, key=lambda demand: self._ordering_policy.key(demand, now_s)
         ):
-            if starting_tasks_max is not None and starting_tasks >= starting_tasks_max:
+            if start_limit is not None and start_limit.is_reached:
                 break
+            if start_limit is not None and not start_limit.allows(demand):
+                continue
             nodes = self._choose_nodes(demand, free, free_after_stops, unplaceable)
             if nodes is not None:
                 _reserve(demand, nodes, free)
@@ -111,7 +145,8 @@
                     moves.append(demand)
                 else:
                     starts.append(Start(demand, nodes))
-                    starting_tasks += len(nodes)
+                    if start_limit is not None:
+                        start_limit.count(demand)
                 continue
             if demand in deferred_demands:
                 continue
--- a/libs/scheduling/tests/conftest.py
+++ b/libs/scheduling/tests/conftest.py
@@ -93,7 +93,7 @@
         now_s: float = 100.0,
         is_reconnect_expected: bool = False,
         deferred: list[ordering.Demand] | None = None,
-        starting_tasks_max: int | None = None,
+        start_limit: planner.StartLimit | None = None,
     ) -> planner.Plan:
         """Plan one round, and mark the preempted units as stopping."""
         plan = self.unit_planner.plan(
@@ -104,7 +104,7 @@
             now_s,
             is_reconnect_expected,
             deferred,
-            starting_tasks_max,
+            start_limit,
         )
         for victim, _ in plan.stops:
             self.running.remove(victim)
--- a/libs/scheduling/tests/test_planning_cost.py
+++ b/libs/scheduling/tests/test_planning_cost.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from papayaspar_jobs import tasks
 from papayaspar_scheduling import ordering, placement, planner, preemption
 
 BULK = ordering.Rank.BULK
@@ -96,16 +97,42 @@
     """2,000 starts at once kept the lead busy until its leadership had expired."""
     for _ in range(100):
         cluster.add_waiting_unit(make_step(1, 0), BULK)
-    assert len(cluster.plan(starting_tasks_max=7).starts) == 7
+    assert len(cluster.plan(start_limit=planner.StartLimit(7)).starts) == 7
+
+
+def test_small_job_starts_beside_one_that_fills_the_limit_of_each_round(cluster, make_step):
+    """A job of one task waited for 20 s, until most of a job of 4,000 tasks was done."""
+    large = cluster.add_waiting_unit(make_step(300, 0), BULK).job
+    demand = cluster.waiting.pop()
+    cluster.waiting = [attrs.evolve(demand, unit=unit) for unit in large.waiting_units(0.0)]
+    small = cluster.add_waiting_unit(make_step(1, 0), BULK)
+    plan = cluster.plan(start_limit=planner.StartLimit(20, 5))
+    started = [start.demand.unit for start in plan.starts]
+    assert sum(unit.job is large for unit in started) == 15
+    assert small in started
+
+
+def test_job_with_running_tasks_leaves_the_rest_of_the_limit_to_others(cluster, make_step):
+    """In later rounds the large job took each start that became free."""
+    large = cluster.add_waiting_unit(make_step(300, 0), BULK).job
+    demand = cluster.waiting.pop()
+    waiting = list(large.waiting_units(0.0))
+    waiting[0].members[0].record = tasks.TaskRecord(tasks.TaskPhase.ASSIGNED, 1, "node-0")
+    cluster.waiting = [attrs.evolve(demand, unit=unit) for unit in waiting[1:]]
+    small = cluster.add_waiting_unit(make_step(1, 0), BULK)
+    plan = cluster.plan(start_limit=planner.StartLimit(3, 5))
+    assert [start.demand.unit for start in plan.starts] == [small]
 
 
 def test_gang_larger_than_the_limit_starts_as_a_whole(cluster, make_step):
     cluster.add_waiting_unit(make_step(4, 8, is_gang=True), BULK)
-    (start,) = cluster.plan(starting_tasks_max=1).starts
+    (start,) = cluster.plan(start_limit=planner.StartLimit(1)).starts
     assert len(start.nodes) == 4
 
 
 def test_units_of_lower_rank_wait_for_the_next_round(cluster, make_step):
     first = cluster.add_waiting_unit(make_step(1, 0), ordering.Rank.URGENT)
     cluster.add_waiting_unit(make_step(1, 0), BULK)
-    assert [start.demand.unit for start in cluster.plan(starting_tasks_max=1).starts] == [first]
+    assert [
+        start.demand.unit for start in cluster.plan(start_limit=planner.StartLimit(1)).starts
+    ] == [first]
