Keep the order of the units of a step when some wait again

Cause: the waiting units were returned with those that ran before first, while they had been in the order of the step. A unit that has failed on one of several workers that fail everything was then the first to be started again, before the other failing workers were known, and used up its attempts. Change: the units of a step, and the steps of a job, keep their order. Evidence: `test_units_that_ran_before_keep_their_place_in_the_step` and `test_steps_keep_their_order_when_their_units_wait_again` failed before.

--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -218,7 +218,7 @@
     def waiting_units(
         self, wall_ms: float, units_per_step_max: int | None = None
     ) -> Iterator[units.Unit]:
-        """Return the waiting units that are due and whose predecessors are done.
+        """Return the waiting units that are due and whose predecessors are done, in order.
 
         :param wall_ms: current time in milliseconds since the Unix epoch.
         :param units_per_step_max: maximum number of units of each step that never ran, and of
@@ -226,19 +226,25 @@
         """
         schedule = self.spec.schedule
         counts: collections.Counter[tuple[int, bool]] = collections.Counter()
-        for (occurrence, number), step_progress in tuple(self._waiting_steps.items()):
+        for (occurrence, number), step_progress in sorted(
+            self._waiting_steps.items(), key=lambda item: item[0]
+        ):
             if schedule is not None and schedule.due_ms(occurrence) > wall_ms:
                 continue
             if not self._are_predecessors_done(occurrence, number):
                 continue
-            for waiting in (step_progress.repeated, step_progress.new):
-                kind = (number, waiting is step_progress.new)
+            chosen: list[units.Unit] = []
+            for is_new, waiting in (
+                (True, step_progress.new),
+                (False, sorted(step_progress.repeated, key=_index)),
+            ):
                 count_max = None
                 if units_per_step_max is not None:
-                    count_max = max(0, units_per_step_max - counts[kind])
-                for unit in tuple(itertools.islice(waiting, count_max)):
-                    counts[kind] += 1
-                    yield unit
+                    count_max = max(0, units_per_step_max - counts[number, is_new])
+                first = list(itertools.islice(waiting, count_max))
+                counts[number, is_new] += len(first)
+                chosen += first
+            yield from sorted(chosen, key=_index)
 
     def _are_predecessors_done(self, occurrence: int, number: int) -> bool:
         return all(
@@ -287,3 +293,8 @@
     def is_done(self) -> bool:
         """Whether every task of every occurrence is done."""
         return len(self._done_occurrences) == self.spec.occurrences
+
+
+def _index(unit: units.Unit) -> int:
+    """Return the position of a unit within its step."""
+    return unit.members[0].key.index
--- a/libs/jobs/tests/test_progress.py
+++ b/libs/jobs/tests/test_progress.py
@@ -142,6 +142,25 @@
     assert sum(unit.failures == 0 for unit in waiting) == 200
 
 
+def test_units_that_ran_before_keep_their_place_in_the_step(make_job):
+    """A failed unit that comes first again meets the next failing worker before that is known."""
+    job = make_job(specs.Step(4), attempts=9)
+    third = list(job.waiting_units(0.0))[2]
+    _set_phase(third, tasks.TaskPhase.ASSIGNED)
+    _set_phase(third, tasks.TaskPhase.WAITING, failures=1)
+    for limit in (None, 200):
+        waiting = list(job.waiting_units(0.0, limit))
+        assert [unit.members[0].key.index for unit in waiting] == [0, 1, 2, 3]
+
+
+def test_steps_keep_their_order_when_their_units_wait_again(make_job):
+    job = make_job(specs.Step(1), specs.Step(1))
+    first, second = job.waiting_units(0.0)
+    _set_phase(first, tasks.TaskPhase.ASSIGNED)
+    _set_phase(first, tasks.TaskPhase.WAITING, failures=1)
+    assert list(job.waiting_units(0.0)) == [first, second]
+
+
 def test_state_of_a_job_is_not_computed_from_all_of_its_tasks(make_job):
     """Each start of 2,000 examined all units for failures, longer than a leadership lasts.
 
