Add tests of an unanswered start whose outcome the worker refuses to tell

A worker that has executed a start without an answer, and is unhealthy when the agent asks for the outcome, loses the run at the lead: the task starts on a second worker (TWICE), and the capacity of the run is given away (LIMIT).

They are expected failures until the fix, and listed in KNOWN-RED.txt.

--- a/libs/lead/tests/test_no_task_twice.py
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -329,3 +329,27 @@
         )
         assert cluster.run_recorder.restarts == []
         assert len(cluster.run_recorder.starts) == 8
+
+
+# Guards against a refused poll that is taken as the end of a run: the worker had executed the start
+# without an answer, then refused all calls for a while, and the task ran on a second worker (issue
+# 32).
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: a refused poll is taken as the end of a run")
+async def test_task_of_a_worker_that_refuses_polls_does_not_run_elsewhere(start_cluster, make_job):
+    async with start_cluster() as cluster:
+        await cluster.add_entry("entry-1")
+        agent = await cluster.add_agent("node-1")
+        agent.worker.run_time_s = 4.0
+        await cluster.wait_until(lambda: agent.controller.is_reachable)
+        agent.worker.fault = memory_workers.WorkerFault.MUTE
+        cluster.submit(make_job(1))
+        await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == 1)
+        agent.worker.fault = memory_workers.WorkerFault.BUSY
+        await cluster.add_agent("node-2")
+        await cluster.sleep(2.0)
+        agent.worker.fault = memory_workers.WorkerFault.NONE
+        await cluster.wait_until(
+            lambda: cluster.phase(make_job(1).job_id) is registries.JobPhase.SUCCEEDED
+        )
+        assert cluster.run_recorder.overlaps == []
+        assert len(cluster.run_recorder.starts) == 1
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -29,6 +29,10 @@
     FULL = "full"
     # Every run fails.
     FAILS = "fails"
+    # Executes calls, but never responds.
+    MUTE = "mute"
+    # Rejects all calls, because it is unhealthy.
+    BUSY = "busy"
 
 
 @attrs.define
@@ -183,6 +187,7 @@
             self._delayed_starts.append((self._clock.now_s() + self.start_delay_s, order))
             raise workers.WorkerError("no response", ran=errors.Ran.UNKNOWN)
         self._start_run(order)
+        await self._drop_response()
 
     def _start_run(self, order: workers.StartOrder) -> None:
         self._check_token(order.token)
@@ -209,6 +214,7 @@
             current.stop_s = self._clock.now_s() + self.stop_time_s
             self.advance()
         self._highest_runs[task] = max(run, self._highest_runs.get(task, 0))
+        await self._drop_response()
 
     async def poll(
         self, token: int, acknowledged_number: int, expiry_ms: int | None, wait_ms: int, worker: str
@@ -225,6 +231,7 @@
             if self.fault is WorkerFault.GONE:
                 raise workers.WorkerError("the connection was closed", ran=errors.Ran.UNKNOWN)
             self.advance()
+        await self._drop_response()
         running = tuple(
             workers.RunStatus(
                 run.task, run.run, checkpoint=self._checkpoint(run), percent=self._percent(run)
@@ -252,8 +259,16 @@
             raise workers.WorkerError("no response", ran=errors.Ran.UNKNOWN)
         if self.fault is WorkerFault.GONE:
             raise workers.NotListeningError("no process listens on the port")
+        if self.fault is WorkerFault.BUSY:
+            raise workers.OrderRefusedError(workers.RefusalReason.UNHEALTHY)
         self.advance()
 
+    async def _drop_response(self) -> None:
+        """Raise the error of a call that was executed, if its response gets lost."""
+        if self.fault is WorkerFault.MUTE:
+            await anyio.sleep(0.5)
+            raise workers.WorkerError("no response", ran=errors.Ran.UNKNOWN)
+
     def _check_token(self, token: int) -> None:
         if token < self._token:
             raise workers.OrderRefusedError(workers.RefusalReason.TOKEN)
