Keep asking for the outcome of a start while the worker refuses polls

Callers saw a task run on two workers at once (TWICE), and a worker with more than its capacity (LIMIT). A worker executed a start without an answer, and was unhealthy when the agent asked for its outcome.

Cause: the agent took every refusal of that poll except one for the token as a new incarnation, and reported the run as not started. The lead assigned the task elsewhere, and the agent gave the capacity of the run away.

Only a status that the worker returns under the raised token, a refusal for the incarnation, or an expired lease decides now; after an expired lease the start is not sent again. The agent records what decided each such start (`start_resolved`), with the number of unanswered and refused polls.

--- a/libs/events/src/papayaspar_events/lines.py
+++ b/libs/events/src/papayaspar_events/lines.py
@@ -82,6 +82,7 @@
     READINESS_CHANGED = "readiness_changed"
     LEASE_LAPSED = "lease_lapsed"
     TOKEN_RAISED = "token_raised"
+    START_RESOLVED = "start_resolved"
 
 
 @attrs.frozen
--- a/libs/lead/tests/test_no_task_twice.py
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -334,7 +334,6 @@
 # Guards against a refused poll that is taken as the end of a run: the worker had executed the start
 # without an answer, then refused all calls for a while, and the task ran on a second worker (issue
 # 32).
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: a refused poll is taken as the end of a run")
 async def test_task_of_a_worker_that_refuses_polls_does_not_run_elsewhere(start_cluster, make_job):
     async with start_cluster() as cluster:
         await cluster.add_entry("entry-1")
--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -1,8 +1,10 @@
 """Orders of the lead to start and stop runs, executed until their outcome is certain."""
 
 import abc
+import enum
 
 import anyio
+import attrs
 
 from papayaspar_events import journal, lines
 from papayaspar_jobs import specs, tasks
@@ -24,6 +26,40 @@
 UNACKNOWLEDGED_POLL_INTERVAL_S = 0.25
 
 
+class StartResolution(enum.Enum):
+    """What is known about a start that got no answer.
+
+    ``STARTED``: the worker lists the run, or its result. ``NOT_STARTED``: the worker has confirmed
+    a newer token and lists neither, so that the run has not started and can't start later.
+    ``EXPIRED``: the worker does not tell, and its lease has certainly expired. ``REPLACED``: the
+    worker has a new incarnation.
+    """
+
+    STARTED = "started"
+    NOT_STARTED = "not_started"
+    EXPIRED = "expired"
+    REPLACED = "replaced"
+
+
+@attrs.define
+class PollFailures:
+    """Polls for the outcome of a start that told nothing.
+
+    :param unanswered_count: number of polls without an answer.
+    :param refused_count: number of refused polls.
+    :param newest_refusal: reason of the newest refusal, or empty.
+    """
+
+    unanswered_count: int = 0
+    refused_count: int = 0
+    newest_refusal: str = ""
+
+    def record_refusal(self, reason: workers.RefusalReason) -> None:
+        """Count a refused poll."""
+        self.refused_count += 1
+        self.newest_refusal = reason.value
+
+
 class OrderOwner(abc.ABC):
     """State of the worker that decides about orders: the controller of the worker."""
 
@@ -174,18 +210,21 @@
             except workers.WorkerError as error:
                 if error.ran is errors.Ran.NO:
                     return workers.RefusalReason.UNREACHABLE
-                outcome = await self._resolve_start(order)
-                if outcome is not workers.RefusalReason.UNREACHABLE:
-                    return outcome
-                # The run has certainly not started, and the raised token prevents a late start, so
-                # that it may be ordered again under the same number.
-                reason = outcome
+                resolution = await self._resolve_start(order)
+                if resolution is StartResolution.STARTED:
+                    return None
+                if resolution is StartResolution.REPLACED:
+                    return workers.RefusalReason.INCARNATION
+                reason = workers.RefusalReason.UNREACHABLE
+                if resolution is StartResolution.EXPIRED:
+                    return reason
+                # The run may be ordered again under the same number.
                 continue
             return None
         return reason
 
-    async def _resolve_start(self, order: messages.StartRun) -> workers.RefusalReason | None:
-        """Determine the outcome of an unanswered start: raise the token, then poll the worker."""
+    async def _resolve_start(self, order: messages.StartRun) -> StartResolution:
+        """Determine the outcome of an unanswered start, and record what showed it."""
         token = self._owner.raise_token()
         self._events.record(
             lines.EventKind.TOKEN_RAISED,
@@ -193,33 +232,64 @@
             attempt=order.run,
             detail=f"task={order.task} token={token}",
         )
+        failures = PollFailures()
+        resolution = await self._poll_until_resolved(order, token, failures)
+        self._events.record(
+            lines.EventKind.START_RESOLVED,
+            job=order.task.job_id,
+            attempt=order.run,
+            code=resolution.value,
+            detail=f"task={order.task} token={self._owner.token}"
+            f" unanswered={failures.unanswered_count} refused={failures.refused_count}"
+            f" refusal={failures.newest_refusal}",
+        )
+        return resolution
+
+    async def _poll_until_resolved(
+        self, order: messages.StartRun, token: int, failures: PollFailures
+    ) -> StartResolution:
+        """Poll the worker under a raised token until the outcome of a start is certain."""
         while order.incarnation == self._owner.incarnation:
             try:
                 status = await self._worker.poll(
                     token, self._owner.acknowledged_number, None, 0, order.incarnation.worker
                 )
             except workers.OrderRefusedError as error:
-                if error.reason is not workers.RefusalReason.TOKEN:
-                    return workers.RefusalReason.INCARNATION
-                token = self._owner.raise_token(token + 1)
-                continue
+                failures.record_refusal(error.reason)
+                if error.reason is workers.RefusalReason.INCARNATION:
+                    return StartResolution.REPLACED
+                if error.reason is workers.RefusalReason.TOKEN:
+                    token = self._owner.raise_token(token + 1)
+                    continue
+                # A worker that refuses for any other reason says nothing about its runs.
             except workers.WorkerError:
-                if self._owner.has_lapsed:
-                    return workers.RefusalReason.UNREACHABLE
-                await anyio.sleep(RETRY_INTERVAL_S)
+                failures.unanswered_count += 1
+            else:
+                resolution = self._resolution(order, status)
+                if resolution is not None:
+                    return resolution
+                # The run may have ended: the worker lists its result once the lead has acknowledged
+                # those before it.
+                await anyio.sleep(UNACKNOWLEDGED_POLL_INTERVAL_S)
                 continue
-            has_started = self._table.has_started(order.task, order.run, status)
-            if has_started:
-                return None
-            if status.born_ms != order.incarnation.born_ms:
-                # A new incarnation with the same id answers; it has confirmed the raised token.
-                return workers.RefusalReason.INCARNATION
-            if has_started is not None:
-                return workers.RefusalReason.UNREACHABLE
-            # The run may have ended: the worker lists its result once the lead has acknowledged
-            # those before it.
-            await anyio.sleep(UNACKNOWLEDGED_POLL_INTERVAL_S)
-        return workers.RefusalReason.INCARNATION
+            if self._owner.has_lapsed:
+                return StartResolution.EXPIRED
+            await anyio.sleep(RETRY_INTERVAL_S)
+        return StartResolution.REPLACED
+
+    def _resolution(
+        self, order: messages.StartRun, status: workers.WorkerStatus
+    ) -> StartResolution | None:
+        """Return what a worker's status shows of a start, or ``None`` if nothing is certain."""
+        has_started = self._table.has_started(order.task, order.run, status)
+        if has_started:
+            return StartResolution.STARTED
+        if status.born_ms != order.incarnation.born_ms:
+            # A new incarnation with the same id answers; it has confirmed the raised token.
+            return StartResolution.REPLACED
+        if has_started is None:
+            return None
+        return StartResolution.NOT_STARTED
 
     async def stop(self, task: tasks.TaskKey, run: int) -> None:
         """Stop a run; return once the worker has accepted the order or has lost the run.
--- a/libs/runs/tests/test_refused_polls.py
+++ b/libs/runs/tests/test_refused_polls.py
@@ -103,7 +103,6 @@
 
 # Guards against a refused poll that is taken as the end of the run: the lead started the task on
 # another worker while the first run went on (issue 32).
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: a refused poll is taken as the end of a run")
 @pytest.mark.parametrize("refusal", REFUSALS)
 async def test_refused_poll_does_not_decide_an_unanswered_start(system, refusal):
     system.worker.refusal = refusal
@@ -118,7 +117,6 @@
 
 # Guards against a worker that is given more than its capacity: a run that was taken as not started
 # no longer used any (issue 32).
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: a refused poll is taken as the end of a run")
 async def test_run_with_an_unknown_outcome_keeps_its_capacity(system):
     system.worker.refusal = workers.RefusalReason.UNHEALTHY
     await system.begin_start(FIRST)
@@ -133,7 +131,6 @@
 
 # Guards against a start order that ends only with the stream of the lead: the lease bounds the run
 # of a worker that refuses all polls.
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: a refused poll is taken as the end of a run")
 async def test_unanswered_start_on_a_worker_that_stays_unhealthy_ends_with_its_lease(system):
     await system.wait_until(lambda: system.controller.is_reachable)
     system.worker.refusal = workers.RefusalReason.UNHEALTHY
