Count the renewal of a worker's lease by a start

What callers would see: a task runs twice at once. The lead is told that the lease of a silent worker has expired, starts its tasks elsewhere, and they run on for up to 1.5 s. Cause: a start renews the lease of everything on the worker up to its expiry, but only polls moved the time at which the agent takes the lease as expired. An unanswered start is sent again once a poll of its own has been answered, which may be seconds after the newest poll that renewed. Evidence: test_lease_that_a_repeated_start_renewed_has_not_expired failed before: `has_lapsed` was reported while the worker's lease had half a second left. Change: the lease computes the expiry of starts, too, and counts it as a renewal, whether or not the start is answered.

--- a/libs/runs/src/papayaspar_runs/lease.py
+++ b/libs/runs/src/papayaspar_runs/lease.py
@@ -83,6 +83,17 @@
             # A worker may accept a renewal without answering. A silent worker is therefore sent no
             # renewals: only then is there a time by which its lease has certainly expired.
             return None
-        expiry_s = self._clock.now_s() + self._lease_max_s * CLOCK_DRIFT_RATIO
+        return self._renew_until(self._lease_max_s)
+
+    def renew_by_start(self, duration_s: float) -> int:
+        """Return the expiry of a start order to send, which renews the lease up to it.
+
+        :param duration_s: how long the order is valid, in seconds on the worker's clock.
+        :return: a time on the worker's clock, in milliseconds.
+        """
+        return self._renew_until(duration_s)
+
+    def _renew_until(self, duration_s: float) -> int:
+        expiry_s = self._clock.now_s() + duration_s * CLOCK_DRIFT_RATIO
         self._expiry_s = max(self._expiry_s, expiry_s)
-        return self.worker_clock_ms + int(self._lease_max_s * MILLISECONDS_PER_SECOND)
+        return self.worker_clock_ms + int(duration_s * MILLISECONDS_PER_SECOND)
--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -11,8 +11,8 @@
 from papayaspar_model import errors
 from papayaspar_runs import messages, table, workers
 
-# The worker refuses a start that arrives later than this, in milliseconds.
-START_EXPIRY_MS = 1500
+# The worker refuses a start that arrives later than this, in seconds.
+START_EXPIRY_S = 1.5
 # Maximum number of attempts to start one run, so that a gang starts whole within its time limit
 # although some attempts get no answer.
 START_ATTEMPTS_MAX = 3
@@ -90,10 +90,13 @@
     def has_lapsed(self) -> bool:
         """Whether the lease has certainly expired since the worker last answered."""
 
-    @property
     @abc.abstractmethod
-    def worker_clock_ms(self) -> int:
-        """Current time on the worker's monotonic clock, in milliseconds."""
+    def renew_by_start(self, duration_s: float) -> int:
+        """Return the expiry of a start order to send, which renews the worker's lease up to it.
+
+        :param duration_s: how long the order is valid, in seconds on the worker's clock.
+        :return: a time on the worker's monotonic clock, in milliseconds.
+        """
 
     @property
     @abc.abstractmethod
@@ -201,7 +204,7 @@
                 return new_reason
             token = self._owner.token
             try:
-                expiry_ms = self._owner.worker_clock_ms + START_EXPIRY_MS
+                expiry_ms = self._owner.renew_by_start(START_EXPIRY_S)
                 await self._worker.start(order.for_worker(expiry_ms, token))
             except workers.OrderRefusedError as error:
                 if error.reason is workers.RefusalReason.TOKEN and token < self._owner.token:
--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -96,11 +96,6 @@
         """Whether the lease has certainly expired since the worker last answered."""
         return not self._is_answering and self._lease.has_expired
 
-    @property
-    def worker_clock_ms(self) -> int:
-        """Current time on the worker's monotonic clock, in milliseconds."""
-        return self._lease.worker_clock_ms
-
     @property
     def acknowledged_number(self) -> int:
         """Number up to which the lead has stored the worker's results."""
@@ -242,6 +237,10 @@
         self._token = max(self._token + 1, minimum)
         return self._token
 
+    def renew_by_start(self, duration_s: float) -> int:
+        """Return the expiry of a start order to send, which renews the worker's lease up to it."""
+        return self._lease.renew_by_start(duration_s)
+
     def refusal_reason(self, order: messages.StartRun) -> workers.RefusalReason | None:
         """Return why a run may not be started now, or ``None`` if it may."""
         if not self._lease.is_lead_lease_valid:
