Send no start once a silent worker's lease has expired

What callers would see: a task runs twice at once. The agent answers that the start did not happen, the lead starts the task elsewhere, and the worker executes the start as well. Cause: after an unanswered start, the lease of a worker that stays silent expires. That settles the start, which counts as not executed, but then the agent sent it a second and a third time. Neither gets an answer, and since the lease has already expired, each counts as not executed at once. Evidence: test_no_start_is_sent_after_the_lease_has_expired failed before: 3 starts instead of 1. Change: no attempt is made while the lease counts as expired; it ceases to when the worker answers.

--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -191,6 +191,7 @@
         After an attempt without an answer, its outcome is determined before the next attempt. That
         may take seconds, in which the lead may have withdrawn the order, or lost its leadership, or
         the worker may have begun to drain: each attempt is made only if the first one would be.
+        None is made once the lease has certainly expired, until the worker has answered again.
         """
         if not self._owner.is_reachable:
             # The worker fell silent while the order waited for those before it.
@@ -202,6 +203,9 @@
             new_reason = self._owner.refusal_reason(order)
             if new_reason is not None:
                 return new_reason
+            if self._owner.has_lapsed:
+                # The lead has been told, and nothing would show whether this attempt is executed.
+                return workers.RefusalReason.UNREACHABLE
             token = self._owner.token
             try:
                 expiry_ms = self._owner.renew_by_start(START_EXPIRY_S)
--- a/libs/runs/tests/test_leases_of_silent_workers.py
+++ b/libs/runs/tests/test_leases_of_silent_workers.py
@@ -119,6 +119,23 @@
     return make
 
 
+# Guards against a start that is sent to a silent worker once its lease has been reported as
+# expired: it may still be executed, beside the run that the lead starts elsewhere (issue 32).
+async def test_no_start_is_sent_after_the_lease_has_expired(make_controller, clock_source):
+    worker = LeasedWorker(clock_source)
+    controller = make_controller(worker)
+    async with anyio.create_task_group() as group:
+        group.start_soon(controller.run)
+        with anyio.fail_after(20.0):
+            state = await controller.attach(1 << 24)
+            worker.is_silent = True
+            order = messages.StartRun(KEY, 1, "", "", CAPACITY, state.incarnation)
+            outcome = await controller.orders.start(order)
+        group.cancel_scope.cancel()
+    assert outcome == messages.StartOutcome(False, workers.RefusalReason.UNREACHABLE)
+    assert worker.starts == 1
+
+
 # Guards against a lease that counts as expired although a repeated start has renewed it: the lead
 # started all tasks of the worker elsewhere while they ran on (issue 32).
 async def test_lease_that_a_repeated_start_renewed_has_not_expired(make_controller, clock_source):
