Take an old reading of a worker's clock as that of a slow clock

What callers would see: a task runs twice at once, after an agent was paused. The lead is told that the lease of a worker has expired, and starts its tasks elsewhere while they run on. Cause: an expiry was computed as if the worker's clock had run exactly since it was read. It may be 2% slow, and CLOCK_DRIFT_RATIO leaves 0.45%: enough for a lease of 6 s from a reading 1.3 s old. Polls read the clock at least each second, but a process that was paused renews the lease and sends starts with the reading from before. The worker shortens a lease to its maximum, which hides the error unless the call arrives late. Change: the expiry is computed from the earliest time that the worker's clock may show.

--- a/libs/runs/src/papayaspar_runs/lease.py
+++ b/libs/runs/src/papayaspar_runs/lease.py
@@ -29,7 +29,9 @@
         self._clock = clock_source
         self._events = events
         self._lead_lease_expiry_s = 0.0
-        self._clock_offset_ms: float | None = None
+        # Newest reading of the worker's clock, and when it was read.
+        self._worker_clock_ms: int | None = None
+        self._worker_clock_read_s = 0.0
         self.is_renewing = False
         # An earlier agent process may have renewed the lease just before this one started.
         self._expiry_s = clock_source.now_s() + lease_max_s * CLOCK_DRIFT_RATIO
@@ -47,12 +49,7 @@
     @property
     def is_clock_known(self) -> bool:
         """Whether the worker's clock is known."""
-        return self._clock_offset_ms is not None
-
-    @property
-    def worker_clock_ms(self) -> int:
-        """Current time on the worker's monotonic clock, in milliseconds."""
-        return int(self._clock.now_s() * MILLISECONDS_PER_SECOND + (self._clock_offset_ms or 0.0))
+        return self._worker_clock_ms is not None
 
     def renew_lead_lease(self, requested_s: float) -> None:
         """Renew the lead's lease.
@@ -63,10 +60,18 @@
 
     def set_worker_clock(self, clock_ms: int | None) -> None:
         """Set the current reading of the worker's clock, or ``None`` if it became unknown."""
-        if clock_ms is None:
-            self._clock_offset_ms = None
-            return
-        self._clock_offset_ms = clock_ms - self._clock.now_s() * MILLISECONDS_PER_SECOND
+        self._worker_clock_ms = clock_ms
+        self._worker_clock_read_s = self._clock.now_s()
+
+    def _worker_clock_min_ms(self) -> float:
+        """Return the earliest time that the worker's clock may show now, in milliseconds.
+
+        The reading may be old, such as after a pause of this process; the worker's clock may have
+        been slow since.
+        """
+        age_s = self._clock.now_s() - self._worker_clock_read_s
+        age_ms = age_s * MILLISECONDS_PER_SECOND / CLOCK_DRIFT_RATIO
+        return (self._worker_clock_ms or 0) + age_ms
 
     def renew(self, is_answering: bool) -> int | None:
         """Return the expiry of the lease to send, or ``None`` to let the lease expire.
@@ -96,4 +101,4 @@
     def _renew_until(self, duration_s: float) -> int:
         expiry_s = self._clock.now_s() + duration_s * CLOCK_DRIFT_RATIO
         self._expiry_s = max(self._expiry_s, expiry_s)
-        return self.worker_clock_ms + int(duration_s * MILLISECONDS_PER_SECOND)
+        return int(self._worker_clock_min_ms() + duration_s * MILLISECONDS_PER_SECOND)
