Count a lease as expired from the later of two readings

What callers would see: a task runs twice at once, if the agent's process is paused at one point. Cause: a renewal read the agent's clock twice, first for the time at which the lease counts as expired, then for the expiry to send. A pause in between made the second one later. Evidence: test_pause_during_a_renewal_does_not_extend_the_lease failed before: with a second's pause, the lease counted as expired before its time. Change: the expiry to send is computed first. A pause now delays the time at which it has expired.

--- a/libs/runs/src/papayaspar_runs/lease.py
+++ b/libs/runs/src/papayaspar_runs/lease.py
@@ -99,6 +99,8 @@
         return self._renew_until(duration_s)
 
     def _renew_until(self, duration_s: float) -> int:
+        expiry_ms = int(self._worker_clock_min_ms() + duration_s * MILLISECONDS_PER_SECOND)
+        # Read after the worker's time was computed, since this process may be paused in between.
         expiry_s = self._clock.now_s() + duration_s * CLOCK_DRIFT_RATIO
         self._expiry_s = max(self._expiry_s, expiry_s)
-        return int(self._worker_clock_min_ms() + duration_s * MILLISECONDS_PER_SECOND)
+        return expiry_ms
--- a/libs/runs/tests/test_lease_clocks.py
+++ b/libs/runs/tests/test_lease_clocks.py
@@ -67,3 +67,25 @@
     while not worker_lease.has_expired:
         agent_clock.advance(0.01)
     assert worker.has_expired
+
+
+class PausingClock(clock.ManualClock):
+    """The clock of a process that is paused for a second after each reading."""
+
+    def now_s(self):
+        reading_s = super().now_s()
+        self.advance(1.0)
+        return reading_s
+
+
+# Guards against a pause of the agent between the two readings of its clock for one renewal: the
+# lease counted as expired earlier than the renewal that was sent (issue 32).
+def test_pause_during_a_renewal_does_not_extend_the_lease():
+    agent_clock = PausingClock(100.0)
+    events = journal.Journal("node", "dc", causality.HybridClock(agent_clock), metrics.Metrics())
+    worker_lease = lease.Lease(LEASE_MAX_S, agent_clock, events)
+    agent_clock.advance(LEASE_MAX_S)
+    worker_lease.set_worker_clock(0)
+    read_s = worker_lease._worker_clock_read_s
+    expiry_ms = worker_lease.renew_by_start(START_DURATION_S)
+    assert worker_lease._expiry_s - read_s >= expiry_ms / 1000.0 / SLOW_RATE
