Raise the fencing token at each attachment

What callers would see: a task runs twice at once. A lead loses the stream to an agent while a start is under way and attaches again; its worker does not list the run, so it starts the task elsewhere. Then the worker executes the start of the former stream. Cause: an attachment raised the token only if the lead's next one was higher. The agent raises its own with each unanswered start, 64 times until it has passed the lead's next one, and by 64 at once after a restart. The worker then confirmed the token of the start, which so was not refused. Evidence: test_attachment_fences_the_starts_of_the_former_one failed before: the start was executed after its run had been reported as not listed. Change: an attachment sets the token to the lead's, or to one above the agent's if that is higher.

--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -207,9 +207,9 @@
 
         The worker gets up to ``ATTACH_TIMEOUT_S`` to confirm the token.
         """
-        if token > self._token:
-            self._token = token
-            self._wakeup.notify()
+        # The agent may have raised its own token beyond the lead's next one.
+        self.raise_token(token)
+        self._wakeup.notify()
         with anyio.move_on_after(ATTACH_TIMEOUT_S):
             seen_sequence = 0
             while not self.state().is_answering or self.incarnation is None:
