Raise the token when a lead abandons its starts

What callers would see: a worker gets more than its room. Its agent takes the resources of an abandoned start as free, the start is executed late, and the agent accepts another beside it. Cause: a poll that was sent after the lead had disconnected, and does not list the run, removed it from the agent's table. Until the next attachment such polls confirm the token of the start itself, so that the start could still be executed; then it was learned from a poll, without resources. Evidence: test_abandoned_start_is_fenced_before_its_resources_are_free failed before: both the late start and one that needs the whole worker were executed. Change: the agent raises its token when a start is abandoned, so polls after it are under a newer one.

--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -142,6 +142,8 @@
         self._table = run_table
         self._events = events
         self._limiter = anyio.CapacityLimiter(STARTS_AT_ONCE_MAX)
+        # Token of the newest start that was sent to the worker.
+        self._sent_token = 0
 
     async def start(self, order: messages.StartRun) -> messages.StartOutcome:
         """Start a run; return only once it is certain whether it started."""
@@ -153,7 +155,10 @@
             async with self._limiter:
                 reason = await self._send_start(order)
         except anyio.get_cancelled_exc_class():
-            # The lead's stream ended; a poll under the next token shows whether the run started.
+            # The lead's stream ended; a poll under a newer token than that of the order shows
+            # whether the run started.
+            if self._sent_token == self._owner.token:
+                self._owner.raise_token()
             self._table.abandon_start(order.task, order.run, self._owner.poll_number)
             raise
         if reason is None:
@@ -206,7 +211,7 @@
             if self._owner.has_lapsed:
                 # The lead has been told, and nothing would show whether this attempt is executed.
                 return workers.RefusalReason.UNREACHABLE
-            token = self._owner.token
+            token = self._sent_token = self._owner.token
             try:
                 expiry_ms = self._owner.renew_by_start(START_EXPIRY_S)
                 await self._worker.start(order.for_worker(expiry_ms, token))
--- a/libs/runs/tests/test_abandoned_starts.py
+++ b/libs/runs/tests/test_abandoned_starts.py
@@ -110,3 +110,22 @@
             await anyio.sleep(0.01)
         worker.execute_pending()
     assert worker.runs == []
+
+
+# Guards against resources of a start that are taken as free before the start can't be executed any
+# more: polls under the token of the start were taken as a sign of its absence (issue 32).
+async def test_abandoned_start_is_fenced_before_its_resources_are_free(controller, worker):
+    with anyio.fail_after(5.0):
+        state = await controller.attach(64)
+        await _abandon_start(controller, worker, state)
+        await _wait_for_polls(worker, 3)
+        worker.execute_pending()
+        await controller.attach(128)
+        order = messages.StartRun(
+            tasks.TaskKey("1" * 16, 0, 0, 0), 1, "", "", CAPACITY, state.incarnation
+        )
+        with anyio.move_on_after(0.3):
+            await controller.orders.start(order)
+    started = [run.task for run in worker.runs]
+    started += [pending.task for pending in worker.pending if pending.task != KEY]
+    assert started == [order.task]
