Keep each run of a task in the agent's table

What callers would see: a worker gets more than its room, or a run that nobody wants is not stopped at once. The agent knows of no run that is on the worker, and counts none of its resources. Cause: the table had one entry for each task. The order for the next run of a task took the place of a run that was still on the worker, as after the lead took that run as lost; when the worker refused the order, the entry was gone, with its resources, until the next poll, which learns none. While a start was under way, a listed run of the same task was not reported to the lead. Change: the table is kept by task and run, and so is the lead's look-up in a report.

--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -232,18 +232,17 @@
         self, link: links.AgentLink, reported: messages.AgentState, incarnation: tasks.Incarnation
     ) -> None:
         now_s = self._state.clock.now_s()
-        listed = {run_status.task: run_status for run_status in reported.runs}
+        listed = {(run_status.task, run_status.run): run_status for run_status in reported.runs}
         for task in self._state.work.tasks_on_node(link.node):
-            run_status = listed.get(task.key)
-            is_listed = run_status is not None and run_status.run == task.record.run
+            run_status = listed.get((task.key, task.record.run))
             if task.record.incarnation != incarnation:
-                if is_listed:
+                if run_status is not None:
                     # The start order reached a new incarnation of a worker that kept its id.
                     self._state.work.adopt(task, incarnation)
                 elif not task.is_starting:
                     self._state.work.release(task, "the worker has a new incarnation")
                 continue
-            if is_listed and run_status is not None:
+            if run_status is not None:
                 self._state.work.apply_progress(task, run_status, now_s)
                 continue
             if task.is_starting or reported.has_more_ends:
--- a/libs/runs/src/papayaspar_runs/table.py
+++ b/libs/runs/src/papayaspar_runs/table.py
@@ -29,7 +29,9 @@
     """Runs and unacknowledged results of one incarnation of a worker."""
 
     def __init__(self) -> None:
-        self._runs: dict[tasks.TaskKey, Run] = {}
+        # By task and number of the run: a worker may have a run that the lead took as lost while
+        # the next run of the task is ordered.
+        self._runs: dict[tuple[tasks.TaskKey, int], Run] = {}
         # Sum of the resources of the runs.
         self._used = specs.Resources()
         self.ends: tuple[workers.RunResult, ...] = ()
@@ -46,9 +48,9 @@
         :param poll_number: number of the poll that showed the new incarnation; a run that was
             ordered later may have started in either incarnation, and is kept until a later poll.
         """
-        for task, run in list(self._runs.items()):
+        for key, run in list(self._runs.items()):
             if not run.is_starting and run.since_poll < poll_number:
-                self._remove(task)
+                self._remove(key)
         self.ends = ()
         self.has_more_ends = False
 
@@ -61,14 +63,15 @@
         """Number of runs and results in the newest state of the worker."""
         return len(self._runs) + len(self.ends)
 
-    def _add(self, task: tasks.TaskKey, run: Run) -> None:
-        self._remove(task)
-        self._runs[task] = run
+    def _add(self, run: Run) -> None:
+        key = (run.status.task, run.status.run)
+        self._remove(key)
+        self._runs[key] = run
         if run.resources is not None:
             self._used = self._used.plus(run.resources)
 
-    def _remove(self, task: tasks.TaskKey) -> None:
-        run = self._runs.pop(task, None)
+    def _remove(self, key: tuple[tasks.TaskKey, int]) -> None:
+        run = self._runs.pop(key, None)
         if run is not None and run.resources is not None:
             self._used = self._used.minus(run.resources)
 
@@ -76,35 +79,35 @@
         self, task: tasks.TaskKey, run: int, resources: specs.Resources, poll_number: int
     ) -> None:
         """Add a run whose start is in progress; its resources count as used from now on."""
-        self._add(task, Run(workers.RunStatus(task, run), resources, True, poll_number))
+        self._add(Run(workers.RunStatus(task, run), resources, True, poll_number))
 
     def record_started(self, task: tasks.TaskKey, run: int, poll_number: int) -> None:
         """Record that a run started.
 
         :param poll_number: number of the newest poll that was sent.
         """
-        known_run = self._runs.get(task)
-        if known_run is None or known_run.status.run != run:
+        known_run = self._runs.get((task, run))
+        if known_run is None:
             return
         known_run.is_starting = False
         known_run.since_poll = poll_number
 
     def record_not_started(self, task: tasks.TaskKey, run: int) -> None:
         """Remove a run that has certainly not started."""
-        known_run = self._runs.get(task)
-        if known_run is not None and known_run.status.run == run and known_run.is_starting:
-            self._remove(task)
+        known_run = self._runs.get((task, run))
+        if known_run is not None and known_run.is_starting:
+            self._remove((task, run))
 
     def withdraw(self, task: tasks.TaskKey, run: int) -> None:
         """Record that a run whose start is in progress is not wanted any more."""
-        known_run = self._runs.get(task)
-        if known_run is not None and known_run.status.run == run and known_run.is_starting:
+        known_run = self._runs.get((task, run))
+        if known_run is not None and known_run.is_starting:
             known_run.is_withdrawn = True
 
     def is_withdrawn(self, task: tasks.TaskKey, run: int) -> bool:
         """Return whether a run was withdrawn while its start was in progress."""
-        known_run = self._runs.get(task)
-        return known_run is not None and known_run.status.run == run and known_run.is_withdrawn
+        known_run = self._runs.get((task, run))
+        return known_run is not None and known_run.is_withdrawn
 
     def abandon_start(self, task: tasks.TaskKey, run: int, poll_number: int) -> None:
         """Record that the lead disconnected before the outcome of a start was known.
@@ -112,8 +115,8 @@
         :param poll_number: number of the newest poll that was sent; if a later poll does not list
             the run, the run never started: the worker refuses its order under a newer token.
         """
-        known_run = self._runs.get(task)
-        if known_run is not None and known_run.status.run == run and known_run.is_starting:
+        known_run = self._runs.get((task, run))
+        if known_run is not None and known_run.is_starting:
             known_run.is_starting = False
             known_run.since_poll = poll_number
 
@@ -140,22 +143,19 @@
         :return: whether runs or results changed.
         """
         previous = (self.statuses(), self.ends, self.has_more_ends)
-        listed = {run_status.task: run_status for run_status in status.running}
-        for run_status in status.running:
-            known_run = self._runs.get(run_status.task)
-            if known_run is None or (
-                known_run.status.run < run_status.run and not known_run.is_starting
-            ):
-                self._add(run_status.task, Run(run_status, None, False, number))
+        listed = {(run_status.task, run_status.run): run_status for run_status in status.running}
+        for key, run_status in listed.items():
+            known_run = self._runs.get(key)
+            if known_run is None:
+                self._add(Run(run_status, None, False, number))
                 continue
-            if known_run.status.run == run_status.run:
-                known_run.status = run_status
-                known_run.is_starting = False
-        for task, run in list(self._runs.items()):
+            known_run.status = run_status
+            known_run.is_starting = False
+        for key, run in list(self._runs.items()):
             if run.is_starting or run.since_poll >= number:
                 continue
-            if task not in listed or listed[task].run != run.status.run:
-                self._remove(task)
+            if key not in listed:
+                self._remove(key)
         self.ends = status.ended
         self.has_more_ends = status.has_more_ends
         return previous != (self.statuses(), self.ends, self.has_more_ends)
