Do not take the silence of a deregistered worker for its end

Callers would see a task run twice at once: a worker that has deregistered and goes on for a while, but answers late, had its tasks started elsewhere after one poll without an answer.

Cause: a deregistration and any failed poll, a timeout too, were recorded as the departure of the worker.

Now only refused connections are. Agent and worker share a VM, so that its kernel tells whether a process listens; cuts part VMs, not a worker from its agent. An answer of any status starts the count of refusals anew.

Evidence: test_tasks_of_a_deregistered_worker_that_answers_late_stay_there had two starts before, one now.

Considered: to wait for the lease unless both signs are there.

--- a/libs/lead/tests/test_departures.py
+++ b/libs/lead/tests/test_departures.py
@@ -71,7 +71,7 @@
         if is_lead_replaced:
             lead.scope.cancel()
             await cluster.wait_until(lambda: cluster.lead() == "")
-        first.worker.terminate(memory_workers.WorkerFault.GONE)
+        first.worker.terminate()
         await cluster.sleep(1.0)
         first.scope.cancel()
         await cluster.add_agent("node-2")
@@ -79,10 +79,25 @@
         assert cluster.run_recorder.overlaps == []
 
 
+# Guards against a worker that has deregistered and answers late while it runs on: its tasks ran
+# twice, as one poll without an answer counted as its end (issue 32).
+async def test_tasks_of_a_deregistered_worker_that_answers_late_stay_there(start_cluster, make_job):
+    async with start_cluster() as cluster:
+        _, first = await cluster.start_single_task(make_job(1), 4.0)
+        await cluster.add_agent("node-2")
+        await _drain(cluster, first)
+        first.worker.fault = memory_workers.WorkerFault.SILENT
+        first.controller.handle_deregistration(first.worker.name)
+        await cluster.sleep(2.0)
+        first.worker.fault = memory_workers.WorkerFault.NONE
+        await cluster.wait_until(lambda: _has_succeeded(cluster, make_job(1)))
+        assert len(cluster.run_recorder.starts) == 1
+
+
 async def test_departed_worker_that_answers_again_gets_no_work(start_cluster, make_job):
     async with start_cluster() as cluster:
         _, agent = await cluster.start_single_task(make_job(1), 60.0)
-        agent.worker.terminate(memory_workers.WorkerFault.GONE)
+        agent.worker.terminate()
         await cluster.wait_until(lambda: agent.controller.departure is not None)
         agent.worker.fault = memory_workers.WorkerFault.NONE
         await cluster.sleep(1.5)
--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -58,7 +58,6 @@
         # Code of the newest recorded failure of a poll, or empty.
         self._failure_code = ""
         self._refused_polls = 0
-        self._deregistered: tasks.Incarnation | None = None
         self.departure: records.Departure | None = None
         self.departure_changes = signals.ChangeSignal()
         self.changes = signals.ChangeSignal()
@@ -160,7 +159,7 @@
     def handle_deregistration(self, worker: str) -> None:
         """Handle a worker's announcement that it terminates.
 
-        The worker counts as terminated once it stops answering.
+        The worker is polled at once, and counts as terminated when its VM refuses connections.
 
         :param worker: id of the worker; ignored if the worker was not draining, since the message
             then comes from a former incarnation with the same id.
@@ -172,21 +171,18 @@
                 lines.EventKind.RECORD_REFUSED, worker=worker, detail="the worker was not draining"
             )
             return
-        self._deregistered = tasks.Incarnation(heartbeat.worker, heartbeat.born_ms)
         self._wakeup.notify()
 
     def _record_departure(self) -> None:
-        """Record the departure of a worker that does not answer and has certainly terminated.
+        """Record the departure of a worker that has certainly terminated.
 
-        Either it had deregistered, or its VM refuses connections: no process listens on its port,
-        and a worker that starts again there is a new incarnation without runs.
+        The agent's own VM refuses connections to it: no process listens on its port, and a worker
+        that starts again there is a new incarnation without runs. A worker that has deregistered
+        may run on and answer late, so its silence is no evidence.
         """
         departed = self.incarnation
-        if departed is None:
+        if departed is None or self._refused_polls < REFUSED_POLLS_MIN:
             return
-        if departed != self._deregistered and self._refused_polls < REFUSED_POLLS_MIN:
-            return
-        self._deregistered = None
         done = tuple(
             records.DoneRun(end.task, end.run)
             for end in self._table.ends
@@ -298,6 +294,7 @@
                 token, self._acknowledged_number, expiry_ms, wait_ms, worker
             )
         except workers.OrderRefusedError as error:
+            self._refused_polls = 0
             self._handle_refusal(error, token)
             return False
         except workers.WorkerError as error:
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -142,15 +142,12 @@
             self._run_recorder.record_end(run.task, self.name, is_done=False)
         self._start_incarnation()
 
-    def terminate(self, fault: WorkerFault = WorkerFault.SILENT) -> None:
-        """Terminate all runs and stop responding.
-
-        :param fault: how calls fail from now on.
-        """
+    def terminate(self) -> None:
+        """Terminate all runs; the VM refuses connections from now on."""
         for run in self._runs.values():
             self._run_recorder.record_end(run.task, self.name, is_done=False)
         self._runs.clear()
-        self.fault = fault
+        self.fault = WorkerFault.GONE
 
     def finish_runs(self) -> None:
         """End all runs successfully now."""
