Stop the runs of a departed worker that answers again

Callers would see a task run twice for as long as the task lasts. When a worker answered after its departure had been recorded, the agent reported no incarnation for it, so that the lead looked at none of its runs, and renewed its lease with every poll: the runs went on beside those that the lead had started elsewhere.

An answer to a poll with the id and the start time of the departed worker proves that it runs on (a heartbeat does not: it may have been delayed). The agent now sends it no renewals and stops each run that it lists. The departure stays, as it is stored with the agent's record: the worker gets no work until its next start, so that no lead releases a run by it that was started later.

Evidence: test_runs_of_a_departed_worker_that_answers_again_are_stopped timed out before, with the run still listed and the lease renewed.

--- a/libs/lead/tests/test_departures.py
+++ b/libs/lead/tests/test_departures.py
@@ -160,3 +160,16 @@
         agent.controller.handle_deregistration(agent.worker.name)
         await cluster.sleep(1.5)
         assert agent.controller.departure is None
+
+
+# Guards against a departed worker that runs on: it answered again, the agent renewed its lease, and
+# its runs went on beside those that had been started elsewhere (issue 32).
+async def test_runs_of_a_departed_worker_that_answers_again_are_stopped(start_cluster, make_job):
+    async with start_cluster() as cluster:
+        _, first = await cluster.start_single_task(make_job(1), 60.0)
+        first.worker.fault = memory_workers.WorkerFault.REJECTED
+        await cluster.wait_until(lambda: first.controller.departure is not None)
+        lease_expiry_ms = first.worker.lease_expiry_ms
+        first.worker.fault = memory_workers.WorkerFault.NONE
+        await cluster.wait_until(lambda: not any(cluster.run_recorder.running.values()), 2.0)
+        assert first.worker.lease_expiry_ms == lease_expiry_ms
--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -72,13 +72,21 @@
 
         It is ``None`` unless the newest heartbeat and poll agree on it, and after its departure.
         """
+        return None if self._has_departed else self._reported_incarnation
+
+    @property
+    def _reported_incarnation(self) -> tasks.Incarnation | None:
+        """The incarnation on which the newest heartbeat and poll agree, departed or not."""
         if self._heartbeat is None or self._heartbeat.born_ms != self._born_ms:
             return None
-        incarnation = tasks.Incarnation(self._heartbeat.worker, self._heartbeat.born_ms)
-        return None if self._has_departed(incarnation) else incarnation
+        return tasks.Incarnation(self._heartbeat.worker, self._heartbeat.born_ms)
 
-    def _has_departed(self, incarnation: tasks.Incarnation) -> bool:
-        return self.departure is not None and self.departure.incarnation == incarnation
+    @property
+    def _has_departed(self) -> bool:
+        """Whether the departure of the reported incarnation was recorded."""
+        return (
+            self.departure is not None and self.departure.incarnation == self._reported_incarnation
+        )
 
     @property
     def token(self) -> int:
@@ -285,7 +293,7 @@
     async def _poll(self) -> bool:
         self._poll_number += 1
         number, token = self._poll_number, self._token
-        expiry_ms = self._lease.renew(self._is_answering)
+        expiry_ms = self._lease.renew(self._is_answering and not self._has_departed)
         is_synchronized = self._confirmed_token == token and self._lease.is_clock_known
         wait_ms = POLL_WAIT_MS if is_synchronized and not self._table.ends else 0
         worker = self._heartbeat.worker if self._heartbeat is not None else ""
@@ -305,8 +313,29 @@
             return False
         self._refused_polls = 0
         self._apply_status(status, number, token)
+        if self._has_departed:
+            await self._stop_departed_runs(token, worker)
         return True
 
+    async def _stop_departed_runs(self, token: int, worker: str) -> None:
+        """Stop the runs of a worker that answers although its departure was recorded.
+
+        Its tasks may have been started elsewhere.
+        """
+        for status in self._table.statuses():
+            try:
+                await self._worker.stop(status.task, status.run, token, worker)
+            except errors.PapayasparError:
+                # The next poll lists the run again, unless it has ended.
+                continue
+            self._events.record(
+                lines.EventKind.TASK_STOPPED,
+                worker=worker,
+                job=status.task.job_id,
+                attempt=status.run,
+                detail=f"task={status.task} token={token} the worker had departed",
+            )
+
     def _handle_refusal(self, error: workers.OrderRefusedError, token: int) -> None:
         if error.reason is workers.RefusalReason.INCARNATION:
             # Another incarnation refused the poll; its next heartbeat contains its id.
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -23,6 +23,8 @@
     SILENT = "silent"
     # Has terminated; its VM refuses connections.
     GONE = "gone"
+    # Runs on, but its VM refuses connections.
+    REJECTED = "rejected"
     # Never responds to start orders, which take effect after a delay.
     LATE = "late"
     # Rejects start orders for lack of capacity.
@@ -225,7 +227,7 @@
         until_s = self._clock.now_s() + wait_ms / MILLISECONDS_PER_SECOND
         while not self._ends and self._clock.now_s() < until_s:
             await anyio.sleep(POLL_INTERVAL_S)
-            if self.fault is WorkerFault.GONE:
+            if self.fault in (WorkerFault.GONE, WorkerFault.REJECTED):
                 raise workers.WorkerError("the connection was closed", ran=errors.Ran.UNKNOWN)
             self.advance()
         await self._drop_response()
@@ -259,6 +261,8 @@
         if self.fault is WorkerFault.BUSY:
             raise workers.OrderRefusedError(workers.RefusalReason.UNHEALTHY)
         self.advance()
+        if self.fault is WorkerFault.REJECTED:
+            raise workers.NotListeningError("the connection was refused")
 
     async def _drop_response(self) -> None:
         """Raise the error of a call that was executed, if its response gets lost."""
