Take a poll's answer without its fields for no answer

Callers would see a task run twice at once. An answer to a poll that lacked "running" or "ended" was read as one with empty lists: the lead took each run of the worker for lost ("its worker does not list the run") and started its task elsewhere. One that lacked "born" was read as the answer of a worker that started at 0, thus of another incarnation: the agent dropped its table of runs and the number up to which results are stored, and together with a check-in without "born" the lead released all tasks of the worker ("the worker has a new incarnation").

Both lists and both clocks are in every answer (the protocol: "it returns both lists"; "born" is "always a whole number"). An answer in which one is missing or null is now malformed, as one with a field of another type was before, and counts as no answer: what was known before holds, and the lease is not renewed until an answer is whole.

Evidence: test_status_without_a_field_counts_as_no_answer did not raise before for born, running and ended missing, and for running and ended null.

test_full_list_of_results_may_not_be_all sent a body without "born"; it now sends one, and checks the same.

--- a/libs/runs/src/papayaspar_runs/workers.py
+++ b/libs/runs/src/papayaspar_runs/workers.py
@@ -152,7 +152,7 @@
     """A worker's answer to a poll.
 
     :param clock_ms: monotonic clock of the worker.
-    :param born_ms: start of the worker, in milliseconds since the Unix epoch; 0 if not reported.
+    :param born_ms: start of the worker, in milliseconds since the Unix epoch.
     :param running: statuses of the running tasks.
     :param ended: results that were not acknowledged yet, the oldest first.
     :param has_more_ends: whether the worker may have more results than it lists: a run that is
--- a/tests/adapter/test_clients.py
+++ b/tests/adapter/test_clients.py
@@ -178,6 +178,22 @@
     assert caught.value.ran is errors.Ran.UNKNOWN
 
 
+# Guards against a missing entry that is read as knowledge: without "running" the lead took all runs
+# of the worker for lost, and without "born" the worker for another incarnation (issue 32).
+@pytest.mark.parametrize("name", ["clock_ms", "born", "running", "ended"])
+@pytest.mark.parametrize("change", ["missing", "null"])
+async def test_status_without_a_field_counts_as_no_answer(server, worker, name, change):
+    body = {"clock_ms": 482113, "born": 99, "running": [[str(TASK), 2, "", 41, 0]], "ended": []}
+    if change == "missing":
+        del body[name]
+    else:
+        body[name] = None
+    server[0].queue_answer(200, body)
+    with pytest.raises(workers.WorkerError) as caught:
+        await worker.poll(7, 0, None, 0, "")
+    assert caught.value.ran is errors.Ran.UNKNOWN
+
+
 # Guards against a reader that never finishes loading a partition because of one odd item.
 @pytest.mark.parametrize(
     "odd_item",
@@ -205,7 +221,7 @@
     ended = [
         [number, f"{TASK.job_id}.0.0.{number}", 1, "done", ""] for number in range(1, count + 1)
     ]
-    server[0].queue_answer(200, {"clock_ms": 1, "running": [], "ended": ended})
+    server[0].queue_answer(200, {"clock_ms": 1, "born": 99, "running": [], "ended": ended})
     status = await worker.poll(7, 0, None, 0, "w-1")
     assert len(status.ended) == count
     assert status.has_more_ends is has_more_ends
