Refuse check-ins without the fields that every worker sends

A check-in of another writer took the place of the worker's own. Without "born" it was read as one of a worker that started at 0: when it was the first that an agent received, or came after a poll that named no start time either, it was another incarnation, whose tasks the lead released. Without "capacity" or "labels" the worker had no room and no rack, so that it got no work until its next check-in.

The protocol: an entry with fields missing or of another type names no worker to use; the others hold. Such a check-in is now refused (400), as one with a field of another type was before, and the newest whole one holds. A figure of the capacity that is missing still counts as none.

Evidence: test_heartbeat_without_a_field_is_rejected did not raise before for born, capacity and labels.

Not changed: a check-in with another service, or with another id and a later "born", can't be told from the worker's own. Neither releases a run: the first moves the worker to another pool until its next check-in, after the second the incarnation is unknown until a poll confirms it.

test_heartbeat_with_an_unknown_state_is_rejected now sends a check-in that is whole but for its state, so that nothing else is refused in it.

--- a/libs/runs/src/papayaspar_runs/workers.py
+++ b/libs/runs/src/papayaspar_runs/workers.py
@@ -84,7 +84,7 @@
     :param labels: labels of the worker.
     :param rack: rack of the worker, or empty.
     :param sequence: number of the heartbeat within this incarnation.
-    :param born_ms: start of the worker, in milliseconds since the Unix epoch; 0 if not reported.
+    :param born_ms: start of the worker, in milliseconds since the Unix epoch.
     :param clock_ms: monotonic clock of the worker; ``None`` if not reported.
     :param remaining_ms: minimum time until a draining worker terminates; ``None`` if not reported.
     """
--- a/tests/adapter/test_messages.py
+++ b/tests/adapter/test_messages.py
@@ -50,22 +50,34 @@
     assert caught.value.field == field
 
 
+HEARTBEAT = {
+    "service": "pool", "zone": "z", "state": "draining", "seq": 4, "born": 17,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 8}, "labels": ["a", "r1-3"],
+    "remaining_ms": 900, "clock_ms": 5,
+}  # fmt: skip
+
+
 def test_heartbeat_is_decoded():
-    body = {
-        "service": "pool", "zone": "z", "state": "draining", "seq": 4, "born": 17,
-        "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 8}, "labels": ["a", "r1-3"],
-        "remaining_ms": 900, "clock_ms": 5,
-    }  # fmt: skip
-    heartbeat = heartbeats.parse("i-1", json.dumps(body).encode())
+    heartbeat = heartbeats.parse("i-1", json.dumps(HEARTBEAT).encode())
     assert heartbeat.condition is workers.Condition.DRAINING
     assert (heartbeat.rack, heartbeat.born_ms, heartbeat.remaining_ms) == ("r1-3", 17, 900)
     assert heartbeat.capacity == specs.Resources(16000, 32768, 8)
 
 
+# Guards against a check-in of another writer that takes the place of the worker's: without "born"
+# it named another incarnation, without "capacity" a worker that no task fits (issue 32).
+@pytest.mark.parametrize("field", ["service", "state", "seq", "born", "capacity", "labels"])
+def test_heartbeat_without_a_field_is_rejected(field):
+    body = {name: value for name, value in HEARTBEAT.items() if name != field}
+    with pytest.raises(fields.MessageError) as caught:
+        heartbeats.parse("i-1", json.dumps(body).encode())
+    assert caught.value.field == field
+
+
 @pytest.mark.parametrize("state", ["gone", 3, None])
 def test_heartbeat_with_an_unknown_state_is_rejected(state):
     with pytest.raises(errors.InvalidRequestError):
-        heartbeats.parse("i-1", json.dumps({"service": "p", "state": state, "seq": 1}).encode())
+        heartbeats.parse("i-1", json.dumps({**HEARTBEAT, "state": state}).encode())
 
 
 def test_heartbeat_paths_are_parsed():
