--- a/tests/adapter/test_messages.py
+++ b/tests/adapter/test_messages.py
@@ -80,6 +80,14 @@
         heartbeats.parse("i-1", json.dumps({**HEARTBEAT, "state": state}).encode())
 
 
+# Guards against an agent that ends at a check-in of another writer: the id went into a header of
+# the next poll, which holds only ASCII; without an id the poll named no worker at all (issue 32).
+@pytest.mark.parametrize("worker", ["w-\u00e9", "w\r\nx", " w", ""])
+def test_heartbeat_under_an_id_that_no_worker_has_is_rejected(worker):
+    with pytest.raises(fields.MessageError):
+        heartbeats.parse(worker, json.dumps(HEARTBEAT).encode())
+
+
 def test_heartbeat_paths_are_parsed():
     path = heartbeats.parse_path("/api/instances/i-1/heartbeat")
     assert path == heartbeats.WorkerPath("i-1", heartbeats.WorkerCall.HEARTBEAT)
