--- a/tests/adapter/test_clients.py
+++ b/tests/adapter/test_clients.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 
 import anyio
+import anyio.abc
 import pytest
 
 from papayaspar_adapter import store_client, worker_client
@@ -194,6 +195,37 @@
     assert caught.value.ran is errors.Ran.UNKNOWN
 
 
+async def _serve_trickling(stream):
+    """Send an answer a byte at a time, for longer than any call may take."""
+    async with stream:
+        await stream.receive()
+        await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n")
+        for _ in range(100):
+            await stream.send(b" ")
+            await anyio.sleep(0.1)
+
+
+@pytest.fixture
+async def trickling_worker() -> AsyncIterator[worker_client.HttpWorker]:
+    """Return a client of a worker whose answers take 10 s to arrive, a byte at a time."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    host, port = listener.extra(anyio.abc.SocketAttribute.local_address)
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, _serve_trickling)
+        client = worker_client.HttpWorker(f"{host}:{port}")
+        yield client
+        await client.close()
+        group.cancel_scope.cancel()
+
+
+# Guards against a worker that counts as answering, and as renewed, while its answer never ends: the
+# timeout held for each part of the answer, not for the call (issue 32).
+async def test_answer_that_trickles_in_counts_as_no_answer(trickling_worker):
+    with anyio.fail_after(3.0), pytest.raises(workers.WorkerError) as caught:
+        await trickling_worker.poll(7, 0, None, 0, "")
+    assert caught.value.ran is errors.Ran.UNKNOWN
+
+
 # Guards against a reader that never finishes loading a partition because of one odd item.
 @pytest.mark.parametrize(
     "odd_item",
