Order a stop again when it is unknown who has the run

Callers would see a task of a cancelled job run on, and a task that was to make room or to leave a draining worker stay. While a check-in and a poll disagree on the worker's incarnation, as after one of a former incarnation with a later start time, or one under an id that a poll finds refused (421), the incarnation is unknown. The agent read that as an incarnation that had lost the run, and answered a stop with "stopped" without sending it; the lead then took the stop for accepted and never ordered it again.

The agent now answers with an error, as for other stops that reach no worker, and the lead orders the stop again in its next round. Another known incarnation still counts as one that has lost the run, as does an answer of 421.

--- a/libs/lead/tests/test_stopped_starts.py
+++ b/libs/lead/tests/test_stopped_starts.py
@@ -1,5 +1,6 @@
 """Stops that meet a start in progress."""
 
+import attrs
 import pytest
 
 from papayaspar_runs import workers
@@ -40,3 +41,19 @@
         agent.worker.fault = memory_workers.WorkerFault.NONE
         await cluster.sleep(2.0)
         assert cluster.run_recorder.starts == []
+
+
+# Guards against a stop that nobody carried out and the lead took for accepted: while a check-in and
+# a poll disagreed on the worker's incarnation, it was read as one that had lost the run (issue 32).
+async def test_stop_while_the_incarnation_is_unknown_is_ordered_again(start_cluster, make_job):
+    async with start_cluster() as cluster:
+        _, agent = await cluster.start_single_task(make_job(1), 60.0)
+        heartbeat = agent.worker.heartbeat
+        agent.worker.heartbeat = lambda sequence: attrs.evolve(
+            heartbeat(sequence), born_ms=agent.worker.born_ms + 1000
+        )
+        await cluster.wait_until(lambda: agent.controller.incarnation is None)
+        cluster.cancel(make_job(1).job_id)
+        await cluster.sleep(0.5)
+        agent.worker.heartbeat = heartbeat
+        await cluster.wait_until(lambda: not any(cluster.run_recorder.running.values()), 3.0)
--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -309,6 +309,7 @@
         A start of the run that is in progress is not attempted again.
 
         :raises OrderRefusedError: when the worker does not accept the order's content.
+        :raises WorkerError: when it is unknown which incarnation of the worker has the run.
         """
         self._table.withdraw(task, run)
         incarnation = self._owner.incarnation
@@ -332,3 +333,5 @@
                 )
                 return
             await anyio.sleep(RETRY_INTERVAL_S)
+        if self._owner.incarnation is None:
+            raise workers.WorkerError("the worker's incarnation is unknown", ran=errors.Ran.UNKNOWN)
