Do not take an unknown incarnation for a new one when a start is unanswered

Callers would see a task run on two workers at once. A start was executed without an answer, and while the agent asked for its outcome, a check-in named another start time, as one of another writer may.

Cause: the incarnation is unknown while check-in and poll disagree. The agent stopped asking as soon as it was not the one of the order, unknown or not, and reported that the run had not started.

Only a known other incarnation, or a recorded departure, ends the questions now.

--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -68,6 +68,13 @@
     def incarnation(self) -> tasks.Incarnation | None:
         """The current incarnation of the worker, or ``None`` while it is unknown."""
 
+    @abc.abstractmethod
+    def has_terminated(self, incarnation: tasks.Incarnation) -> bool:
+        """Return whether an incarnation of the worker has certainly terminated.
+
+        The current incarnation may be unknown; that is no evidence.
+        """
+
     @property
     @abc.abstractmethod
     def token(self) -> int:
@@ -261,7 +268,7 @@
         self, order: messages.StartRun, token: int, failures: PollFailures
     ) -> StartResolution:
         """Poll the worker under a raised token until the outcome of a start is certain."""
-        while order.incarnation == self._owner.incarnation:
+        while not self._owner.has_terminated(order.incarnation):
             try:
                 status = await self._worker.poll(
                     token, self._owner.acknowledged_number, None, 0, order.incarnation.worker
--- a/libs/runs/tests/test_refused_polls.py
+++ b/libs/runs/tests/test_refused_polls.py
@@ -115,6 +115,20 @@
     assert system.worker.starts == [FIRST]
 
 
+# Guards against an incarnation that is unknown for a while and counts as replaced: a check-in of
+# another writer named another start time, and the task ran on a second worker (issue 32).
+async def test_unknown_incarnation_does_not_decide_an_unanswered_start(system):
+    system.worker.refusal = workers.RefusalReason.UNHEALTHY
+    await system.begin_start(FIRST)
+    await system.wait_until(lambda: system.worker.starts)
+    system.controller.handle_heartbeat(attrs.evolve(HEARTBEAT, sequence=2, born_ms=BORN_MS + 1))
+    await system.wait_until(lambda: system.worker.refused_polls >= 3)
+    assert system.outcomes == {}
+    system.worker.refusal = None
+    await system.wait_until(lambda: FIRST in system.outcomes)
+    assert system.outcomes[FIRST] == messages.StartOutcome(True)
+
+
 # Guards against a worker that is given more than its capacity: a run that was taken as not started
 # no longer used any (issue 32).
 async def test_run_with_an_unknown_outcome_keeps_its_capacity(system):
