Forget a worker's runs only if it refuses its own id

What callers would see: a worker gets more than its room, if the lead's count is short as well. Cause: a poll for an id that the worker does not answer to made the agent forget the worker's runs, also if the id came from a delayed heartbeat of a former incarnation, whose start time differs from the one that polls show. The runs were learned again from the next poll, without resources. Evidence: test_refused_poll_for_another_id_does_not_forget_the_runs failed before: a second start that needs the whole worker was accepted. Change: such a refusal drops the heartbeat with that id, and the runs only if newest poll and that heartbeat were of the same incarnation. The id is the one that was sent: a heartbeat that arrives before the refusal is kept.

--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -302,14 +302,15 @@
         expiry_ms = self._lease.renew(self._is_answering and not self._has_departed)
         is_synchronized = self._confirmed_token == token and self._lease.is_clock_known
         wait_ms = POLL_WAIT_MS if is_synchronized and not self._table.ends else 0
-        worker = self._heartbeat.worker if self._heartbeat is not None else ""
+        heartbeat = self._heartbeat
+        worker = heartbeat.worker if heartbeat is not None else ""
         try:
             status = await self._worker.poll(
                 token, self._acknowledged_number, expiry_ms, wait_ms, worker
             )
         except workers.OrderRefusedError as error:
             self._refused_polls = 0
-            self._handle_refusal(error, token)
+            self._handle_refusal(error, token, heartbeat)
             return False
         except workers.WorkerError as error:
             is_refused = isinstance(error, workers.NotListeningError)
@@ -342,11 +343,22 @@
                 detail=f"task={status.task} token={token} the worker had departed",
             )
 
-    def _handle_refusal(self, error: workers.OrderRefusedError, token: int) -> None:
-        if error.reason is workers.RefusalReason.INCARNATION:
+    def _handle_refusal(
+        self, error: workers.OrderRefusedError, token: int, polled: workers.Heartbeat | None
+    ) -> None:
+        """Handle the refusal of a poll.
+
+        :param error: the refusal.
+        :param token: token of the poll.
+        :param polled: heartbeat with the id that the poll was for, or ``None``.
+        """
+        if error.reason is workers.RefusalReason.INCARNATION and polled is not None:
             # Another incarnation refused the poll; its next heartbeat contains its id.
-            self._heartbeat = None
-            self._begin_incarnation(None)
+            if self._heartbeat is not None and self._heartbeat.worker == polled.worker:
+                self._heartbeat = None
+                self.changes.notify()
+            if polled.born_ms == self._born_ms:
+                self._begin_incarnation(None)
             return
         if error.reason is workers.RefusalReason.TOKEN and token == self._token:
             # An earlier agent process on this VM raised the worker's token above this one.
