Start a task only once no worker lists another run of it

Cause: a listed run without an assignment counted against the worker's capacity, but the assignment of its task did not depend on it. Nor was an assignment withdrawn that was still being stored when a worker was attached that lists another run of the task. Run numbers were counted from the record alone, so that the next run could get the number of the listed one. Change: `listings` returns the listed runs without an assignment, and whether each has certainly ended since: its end is listed, the worker has departed, or its lease has expired. A lost stream and a silent worker are no evidence. A unit waits while a member has such a run; a start in progress is stopped; the next run gets a higher number than any listed one. A run whose end is in the same report is no longer stopped as unknown.

--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -106,6 +106,8 @@
         self.record = record
         self.worker = fleet.Worker(record.node)
         self.state: messages.AgentState | None = None
+        # Incarnation of the runs in `state`, which may no longer show it.
+        self.listed_incarnation: tasks.Incarnation | None = None
         self.acknowledged: dict[tasks.Incarnation, int] = {}
         self._owner = owner
         self._epoch = epoch
@@ -288,6 +290,7 @@
             self.worker.labels = frozenset(heartbeat.labels)
             self.worker.rack = heartbeat.rack
         self.worker.incarnation = state.incarnation
+        self.listed_incarnation = state.incarnation or self.listed_incarnation
         is_ready = heartbeat is not None and heartbeat.condition is workers.Condition.READY
         self.worker.is_open = is_ready and state.is_answering and state.incarnation is not None
         self._owner.handle_state(self, state, previous)
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -5,7 +5,16 @@
 
 from papayaspar_events import journal, lines
 from papayaspar_jobs import configurations, specs, tasks
-from papayaspar_lead import links, orders, reconciling, recording, restoring, state, workload
+from papayaspar_lead import (
+    links,
+    listings,
+    orders,
+    reconciling,
+    recording,
+    restoring,
+    state,
+    workload,
+)
 from papayaspar_model import causality, clock
 from papayaspar_runs import messages
 from papayaspar_scheduling import fleet, health, ordering, planner
@@ -249,7 +258,11 @@
                 # A run that has ended is listed once the results before its own are acknowledged.
                 continue
             self._state.work.release(task, "its worker does not list the run")
+        ended = {(end.task, end.run) for end in reported.ends}
         for run_status in reported.runs:
+            if (run_status.task, run_status.run) in ended:
+                # Its agent removes the run at the next poll.
+                continue
             known_task = self._state.work.find_task(run_status.task)
             if (
                 known_task is not None
@@ -260,6 +273,8 @@
                     continue
             if self._state.work.is_run_finished(run_status.task, run_status.run):
                 continue
+            if known_task is not None and known_task.is_starting:
+                self._orders.stop_unit(known_task.unit, "another run of it is listed")
             self._state.events.record(
                 lines.EventKind.TASK_UNKNOWN,
                 worker=link.node,
@@ -298,13 +313,25 @@
         work = self._state.work
         if self._starting_tasks_left(now_s) <= 0:
             return
-        demands = work.demands(now_s, wall_ms)
+        unassigned = listings.unassigned_runs(self._state, now_s)
+        for run in unassigned:
+            task = work.find_task(run.task)
+            if task is not None:
+                task.listed_run = max(task.listed_run, run.run)
+        # A task is started only once no other run of it is on any worker.
+        running = {run.task for run in unassigned if not run.is_over}
+        demands = [
+            demand
+            for demand in work.demands(now_s, wall_ms)
+            if not running or running.isdisjoint(task.key for task in demand.unit.members)
+        ]
+        reserved = [(run.node, self._resources_of(run)) for run in unassigned]
         deferred = [
             work.restart_demand(unit, now_s, wall_ms)
             for unit in self._reconciler.deferred_units(now_s)
         ]
         for pool in sorted({self._pool_of(demand) for demand in demands + deferred}):
-            self._plan_pool(pool, demands, deferred, now_s)
+            self._plan_pool(pool, demands, deferred, reserved, now_s)
 
     def _starting_tasks_left(self, now_s: float) -> int:
         """Return how many more tasks may be started now."""
@@ -319,6 +346,7 @@
         pool: str,
         demands: list[ordering.Demand],
         deferred: list[ordering.Demand],
+        unassigned: list[tuple[str, specs.Resources]],
         now_s: float,
     ) -> None:
         candidates = []
@@ -331,7 +359,6 @@
             candidates.append(link.worker)
         _end_uninformative_trials(candidates)
         self._mark_replacements(pool)
-        unassigned = self._unassigned_runs()
         work = self._state.work
         plan = self._planner.plan(
             [demand for demand in demands if self._pool_of(demand) == pool],
@@ -378,22 +405,12 @@
         worker.trial = outcomes.trial(now_s, self._state.work.newest_start_s(worker.node))
         worker.proven_s = outcomes.proven_s
 
-    def _unassigned_runs(self) -> list[tuple[str, specs.Resources]]:
-        """Return the runs on workers that no task is assigned to, such as runs of cancelled jobs.
-
-        :return: VM and resources of each run.
-        """
-        unassigned: list[tuple[str, specs.Resources]] = []
-        for link in self._state.links.values():
-            for run_status in link.state.runs if link.state is not None else ():
-                if self._state.work.is_assigned_run(run_status.task, run_status.run, link.node):
-                    continue
-                accepted_job = self._state.view.jobs.find(run_status.task.job_id)
-                resources = link.worker.capacity
-                if accepted_job is not None and run_status.task.step < len(accepted_job.spec.steps):
-                    resources = accepted_job.spec.steps[run_status.task.step].counted_resources
-                unassigned.append((link.node, resources))
-        return unassigned
+    def _resources_of(self, run: listings.UnassignedRun) -> specs.Resources:
+        """Return the resources of a run; those of its whole worker if its job is unknown."""
+        accepted_job = self._state.view.jobs.find(run.task.job_id)
+        if accepted_job is not None and run.task.step < len(accepted_job.spec.steps):
+            return accepted_job.spec.steps[run.task.step].counted_resources
+        return self._state.links[run.node].worker.capacity
 
     def _finish_jobs(self, now_s: float) -> None:
         """Remove ended jobs without runs, and delete their records after the retention time."""
