Keep a run that its worker lists although its start was refused

Cause: `_start_task` releases the task whatever the reason of the refusal, and whatever is listed. Change: a run that the newest report of the worker lists, and that has not certainly ended since, counts as started. The worker's list is direct evidence; the refusal is its agent's conclusion. A run that ended meanwhile is no longer assigned, so that a stale list keeps nothing. It does not cover a refusal that the lead reads before the first list that shows the run: that evidence is the agent's alone.

--- a/libs/lead/src/papayaspar_lead/listings.py
+++ b/libs/lead/src/papayaspar_lead/listings.py
@@ -64,3 +64,23 @@
         if departure is not None and departure.incarnation == link.listed_incarnation:
             return True
     return False
+
+
+def is_running(
+    scheduler_state: state.SchedulerState,
+    link: links.AgentLink,
+    key: tasks.TaskKey,
+    run: int,
+    now_s: float,
+) -> bool:
+    """Return whether a worker lists a run, which has not certainly ended since.
+
+    :param scheduler_state: state of the scheduler.
+    :param link: link to the worker's agent.
+    :param key: task of the run.
+    :param run: number of the run.
+    :param now_s: the lead's clock.
+    """
+    if link.state is None or are_runs_over(scheduler_state, link, now_s):
+        return False
+    return any(status.task == key and status.run == run for status in link.state.runs)
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -7,7 +7,7 @@
 
 from papayaspar_events import lines
 from papayaspar_jobs import progress, registries, tasks, units
-from papayaspar_lead import links, recording, state
+from papayaspar_lead import links, listings, recording, state
 from papayaspar_model import errors
 from papayaspar_runs import messages, workers
 from papayaspar_scheduling import planner
@@ -187,8 +187,10 @@
             # The run ended before the answer to its start order was read: the state of the task
             # is that of its next run.
             return
-        if outcome.is_started:
-            task.mark_started(self._state.clock.now_s())
+        now_s = self._state.clock.now_s()
+        # The worker's own list shows a run, whatever its agent concluded from an answer.
+        if outcome.is_started or listings.is_running(self._state, link, task.key, run, now_s):
+            task.mark_started(now_s)
             return
         task.is_starting = False
         if not task.is_assigned:
--- a/libs/lead/tests/test_unassigned_runs.py
+++ b/libs/lead/tests/test_unassigned_runs.py
@@ -1,9 +1,11 @@
 """Runs that a worker lists although the lead has not assigned them to it."""
 
+import functools
+
 import pytest
 
 from papayaspar_jobs import registries, specs, tasks
-from papayaspar_runs import workers
+from papayaspar_runs import messages, workers
 from papayaspar_store import records
 
 pytestmark = pytest.mark.anyio
@@ -69,3 +71,31 @@
         await _wait_succeeded(cluster, spec)
         assert cluster.run_recorder.overlaps == []
         assert cluster.run_recorder.restarts == []
+
+
+async def _refuse_after_start(cluster, agent, start, order):
+    """Execute a start order, and refuse it once the lead has read that the run is listed."""
+    await start(order)
+    scheduler = cluster.entries["entry-1"].election.scheduler
+    await cluster.wait_until(lambda: bool(scheduler.link(agent.worker.name).state.runs))
+    return messages.StartOutcome(False, workers.RefusalReason.INCARNATION)
+
+
+# Guards against a refusal that outweighs the worker's own list: the task was started elsewhere
+# beside the run that its worker had listed already (issue 32).
+async def test_listed_run_is_kept_although_its_start_was_refused(start_cluster, make_job):
+    spec = make_job(1)
+    async with start_cluster() as cluster:
+        await cluster.add_entry("entry-1")
+        agent = await cluster.add_agent("node-1")
+        agent.worker.run_time_s = 2.0
+        await cluster.wait_until(lambda: agent.controller.state().is_answering)
+        agent.controller.orders.start = functools.partial(
+            _refuse_after_start, cluster, agent, agent.controller.orders.start
+        )
+        cluster.submit(spec)
+        await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == 1)
+        await cluster.add_agent("node-2")
+        await _wait_succeeded(cluster, spec)
+        assert cluster.run_recorder.overlaps == []
+        assert len(cluster.run_recorder.starts) == 1
