Go on as lead when an agent answers a start with an error

Callers would see all starts stop for 1.6 s because of one agent: a start order that was answered with an error, such as "too many calls on one stream", ended the leadership.

Cause: `_start_task` expected only the loss of the stream; every other error ended the scheduler's task group. Change: an error is treated like a lost stream. Neither tells whether the run started, so that the link is closed, and the state at the next attachment decides. Evidence: `test_lead_stays_when_an_agent_answers_a_start_with_an_error` failed before: the lead resigned, and the next epoch began 1.6 s later.

--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -298,7 +298,7 @@
     async def start(self, order: messages.StartRun) -> messages.StartOutcome:
         """Order the agent to start a run, and return the outcome.
 
-        :raises PeerError: when it is unknown whether the run started.
+        :raises PapayasparError: when it is unknown whether the run started.
         """
         reply = await self._open_peer().call(order, START_TIMEOUT_S)
         if not isinstance(reply, messages.StartOutcome):
@@ -308,7 +308,7 @@
     async def stop(self, task: tasks.TaskKey, run: int) -> None:
         """Order the agent to stop a run.
 
-        :raises PeerError: when it is unknown whether the worker received the order.
+        :raises PapayasparError: when it is unknown whether the worker received the order.
         """
         await self._open_peer().call(messages.StopRun(task, run), STOP_TIMEOUT_S)
 
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -177,8 +177,9 @@
         )
         try:
             outcome = await link.start(order)
-        except errors.PeerError:
-            # The agent's state at the next attachment shows whether the run started.
+        except errors.PapayasparError:
+            # Neither a lost stream nor an error shows whether the run started; the agent's state at
+            # the next attachment does.
             if task.record.run == run:
                 task.is_starting = False
             link.disconnect()
