Do not take a task with an unreadable record for one that never ran

Cause: such a task "started anew": with run 1, at once, on any worker, although its run may be on a worker that the lead hasn't reached yet. A result that this worker listed was of another run number for the lead; it was ignored and yet acknowledged. Change: the task is started only once the leases that former leads confirmed have expired. Until then a run of it that an answering worker lists, running or ended, becomes its assignment. What no worker lists stays unknown: a task that was done and acknowledged before its record was damaged runs again, and its failures are not counted.

--- a/libs/lead/src/papayaspar_lead/restoring.py
+++ b/libs/lead/src/papayaspar_lead/restoring.py
@@ -30,14 +30,25 @@
             continue
         try:
             key = tasks.TaskKey.parse(record.key.removeprefix(records.TASK_PREFIX))
-            stored = records.decode(record, tasks.TaskRecord)
         except errors.PapayasparError as error:
-            # The record of another writer, or a damaged one: the task starts anew.
-            scheduler_state.events.record(
-                lines.EventKind.RECORD_REFUSED, code=error.code, detail=f"key={record.key}"
-            )
+            _record_refused(scheduler_state, record, error)
             continue
         if scheduler_state.view.jobs.find(key.job_id) is None:
             continue
         recorder.note_stored(key)
+        try:
+            stored = records.decode(record, tasks.TaskRecord)
+        except errors.PapayasparError as error:
+            _record_refused(scheduler_state, record, error)
+            scheduler_state.work.restore_unreadable(key)
+            continue
         scheduler_state.work.restore(key, stored, scheduler_state.clock.now_s())
+
+
+def _record_refused(
+    scheduler_state: state.SchedulerState, record: stores.KeyedRecord, error: errors.PapayasparError
+) -> None:
+    """Record that a record is of another writer, or damaged."""
+    scheduler_state.events.record(
+        lines.EventKind.RECORD_REFUSED, code=error.code, detail=f"key={record.key}"
+    )
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -111,11 +111,12 @@
         )
         self._recorder = recording.Recorder(self._state, shared, tasks_writer)
         self._orders = orders.Orders(self._state, self._recorder, self.is_lead_lease_valid)
+        # When the lease of a worker without a link has certainly expired.
+        self._unlinked_expiry_s = links.worker_lease_expiry_s(
+            former_confirmed_s, limits.lease_max_s
+        )
         self._reconciler = reconciling.Reconciler(
-            self._state,
-            self._orders,
-            self._recorder,
-            links.worker_lease_expiry_s(former_confirmed_s, limits.lease_max_s),
+            self._state, self._orders, self._recorder, self._unlinked_expiry_s
         )
         self.lost = anyio.Event()
 
@@ -219,6 +220,12 @@
                 if not task.is_starting:
                     self._state.work.release(task, "the worker's lease has expired")
         if reported.incarnation is not None and reported.is_answering:
+            self._state.work.adopt_unrecorded(
+                link.node,
+                reported.incarnation,
+                (*reported.ends, *reported.runs),
+                self._state.clock.now_s(),
+            )
             self._apply_ends(link, reported, reported.incarnation)
             self._apply_runs(link, reported, reported.incarnation)
         self._recorder.flush()
@@ -314,17 +321,7 @@
         if self._starting_tasks_left(now_s) <= 0:
             return
         unassigned = listings.unassigned_runs(self._state, now_s)
-        for run in unassigned:
-            task = work.find_task(run.task)
-            if task is not None:
-                task.listed_run = max(task.listed_run, run.run)
-        # A task is started only once no other run of it is on any worker.
-        running = {run.task for run in unassigned if not run.is_over}
-        demands = [
-            demand
-            for demand in work.demands(now_s, wall_ms)
-            if not running or running.isdisjoint(task.key for task in demand.unit.members)
-        ]
+        demands = self._startable(work.demands(now_s, wall_ms), unassigned, now_s)
         reserved = [(run.node, self._resources_of(run)) for run in unassigned]
         deferred = [
             work.restart_demand(unit, now_s, wall_ms)
@@ -333,6 +330,30 @@
         for pool in sorted({self._pool_of(demand) for demand in demands + deferred}):
             self._plan_pool(pool, demands, deferred, reserved, now_s)
 
+    def _startable(
+        self,
+        demands: list[ordering.Demand],
+        unassigned: list[listings.UnassignedRun],
+        now_s: float,
+    ) -> list[ordering.Demand]:
+        """Return the demands of units of which no other run is, or may be, on any worker."""
+        work = self._state.work
+        for run in unassigned:
+            task = work.find_task(run.task)
+            if task is not None:
+                task.listed_run = max(task.listed_run, run.run)
+        if now_s >= self._unlinked_expiry_s:
+            work.end_doubts()
+        running = {run.task for run in unassigned if not run.is_over}
+        startable: list[ordering.Demand] = []
+        for demand in demands:
+            if work.is_doubtful(demand.unit):
+                continue
+            if running and not running.isdisjoint(task.key for task in demand.unit.members):
+                continue
+            startable.append(demand)
+        return startable
+
     def _starting_tasks_left(self, now_s: float) -> int:
         """Return how many more tasks may be started now."""
         since_s = now_s - STARTING_COUNTED_S
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -59,6 +59,8 @@
         self._queues: dict[str, configurations.Queue] = {}
         self._guaranteed_accelerators: dict[str, int] = {}
         self._checkpointed_count = 0
+        # Tasks with an unreadable record, of which a former lead may have started a run.
+        self._doubtful_tasks: dict[tasks.TaskKey, units.Task] = {}
 
     def configure(self, configuration: configurations.Configuration) -> None:
         """Apply a version of the configuration."""
@@ -117,6 +119,54 @@
             task.mark_taken_over(now_s)
             self._index_task(task)
 
+    def restore_unreadable(self, key: tasks.TaskKey) -> None:
+        """Restore a task whose record can't be read: its runs, if any, are unknown.
+
+        It is started only after :meth:`end_doubts`, and continues with the run that a worker lists.
+        """
+        active = self._jobs.get(key.job_id)
+        task = active.progress.restore(key, tasks.TaskRecord()) if active is not None else None
+        if task is not None:
+            self._doubtful_tasks[key] = task
+
+    def end_doubts(self) -> None:
+        """Let all tasks start; to be called once all runs that former leads started are known."""
+        self._doubtful_tasks.clear()
+
+    def is_doubtful(self, unit: units.Unit) -> bool:
+        """Return whether a former lead may have started a run of a unit that is not known."""
+        if not self._doubtful_tasks:
+            return False
+        return any(task.key in self._doubtful_tasks for task in unit.members)
+
+    def adopt_unrecorded(
+        self,
+        node: str,
+        incarnation: tasks.Incarnation,
+        listed: Iterable[workers.RunStatus | workers.RunResult],
+        now_s: float,
+    ) -> None:
+        """Record the runs of tasks with an unreadable record that a worker lists.
+
+        :param node: the worker's VM.
+        :param incarnation: the worker's incarnation.
+        :param listed: running and ended runs that the worker lists.
+        :param now_s: the lead's clock.
+        """
+        for listed_run in listed if self._doubtful_tasks else ():
+            task = self._doubtful_tasks.get(listed_run.task)
+            if task is None or task.is_done or listed_run.run <= task.record.run:
+                continue
+            record = attrs.evolve(
+                task.record,
+                phase=tasks.TaskPhase.ASSIGNED,
+                run=listed_run.run,
+                node=node,
+                incarnation=incarnation,
+            )
+            self._set_record(task, record)
+            task.mark_taken_over(now_s)
+
     def stalled_units(self, now_s: float) -> list[units.Unit]:
         """Return the units with a member that makes no progress on its worker."""
         stalled: list[units.Unit] = []
