Stop the runs of cancelled and failed jobs that a worker still lists

Cause: once a job had ended, every run of it on a worker counted as one whose end is expected, and no stop was ordered. After a cancel or a failure nothing is left that would end it: such a run is on a worker although the lead had released its task, or had never read of it. Change: only the runs of jobs that succeeded are expected to end, such as the other members of a gang. Evidence: `test_run_of_a_cancelled_job_without_assignments_is_stopped` failed before: the run was not stopped within 4 s.

--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -443,7 +443,7 @@
             self._recorder.publish_phase(job_id)
             if any(True for _ in active.progress.active_units()):
                 continue
-            self._state.work.finish(job_id)
+            self._state.work.finish(job_id, phase)
         for accepted_job in self._state.view.jobs:
             if (
                 accepted_job.ended_s is None
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -52,7 +52,7 @@
         self._events = events
         self._jobs: dict[str, ActiveJob] = {}
         # Ended jobs are kept until their records are deleted: the view may not show their end yet.
-        self._ended_jobs: set[str] = set()
+        self._ended_jobs: dict[str, registries.JobPhase] = {}
         self._tasks_by_node: dict[str, set[units.Task]] = {}
         self._outcomes: dict[str, health.Outcomes] = {}
         self._changed_tasks: dict[tasks.TaskKey, units.Task] = {}
@@ -180,19 +180,27 @@
                     stalled.append(unit)
         return stalled
 
-    def finish(self, job_id: str) -> None:
-        """Remove an ended job without runs, and ignore it in the registry from now on."""
+    def finish(self, job_id: str, phase: registries.JobPhase) -> None:
+        """Remove an ended job without assigned runs, and ignore it in the registry from now on.
+
+        :param job_id: the job.
+        :param phase: the phase in which it ended.
+        """
         self._jobs.pop(job_id, None)
-        self._ended_jobs.add(job_id)
+        self._ended_jobs[job_id] = phase
 
     def forget(self, job_id: str) -> None:
         """Remove a job whose records are deleted."""
         self._jobs.pop(job_id, None)
-        self._ended_jobs.discard(job_id)
+        self._ended_jobs.pop(job_id, None)
 
     def is_run_finished(self, key: tasks.TaskKey, run: int) -> bool:
-        """Return whether a run belongs to a finished unit or job, so that its end is expected."""
-        if key.job_id in self._ended_jobs:
+        """Return whether a run belongs to a done unit or job, so that its end is expected.
+
+        That is not so after a job was cancelled or has failed: a run of it that a worker still
+        lists was not stopped.
+        """
+        if self._ended_jobs.get(key.job_id) is registries.JobPhase.SUCCEEDED:
             return True
         task = self.find_task(key)
         return task is not None and task.is_done and task.record.run == run
--- a/libs/lead/tests/test_unassigned_runs.py
+++ b/libs/lead/tests/test_unassigned_runs.py
@@ -99,3 +99,23 @@
         await _wait_succeeded(cluster, spec)
         assert cluster.run_recorder.overlaps == []
         assert len(cluster.run_recorder.starts) == 1
+
+
+# Guards against a run of a cancelled job that goes on since its end counts as expected: the lead
+# had no assignment of it when the job ended (issue 32).
+async def test_run_of_a_cancelled_job_without_assignments_is_stopped(start_cluster, make_job):
+    spec = make_job(1)
+    async with start_cluster() as cluster:
+        entry = await cluster.add_entry("entry-1")
+        cluster.submit(spec)
+        cluster.cancel(spec.job_id)
+        await cluster.wait_until(lambda: entry.election.is_lead)
+        await cluster.wait_until(
+            lambda: cluster.phase(spec.job_id) is registries.JobPhase.CANCELLED
+        )
+        agent = await cluster.add_agent("node-1")
+        agent.worker.run_time_s = 60.0
+        await _start_by_hand(cluster, agent, spec, RUN_ON_THE_WORKER)
+        await cluster.wait_until(
+            lambda: not any(cluster.run_recorder.running.values()), timeout_s=4.0
+        )
