Do not release a run while its worker may have more results of a new incarnation

While that incarnation has more results than it lists, the run may be among them.

Cause: for a run of the same incarnation the lead waits until all results are listed; for one that was ordered for the former incarnation it did not. Change: both are released only when the worker has no more results than it lists.

--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -255,7 +255,7 @@
                 if run_status is not None:
                     # The start order reached a new incarnation of a worker that kept its id.
                     self._state.work.adopt(task, incarnation)
-                elif not task.is_starting:
+                elif not task.is_starting and not reported.has_more_ends:
                     self._state.work.release(task, "the worker has a new incarnation")
                 continue
             if run_status is not None:
--- a/libs/lead/tests/test_no_task_twice.py
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -352,3 +352,25 @@
         )
         assert cluster.run_recorder.overlaps == []
         assert len(cluster.run_recorder.starts) == 1
+
+
+# Guards against a run that reached the next incarnation of its worker, ended there and is not
+# listed yet: the task was started again (issue 32).
+async def test_run_that_may_have_ended_in_a_new_incarnation_is_not_released(
+    start_cluster, make_job
+):
+    async with start_cluster() as cluster:
+        lead, _ = await cluster.start_single_task(make_job(1), 60.0)
+        link = lead.election.scheduler.link("node-1")
+        await cluster.wait_until(lambda: bool(link.state.runs))
+        newer = attrs.evolve(link.state.incarnation, born_ms=link.state.incarnation.born_ms + 1)
+        reported = attrs.evolve(link.state, incarnation=newer, runs=(), has_more_ends=True)
+        await cluster.add_agent("node-2")
+        scheduler = lead.election.scheduler
+        await cluster.wait_until(lambda: scheduler.attached_nodes() == ("node-1", "node-2"))
+        link.state = reported
+        scheduler.handle_state(link, reported)
+        await anyio.sleep(0.3)
+        key = tasks.TaskKey(make_job(1).job_id, 0, 0, 0)
+        assert cluster.stored_task(key).run == 1
+        assert len(cluster.run_recorder.starts) == 1
