Read the worker's list before a task refused for another run starts again

Cause: every refusal was read as "the run isn't and won't be there, nor any other of the task". That holds for the other reasons: the agent did not send the order, or the worker did nothing. This one says that the worker has, or had, a run that the lead doesn't know; the agent's report lacks it until the next poll, since its table keeps one run of each task. Change: the task stays assigned, and the link is closed. The state at the next attachment lists the other run, which is stopped before the task starts again, or the result of this one; or neither, and the task is released. The other members of a gang are stopped at once.

--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -196,6 +196,13 @@
         task.is_starting = False
         if not task.is_assigned:
             return
+        if outcome.reason is workers.RefusalReason.OLD_RUN:
+            # Another run of the task is, or was, on the worker. The worker's list, which the next
+            # attachment reads, shows whether it still is; until then the task stays assigned.
+            if len(unit.members) > 1:
+                self.stop_unit(unit, "a member did not start")
+            link.disconnect()
+            return
         reason = outcome.reason.value if outcome.reason is not None else "unknown"
         self._state.work.release(task, f"refused: {reason}")
         if outcome.reason in PERSISTENT_REFUSALS:
--- a/libs/lead/tests/test_unassigned_runs.py
+++ b/libs/lead/tests/test_unassigned_runs.py
@@ -2,6 +2,7 @@
 
 import functools
 
+import attrs
 import pytest
 
 from papayaspar_jobs import registries, specs, tasks
@@ -101,6 +102,39 @@
         assert len(cluster.run_recorder.starts) == 1
 
 
+async def _start_beside_another_run(cluster, agent, start, order):
+    """Execute a start order after another run of its task has begun on the worker."""
+    agent.controller.orders.start = start
+    other = attrs.evolve(order, run=RUN_ON_THE_WORKER)
+    expiry_ms = agent.worker.clock_ms() + 6000
+    agent.worker.run_time_s = 60.0
+    await agent.worker.start(other.for_worker(expiry_ms, agent.controller.token))
+    agent.worker.run_time_s = 0.2
+    await cluster.add_agent("node-1")
+    scheduler = cluster.entries["entry-1"].election.scheduler
+    await cluster.wait_until(lambda: scheduler.attached_nodes() == ("node-1", "node-2"))
+    return await start(order)
+
+
+# Guards against a refusal for another run of the task that is read as "no run of it is there": the
+# task was started elsewhere before the worker's list was read (issue 32).
+async def test_task_is_not_started_elsewhere_beside_the_run_that_refused_it(
+    start_cluster, make_job
+):
+    spec = make_job(1, WHOLE_WORKER_STEP)
+    async with start_cluster() as cluster:
+        await cluster.add_entry("entry-1")
+        agent = await cluster.add_agent("node-2")
+        agent.worker.stop_time_s = 0.5
+        agent.controller.orders.start = functools.partial(
+            _start_beside_another_run, cluster, agent, agent.controller.orders.start
+        )
+        cluster.submit(spec)
+        await _wait_succeeded(cluster, spec)
+        assert cluster.run_recorder.overlaps == []
+        assert cluster.run_recorder.restarts == []
+
+
 # Guards against a run of a cancelled job that goes on since its end counts as expected: the lead
 # had no assignment of it when the job ended (issue 32).
 async def test_run_of_a_cancelled_job_without_assignments_is_stopped(start_cluster, make_job):
