Do not lead on the record of a candidate that drew the same epoch

Callers could see a task run twice: two or more entries lead at once, under one fencing token.

Cause: candidates add a random number of 1024 to the epoch, so two that start together draw the same one once in 1024 contests. The store answers the second append under the same producer, epoch and number as a repeat of the first, with 200, although the content is another. The check that follows compared only the epoch of the stored record. Change: the check compares the incarnation too, which is unique. Evidence: `test_candidate_that_draws_the_epoch_of_the_winner_does_not_lead` failed before with three leads of three candidates, and passes.

--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -276,7 +276,9 @@
         """
         await self._follower.catch_up()
         lead = self._view.lead
-        if lead is None or lead.epoch != epoch:
+        # Another candidate may have drawn the same epoch; the store then answers the second append
+        # as a repeat of the first.
+        if lead is None or lead.epoch != epoch or lead.incarnation != self._incarnation:
             raise failures.FencedError("another candidate won the election")
 
     async def _renew(self, epoch: int, shared: writing.EpochWriter) -> None:
--- /dev/null
+++ b/libs/lead/tests/test_former_leads.py
@@ -0,0 +1,35 @@
+"""What a new lead concludes about former leads: who won, and until when they may have led."""
+
+import pytest
+
+from papayaspar_lead import election, links, scheduling
+
+pytestmark = pytest.mark.anyio
+
+UNREACHABLE_ADDRESS = "127.0.0.1:9"
+
+
+def _lease_expiry_s(cluster, entry):
+    """Return when a new lead counts the lease of an unreachable worker as expired."""
+    return entry.election.scheduler.link("node-1").worker_lease_expiry_s()
+
+
+def _expiry_after_lead_s(cluster, confirmed_s):
+    """Return when leases end under a lead whose last renewal was sent at a time."""
+    return links.worker_lease_expiry_s(
+        confirmed_s + scheduling.LEAD_LEASE_S, cluster.limits.lease_max_s
+    )
+
+
+# Guards against two leads: the store answers the second append under one epoch as a repeat.
+async def test_candidate_that_draws_the_epoch_of_the_winner_does_not_lead(
+    start_cluster, monkeypatch
+):
+    monkeypatch.setattr(election.random, "randrange", lambda bound: 7)
+    monkeypatch.setattr(election.random, "uniform", lambda low, high: low)
+    async with start_cluster() as cluster:
+        for number in range(3):
+            await cluster.add_entry(f"entry-{number}")
+        await cluster.wait_until(lambda: cluster.lead() != "")
+        await cluster.sleep(0.3)
+        assert sum(entry.election.is_lead for entry in cluster.entries.values()) == 1
