Count a former lead whose record is unknown as leading until now

Callers could see a task run twice: a new lead requeued at once the tasks of workers that it could not reach, while their leases and the former lead's were valid.

Cause: without a readable record of the former lead, its last confirmation counted as infinitely old. A missing record is no proof that nobody led: it may be damaged, or of a version that this one can't read. Change: the former lead may then have confirmed its leadership until the lease of one that was renewed now ends. The very first lead has no tasks to requeue, so this delays nothing. Evidence: `test_unknown_former_lead_may_have_led_until_now` (unreadable, missing) failed before with an expiry of -inf, and passes.

--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -245,7 +245,8 @@
         """Return the latest time at which a former lead may have confirmed its leadership."""
         seen_s = self._view.lead_seen_s
         if former is None or seen_s is None:
-            return float("-inf")
+            # A former lead's record may be damaged, or of a version that this one can't read.
+            return self._clock.now_s() + scheduling.LEAD_LEASE_S
         if former.has_resigned:
             return seen_s
         if former.node == self._node and former.incarnation != self._incarnation:
--- a/libs/lead/tests/test_former_leads.py
+++ b/libs/lead/tests/test_former_leads.py
@@ -3,6 +3,8 @@
 import pytest
 
 from papayaspar_lead import election, links, scheduling
+from papayaspar_standin import keyed_stores
+from papayaspar_store import records, stores
 
 pytestmark = pytest.mark.anyio
 
@@ -33,3 +35,20 @@
         await cluster.wait_until(lambda: cluster.lead() != "")
         await cluster.sleep(0.3)
         assert sum(entry.election.is_lead for entry in cluster.entries.values()) == 1
+
+
+# Guards against runs that count as ended at once, since the record of the former lead is missing
+# or can't be read.
+@pytest.mark.parametrize("value", [b"\xc1", b""], ids=["unreadable", "missing"])
+async def test_unknown_former_lead_may_have_led_until_now(start_cluster, value):
+    async with start_cluster() as cluster:
+        damaged = stores.KeyedRecord(records.LEAD_KEY, value)
+        valid = records.encode(records.LEAD_KEY, records.LeadRecord(1024, "entry-0", "boot-0"))
+        for record in (valid, damaged):
+            cluster.log.append(keyed_stores.Append(records.SHARED_PARTITION, (record,), None, None))
+        cluster.register("node-1", UNREACHABLE_ADDRESS)
+        started_s = cluster.clock.now_s()
+        entry = await cluster.add_entry("entry-1")
+        await cluster.wait_until(lambda: entry.election.is_lead)
+        await cluster.wait_until(lambda: entry.election.scheduler.link("node-1") is not None)
+        assert _lease_expiry_s(cluster, entry) >= _expiry_after_lead_s(cluster, started_s)
