Hand on how long leads before the former one may still lead

Callers could see a task run twice after two changes of the lead within six seconds, as when entries are replaced one by one while the first lead is cut off from the store.

Cause: a new lead counted leases from the resignation, or the end, of the lead directly before it. That lead may have led for a second only; the one before it, which does not know of its successors, confirms its leadership to agents until its own lease of 6 s ends. Change: the lead's record states for how much longer leads before it may confirm their leadership. A missing field counts as 0, so records of former versions mean what they did.

--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -1,5 +1,6 @@
 """Leader election through the store: win the leadership, renew it and resign."""
 
+import math
 import random
 
 import anyio
@@ -11,6 +12,7 @@
 from papayaspar_runs import service
 from papayaspar_store import failures, following, records, stores, views, writing
 
+MILLISECONDS_PER_SECOND = 1000.0
 # Producer name under which the lead appends to the store.
 PRODUCER = "lead"
 # Interval at which the lead renews its record, and age at which that record expires, both in
@@ -75,6 +77,8 @@
         self._events = events
         self._configuration: configurations.Configuration | None = None
         self._scheduler: scheduling.Scheduler | None = None
+        # Latest time at which a lead before this one may confirm its leadership.
+        self._earlier_confirmed_s = float("-inf")
         self._is_resigning = False
         self._resigning = signals.ChangeSignal()
 
@@ -163,7 +167,7 @@
         former = self._view.lead
         former_epoch = former.epoch if former is not None else 0
         epoch = (former_epoch // EPOCH_STEP + 1) * EPOCH_STEP + random.randrange(EPOCH_STEP)
-        former_confirmed_s = self._former_confirmed_s(former)
+        self._earlier_confirmed_s = self._former_confirmed_s(former)
         shared = self._writer(records.SHARED_PARTITION, epoch)
         self._events.record(
             lines.EventKind.LEAD_TRIED,
@@ -178,9 +182,7 @@
             # tasks are restored.
             group.start_soon(self._renew, epoch, shared)
             group.start_soon(self._watch_successor, epoch, group.cancel_scope)
-            group.start_soon(
-                self._schedule, epoch, former_epoch, former_confirmed_s, shared, group.cancel_scope
-            )
+            group.start_soon(self._schedule, epoch, former_epoch, shared, group.cancel_scope)
             await self._resign_when_told(epoch, shared)
             group.cancel_scope.cancel()
 
@@ -198,7 +200,6 @@
         self,
         epoch: int,
         former_epoch: int,
-        former_confirmed_s: float,
         shared: writing.EpochWriter,
         scope: anyio.CancelScope,
     ) -> None:
@@ -214,7 +215,7 @@
             self._follower,
             shared,
             tasks_writer,
-            former_confirmed_s,
+            self._earlier_confirmed_s,
             self._limits,
             self._clock,
             self._hybrid_clock,
@@ -247,11 +248,13 @@
         if former is None or seen_s is None:
             # A former lead's record may be damaged, or of a version that this one can't read.
             return self._clock.now_s() + scheduling.LEAD_LEASE_S
+        # A lead before the former one may be cut off from the store and not know its successors.
+        earlier_s = seen_s + max(0, former.earlier_lease_ms) / MILLISECONDS_PER_SECOND
         if former.has_resigned:
-            return seen_s
+            return earlier_s
         if former.node == self._node and former.incarnation != self._incarnation:
-            return self._clock.now_s()
-        return seen_s + scheduling.LEAD_LEASE_S
+            return max(self._clock.now_s(), earlier_s)
+        return max(seen_s + scheduling.LEAD_LEASE_S, earlier_s)
 
     def _writer(self, partition: stores.Partition, epoch: int) -> writing.EpochWriter:
         return writing.EpochWriter(
@@ -267,7 +270,15 @@
     def _lead_record(
         self, epoch: int, has_resigned: bool = False, attached: tuple[str, ...] = ()
     ) -> stores.KeyedRecord:
-        record = records.LeadRecord(epoch, self._node, self._incarnation, has_resigned, attached)
+        remaining_s = max(0.0, self._earlier_confirmed_s - self._clock.now_s())
+        record = records.LeadRecord(
+            epoch,
+            self._node,
+            self._incarnation,
+            has_resigned,
+            attached,
+            math.ceil(remaining_s * MILLISECONDS_PER_SECOND),
+        )
         return records.encode(records.LEAD_KEY, record)
 
     async def _confirm(self, epoch: int) -> None:
--- a/libs/lead/tests/test_former_leads.py
+++ b/libs/lead/tests/test_former_leads.py
@@ -52,3 +52,28 @@
         await cluster.wait_until(lambda: entry.election.is_lead)
         await cluster.wait_until(lambda: entry.election.scheduler.link("node-1") is not None)
         assert _lease_expiry_s(cluster, entry) >= _expiry_after_lead_s(cluster, started_s)
+
+
+# Guards against leases that count as expired while a lead before the former one, which is cut off
+# from the store, still confirms its leadership.
+@pytest.mark.parametrize("is_resigned", [True, False], ids=["resigned", "restarted"])
+async def test_lead_before_the_former_one_may_still_lead(start_cluster, is_resigned):
+    async with start_cluster() as cluster:
+        first = await cluster.add_entry("entry-1")
+        await cluster.wait_until(lambda: first.election.is_lead)
+        cluster.register("node-1", UNREACHABLE_ADDRESS)
+        second = await cluster.add_entry("entry-2")
+        await cluster.wait_until(lambda: second.follower.is_loaded)
+        await cluster.sleep(0.6)
+        confirmed_s = cluster.clock.now_s() - 0.6
+        first.store.fault = keyed_stores.StoreFault.BUSY
+        await cluster.wait_until(lambda: second.election.is_lead)
+        if is_resigned:
+            second.election.resign()
+            third = await cluster.add_entry("entry-3")
+        else:
+            second.scope.cancel()
+            third = await cluster.add_entry("entry-2")
+        await cluster.wait_until(lambda: third.election.is_lead, timeout_s=5.0)
+        await cluster.wait_until(lambda: third.election.scheduler.link("node-1") is not None)
+        assert _lease_expiry_s(cluster, third) >= _expiry_after_lead_s(cluster, confirmed_s)
--- a/libs/store/src/papayaspar_store/records.py
+++ b/libs/store/src/papayaspar_store/records.py
@@ -81,6 +81,8 @@
     :param incarnation: unique id of the lead's process.
     :param has_resigned: whether the lead has resigned.
     :param attached: VMs whose agents the lead is attached to.
+    :param earlier_lease_ms: time from this record's storage during which a lead before this one may
+        still confirm its leadership to agents, in milliseconds.
     """
 
     epoch: int
@@ -88,6 +90,7 @@
     incarnation: str
     has_resigned: bool = False
     attached: tuple[str, ...] = ()
+    earlier_lease_ms: int = 0
 
 
 @attrs.frozen
--- a/libs/store/tests/test_odd_records.py
+++ b/libs/store/tests/test_odd_records.py
@@ -27,7 +27,9 @@
         "boot-1",
         records.Departure(INCARNATION, (records.DoneRun(tasks.TaskKey(JOB_ID, 0, 0, 0), 1),)),
     ),
-    records.LEAD_KEY: records.LeadRecord(1024, "entry-1", "boot-1", attached=("node-1",)),
+    records.LEAD_KEY: records.LeadRecord(
+        1024, "entry-1", "boot-1", attached=("node-1",), earlier_lease_ms=1
+    ),
 }
 # Replaced by deeply nested lists in the encoded record, since the encoder refuses such values.
 DEEP_MARK = "@deep@"
