Do not begin to schedule after the leadership was resigned

Callers could see a task run twice while entries are replaced: an entry that was told to stop while it restored the tasks led on beside the next lead.

Cause: the resignation is stored at once, but was passed on only to a scheduler that existed by then. While the answer to that append was outstanding, up to 1.5 s, the restore ended and the scheduler began to confirm the leadership and to send orders. The next lead counts on the former one having stopped by its resignation. Change: after the restore, an entry that is resigning does not schedule. Evidence: `test_entry_that_resigns_while_it_restores_tasks_does_not_lead` failed before (the entry was lead after its stored resignation), and passes.

--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -224,6 +224,9 @@
         await scheduler.restore(snapshot)
         if self._configuration is not None:
             scheduler.configure(self._configuration)
+        if self._is_resigning:
+            # The resignation may be stored already, and another candidate lead.
+            return
         self._events.record(
             lines.EventKind.LEAD_TAKEN,
             detail=f"epoch={epoch} former={former_epoch} tasks={len(snapshot.records)}"
--- a/libs/lead/tests/test_former_leads.py
+++ b/libs/lead/tests/test_former_leads.py
@@ -1,5 +1,6 @@
 """What a new lead concludes about former leads: who won, and until when they may have led."""
 
+import anyio
 import pytest
 
 from papayaspar_lead import election, links, scheduling
@@ -77,3 +78,26 @@
         await cluster.wait_until(lambda: third.election.is_lead, timeout_s=5.0)
         await cluster.wait_until(lambda: third.election.scheduler.link("node-1") is not None)
         assert _lease_expiry_s(cluster, third) >= _expiry_after_lead_s(cluster, confirmed_s)
+
+
+# Guards against an entry that leads on while another one takes over from its resignation.
+async def test_entry_that_resigns_while_it_restores_tasks_does_not_lead(start_cluster, monkeypatch):
+    async with start_cluster() as cluster:
+        entry = await cluster.add_entry("entry-1")
+        restored = anyio.Event()
+        read_snapshot = entry.store.read_snapshot
+
+        async def read_tasks_later(partition):
+            if partition == records.TASKS_PARTITION:
+                await restored.wait()
+            return await read_snapshot(partition)
+
+        monkeypatch.setattr(entry.store, "read_snapshot", read_tasks_later)
+        await cluster.wait_until(lambda: entry.view.lead is not None)
+        entry.store.responses_to_lose[records.SHARED_PARTITION] = 3
+        entry.election.resign()
+        restored.set()
+        await cluster.wait_until(lambda: entry.view.lead.has_resigned)
+        with anyio.move_on_after(0.5):
+            await cluster.wait_until(lambda: entry.election.is_lead)
+        assert not entry.election.is_lead
