Count the lead's lease from what other candidates have read

Callers could see a task run twice: a new lead counts 6 s from the newest record of the former lead that it read, but the former one counted 6 s from a later moment and confirmed its leadership on.

Cause: two appends set the former lead's time although no candidate reads anything new at that time. An append whose answer is lost is sent again and answered as a repeat, up to seconds after it was stored. And an append of other records, such as a job's state, shows nobody that the lead is alive; the record of the lead itself may wait behind it, or be refused for its size. Change: an append confirms the epoch as of its first attempt, and in the shared partition only if it holds the lead's record. After a slow renewal the next one follows without a pause. Evidence: `test_repeated_append_confirms_the_epoch_as_of_its_first_attempt` failed before (0.28 s after the start, at the second attempt) and passes. Before, the writer had no key that confirms, so `test_only_the_record_that_others_read_confirms_the_epoch` can't run on the former code; there each append set the time.

--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -168,7 +168,7 @@
         former_epoch = former.epoch if former is not None else 0
         epoch = (former_epoch // EPOCH_STEP + 1) * EPOCH_STEP + random.randrange(EPOCH_STEP)
         self._earlier_confirmed_s = self._former_confirmed_s(former)
-        shared = self._writer(records.SHARED_PARTITION, epoch)
+        shared = self._writer(records.SHARED_PARTITION, epoch, records.LEAD_KEY)
         self._events.record(
             lines.EventKind.LEAD_TRIED,
             detail=f"epoch={epoch} offset={self._follower.offset}"
@@ -259,7 +259,9 @@
             return max(self._clock.now_s(), earlier_s)
         return max(seen_s + scheduling.LEAD_LEASE_S, earlier_s)
 
-    def _writer(self, partition: stores.Partition, epoch: int) -> writing.EpochWriter:
+    def _writer(
+        self, partition: stores.Partition, epoch: int, confirming_key: str | None = None
+    ) -> writing.EpochWriter:
         return writing.EpochWriter(
             self._store,
             partition,
@@ -268,6 +270,7 @@
             self._clock,
             self._events,
             self._limits.append_bytes_max,
+            confirming_key,
         )
 
     def _lead_record(
@@ -297,13 +300,19 @@
             raise failures.FencedError("another candidate won the election")
 
     async def _renew(self, epoch: int, shared: writing.EpochWriter) -> None:
+        pause_s = RENEW_INTERVAL_S
         while True:
-            await anyio.sleep(RENEW_INTERVAL_S)
+            await anyio.sleep(pause_s)
             if self._is_resigning:
                 return
             renewal_started_s = self._clock.now_s()
             attached = self._scheduler.attached_nodes() if self._scheduler is not None else ()
             await shared.write(self._lead_record(epoch, attached=attached))
+            # A slow or repeated append confirms the leadership only as of its first attempt.
+            is_slow = self._clock.now_s() - renewal_started_s > RENEW_INTERVAL_S
+            pause_s = 0.0 if is_slow else RENEW_INTERVAL_S
+            if is_slow:
+                continue
             await anyio.sleep(READ_BACK_TIMEOUT_S)
             if (self._view.lead_seen_s or 0.0) < renewal_started_s:
                 await self._read_back()
--- a/libs/store/src/papayaspar_store/writing.py
+++ b/libs/store/src/papayaspar_store/writing.py
@@ -44,8 +44,9 @@
 class EpochWriter:
     """Writes to one partition in one epoch.
 
-    :attr:`confirmed_s` is the time at which the latest confirmed append was sent, or ``None``
-    before the first. At that time, the store had seen no higher epoch.
+    :attr:`confirmed_s` is the time at which the latest confirmed append was first sent, or ``None``
+    before the first. At that time, the store had seen no higher epoch, and its readers have not
+    read the append before.
 
     Records are stored in the order in which they were queued, in appends of limited size: a large
     group is stored in several. A record that the store refuses is left out, so that it does not
@@ -58,6 +59,8 @@
     :param clock_source: clock for :attr:`confirmed_s` and latencies.
     :param events: journal for unanswered appends.
     :param append_bytes_max: largest append that the store accepts, in bytes.
+    :param confirming_key: key of the record from whose storage other candidates count; only appends
+        with this record set :attr:`confirmed_s`. ``None`` if each append does.
     """
 
     def __init__(
@@ -69,7 +72,9 @@
         clock_source: clock.Clock,
         events: journal.Journal,
         append_bytes_max: int = APPEND_BYTES_MAX,
+        confirming_key: str | None = None,
     ) -> None:
+        self._confirming_key = confirming_key
         self._append_bytes_max = min(append_bytes_max, APPEND_BYTES_MAX)
         # Keys of which the store refused the newest record.
         self._refused_keys: set[str] = set()
@@ -183,6 +188,7 @@
 
     async def _append(self, new_records: tuple[stores.KeyedRecord, ...]) -> None:
         backoff_s, timeout_s = BACKOFF_MIN_S, self._initial_timeout_s
+        first_sent_s = self._clock.now_s()
         while True:
             sent_s = self._clock.now_s()
             producer = stores.Producer(self._name, self._epoch, self._sequence)
@@ -220,5 +226,11 @@
             )
             self._sequence += 1
             self._is_sequence_known = True
-            self.confirmed_s = sent_s
+            if self._is_confirming(new_records):
+                self.confirmed_s = first_sent_s
             return
+
+    def _is_confirming(self, new_records: tuple[stores.KeyedRecord, ...]) -> bool:
+        if self._confirming_key is None:
+            return True
+        return any(record.key == self._confirming_key for record in new_records)
--- a/libs/store/tests/test_writing.py
+++ b/libs/store/tests/test_writing.py
@@ -37,9 +37,9 @@
     events = journal.Journal("node", "dc", causality.HybridClock(clock_source), metrics.Metrics())
     async with anyio.create_task_group() as group:
 
-        async def make(append_bytes_max=writing.APPEND_BYTES_MAX):
+        async def make(append_bytes_max=writing.APPEND_BYTES_MAX, **options):
             writer = writing.EpochWriter(
-                store, PARTITION, "lead", 1, clock_source, events, append_bytes_max
+                store, PARTITION, "lead", 1, clock_source, events, append_bytes_max, **options
             )
             await writer.open()
             group.start_soon(writer.run)
@@ -106,3 +106,28 @@
     assert not writer.is_refused("last")
     await writer.write(stores.KeyedRecord("large", b"x"))
     assert not writer.is_refused("large")
+
+
+# Guards against a lead that counts a repeated answer as a new confirmation: the append was stored
+# earlier, and its readers count from then.
+async def test_repeated_append_confirms_the_epoch_as_of_its_first_attempt(store, make_writer):
+    writer = await make_writer()
+    store.responses_to_lose[PARTITION] = 1
+    started_s = clock.BootClock().now_s()
+    with anyio.fail_after(5.0):
+        await writer.write(*_records(1))
+    assert store.append_count == 3
+    assert writer.confirmed_s - started_s < writing.APPEND_TIMEOUT_MIN_S
+    assert writer.confirmed_s >= started_s
+
+
+# Guards against a lead that confirms its leadership for longer than others count on: they see only
+# the appends that hold its own record.
+async def test_only_the_record_that_others_read_confirms_the_epoch(make_writer):
+    writer = await make_writer(confirming_key="key-1")
+    opened_s = writer.confirmed_s
+    with anyio.fail_after(5.0):
+        await writer.write(stores.KeyedRecord("other", b"x"))
+        assert writer.confirmed_s == opened_s
+        await writer.write(*_records(2))
+    assert writer.confirmed_s > opened_s
