Read all that is stored before a missing record is a conclusion

Callers could see 410 for a job that was accepted (LOST), and too few queued jobs: the entry had more unread records than one read returns, as after it was cut off from the store.

Cause: `Follower.catch_up` read one page, at most 1 MB. Its callers take what the view lacks afterwards as not stored. Change: it reads on to the end that the first read reports, and fails if a read returns nothing before that end. The in-memory store can limit the records of a read. Evidence: `test_accepted_job_is_found_behind_many_unread_records` failed before (no such job), and passes.

--- a/libs/intake/tests/test_job_service.py
+++ b/libs/intake/tests/test_job_service.py
@@ -4,6 +4,7 @@
 """
 
 import anyio
+import attrs
 import pytest
 
 from papayaspar_intake import access, job_service
@@ -192,3 +193,22 @@
     with pytest.raises(job_service.JobTimeoutError):
         await service.jobs.cancel(spec.job_id, "team", 0.9)
     assert service.is_stored(record.key)
+
+
+async def _store_jobs_unread(service, spec, count):
+    """Store jobs, of which the given one is the last, while the follower's reads hang."""
+    service.store.fault = keyed_stores.StoreFault.HANGING_READS
+    await anyio.sleep(0.3)
+    for number in reversed(range(count)):
+        job = spec if number == 0 else attrs.evolve(spec, job_id=f"{number:016x}")
+        record = records.JobRecord(job, service.authorization.queue, 1000, "other-entry")
+        encoded = records.encode(records.JOB_PREFIX + job.job_id, record)
+        service.log.append(keyed_stores.Append(records.SHARED_PARTITION, (encoded,), None, None))
+    assert service.view.jobs.find(spec.job_id) is None
+
+
+# Guards against 410 for a job that another entry accepted: its record was on the second page.
+async def test_accepted_job_is_found_behind_many_unread_records(service, spec):
+    service.log.page_records_max = 1
+    await _store_jobs_unread(service, spec, 3)
+    assert await service.jobs.phase(spec.job_id, "team") is registries.JobPhase.QUEUED
--- a/libs/standin/src/papayaspar_standin/keyed_stores.py
+++ b/libs/standin/src/papayaspar_standin/keyed_stores.py
@@ -70,6 +70,8 @@
         # Largest append and largest record that are accepted, in bytes.
         self.append_bytes_max = 2_097_152
         self.record_bytes_max = 262_144
+        # Largest number of records that one read returns; the rest needs further reads.
+        self.page_records_max: int | None = None
         self.changes = signals.ChangeSignal()
 
     def partition(self, partition: stores.Partition) -> _Partition:
@@ -209,9 +211,8 @@
                 seen_sequence = await self._log.changes.wait_for_change(seen_sequence)
         await self._apply_fault(1.0)
         end = part.first_offset + len(part.records)
-        return stores.Page(
-            end, part.first_offset, tuple(part.records[max(0, offset - part.first_offset) :])
-        )
+        unread = part.records[max(0, offset - part.first_offset) :]
+        return stores.Page(end, part.first_offset, tuple(unread[: self._log.page_records_max]))
 
     async def read_snapshot(self, partition: stores.Partition) -> stores.Snapshot:
         """Return the newest record of each key."""
--- a/libs/store/src/papayaspar_store/following.py
+++ b/libs/store/src/papayaspar_store/following.py
@@ -111,15 +111,20 @@
             self._record_recovery()
 
     async def catch_up(self) -> None:
-        """Read the records that are available now; may be called while :meth:`run` is running.
+        """Read all records that are stored now; may be called while :meth:`run` is running.
 
         :raises StoreUnavailableError: when the store is unavailable.
         """
         if self._offset is None:
             raise failures.StoreUnavailableError("the store has not been read yet")
-        sent_s = self._clock.now_s()
-        page = await self._store.read(self._partition, self._offset, 0.0)
-        self._apply_page(page, sent_s)
+        end: int | None = None
+        while end is None or self._offset < end:
+            sent_s = self._clock.now_s()
+            page = await self._store.read(self._partition, self._offset, 0.0)
+            if not page.records and self._offset < page.end:
+                raise failures.StoreUnavailableError("a read returned none of the records")
+            self._apply_page(page, sent_s)
+            end = page.end if end is None else end
 
     async def _read_once(self) -> None:
         sent_s = self._clock.now_s()
