Load the newest records when the history to catch up with is deleted

Callers could see 410 for their calls: the status of an accepted job (LOST), a cancellation, and the submission of a job, answered by an entry that was cut off from the store until records that it had not read were deleted.

Cause: in `Follower.catch_up`, the store's answer that records are no longer kept was raised to the caller. Its error is one of the errors for something that does not exist, which callers see as 410, no such job. Change: the newest record of each key is loaded then, as in `run`. Evidence: `test_accepted_job_is_found_after_the_history_was_deleted` (phase, cancel, submit) failed before with TrimmedError, and passes.

--- a/libs/intake/tests/test_job_service.py
+++ b/libs/intake/tests/test_job_service.py
@@ -212,3 +212,18 @@
     service.log.page_records_max = 1
     await _store_jobs_unread(service, spec, 3)
     assert await service.jobs.phase(spec.job_id, "team") is registries.JobPhase.QUEUED
+
+
+# Guards against 410 for jobs that exist, since the store has deleted the history that an entry has
+# not read yet.
+@pytest.mark.parametrize("call", ["phase", "cancel", "submit"])
+async def test_accepted_job_is_found_after_the_history_was_deleted(service, spec, call):
+    await _store_jobs_unread(service, spec, 2)
+    service.log.drop_history(records.SHARED_PARTITION)
+    if call == "submit":
+        await service.jobs.submit(spec, service.authorization, 3.0)
+    if call == "cancel":
+        await service.jobs.cancel(spec.job_id, "team", 3.0)
+    expected = registries.JobPhase.CANCELLED if call == "cancel" else registries.JobPhase.QUEUED
+    assert await service.jobs.phase(spec.job_id, "team") is expected
+    assert service.view.jobs.find(f"{1:016x}") is not None
--- a/libs/store/src/papayaspar_store/following.py
+++ b/libs/store/src/papayaspar_store/following.py
@@ -120,7 +120,11 @@
         end: int | None = None
         while end is None or self._offset < end:
             sent_s = self._clock.now_s()
-            page = await self._store.read(self._partition, self._offset, 0.0)
+            try:
+                page = await self._store.read(self._partition, self._offset, 0.0)
+            except failures.TrimmedError:
+                await self._load(sent_s)
+                return
             if not page.records and self._offset < page.end:
                 raise failures.StoreUnavailableError("a read returned none of the records")
             self._apply_page(page, sent_s)
