Do not replace newer records when a partition is loaded again

Callers would see jobs wait longer after a loss of history: the lead dials the address of an agent's ended process, or finds a deleted job again, from a record older than the ones it has read.

Evidence: `test_snapshot_does_not_replace_newer_records` failed before (the address of the second process instead of that of the third), and passes.

--- a/libs/store/src/papayaspar_store/following.py
+++ b/libs/store/src/papayaspar_store/following.py
@@ -148,9 +148,13 @@
     async def _load(self, sent_s: float) -> None:
         snapshot = await self._store.read_snapshot(self._partition)
         self._sink.begin_snapshot()
+        delivered = self._offset or 0
         for record in snapshot.records:
+            if 0 <= record.offset < delivered:
+                # It was delivered, and perhaps a newer one of its key after it.
+                continue
             self._apply_record(record)
-        self._offset = max(snapshot.end, self._offset or 0)
+        self._offset = max(snapshot.end, delivered)
         self._up_to_date_s = sent_s
         self.changes.notify()
 
