Forget what was deleted along with the history that an entry has not read

Cause: when an entry loads the newest records again, a key that is not among them was kept as it was. The deletion itself can no longer be read. `test_job_that_is_accepted_during_a_load_is_kept` guards the order, and passed before.

--- a/libs/store/src/papayaspar_store/following.py
+++ b/libs/store/src/papayaspar_store/following.py
@@ -18,12 +18,12 @@
     """Receiver of a partition's records, in order."""
 
     @abc.abstractmethod
-    def begin_snapshot(self) -> None:
-        """Prepare for a snapshot: keys that it does not contain no longer exist."""
+    def keys(self) -> frozenset[str]:
+        """Return the keys whose deletion the receiver has to know of."""
 
     @abc.abstractmethod
     def apply(self, record: stores.KeyedRecord) -> None:
-        """Apply a record.
+        """Apply a record; one without a value deletes its key.
 
         :raises RecordError: when the record can't be decoded; the follower skips it.
         """
@@ -146,8 +146,10 @@
         self._apply_page(page, sent_s)
 
     async def _load(self, sent_s: float) -> None:
+        # A key that is accepted while the snapshot is read may be missing in it.
+        known_keys = self._sink.keys()
         snapshot = await self._store.read_snapshot(self._partition)
-        self._sink.begin_snapshot()
+        self._delete_missing(known_keys, snapshot)
         delivered = self._offset or 0
         for record in snapshot.records:
             if 0 <= record.offset < delivered:
@@ -158,6 +160,19 @@
         self._up_to_date_s = sent_s
         self.changes.notify()
 
+    def _delete_missing(self, known_keys: frozenset[str], snapshot: stores.Snapshot) -> None:
+        """Deliver the deletions whose records were deleted with the partition's history.
+
+        Keys that were deleted and stored again after the snapshot are delivered again with the
+        records that follow it.
+        """
+        listed_keys = {record.key for record in snapshot.records}
+        if "" in listed_keys:
+            # A record whose key can't be read may be that of any missing key.
+            return
+        for key in sorted(known_keys - listed_keys):
+            self._apply_record(stores.KeyedRecord(key, b""))
+
     def _apply_page(self, page: stores.Page, sent_s: float) -> None:
         offset = self._offset or 0
         has_new_records = False
--- a/libs/store/src/papayaspar_store/views.py
+++ b/libs/store/src/papayaspar_store/views.py
@@ -21,8 +21,11 @@
         self.lead: records.LeadRecord | None = None
         self.lead_seen_s: float | None = None
 
-    def begin_snapshot(self) -> None:
-        """Keep the current state: a missing key's record was deleted because it was obsolete."""
+    def keys(self) -> frozenset[str]:
+        """Return the keys of the jobs and the agents."""
+        jobs = (records.JOB_PREFIX + job.spec.job_id for job in self.jobs)
+        agents = (records.AGENT_PREFIX + node for node in self.agents)
+        return frozenset((*jobs, *agents))
 
     def apply(self, record: stores.KeyedRecord) -> None:
         """Apply a record to the view.
--- a/libs/store/tests/test_following.py
+++ b/libs/store/tests/test_following.py
@@ -7,7 +7,7 @@
 from papayaspar_jobs import configurations, specs
 from papayaspar_model import causality, clock
 from papayaspar_standin import keyed_stores
-from papayaspar_store import following, records, views
+from papayaspar_store import following, records, stores, views
 
 pytestmark = pytest.mark.anyio
 
@@ -95,3 +95,39 @@
         await anyio.sleep(0.05)
         assert view.agents["node-1"].address == "10.0.0.1:3"
         group.cancel_scope.cancel()
+
+
+# Guards against jobs that were deleted while an entry was cut off, and that it starts anew as lead.
+async def test_job_that_was_deleted_with_its_history_is_forgotten(log, view, follower):
+    job_record = records.encode(records.JOB_PREFIX + JOB_ID, JOB)
+    _append(log, job_record, _agent("10.0.0.1:1"))
+    await _follow_until(follower, lambda: "node-1" in view.agents)
+    assert view.jobs.find(JOB_ID) is not None
+    _append(
+        log,
+        stores.KeyedRecord(job_record.key, b""),
+        stores.KeyedRecord(records.AGENT_PREFIX + "node-1", b""),
+    )
+    log.drop_history(records.SHARED_PARTITION)
+    end = follower.offset + 2
+    await _follow_until(follower, lambda: follower.offset == end)
+    assert view.jobs.find(JOB_ID) is None
+    assert view.agents == {}
+
+
+# Guards against an accepted job that counts as deleted, since it was accepted while the snapshot
+# was read.
+async def test_job_that_is_accepted_during_a_load_is_kept(log, store, view, follower, monkeypatch):
+    await _follow_until(follower, lambda: follower.is_loaded)
+    _append(log, _agent("10.0.0.1:1"))
+    log.drop_history(records.SHARED_PARTITION)
+    read_snapshot = store.read_snapshot
+
+    async def accept_meanwhile(partition):
+        snapshot = await read_snapshot(partition)
+        view.jobs.accept(JOB.spec, JOB.queue, JOB.accepted_ms)
+        return snapshot
+
+    monkeypatch.setattr(store, "read_snapshot", accept_meanwhile)
+    await _follow_until(follower, lambda: "node-1" in view.agents)
+    assert view.jobs.find(JOB_ID) is not None
