--- a/tests/adapter/test_clients.py
+++ b/tests/adapter/test_clients.py
@@ -271,3 +271,21 @@
     server[0].queue_answer(status)
     with pytest.raises(failures.StoreUnavailableError):
         await store.append(PARTITION, (stores.KeyedRecord("k", b"v"),))
+
+
+# Guards against an append that counts as refused for good, after which its record is left out and
+# what it says is lost, on an answer that says nothing about it.
+@pytest.mark.parametrize("status", [302, 401, 404, 408, 410, 421, 425, 500, 502, 504])
+async def test_append_with_an_unclear_answer_may_have_been_executed(server, store, status):
+    server[0].queue_answer(status)
+    with pytest.raises(failures.StoreUnavailableError) as caught:
+        await store.append(PARTITION, (stores.KeyedRecord("k", b"v"),))
+    assert caught.value.ran is errors.Ran.UNKNOWN
+
+
+@pytest.mark.parametrize("status", [429, 503, 507])
+async def test_append_that_the_store_rejects_was_not_executed(server, store, status):
+    server[0].queue_answer(status)
+    with pytest.raises(failures.StoreUnavailableError) as caught:
+        await store.append(PARTITION, (stores.KeyedRecord("k", b"v"),))
+    assert caught.value.ran is errors.Ran.NO
