--- a/tests/adapter/test_clients.py
+++ b/tests/adapter/test_clients.py
@@ -289,3 +289,28 @@
     with pytest.raises(failures.StoreUnavailableError) as caught:
         await store.append(PARTITION, (stores.KeyedRecord("k", b"v"),))
     assert caught.value.ran is errors.Ran.NO
+
+
+# Guards against 400, which callers take for a refusal, after an append that was executed.
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (200, b"not json"),
+        (200, {"offset": "x"}),
+        (200, {"offset": 10**40}),
+        (409, b"[]"),
+        (409, {"reason": "seq", "expected": 10**40}),
+        (412, {}),
+    ],
+)
+async def test_append_with_an_unreadable_answer_may_have_been_executed(server, store, status, body):
+    server[0].queue_answer(status, body)
+    with pytest.raises(failures.StoreUnavailableError) as caught:
+        await store.append(PARTITION, (stores.KeyedRecord("k", b"v"),))
+    assert caught.value.ran is errors.Ran.UNKNOWN
+
+
+async def test_trimmed_read_with_an_unreadable_answer_is_repeated(server, store):
+    server[0].queue_answer(410, {"first": "x"})
+    with pytest.raises(failures.StoreUnavailableError):
+        await store.read(PARTITION, 1, 0.0)
