Do not take a list of newest records that ends early for all of them

Callers could see tasks run twice and accepted jobs answered with 410: whoever reads the newest records takes what they lack as not stored.

Cause: a page that announces more but has no items, or none with a key, ended the list as if it were complete. A page that does not continue after the last key was accepted as well. Keys have to rise from item to item, since `after` continues behind a key: a key out of order may have been passed over.

--- a/tests/adapter/test_clients.py
+++ b/tests/adapter/test_clients.py
@@ -314,3 +314,36 @@
     server[0].queue_answer(410, {"first": "x"})
     with pytest.raises(failures.StoreUnavailableError):
         await store.read(PARTITION, 1, 0.0)
+
+
+# Guards against a list that ends early and counts as complete: a task without its record starts
+# anew, and a job without its record does not exist.
+@pytest.mark.parametrize(
+    "page",
+    [
+        {"items": [], "has_more": True, "end": 6},
+        {"has_more": True, "end": 6},
+        {"items": [3, {}], "has_more": True, "end": 6},
+        {"items": {}, "has_more": False, "end": 6},
+        {"items": [], "has_more": 1, "end": 6},
+        b"not json",
+    ],
+    ids=["empty", "missing", "keyless", "no-list", "odd-has-more", "no-json"],
+)
+async def test_list_that_ends_early_is_no_snapshot(server, store, page):
+    item = {"key": "k", "value": base64.b64encode(b"v").decode(), "offset": 4}
+    server[0].queue_answer(200, {"items": [item], "has_more": True, "end": 6})
+    server[0].queue_answer(200, page)
+    with pytest.raises(failures.StoreUnavailableError):
+        await store.read_snapshot(PARTITION)
+
+
+# Guards against keys that are missed since the list does not continue after the last key.
+@pytest.mark.parametrize("keys", [("k", "k"), ("k", "a"), ("k", "m", "l")])
+async def test_list_out_of_order_is_no_snapshot(server, store, keys):
+    item = {"value": base64.b64encode(b"v").decode(), "offset": 4}
+    items = [dict(item, key=key) for key in keys]
+    server[0].queue_answer(200, {"items": items[:1], "has_more": True, "end": 6})
+    server[0].queue_answer(200, {"items": items[1:], "has_more": False, "end": 6})
+    with pytest.raises(failures.StoreUnavailableError):
+        await store.read_snapshot(PARTITION)
