Do not reject a job of which an earlier append got no answer

Callers could see a job run that was answered with 503 (REFUSED).

Cause: an append of the job's record got no answer, and the next attempt was refused with a status that refuses its content. The refusal was raised as it was, although the first attempt may be stored. Change: after an attempt without an answer, a refusal is repeated until the caller's deadline like an outage, and the answer is then 504, after which the caller asks again. A refusal of the first attempt is answered at once, as before. Evidence: `test_refusal_after_an_unanswered_append_is_no_rejection` failed before (AppendRefusedError), and passes. `test_refused_record_is_rejected_at_once` passed before, too.

--- a/libs/intake/src/papayaspar_intake/job_service.py
+++ b/libs/intake/src/papayaspar_intake/job_service.py
@@ -203,6 +203,7 @@
             that it is stored.
         :raises JobTimeoutError: when it is unknown at the deadline whether the record is stored.
         :raises LogUnavailableError: when the record is certainly not stored.
+        :raises AppendRefusedError: when the store does not accept it, and it is not stored.
         """
         may_be_stored = False
         while not is_read_back():
@@ -213,10 +214,12 @@
                 await self._append_or_read_back(
                     record, min(APPEND_TIMEOUT_S, remaining_s), is_read_back
                 )
-            except errors.LogUnavailableError as error:
+            except (errors.LogUnavailableError, failures.AppendRefusedError) as error:
+                # A refusal says nothing about an earlier attempt that got no answer.
                 may_be_stored = may_be_stored or error.ran is not errors.Ran.NO
                 if not may_be_stored:
-                    error.retry_after_s = access.RETRY_AFTER_S
+                    if isinstance(error, errors.LogUnavailableError):
+                        error.retry_after_s = access.RETRY_AFTER_S
                     raise
                 self._events.record(
                     lines.EventKind.REQUEST_RETRIED,
--- a/libs/intake/tests/test_job_service.py
+++ b/libs/intake/tests/test_job_service.py
@@ -227,3 +227,29 @@
     expected = registries.JobPhase.CANCELLED if call == "cancel" else registries.JobPhase.QUEUED
     assert await service.jobs.phase(spec.job_id, "team") is expected
     assert service.view.jobs.find(f"{1:016x}") is not None
+
+
+# Guards against 503, after which a job never runs, although an earlier append of its record that
+# got no answer may be stored.
+async def test_refusal_after_an_unanswered_append_is_no_rejection(service, spec, monkeypatch):
+    attempts = 0
+
+    async def append_then_refuse(*_args, **_options):
+        nonlocal attempts
+        attempts += 1
+        if attempts == 1:
+            raise failures.StoreUnavailableError("no response", ran=errors.Ran.UNKNOWN)
+        raise failures.AppendRefusedError("refused")
+
+    monkeypatch.setattr(service.store, "append", append_then_refuse)
+    with pytest.raises(job_service.JobTimeoutError):
+        await service.jobs.submit(spec, service.authorization, 0.5)
+    assert attempts > 1
+
+
+async def test_refused_record_is_rejected_at_once(service, spec):
+    service.log.record_bytes_max = 10
+    with pytest.raises(failures.AppendRefusedError) as caught:
+        await service.jobs.submit(spec, service.authorization, 3.0)
+    assert caught.value.ran is errors.Ran.NO
+    assert service.store.append_count == 1
