Acknowledge a result only if the store has accepted its record

Callers could see a task run again after it had ended (TWICE): the store refused the record of its end, the worker forgot the result, and the next lead read that the task still ran and did not find it.

Cause: the writer leaves refused records out and reports the group as stored; the acknowledgement took that for stored. The start of a task checks it already. Change: a refused record of a result is sent again each second, and results up to it are acknowledged only when it is stored; until then the worker lists them to the next lead. Evidence: `test_result_that_can_not_be_stored_is_not_acknowledged` failed before (acknowledged), and without that assertion, in a trial, with a second run of the task; it passes. `test_refused_record_of_a_result_is_stored_later` passes, and did before by the early acknowledgement.

--- a/libs/lead/src/papayaspar_lead/recording.py
+++ b/libs/lead/src/papayaspar_lead/recording.py
@@ -1,5 +1,7 @@
 """Storage of task records and job phases, and acknowledgement of results once they are stored."""
 
+import anyio
+
 from papayaspar_events import lines
 from papayaspar_jobs import registries, tasks
 from papayaspar_lead import links, state, workload
@@ -7,6 +9,8 @@
 from papayaspar_store import records, stores, writing
 
 MILLISECONDS_PER_SECOND = 1000.0
+# Interval at which a refused record of a result is sent again, in seconds.
+REFUSED_RETRY_INTERVAL_S = 1.0
 
 
 class Recorder:
@@ -58,8 +62,14 @@
     async def acknowledge(
         self, link: links.AgentLink, incarnation: tasks.Incarnation, number: int
     ) -> None:
-        """Acknowledge results up to a number once all changes that they caused are stored."""
+        """Acknowledge results up to a number once all changes that they caused are stored.
+
+        While the store refuses one of them, the worker keeps the results for the next lead.
+        """
         await self._tasks_writer.write()
+        while self._queue_refused_results(link, number):
+            await anyio.sleep(REFUSED_RETRY_INTERVAL_S)
+            await self._tasks_writer.write()
         try:
             await link.acknowledge(incarnation, number)
         except errors.PeerError as error:
@@ -68,6 +78,19 @@
             return
         link.acknowledged[incarnation] = max(number, link.acknowledged.get(incarnation, 0))
 
+    def _queue_refused_results(self, link: links.AgentLink, number: int) -> bool:
+        """Queue the refused records of results up to a number; return whether there are any."""
+        is_any_refused = False
+        for end in link.state.ends if link.state is not None else ():
+            task = self._state.work.find_task(end.task)
+            if task is None or end.number > number or not self.is_refused(end.task):
+                continue
+            is_any_refused = True
+            self._tasks_writer.enqueue(
+                records.encode(f"{records.TASK_PREFIX}{task.key}", task.record)
+            )
+        return is_any_refused
+
     def publish_phase(self, job_id: str) -> None:
         """Store a job's phase if it changed, after its tasks are stored."""
         active = self._state.work.job(job_id)
