Do not refuse a key or a queue by a configuration that may be outdated

Callers could see 401 or 404, after which they give up, for a key or a queue that was there: it had been added while the entry could not read the configuration.

Cause: a configuration serves calls until it is three quarters of `revoke_ms` old (3.75 s), and within that time what it lacks was refused for good. Change: calls that it allows are served as before. What it lacks is refused only while it is at most 1.5 s old, where a read is answered within a second; then the answer is 503 with a time to retry. Evidence: `test_unknown_key_or_queue_is_not_refused_by_an_unread_configuration` failed before for both (UnknownKeyError, UnknownQueueError), and passes.

--- a/libs/intake/src/papayaspar_intake/access.py
+++ b/libs/intake/src/papayaspar_intake/access.py
@@ -19,6 +19,9 @@
 # affect all entries last up to about 5 s. A longer outage affects this entry only, so callers are
 # rejected at once and retry at another entry.
 OUTAGE_MAX_S = 5.0
+# Maximum age of a configuration that proves a queue or a key not to exist, in seconds: a read of
+# the configuration is answered within a second, so an older one may have a successor.
+REFUSAL_AGE_MAX_S = 1.5
 
 
 class UnknownQueueError(errors.NotFoundError):
@@ -106,24 +109,31 @@
         :param host: host name that the call addresses, without a port.
         :param path: path of the call.
         :param key: API key of the call, or empty.
-        :raises NoConfigurationError: when no configuration is current.
+        :raises NoConfigurationError: when no configuration is current, or the queue or the key may
+            have been added since it was read.
         :raises UnknownQueueError: when no queue matches the host and path.
         :raises UnknownKeyError: when the key is not known.
         """
         configuration = self._source.current()
         if configuration is None or self._source.age_s() > self._age_max_s:
-            raise NoConfigurationError(
-                f"the configuration is {self._source.age_s():.1f} s old",
-                retry_after_s=RETRY_AFTER_S,
-            )
+            raise self._outdated_error()
         queue = configuration.match_queue(host, path)
         if queue is None:
+            if self._source.age_s() > REFUSAL_AGE_MAX_S:
+                raise self._outdated_error()
             raise UnknownQueueError(f"no queue at host {host} matches the path")
         if queue.is_public:
             return Authorization(queue, "")
         team = configuration.find_team(key)
         if team is None:
+            if self._source.age_s() > REFUSAL_AGE_MAX_S:
+                raise self._outdated_error()
             raise UnknownKeyError(
                 f"the key is not in configuration version {configuration.version}"
             )
         return Authorization(queue, team.name)
+
+    def _outdated_error(self) -> NoConfigurationError:
+        return NoConfigurationError(
+            f"the configuration is {self._source.age_s():.1f} s old", retry_after_s=RETRY_AFTER_S
+        )
--- a/libs/intake/tests/test_job_service.py
+++ b/libs/intake/tests/test_job_service.py
@@ -253,3 +253,17 @@
         await service.jobs.submit(spec, service.authorization, 3.0)
     assert caught.value.ran is errors.Ran.NO
     assert service.store.append_count == 1
+
+
+# Guards against 401 and 404, after which callers give up, for a key or a queue that was added while
+# the entry could not read the configuration.
+@pytest.mark.parametrize(("path", "key"), [("/q/1", "added"), ("/added/1", "key")])
+async def test_unknown_key_or_queue_is_not_refused_by_an_unread_configuration(path, key):
+    current = access.Authorizer(StubConfigurationSource(access.REFUSAL_AGE_MAX_S), 3.0)
+    with pytest.raises((access.UnknownKeyError, access.UnknownQueueError)):
+        current.authorize("host", path, key)
+    unread = access.Authorizer(StubConfigurationSource(access.REFUSAL_AGE_MAX_S + 0.1), 3.0)
+    with pytest.raises(access.NoConfigurationError) as caught:
+        unread.authorize("host", path, key)
+    assert caught.value.retry_after_s is not None
+    assert unread.authorize("host", "/q/1", "key").team == "team"
