Take only lasting progress as proof that a worker can run work

Callers saw jobs fail that could be done: both attempts of a task went to workers that fail all they start.

Cause: a run that was reported with progress proved its worker, so that its failure put the worker on no trial. Runs of a failing worker that start a few milliseconds apart end apart: the poll that lists the end of the first lists the others with nearly all of their work done.

Evidence: in the log of test_worker_that_fails_every_run_does_not_fail_a_job eight second attempts went to a worker 20 ms after the first failures.

A run now proves its worker by progress that is reported half a second or more after its start.

--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -19,6 +19,9 @@
 # Progress in percent from which the pace of a run is computed; the startup time then has little
 # influence on it.
 PACE_PERCENT_MIN = 5.0
+# Minimum time from the start of a run to a report of its progress, in seconds, that shows that its
+# worker can run work: one that fails all it starts may report a high percentage just before.
+PROVEN_RUN_S = 0.5
 
 
 def _report_phase(
@@ -127,8 +130,10 @@
 
     @property
     def has_proven_start(self) -> bool:
-        """Whether the run shows progress since its own start, not only that of a checkpoint."""
-        return self._is_fresh_start and self.percent >= PACE_PERCENT_MIN
+        """Whether the run shows lasting progress of its own, not only that of a checkpoint."""
+        if not self._is_fresh_start or self.percent < PACE_PERCENT_MIN:
+            return False
+        return self.progressed_s - self.started_s >= PROVEN_RUN_S
 
     def pace_ratio(self, now_s: float) -> float | None:
         """Return the projected duration of the run as a multiple of its estimate.
--- a/libs/jobs/tests/test_progress.py
+++ b/libs/jobs/tests/test_progress.py
@@ -298,3 +298,16 @@
     task.mark_starting(110.0)
     task.update_progress(50.0, 111.0)
     assert task.pace_ratio(111.0) is None
+
+
+# Guards against a worker that fails all it starts and counts as sound, since some of its runs were
+# reported with a high percentage just before they failed (issue 28).
+def test_progress_of_a_short_run_does_not_prove_its_start(make_job):
+    (unit,) = make_job(specs.Step(1)).waiting_units(0.0)
+    task = unit.members[0]
+    task.mark_starting(0.0)
+    task.mark_started(0.0)
+    task.update_progress(97.0, 0.03)
+    assert not task.has_proven_start
+    task.update_progress(98.0, units.PROVEN_RUN_S)
+    assert task.has_proven_start
