Do not report a job missing whose record can't be read

Callers could see 410 for an accepted job (LOST), from an entry of a version that can't read the job's record, as while versions are replaced one by one.

Cause: a record that can't be read is passed over, and the job then counts as not stored. Change: the view keeps the ids of such jobs, and their status is answered with 503. Evidence: `test_job_with_an_unreadable_record_is_not_reported_missing` failed before (no such job), and passes.

--- a/libs/intake/src/papayaspar_intake/job_service.py
+++ b/libs/intake/src/papayaspar_intake/job_service.py
@@ -29,6 +29,13 @@
     title = "The store did not confirm in time"
 
 
+class UnreadableJobError(errors.UnavailableError):
+    """The job's record can't be read; an entry of another version may be able to."""
+
+    code = "unreadable_job"
+    title = "The job's record can't be read"
+
+
 class JobService:
     """Accepts and cancels jobs and returns their status.
 
@@ -163,11 +170,14 @@
 
         :raises NotFoundError: when the team has no such job.
         :raises StoreUnavailableError: when the view has no such job and can't be updated now.
+        :raises UnreadableJobError: when the job's record can't be read.
         """
         job = self._find_job(job_id, team)
         if job is None:
             await self._follower.catch_up()
             job = self._find_job(job_id, team)
+        if job is None and self._view.has_unreadable_job(job_id):
+            raise UnreadableJobError(f"the record of job {job_id} can't be read")
         if job is None:
             raise errors.NotFoundError("no such job")
         return job.phase
--- a/libs/intake/tests/test_job_service.py
+++ b/libs/intake/tests/test_job_service.py
@@ -11,7 +11,7 @@
 from papayaspar_jobs import configurations, registries
 from papayaspar_model import errors
 from papayaspar_standin import keyed_stores
-from papayaspar_store import failures, records
+from papayaspar_store import failures, records, stores
 
 pytestmark = pytest.mark.anyio
 
@@ -267,3 +267,17 @@
         unread.authorize("host", path, key)
     assert caught.value.retry_after_s is not None
     assert unread.authorize("host", "/q/1", "key").team == "team"
+
+
+# Guards against 410 for an accepted job whose record this version can't read.
+async def test_job_with_an_unreadable_record_is_not_reported_missing(service, spec):
+    key = records.JOB_PREFIX + spec.job_id
+    damaged = stores.KeyedRecord(key, b"\xc1")
+    service.log.append(keyed_stores.Append(records.SHARED_PARTITION, (damaged,), None, None))
+    with pytest.raises(errors.UnavailableError):
+        await service.jobs.phase(spec.job_id, "team")
+    deletion = stores.KeyedRecord(key, b"")
+    service.log.append(keyed_stores.Append(records.SHARED_PARTITION, (deletion,), None, None))
+    await service.follower.catch_up()
+    with pytest.raises(errors.NotFoundError):
+        await service.jobs.phase(spec.job_id, "team")
--- a/libs/store/src/papayaspar_store/views.py
+++ b/libs/store/src/papayaspar_store/views.py
@@ -20,12 +20,18 @@
         self.agents: dict[str, records.AgentRecord] = {}
         self.lead: records.LeadRecord | None = None
         self.lead_seen_s: float | None = None
+        self._unreadable_jobs: set[str] = set()
+
+    def has_unreadable_job(self, job_id: str) -> bool:
+        """Return whether a job has a record that can't be decoded."""
+        return job_id in self._unreadable_jobs
 
     def keys(self) -> frozenset[str]:
         """Return the keys of the jobs and the agents."""
         jobs = (records.JOB_PREFIX + job.spec.job_id for job in self.jobs)
+        unreadable = (records.JOB_PREFIX + job_id for job_id in self._unreadable_jobs)
         agents = (records.AGENT_PREFIX + node for node in self.agents)
-        return frozenset((*jobs, *agents))
+        return frozenset((*jobs, *unreadable, *agents))
 
     def apply(self, record: stores.KeyedRecord) -> None:
         """Apply a record to the view.
@@ -37,9 +43,7 @@
             self._delete(key)
             return
         if key.startswith(records.JOB_PREFIX):
-            job = records.decode(record, records.JobRecord)
-            _check_job(job, key)
-            self.jobs.accept(job.spec, job.queue, job.accepted_ms)
+            self._apply_job(record)
         elif key.startswith(records.CANCEL_PREFIX):
             cancellation = records.decode(record, records.CancelRecord)
             self.jobs.cancel(key.removeprefix(records.CANCEL_PREFIX), cancellation.team)
@@ -56,6 +60,14 @@
         else:
             raise failures.RecordError(f"unknown key {key}")
 
+    def _apply_job(self, record: stores.KeyedRecord) -> None:
+        job_id = record.key.removeprefix(records.JOB_PREFIX)
+        self._unreadable_jobs.add(job_id)
+        job = records.decode(record, records.JobRecord)
+        _check_job(job, record.key)
+        self._unreadable_jobs.discard(job_id)
+        self.jobs.accept(job.spec, job.queue, job.accepted_ms)
+
     def _apply_state(self, job_id: str, state: records.StateRecord) -> None:
         self.jobs.set_phase(job_id, state.phase)
         job = self.jobs.find(job_id)
@@ -73,6 +85,7 @@
     def _delete(self, key: str) -> None:
         if key.startswith(records.JOB_PREFIX):
             self.jobs.forget(key.removeprefix(records.JOB_PREFIX))
+            self._unreadable_jobs.discard(key.removeprefix(records.JOB_PREFIX))
         elif key.startswith(records.AGENT_PREFIX):
             self.agents.pop(key.removeprefix(records.AGENT_PREFIX), None)
 
