Leave a lead alone whose record this version can't read

Callers could see a task run twice while versions are replaced one by one: an entry that can't read the record of the lead took over from it at once, and counted leases from an older lead's record.

Cause: a lead record that can't be read was passed over. The view kept the lead and the time of an earlier record, or none, which counts as no lead. Change: such a record counts as a renewal by an unknown lead. A candidate waits until it is not renewed, and then counts that lead as leading until now. Evidence: `test_lead_with_an_unreadable_record_is_left_alone_while_it_renews` failed before (a second lead beside it), and passes.

--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -151,6 +151,8 @@
         if not self._follower.is_loaded or self._configuration is None:
             return LEAD_TIMEOUT_S
         lead, seen_s = self._view.lead, self._view.lead_seen_s
+        if self._view.is_lead_unreadable and seen_s is not None:
+            return seen_s + LEAD_TIMEOUT_S - self._clock.now_s()
         if lead is None or seen_s is None or lead.has_resigned:
             return 0.0
         if lead.node == self._node and lead.incarnation != self._incarnation:
@@ -248,7 +250,7 @@
     def _former_confirmed_s(self, former: records.LeadRecord | None) -> float:
         """Return the latest time at which a former lead may have confirmed its leadership."""
         seen_s = self._view.lead_seen_s
-        if former is None or seen_s is None:
+        if former is None or seen_s is None or self._view.is_lead_unreadable:
             # A former lead's record may be damaged, or of a version that this one can't read.
             return self._clock.now_s() + scheduling.LEAD_LEASE_S
         # A lead before the former one may be cut off from the store and not know its successors.
--- a/libs/lead/tests/test_former_leads.py
+++ b/libs/lead/tests/test_former_leads.py
@@ -101,3 +101,21 @@
         with anyio.move_on_after(0.5):
             await cluster.wait_until(lambda: entry.election.is_lead)
         assert not entry.election.is_lead
+
+
+# Guards against a second lead beside one of another version, whose record this one can't read.
+async def test_lead_with_an_unreadable_record_is_left_alone_while_it_renews(start_cluster):
+    async with start_cluster() as cluster:
+        damaged = stores.KeyedRecord(records.LEAD_KEY, b"\xc1")
+        renewal = keyed_stores.Append(records.SHARED_PARTITION, (damaged,), None, None)
+        cluster.log.append(renewal)
+        cluster.register("node-1", UNREACHABLE_ADDRESS)
+        entry = await cluster.add_entry("entry-1")
+        for _ in range(8):
+            await cluster.sleep(0.3)
+            cluster.log.append(renewal)
+            assert not entry.election.is_lead
+        confirmed_s = cluster.clock.now_s()
+        await cluster.wait_until(lambda: entry.election.is_lead, timeout_s=4.0)
+        await cluster.wait_until(lambda: entry.election.scheduler.link("node-1") is not None)
+        assert _lease_expiry_s(cluster, entry) >= _expiry_after_lead_s(cluster, confirmed_s)
--- a/libs/store/src/papayaspar_store/views.py
+++ b/libs/store/src/papayaspar_store/views.py
@@ -9,7 +9,8 @@
     """State derived from the records of the shared partition.
 
     :attr:`lead_seen_s` is the time at which the latest record of the lead was read, or ``None``
-    before the first.
+    before the first. :attr:`is_lead_unreadable` tells whether that record can't be decoded;
+    :attr:`lead` then holds an earlier one.
 
     :param clock_source: clock for the times at which records are read.
     """
@@ -20,6 +21,7 @@
         self.agents: dict[str, records.AgentRecord] = {}
         self.lead: records.LeadRecord | None = None
         self.lead_seen_s: float | None = None
+        self.is_lead_unreadable = False
         self._unreadable_jobs: set[str] = set()
 
     def has_unreadable_job(self, job_id: str) -> bool:
@@ -56,7 +58,7 @@
                 raise failures.RecordError(f"{key}: the record is of another VM")
             self.agents[agent.node] = agent
         elif key == records.LEAD_KEY:
-            self._apply_lead(records.decode(record, records.LeadRecord))
+            self._apply_lead(record)
         else:
             raise failures.RecordError(f"unknown key {key}")
 
@@ -74,13 +76,19 @@
         if job is not None and job.phase.is_final and job.ended_s is None:
             job.ended_s = self._clock.now_s()
 
-    def _apply_lead(self, lead: records.LeadRecord) -> None:
-        if not 0 <= lead.epoch <= records.EPOCH_MAX:
-            raise failures.RecordError("the epoch of the lead is out of range")
+    def _apply_lead(self, record: stores.KeyedRecord) -> None:
+        try:
+            lead = _decode_lead(record)
+        except failures.RecordError:
+            # A lead of another version may have stored it.
+            self.lead_seen_s = self._clock.now_s()
+            self.is_lead_unreadable = True
+            raise
         if self.lead is not None and lead.epoch < self.lead.epoch:
             return
         self.lead = lead
         self.lead_seen_s = self._clock.now_s()
+        self.is_lead_unreadable = False
 
     def _delete(self, key: str) -> None:
         if key.startswith(records.JOB_PREFIX):
@@ -90,6 +98,17 @@
             self.agents.pop(key.removeprefix(records.AGENT_PREFIX), None)
 
 
+def _decode_lead(record: stores.KeyedRecord) -> records.LeadRecord:
+    """Return a decoded record of a lead.
+
+    :raises RecordError: when the record can't be decoded.
+    """
+    lead = records.decode(record, records.LeadRecord)
+    if not 0 <= lead.epoch <= records.EPOCH_MAX:
+        raise failures.RecordError("the epoch of the lead is out of range")
+    return lead
+
+
 def _check_job(job: records.JobRecord, key: str) -> None:
     """Check a job's record as its submission was checked.
 
