Tell a start that its own stop has overtaken from one beside another run

Callers would see unrelated tasks start a second time. When a job is cancelled while its starts are in flight, the stop may reach the worker first, which then refuses the start as `old`. The lead read that as another run of the task and closed the link, so that all other starts in flight on the worker began anew.

A refused start that was withdrawn is reported as such; nothing of it runs, and its link stays.

--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -225,6 +225,9 @@
             except workers.OrderRefusedError as error:
                 if error.reason is workers.RefusalReason.TOKEN and token < self._owner.token:
                     continue
+                if self._table.is_withdrawn(order.task, order.run):
+                    # The stop has overtaken the start.
+                    return workers.RefusalReason.WITHDRAWN
                 return error.reason
             except workers.WorkerError as error:
                 if error.ran is errors.Ran.NO:
--- a/libs/runs/tests/test_withdrawn_starts.py
+++ b/libs/runs/tests/test_withdrawn_starts.py
@@ -135,6 +135,25 @@
     assert system.worker.starts == 1
 
 
+# Guards against a stop that overtakes a start and whose refusal counts as that of another run: the
+# lead closed the link to the agent, and the other starts on the worker began anew (issue 32).
+async def test_start_that_its_stop_has_overtaken_is_withdrawn(system):
+    await system.controller.attach(1 << 24)
+
+    async def start(order):
+        system.worker.starts += 1
+        while system.worker.stops == 0:
+            await anyio.sleep(0.01)
+        raise workers.OrderRefusedError(workers.RefusalReason.OLD_RUN)
+
+    system.worker.start = start
+    await system.begin_start()
+    system.worker.is_silent = False
+    await system.controller.orders.stop(KEY, 1)
+    await system.end_silence()
+    assert system.outcomes == [messages.StartOutcome(False, workers.RefusalReason.WITHDRAWN)]
+
+
 async def test_stop_that_the_worker_does_not_accept_is_not_repeated(system):
     """An answer of 400 was repeated ten times a second, for as long as the worker lived."""
     await system.controller.attach(1 << 24)
