Do not let a lead's confirmation shorten that of a former lead

Callers could see a task run twice: an agent that a former lead, cut off from the store, still confirms, while the present lead has confirmed its own leadership and lost the agent since.

Cause: the time of the newest confirmation took the place of the former lead's, which may lie up to six seconds ahead.

Evidence: test_own_confirmation_does_not_shorten_that_of_a_former_lead failed before, four seconds too early.

test_lead_before_the_former_one_may_still_lead takes the time of the newest record that was read, instead of assuming a renewal within 0.6 s.

--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -14,8 +14,8 @@
 
 ATTACH_TIMEOUT_S = 3.0
 STOP_TIMEOUT_S = 3.0
-# An agent answers a start order once the outcome is certain, at the latest when the worker's lease
-# has expired.
+# An agent answers a start order once the outcome is certain, usually at the latest when the worker's
+# lease has expired.
 START_TIMEOUT_S = 10.0
 REDIAL_BACKOFF_MIN_S = 0.1
 REDIAL_BACKOFF_MAX_S = 0.5
@@ -260,7 +260,8 @@
             raise errors.ProtocolError(f"unexpected call {type(message).__name__}")
         if not self._owner.is_lead_lease_valid():
             raise errors.LeaseLostError("the lead's lease has expired")
-        self._lead_confirmed_s = self._clock.now_s()
+        # A former lead may confirm its leadership for longer.
+        self._lead_confirmed_s = max(self._lead_confirmed_s, self._clock.now_s())
         return messages.Vouched()
 
     async def handle_notice(self, peer: peers.Peer, message: object) -> None:
--- a/libs/lead/tests/test_former_leads.py
+++ b/libs/lead/tests/test_former_leads.py
@@ -65,7 +65,7 @@
         second = await cluster.add_entry("entry-2")
         await cluster.wait_until(lambda: second.follower.is_loaded)
         await cluster.sleep(0.6)
-        confirmed_s = cluster.clock.now_s() - 0.6
+        confirmed_s = second.view.lead_seen_s
         first.store.fault = keyed_stores.StoreFault.BUSY
         await cluster.wait_until(lambda: second.election.is_lead)
         if is_resigned:
@@ -118,3 +118,19 @@
         await cluster.wait_until(lambda: entry.election.is_lead, timeout_s=4.0)
         await cluster.wait_until(lambda: entry.election.scheduler.link("node-1") is not None)
         assert _lease_expiry_s(cluster, entry) >= _expiry_after_lead_s(cluster, confirmed_s)
+
+
+# Guards against a lease that counts as expired while a former lead may still confirm it, since the
+# present lead has confirmed its own leadership.
+async def test_own_confirmation_does_not_shorten_that_of_a_former_lead(start_cluster):
+    async with start_cluster() as cluster:
+        await cluster.add_agent("node-1")
+        entry = await cluster.add_entry("entry-1")
+        await cluster.wait_until(lambda: entry.election.is_lead)
+        await cluster.wait_until(lambda: entry.election.scheduler.link("node-1") is not None)
+        link = entry.election.scheduler.link("node-1")
+        former_confirmed_s = cluster.clock.now_s() + 5.0
+        link._lead_confirmed_s = former_confirmed_s
+        await cluster.wait_until(lambda: link.is_attached)
+        await cluster.sleep(1.5)
+        assert link._lead_confirmed_s == former_confirmed_s
