Decide an unanswered start only by an answer or an expired lease

Callers could see a task run twice: a start without an answer is executed late, by the next incarnation of the worker, which has the same id and has seen no token.

Cause: a recorded departure, or a new incarnation that a poll under the older token had shown, ended the questions for the outcome before any answer had confirmed the raised token.

Evidence: test_departure_does_not_decide_an_unanswered_start failed before with the refusal INCARNATION.

The tests of refused polls have a lease of 6 s, and the one that waits for its end one of 1 s, so that a pause of the test process does not end the others.

--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -31,8 +31,8 @@
 
     ``STARTED``: the worker lists the run, or its result. ``NOT_STARTED``: the worker has confirmed
     a newer token and lists neither, so that the run has not started and can't start later.
-    ``EXPIRED``: the worker does not tell, and its lease has certainly expired. ``REPLACED``: the
-    worker has a new incarnation.
+    ``EXPIRED``: the worker does not tell, and its lease has certainly expired. ``REPLACED``: a new
+    incarnation of the worker answers.
     """
 
     STARTED = "started"
@@ -68,13 +68,6 @@
     def incarnation(self) -> tasks.Incarnation | None:
         """The current incarnation of the worker, or ``None`` while it is unknown."""
 
-    @abc.abstractmethod
-    def has_terminated(self, incarnation: tasks.Incarnation) -> bool:
-        """Return whether an incarnation of the worker has certainly terminated.
-
-        The current incarnation may be unknown; that is no evidence.
-        """
-
     @property
     @abc.abstractmethod
     def token(self) -> int:
@@ -270,8 +263,13 @@
     async def _poll_until_resolved(
         self, order: messages.StartRun, token: int, failures: PollFailures
     ) -> StartResolution:
-        """Poll the worker under a raised token until the outcome of a start is certain."""
-        while not self._owner.has_terminated(order.incarnation):
+        """Poll the worker under a raised token until the outcome of a start is certain.
+
+        That another incarnation is known, or that the worker has departed, does not end this: a
+        start that is executed late may reach the next incarnation, which keeps the id, before it
+        has confirmed the token.
+        """
+        while True:
             try:
                 status = await self._worker.poll(
                     token, self._owner.acknowledged_number, None, 0, order.incarnation.worker
@@ -297,7 +295,6 @@
             if self._owner.has_lapsed:
                 return StartResolution.EXPIRED
             await anyio.sleep(RETRY_INTERVAL_S)
-        return StartResolution.REPLACED
 
     def _resolution(
         self, order: messages.StartRun, status: workers.WorkerStatus
--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -88,12 +88,6 @@
             self.departure is not None and self.departure.incarnation == self._reported_incarnation
         )
 
-    def has_terminated(self, incarnation: tasks.Incarnation) -> bool:
-        """Return whether an incarnation of the worker has certainly terminated."""
-        if self.departure is not None and self.departure.incarnation == incarnation:
-            return True
-        return self.incarnation is not None and self.incarnation != incarnation
-
     @property
     def token(self) -> int:
         """Newest fencing token."""
--- a/libs/runs/tests/test_refused_polls.py
+++ b/libs/runs/tests/test_refused_polls.py
@@ -18,7 +18,6 @@
 CAPACITY = specs.Resources(1000, 1000, 8)
 FIRST, SECOND = (tasks.TaskKey("0" * 16, 0, 0, index) for index in range(2))
 HEARTBEAT = workers.Heartbeat("w-1", "pool", workers.Condition.READY, CAPACITY, (), "", 1, BORN_MS)
-LEASE_MAX_S = 1.0
 # Refusals that say nothing about the runs of the worker.
 REFUSALS = sorted(
     set(workers.RefusalReason) - {workers.RefusalReason.TOKEN, workers.RefusalReason.INCARNATION},
@@ -31,6 +30,12 @@
     return "asyncio"
 
 
+@pytest.fixture
+def lease_max_s() -> float:
+    """Return the longest lease that the worker grants, in seconds."""
+    return 6.0
+
+
 class BusyWorker(workers.Worker):
     """Starts runs; leaves the first start unanswered, and refuses polls while ``refusal`` is set.
 
@@ -39,6 +44,7 @@
 
     def __init__(self):
         self.refusal: workers.RefusalReason | None = None
+        self.has_terminated = False
         self.starts: list[tasks.TaskKey] = []
         self.refused_polls = 0
         self._clock_ms = itertools.count(500)
@@ -49,12 +55,14 @@
             raise workers.WorkerError("no answer", ran=errors.Ran.UNKNOWN)
 
     async def stop(self, task, run, token, worker):
-        raise AssertionError
+        self.starts.remove(task)
 
     async def poll(self, token, acknowledged_number, expiry_ms, wait_ms, worker):
         if self.refusal is not None:
             self.refused_polls += 1
             raise workers.OrderRefusedError(self.refusal)
+        if self.has_terminated:
+            raise workers.NotListeningError("no process listens on the port")
         await anyio.sleep(min(wait_ms, 50) / 1000.0)
         running = tuple(workers.RunStatus(task, 1) for task in self.starts)
         return workers.WorkerStatus(next(self._clock_ms), BORN_MS, running, ())
@@ -86,12 +94,12 @@
 
 
 @pytest.fixture
-async def system():
+async def system(lease_max_s):
     """Return a controller with a lead and a worker that answers."""
     clock_source = clock.BootClock()
     events = journal.Journal("node", "dc", causality.HybridClock(clock_source), metrics.Metrics())
     worker = BusyWorker()
-    controller = worker_control.WorkerController("node", worker, LEASE_MAX_S, clock_source, events)
+    controller = worker_control.WorkerController("node", worker, lease_max_s, clock_source, events)
     controller.handle_heartbeat(HEARTBEAT)
     controller.renew_lead_lease(clock_source.now_s())
     async with anyio.create_task_group() as group:
@@ -129,6 +137,21 @@
     assert system.outcomes[FIRST] == messages.StartOutcome(True)
 
 
+# Guards against a departure that decides a start which the next incarnation, of the same id, may
+# still execute: only an answer under the raised token, or an expired lease, does (issue 32).
+async def test_departure_does_not_decide_an_unanswered_start(system):
+    await system.wait_until(lambda: system.controller.is_reachable)
+    system.worker.refusal = workers.RefusalReason.UNHEALTHY
+    await system.begin_start(FIRST)
+    await system.wait_until(lambda: system.worker.starts)
+    system.worker.refusal, system.worker.has_terminated = None, True
+    await system.wait_until(lambda: system.controller.departure is not None)
+    await anyio.sleep(0.3)
+    assert system.outcomes == {}
+    system.worker.has_terminated = False
+    await system.wait_until(lambda: FIRST in system.outcomes)
+
+
 # Guards against a worker that is given more than its capacity: a run that was taken as not started
 # no longer used any (issue 32).
 async def test_run_with_an_unknown_outcome_keeps_its_capacity(system):
@@ -145,6 +168,7 @@
 
 # Guards against a start order that ends only with the stream of the lead: the lease bounds the run
 # of a worker that refuses all polls.
+@pytest.mark.parametrize("lease_max_s", [1.0])
 async def test_unanswered_start_on_a_worker_that_stays_unhealthy_ends_with_its_lease(system):
     await system.wait_until(lambda: system.controller.is_reachable)
     system.worker.refusal = workers.RefusalReason.UNHEALTHY
