Do not count a poll as unanswered whose token its agent has raised meanwhile

Callers would see a worker get no work for a moment, and its lease not renewed: an unanswered start raises the token while the poll loop's call is under way, which the worker then refuses. That refusal counted as silence (`worker_lost`).

--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -354,9 +354,10 @@
             if polled.born_ms == self._born_ms:
                 self._begin_incarnation(None)
             return
-        if error.reason is workers.RefusalReason.TOKEN and token == self._token:
-            # An earlier agent process on this VM raised the worker's token above this one.
-            self._token += TOKEN_STRIDE
+        if error.reason is workers.RefusalReason.TOKEN:
+            if token == self._token:
+                # An earlier agent process on this VM raised the worker's token above this one.
+                self._token += TOKEN_STRIDE
             return
         self._handle_no_answer(error)
 
--- a/libs/runs/tests/test_refused_polls.py
+++ b/libs/runs/tests/test_refused_polls.py
@@ -45,6 +45,7 @@
     def __init__(self):
         self.refusal: workers.RefusalReason | None = None
         self.has_terminated = False
+        self.token_min = 0
         self.starts: list[tasks.TaskKey] = []
         self.refused_polls = 0
         self._clock_ms = itertools.count(500)
@@ -64,6 +65,8 @@
         if self.has_terminated:
             raise workers.NotListeningError("no process listens on the port")
         await anyio.sleep(min(wait_ms, 50) / 1000.0)
+        if token < self.token_min:
+            raise workers.OrderRefusedError(workers.RefusalReason.TOKEN)
         running = tuple(workers.RunStatus(task, 1) for task in self.starts)
         return workers.WorkerStatus(next(self._clock_ms), BORN_MS, running, ())
 
@@ -152,6 +155,17 @@
     await system.wait_until(lambda: FIRST in system.outcomes)
 
 
+# Guards against a worker that counts as silent since it refused a poll whose token its own agent
+# had raised meanwhile (issue 32).
+async def test_poll_refused_for_an_older_token_is_an_answer(system):
+    await system.wait_until(lambda: system.controller.is_reachable)
+    system.worker.token_min = system.controller.raise_token()
+    with anyio.move_on_after(0.5):
+        while True:
+            assert system.controller.is_reachable
+            await anyio.sleep(0.005)
+
+
 # Guards against a worker that is given more than its capacity: a run that was taken as not started
 # no longer used any (issue 32).
 async def test_run_with_an_unknown_outcome_keeps_its_capacity(system):
