Do not delete a key that was stored again while the newest records were read

Callers could see tasks wait: an entry whose load of the newest records was slow deleted an agent that had registered again, and that a call had delivered meanwhile, until its next registration.

Cause: the deletions of a load were delivered although newer records had been.

Evidence: test_load_does_not_delete_a_key_that_was_stored_again_meanwhile failed before.

--- a/libs/store/src/papayaspar_store/following.py
+++ b/libs/store/src/papayaspar_store/following.py
@@ -149,8 +149,10 @@
         # A key that is accepted while the snapshot is read may be missing in it.
         known_keys = self._sink.keys()
         snapshot = await self._store.read_snapshot(self._partition)
-        self._delete_missing(known_keys, snapshot)
         delivered = self._offset or 0
+        if delivered <= snapshot.end:
+            # Else a call has delivered newer records meanwhile, perhaps of a key that is missing.
+            self._delete_missing(known_keys, snapshot)
         for record in snapshot.records:
             if 0 <= record.offset < delivered:
                 # It was delivered, and perhaps a newer one of its key after it.
@@ -163,8 +165,7 @@
     def _delete_missing(self, known_keys: frozenset[str], snapshot: stores.Snapshot) -> None:
         """Deliver the deletions whose records were deleted with the partition's history.
 
-        Keys that were deleted and stored again after the snapshot are delivered again with the
-        records that follow it.
+        The records that follow the snapshot deliver the keys that were stored again after it.
         """
         listed_keys = {record.key for record in snapshot.records}
         if "" in listed_keys:
--- a/libs/store/tests/test_following.py
+++ b/libs/store/tests/test_following.py
@@ -131,3 +131,34 @@
     monkeypatch.setattr(store, "read_snapshot", accept_meanwhile)
     await _follow_until(follower, lambda: "node-1" in view.agents)
     assert view.jobs.find(JOB_ID) is not None
+
+
+# Guards against a load that deletes a key which was stored again, and delivered, while the load was
+# waiting for its snapshot.
+async def test_load_does_not_delete_a_key_that_was_stored_again_meanwhile(
+    log, store, view, follower, monkeypatch
+):
+    _append(log, _agent("10.0.0.1:1"))
+    await _follow_until(follower, lambda: "node-1" in view.agents)
+    _append(log, stores.KeyedRecord(records.AGENT_PREFIX + "node-1", b""))
+    log.drop_history(records.SHARED_PARTITION)
+    read_snapshot, is_read, is_answered = store.read_snapshot, anyio.Event(), anyio.Event()
+
+    async def answer_late(partition):
+        snapshot = await read_snapshot(partition)
+        is_read.set()
+        await is_answered.wait()
+        return snapshot
+
+    async with anyio.create_task_group() as group:
+        monkeypatch.setattr(store, "read_snapshot", answer_late)
+        group.start_soon(follower.run)
+        await is_read.wait()
+        monkeypatch.setattr(store, "read_snapshot", read_snapshot)
+        _append(log, _agent("10.0.0.1:3"))
+        await follower.catch_up()
+        assert "node-1" in view.agents
+        is_answered.set()
+        await anyio.sleep(0.3)
+        assert "node-1" in view.agents
+        group.cancel_scope.cancel()
