--- a/libs/lead/src/papayaspar_lead/recording.py
+++ b/libs/lead/src/papayaspar_lead/recording.py
@@ -31,6 +31,8 @@
         self._shared = shared
         self._tasks_writer = tasks_writer
         self._published_phases: dict[str, registries.JobPhase] = {}
+        # VMs with results of which the store refuses a record.
+        self._refused_nodes: set[str] = set()
         # Tasks that have a record, by job.
         self._stored_tasks: dict[str, set[tasks.TaskKey]] = {}
 
@@ -64,12 +66,19 @@
     ) -> None:
         """Acknowledge results up to a number once all changes that they caused are stored.
 
-        While the store refuses one of them, the worker keeps the results for the next lead.
+        While the store refuses one of them, the worker keeps the results for the next lead. It
+        reports those that follow again once these are acknowledged.
         """
+        if link.node in self._refused_nodes:
+            return
         await self._tasks_writer.write()
-        while self._queue_refused_results(link, number):
-            await anyio.sleep(REFUSED_RETRY_INTERVAL_S)
-            await self._tasks_writer.write()
+        self._refused_nodes.add(link.node)
+        try:
+            while self._queue_refused_results(link, number):
+                await anyio.sleep(REFUSED_RETRY_INTERVAL_S)
+                await self._tasks_writer.write()
+        finally:
+            self._refused_nodes.discard(link.node)
         try:
             await link.acknowledge(incarnation, number)
         except errors.PeerError as error:
