--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -14,8 +14,8 @@
 
 ATTACH_TIMEOUT_S = 3.0
 STOP_TIMEOUT_S = 3.0
-# An agent answers a start order once the outcome is certain: in general, when the worker answers it,
-# or when its lease has expired.
+# An agent answers a start order once the outcome is certain: in general when the worker answers, or
+# when its lease has expired.
 START_TIMEOUT_S = 10.0
 REDIAL_BACKOFF_MIN_S = 0.1
 REDIAL_BACKOFF_MAX_S = 0.5
--- a/libs/lead/tests/test_unstored_results.py
+++ b/libs/lead/tests/test_unstored_results.py
@@ -55,7 +55,8 @@
         entry = await cluster.add_entry("entry-1")
         agent = await cluster.add_agent("node-1")
         agent.worker.run_time_s = 8.0
-        cluster.submit(make_job(1, specs.Step(TASKS, specs.Resources(100, 100))))
+        steps = (specs.Step(TASKS, specs.Resources(100, 100)), specs.Step(1, after=(0,)))
+        cluster.submit(make_job(1, *steps))
         await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == TASKS)
         cluster.log.record_bytes_max = RECORD_BYTES_MAX
         for run in list(agent.worker._runs.values()):
