Name fields and methods for what they hold

From the review: one word for the leases of former leads, whether a lease may be renewed, the highest listed run, and tasks whose records can't be read. No behaviour changes.

--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -49,8 +49,8 @@
     :param checkpoint_stored_s: time at which a checkpoint of the current run was last stored, in
         seconds on the lead's clock.
     :param failed_nodes: VMs on which a run of the task failed.
-    :param listed_run: highest number of a run that a worker listed without an assignment; the next
-        run has a higher one.
+    :param listed_run_max: highest number of a run that a worker listed without an assignment; the
+        next run has a higher one.
     """
 
     key: tasks.TaskKey
@@ -64,7 +64,7 @@
     checkpoint: str = ""
     checkpoint_stored_s: float = 0.0
     failed_nodes: set[str] = attrs.field(factory=set)
-    listed_run: int = 0
+    listed_run_max: int = 0
     _unit: "Unit | None" = attrs.field(default=None, init=False, repr=False)
     _is_start_time_known: bool = attrs.field(default=True, init=False)
     _is_fresh_start: bool = attrs.field(default=False, init=False)
@@ -279,7 +279,7 @@
     @property
     def next_run(self) -> int:
         """Number of the unit's next run, which all members of a gang share."""
-        return max(max(task.record.run, task.listed_run) for task in self.members) + 1
+        return max(max(task.record.run, task.listed_run_max) for task in self.members) + 1
 
     @property
     def newest_checkpoint(self) -> str:
--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -78,7 +78,7 @@
         self._configuration: configurations.Configuration | None = None
         self._scheduler: scheduling.Scheduler | None = None
         # Latest time at which a lead before this one may confirm its leadership.
-        self._earlier_confirmed_s = float("-inf")
+        self._former_confirmed_s = float("-inf")
         self._is_resigning = False
         self._resigning = signals.ChangeSignal()
 
@@ -169,7 +169,7 @@
         former = self._view.lead
         former_epoch = former.epoch if former is not None else 0
         epoch = (former_epoch // EPOCH_STEP + 1) * EPOCH_STEP + random.randrange(EPOCH_STEP)
-        self._earlier_confirmed_s = self._former_confirmed_s(former)
+        self._former_confirmed_s = self._latest_confirmation_s(former)
         shared = self._writer(records.SHARED_PARTITION, epoch, records.LEAD_KEY)
         self._events.record(
             lines.EventKind.LEAD_TRIED,
@@ -217,7 +217,7 @@
             self._follower,
             shared,
             tasks_writer,
-            self._earlier_confirmed_s,
+            self._former_confirmed_s,
             self._limits,
             self._clock,
             self._hybrid_clock,
@@ -247,7 +247,7 @@
             self._events.record(lines.EventKind.LEAD_RESIGNED, detail=f"epoch={epoch}")
         scope.cancel()
 
-    def _former_confirmed_s(self, former: records.LeadRecord | None) -> float:
+    def _latest_confirmation_s(self, former: records.LeadRecord | None) -> float:
         """Return the latest time at which a former lead may have confirmed its leadership."""
         seen_s = self._view.lead_seen_s
         if self._view.is_lead_unreadable:
@@ -257,12 +257,12 @@
             # The store keeps the newest record of each key for good, so that nobody has led yet.
             return float("-inf")
         # A lead before the former one may be cut off from the store and not know its successors.
-        earlier_s = seen_s + max(0, former.earlier_lease_ms) / MILLISECONDS_PER_SECOND
+        former_s = seen_s + max(0, former.former_lease_ms) / MILLISECONDS_PER_SECOND
         if former.has_resigned:
-            return earlier_s
+            return former_s
         if former.node == self._node and former.incarnation != self._incarnation:
-            return max(self._clock.now_s(), earlier_s)
-        return max(seen_s + scheduling.LEAD_LEASE_S, earlier_s)
+            return max(self._clock.now_s(), former_s)
+        return max(seen_s + scheduling.LEAD_LEASE_S, former_s)
 
     def _writer(
         self, partition: stores.Partition, epoch: int, confirming_key: str | None = None
@@ -281,7 +281,7 @@
     def _lead_record(
         self, epoch: int, has_resigned: bool = False, attached: tuple[str, ...] = ()
     ) -> stores.KeyedRecord:
-        remaining_s = max(0.0, self._earlier_confirmed_s - self._clock.now_s())
+        remaining_s = max(0.0, self._former_confirmed_s - self._clock.now_s())
         record = records.LeadRecord(
             epoch,
             self._node,
--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -106,7 +106,8 @@
         self.record = record
         self.worker = fleet.Worker(record.node)
         self.state: messages.AgentState | None = None
-        # Incarnation of the runs in `state`, which may no longer show it.
+        # Incarnation of the worker that has the runs in `state`; the incarnation in `state` becomes
+        # unknown before the runs do.
         self.listed_incarnation: tasks.Incarnation | None = None
         self.acknowledged: dict[tasks.Incarnation, int] = {}
         self._owner = owner
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -341,13 +341,13 @@
         for run in unassigned:
             task = work.find_task(run.task)
             if task is not None:
-                task.listed_run = max(task.listed_run, run.run)
+                task.listed_run_max = max(task.listed_run_max, run.run)
         if now_s >= self._unlinked_expiry_s:
-            work.end_doubts()
+            work.release_unreadable()
         running = {run.task for run in unassigned if not run.is_over}
         startable: list[ordering.Demand] = []
         for demand in demands:
-            if work.is_doubtful(demand.unit):
+            if work.has_unreadable_task(demand.unit):
                 continue
             if running and not running.isdisjoint(task.key for task in demand.unit.members):
                 continue
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -60,7 +60,7 @@
         self._guaranteed_accelerators: dict[str, int] = {}
         self._checkpointed_count = 0
         # Tasks with an unreadable record, of which a former lead may have started a run.
-        self._doubtful_tasks: dict[tasks.TaskKey, units.Task] = {}
+        self._unreadable_tasks: dict[tasks.TaskKey, units.Task] = {}
 
     def configure(self, configuration: configurations.Configuration) -> None:
         """Apply a version of the configuration."""
@@ -122,22 +122,23 @@
     def restore_unreadable(self, key: tasks.TaskKey) -> None:
         """Restore a task whose record can't be read: its runs, if any, are unknown.
 
-        It is started only after :meth:`end_doubts`, and continues with the run that a worker lists.
+        It is started only after :meth:`release_unreadable`, and continues with the run that a
+        worker lists.
         """
         active = self._jobs.get(key.job_id)
         task = active.progress.restore(key, tasks.TaskRecord()) if active is not None else None
         if task is not None:
-            self._doubtful_tasks[key] = task
+            self._unreadable_tasks[key] = task
 
-    def end_doubts(self) -> None:
+    def release_unreadable(self) -> None:
         """Let all tasks start; to be called once all runs that former leads started are known."""
-        self._doubtful_tasks.clear()
+        self._unreadable_tasks.clear()
 
-    def is_doubtful(self, unit: units.Unit) -> bool:
+    def has_unreadable_task(self, unit: units.Unit) -> bool:
         """Return whether a former lead may have started a run of a unit that is not known."""
-        if not self._doubtful_tasks:
+        if not self._unreadable_tasks:
             return False
-        return any(task.key in self._doubtful_tasks for task in unit.members)
+        return any(task.key in self._unreadable_tasks for task in unit.members)
 
     def adopt_unrecorded(
         self,
@@ -153,8 +154,8 @@
         :param listed: running and ended runs that the worker lists.
         :param now_s: the lead's clock.
         """
-        for listed_run in listed if self._doubtful_tasks else ():
-            task = self._doubtful_tasks.get(listed_run.task)
+        for listed_run in listed if self._unreadable_tasks else ():
+            task = self._unreadable_tasks.get(listed_run.task)
             if task is None or task.is_done or listed_run.run <= task.record.run:
                 continue
             record = attrs.evolve(
--- a/libs/runs/src/papayaspar_runs/lease.py
+++ b/libs/runs/src/papayaspar_runs/lease.py
@@ -73,10 +73,10 @@
         age_ms = age_s * MILLISECONDS_PER_SECOND / CLOCK_DRIFT_RATIO
         return (self._worker_clock_ms or 0) + age_ms
 
-    def renew(self, is_answering: bool) -> int | None:
+    def renew(self, may_renew: bool) -> int | None:
         """Return the expiry of the lease to send, or ``None`` to let the lease expire.
 
-        :param is_answering: whether the worker answered the newest call.
+        :param may_renew: whether the worker answered the newest call and has not departed.
         :return: a time on the worker's clock, in milliseconds.
         """
         was_renewing, self.is_renewing = self.is_renewing, self.is_lead_lease_valid
@@ -84,14 +84,14 @@
             self._events.record(
                 lines.EventKind.LEASE_LAPSED, detail="no lead confirmed its leadership in time"
             )
-        if not self.is_renewing or not self.is_clock_known or not is_answering:
+        if not self.is_renewing or not self.is_clock_known or not may_renew:
             # A worker may accept a renewal without answering. A silent worker is therefore sent no
             # renewals: only then is there a time by which its lease has certainly expired.
             return None
         return self._renew_until(self._lease_max_s)
 
     def renew_by_start(self, duration_s: float) -> int:
-        """Return the expiry of a start order to send, which renews the lease up to it.
+        """Renew the lease by a start order to send, and return the order's expiry.
 
         :param duration_s: how long the order is valid, in seconds on the worker's clock.
         :return: a time on the worker's clock, in milliseconds.
--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -92,7 +92,7 @@
 
     @abc.abstractmethod
     def renew_by_start(self, duration_s: float) -> int:
-        """Return the expiry of a start order to send, which renews the worker's lease up to it.
+        """Renew the worker's lease by a start order to send, and return the order's expiry.
 
         :param duration_s: how long the order is valid, in seconds on the worker's clock.
         :return: a time on the worker's monotonic clock, in milliseconds.
--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -242,7 +242,7 @@
         return self._token
 
     def renew_by_start(self, duration_s: float) -> int:
-        """Return the expiry of a start order to send, which renews the worker's lease up to it."""
+        """Renew the worker's lease by a start order to send, and return the order's expiry."""
         return self._lease.renew_by_start(duration_s)
 
     def refusal_reason(self, order: messages.StartRun) -> workers.RefusalReason | None:
--- a/libs/store/src/papayaspar_store/records.py
+++ b/libs/store/src/papayaspar_store/records.py
@@ -81,7 +81,7 @@
     :param incarnation: unique id of the lead's process.
     :param has_resigned: whether the lead has resigned.
     :param attached: VMs whose agents the lead is attached to.
-    :param earlier_lease_ms: time from this record's storage during which a lead before this one may
+    :param former_lease_ms: time from this record's storage during which a lead before this one may
         still confirm its leadership to agents, in milliseconds.
     """
 
@@ -90,7 +90,7 @@
     incarnation: str
     has_resigned: bool = False
     attached: tuple[str, ...] = ()
-    earlier_lease_ms: int = 0
+    former_lease_ms: int = 0
 
 
 @attrs.frozen
--- a/libs/store/src/papayaspar_store/writing.py
+++ b/libs/store/src/papayaspar_store/writing.py
@@ -45,8 +45,8 @@
     """Writes to one partition in one epoch.
 
     :attr:`confirmed_s` is the time at which the latest confirmed append was first sent, or ``None``
-    before the first. At that time, the store had seen no higher epoch, and its readers have not
-    read the append before.
+    before the first. No reader has read that append earlier, and the store had seen no higher
+    epoch then.
 
     Records are stored in the order in which they were queued, in appends of limited size: a large
     group is stored in several. A record that the store refuses is left out, so that it does not
--- a/libs/store/tests/test_odd_records.py
+++ b/libs/store/tests/test_odd_records.py
@@ -28,7 +28,7 @@
         records.Departure(INCARNATION, (records.DoneRun(tasks.TaskKey(JOB_ID, 0, 0, 0), 1),)),
     ),
     records.LEAD_KEY: records.LeadRecord(
-        1024, "entry-1", "boot-1", attached=("node-1",), earlier_lease_ms=1
+        1024, "entry-1", "boot-1", attached=("node-1",), former_lease_ms=1
     ),
 }
 # Replaced by deeply nested lists in the encoded record, since the encoder refuses such values.
