--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -43,7 +43,7 @@
 
 @attrs.define
 class PollFailures:
-    """Polls for the outcome of a start that told nothing.
+    """Polls that did not show the outcome of a start.
 
     :param unanswered_count: number of polls without an answer.
     :param refused_count: number of refused polls.
