Let a recorded departure decide an unanswered start again

Callers waited longer: a task that was being started when its worker was taken away started elsewhere only after the worker's lease, up to 6.15 s later.

A departure, which rests on refused connections, ends the questions at once as it did before. That another incarnation is known still does not.

--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -32,7 +32,7 @@
     ``STARTED``: the worker lists the run, or its result. ``NOT_STARTED``: the worker has confirmed
     a newer token and lists neither, so that the run has not started and can't start later.
     ``EXPIRED``: the worker does not tell, and its lease has certainly expired. ``REPLACED``: a new
-    incarnation of the worker answers.
+    incarnation of the worker answers, or its departure was recorded.
     """
 
     STARTED = "started"
@@ -68,6 +68,10 @@
     def incarnation(self) -> tasks.Incarnation | None:
         """The current incarnation of the worker, or ``None`` while it is unknown."""
 
+    @abc.abstractmethod
+    def is_departed(self, incarnation: tasks.Incarnation) -> bool:
+        """Return whether the departure of an incarnation of the worker was recorded."""
+
     @property
     @abc.abstractmethod
     def token(self) -> int:
@@ -265,11 +269,10 @@
     ) -> StartResolution:
         """Poll the worker under a raised token until the outcome of a start is certain.
 
-        That another incarnation is known, or that the worker has departed, does not end this: a
-        start that is executed late may reach the next incarnation, which keeps the id, before it
-        has confirmed the token.
+        That another incarnation is known does not end this: a start that is executed late may reach
+        it before it has confirmed the token, if it keeps the id.
         """
-        while True:
+        while not self._owner.is_departed(order.incarnation):
             try:
                 status = await self._worker.poll(
                     token, self._owner.acknowledged_number, None, 0, order.incarnation.worker
@@ -295,6 +298,7 @@
             if self._owner.has_lapsed:
                 return StartResolution.EXPIRED
             await anyio.sleep(RETRY_INTERVAL_S)
+        return StartResolution.REPLACED
 
     def _resolution(
         self, order: messages.StartRun, status: workers.WorkerStatus
--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -84,9 +84,12 @@
     @property
     def _has_departed(self) -> bool:
         """Whether the departure of the reported incarnation was recorded."""
-        return (
-            self.departure is not None and self.departure.incarnation == self._reported_incarnation
-        )
+        reported = self._reported_incarnation
+        return reported is not None and self.is_departed(reported)
+
+    def is_departed(self, incarnation: tasks.Incarnation) -> bool:
+        """Return whether the departure of an incarnation of the worker was recorded."""
+        return self.departure is not None and self.departure.incarnation == incarnation
 
     @property
     def token(self) -> int:
