--- a/review/lab.py
+++ b/review/lab.py
@@ -93,6 +93,9 @@
     def __init__(self, answer):
         self._answer = answer
         self._server = None
+        # Connections that are open, and those that have gone silent for good.
+        self._open = set()
+        self._silent = set()
 
     async def start(self, host, port):
         """Listen on an address."""
@@ -103,10 +106,18 @@
         if self._server is not None:
             self._server.close()
 
+    def silence(self):
+        """Make all open connections silent for good; new ones work. Return their number."""
+        self._silent |= self._open
+        return len(self._open)
+
     async def _serve(self, reader, writer):
+        self._open.add(writer)
         try:
             while True:
                 first_line, headers, body = await _read_message(reader)
+                if writer in self._silent:
+                    continue
                 method, target, _ = first_line.split(" ", 2)
                 path, _, query = target.partition("?")
                 values = dict(urllib.parse.parse_qsl(query))
@@ -114,6 +125,8 @@
                 content = data if isinstance(data, bytes) else json.dumps(data).encode()
                 head = f"HTTP/1.1 {status} -\r\ncontent-type: application/json\r\n"
                 head += f"content-length: {len(content)}\r\n\r\n"
+                if writer in self._silent:
+                    continue
                 writer.write(head.encode() + content)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
@@ -123,6 +136,8 @@
             # The play ends.
             pass
         finally:
+            self._open.discard(writer)
+            self._silent.discard(writer)
             writer.close()
 
 
