Let a case of the second review end in time, and report the checks

Cause: an unexpected error or a system that never gets ready would have ended a case with the exit code of a broken rule, or not at all. Added: a time limit of 110 s and exit code 2 for any error in review/lab.py.

--- a/review/lab.py
+++ b/review/lab.py
@@ -31,6 +31,7 @@
 APPEND_S = 0.004
 RESTART_S = 0.5
 CALL_TIMEOUT_S = 3.0
+PLAY_TIMEOUT_S = 110.0
 BOUNDS = """
 stable_ms = 3000
 ack_ms = 4000
@@ -684,6 +685,11 @@
         return None
 
 
+async def _play_in_time(case, record, has_trouble):
+    async with asyncio.timeout(PLAY_TIMEOUT_S):
+        return await case(record, has_trouble)
+
+
 def play(case, folder):
     """Play a case and exit with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
@@ -696,8 +702,8 @@
     record.note(f"play begins, trouble={has_trouble}")
     is_broken = None
     try:
-        is_broken = asyncio.run(case(record, has_trouble))
-    except (OSError, TimeoutError) as error:
+        is_broken = asyncio.run(_play_in_time(case, record, has_trouble))
+    except Exception as error:  # noqa: BLE001 - whatever it is, the case couldn't run
         record.note(f"the case couldn't run: {error!r}")
     record.note(f"result: {'could not run' if is_broken is None else is_broken}")
     sys.exit(2 if is_broken is None else int(is_broken))
