--- a/review/lab.py
+++ b/review/lab.py
@@ -336,7 +336,7 @@
         values = json.loads(body)
         if path == "/api/run-start" and self.refusal_status is not None:
             self._record.note(f"{self.name} refused {values['task']} with {self.refusal_status}")
-            return self.refusal_status, {}
+            return self.refusal_status, {"clock_ms": self.clock_ms()}
         if values["fence"] < self._fence:
             return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
         self._fence = values["fence"]
@@ -355,6 +355,7 @@
         if current is not None and current.number == number:
             return 200, {"clock_ms": self.clock_ms()}
         if current is not None or number <= self._highest.get(task, 0):
+            self._extend(values["expiry_ms"])
             return 409, {"clock_ms": self.clock_ms(), "reason": "old"}
         if values["expiry_ms"] <= self.clock_ms():
             return 409, {"clock_ms": self.clock_ms(), "reason": "late"}
