--- a/review/lab.py
+++ b/review/lab.py
@@ -277,13 +277,15 @@
 
     :param task: name of the task.
     :param number: number of the run.
-    :param work: what the ``spec`` says of the task's step: ``work_s``, ``gang`` and ``count``.
+    :param work: what the ``spec`` says of the task's step: ``gang``, ``count``, and either
+        ``work_s`` or, for a task that lasts, ``startup_s``.
     """
 
     def __init__(self, task, number, work):
         self.task = task
         self.number = number
-        self.work_s = work["work_s"]
+        self.lasts = "startup_s" in work
+        self.work_s = work["startup_s"] if self.lasts else work["work_s"]
         self.gang_size = work["count"] if work.get("gang") else 1
         self.group = task.rpartition(".")[0], number
         self.arrived_s = time.monotonic()
@@ -386,7 +388,7 @@
         running = []
         for run in self.runs.values():
             worked_s = now_s - run.began_s if run.began_s is not None else 0.0
-            percent = min(99, int(worked_s * 100 / run.work_s))
+            percent = min(100 if run.lasts else 99, int(worked_s * 100 / run.work_s))
             running.append([run.task, run.number, "", percent, 0])
         return 200, {
             "clock_ms": self.clock_ms(),
@@ -421,7 +423,7 @@
                 self.end(run, "failed")
             elif run.broken_s is not None and run.broken_s <= now_s:
                 self.end(run, "broken")
-            elif run.began_s + run.work_s <= now_s:
+            elif not run.lasts and run.began_s + run.work_s <= now_s:
                 self.end(run, "done")
 
     def _begin(self, run, now_s):
