--- a/review/lab.py
+++ b/review/lab.py
@@ -548,6 +548,8 @@
         self.store = Store()
         self.fleet = Fleet()
         self._folder = tempfile.TemporaryDirectory()
+        # Configuration that the operator has written before the start; ``None`` for one queue.
+        self.first_configuration = None
         self._tasks = []
         self._network = self._free_network()
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
@@ -614,7 +616,7 @@
     async def start(self):
         """Start everything, and wait until each entry is ready and each worker is known."""
         await self.store.server.start(self.host(9, 1), STORE_PORT)
-        await self.store.publish(self.configuration(1))
+        await self.store.publish(self.first_configuration or self.configuration(1))
         for worker, agent in zip(self.fleet.workers, self.agents, strict=True):
             await worker.server.start(worker.host, APP_PORT)
             self.spawn(worker.send_heartbeats((worker.host, CONTROL_PORT)))
