--- a/review/lab.py
+++ b/review/lab.py
@@ -278,7 +278,8 @@
     :param task: name of the task.
     :param number: number of the run.
     :param work: what the ``spec`` says of the task's step: ``gang``, ``count``, and either
-        ``work_s`` or, for a task that lasts, ``startup_s``.
+        ``work_s`` or, for a task that lasts, ``startup_s``; with ``fail_after_s``, its runs fail so
+        long after they have begun.
     """
 
     def __init__(self, task, number, work):
@@ -286,6 +287,7 @@
         self.number = number
         self.lasts = "startup_s" in work
         self.work_s = work["startup_s"] if self.lasts else work["work_s"]
+        self.fail_after_s = work.get("fail_after_s")
         self.gang_size = work["count"] if work.get("gang") else 1
         self.group = task.rpartition(".")[0], number
         self.arrived_s = time.monotonic()
@@ -419,13 +421,17 @@
                 self.end(run, "stopped")
             elif run.began_s is None:
                 self._begin(run, now_s)
-            elif self.fail_after_s is not None and run.began_s + self.fail_after_s <= now_s:
+            elif self._fails(run, now_s):
                 self.end(run, "failed")
             elif run.broken_s is not None and run.broken_s <= now_s:
                 self.end(run, "broken")
             elif not run.lasts and run.began_s + run.work_s <= now_s:
                 self.end(run, "done")
 
+    def _fails(self, run, now_s):
+        times_s = [run.fail_after_s, self.fail_after_s]
+        return any(time_s is not None and run.began_s + time_s <= now_s for time_s in times_s)
+
     def _begin(self, run, now_s):
         members = self._fleet.members(run.group)
         if len(members) >= run.gang_size:
