--- a/libs/events/src/papayaspar_events/lines.py
+++ b/libs/events/src/papayaspar_events/lines.py
@@ -68,6 +68,7 @@
     TASK_REFUSED = "task_refused"
     UNIT_STARTED = "unit_started"
     TASK_ENDED = "task_ended"
+    ATTEMPT_FAILED = "attempt_failed"
     TASK_LOST = "task_lost"
     TASK_STALLED = "task_stalled"
     TASK_UNKNOWN = "task_unknown"
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -378,6 +378,12 @@
             # capacity that it leaves is the first that the unit can have.
             task.failed_nodes.add(node)
         self._requeue(task, unit.failures + 1)
+        self._events.record(
+            lines.EventKind.ATTEMPT_FAILED,
+            job=task.key.job_id,
+            attempt=task.record.run,
+            detail=f"task={task.key} failures={unit.failures} attempts={unit.job.attempts}",
+        )
         if self.outcomes(node).record_failure(task.key.job_id, now_s, task.started_s, had_progress):
             self._events.record(
                 lines.EventKind.WORKER_EJECTED,
