Count a run of a gang as one failed attempt, however many members failed in it

Cause: each member that ended as failed raised the unit's failures by one, also when a new lead was told of a member after the former one had stored the failure of another. A count that is raised for each report is not that of the runs. Fix: the records and the unit have the number of the newest run that was counted (failed_run); a failure counts only if its run is above it. The lead replaced between two ends finds the number in the stored records. Records of former versions have none: the members of a run that fails while the lead is upgraded may count twice.

--- a/libs/jobs/src/papayaspar_jobs/tasks.py
+++ b/libs/jobs/src/papayaspar_jobs/tasks.py
@@ -98,8 +98,10 @@
     :param run: number of the newest run, from 1; 0 before the first.
     :param node: VM whose worker executes or executed that run, or empty.
     :param incarnation: incarnation of that worker, or ``None``.
-    :param failures: number of failed runs.
+    :param failures: number of failed runs of the task's unit, as known when the record was made.
     :param checkpoint: checkpoint from which the next run resumes, or empty.
+    :param failed_run: number of the newest run that ``failures`` counts; 0 if there is none, and in
+        records of former versions.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -108,3 +110,4 @@
     incarnation: Incarnation | None = None
     failures: int = 0
     checkpoint: str = ""
+    failed_run: int = 0
--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -206,7 +206,8 @@
     :param preempting_s: time at which other units were first stopped for this unit since it became
         ready, in seconds on the lead's clock, or ``None``.
 
-    :attr:`failures` is the number of failed runs.
+    :attr:`failures` is the number of failed runs; a run counts once, however many members failed in
+    it. :attr:`failed_run` is the number of the newest run that was counted, or 0.
     """
 
     job: "progress.JobProgress"
@@ -219,6 +220,7 @@
     _assigned_count: int = attrs.field(default=0, init=False)
     _done_count: int = attrs.field(default=0, init=False)
     failures: int = attrs.field(default=0, init=False)
+    failed_run: int = attrs.field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
         for task in self.members:
@@ -237,8 +239,22 @@
         self._count(task.record.phase, -1)
         self._count(record.phase, 1)
         self.failures = max(self.failures, record.failures)
+        self.failed_run = max(self.failed_run, record.failed_run)
         self.job.update_unit(self, has_run=record.run > 0)
 
+    def with_failure(self, record: tasks.TaskRecord) -> tasks.TaskRecord:
+        """Return a member's record with the failure of its run, which counts once for the unit.
+
+        A run is counted by its number, so that the failures of further members don't count, nor do
+        those that only a new lead is told of.
+
+        :param record: the member's record, whose run has failed.
+        """
+        failures = self.failures
+        if record.run > self.failed_run:
+            failures += 1
+        return attrs.evolve(record, failures=failures, failed_run=max(self.failed_run, record.run))
+
     def _count(self, phase: tasks.TaskPhase, change: int) -> None:
         if phase is tasks.TaskPhase.WAITING:
             self._waiting_count += change
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -285,18 +285,12 @@
             attempt=task.record.run,
             detail=f"task={task.key} node={task.record.node} reason={reason}",
         )
-        self._requeue(task, task.record.failures)
+        self._requeue(task, task.record)
 
-    def _requeue(self, task: units.Task, failures: int) -> None:
-        self._set_record(
-            task,
-            attrs.evolve(
-                task.record,
-                phase=tasks.TaskPhase.WAITING,
-                failures=failures,
-                checkpoint=task.checkpoint,
-            ),
-        )
+    def _requeue(self, task: units.Task, record: tasks.TaskRecord) -> None:
+        """Return a task to the queue with a record of its run's end."""
+        waiting = attrs.evolve(record, phase=tasks.TaskPhase.WAITING, checkpoint=task.checkpoint)
+        self._set_record(task, waiting)
         task.is_stopping = False
         unit = task.unit
         unit.ready_s = unit.preempting_s = None
@@ -330,7 +324,7 @@
         elif end.kind is tasks.EndKind.FAILED:
             self._apply_failure(node, task, now_s)
         else:
-            self._requeue(task, task.record.failures)
+            self._requeue(task, task.record)
 
     def apply_progress(self, task: units.Task, run_status: workers.RunStatus, now_s: float) -> None:
         """Apply the progress of a run, and store its newest checkpoint if the interval has passed.
@@ -377,13 +371,15 @@
             # A run that fails after it made progress most likely failed by its own fault, and the
             # capacity that it leaves is the first that the unit can have.
             task.failed_nodes.add(node)
-        self._requeue(task, unit.failures + 1)
-        self._events.record(
-            lines.EventKind.ATTEMPT_FAILED,
-            job=task.key.job_id,
-            attempt=task.record.run,
-            detail=f"task={task.key} failures={unit.failures} attempts={unit.job.attempts}",
-        )
+        counted_before = unit.failures
+        self._requeue(task, unit.with_failure(task.record))
+        if unit.failures > counted_before:
+            self._events.record(
+                lines.EventKind.ATTEMPT_FAILED,
+                job=task.key.job_id,
+                attempt=task.record.run,
+                detail=f"task={task.key} failures={unit.failures} attempts={unit.job.attempts}",
+            )
         if self.outcomes(node).record_failure(task.key.job_id, now_s, task.started_s, had_progress):
             self._events.record(
                 lines.EventKind.WORKER_EJECTED,
--- a/libs/lead/tests/test_gang_attempts.py
+++ b/libs/lead/tests/test_gang_attempts.py
@@ -14,9 +14,6 @@
 RUN_TIME_S = 0.4
 # Run time of the member that ends after a new lead has taken over, in seconds.
 LAST_RUN_TIME_S = 4.0
-KNOWN_FAILURE = pytest.mark.xfail(
-    strict=True, reason="KNOWN-RED.txt: each failed member of a gang counts as an attempt"
-)
 FINAL_PHASES = (registries.JobPhase.SUCCEEDED, registries.JobPhase.FAILED)
 
 
@@ -42,7 +39,6 @@
     return sorted({run for _, run, _ in cluster.run_recorder.starts})
 
 
-@KNOWN_FAILURE
 # Guards against a job that is shown as failed while it has attempts left, since each of several
 # members that failed in one run of its gang counted as an attempt.
 async def test_gang_whose_members_fail_together_has_attempts_left(
@@ -56,7 +52,6 @@
         assert _runs_started(cluster) == [1, 2]
 
 
-@KNOWN_FAILURE
 # Guards against a new lead that counts a run again when it is told of the members that failed
 # after the one whose failure the former lead had stored.
 async def test_new_lead_does_not_count_the_other_members_of_a_failed_run(
@@ -87,10 +82,7 @@
         assert _runs_started(cluster) == [1, 2]
 
 
-@pytest.mark.parametrize(
-    "attempts",
-    [1, pytest.param(2, marks=KNOWN_FAILURE), pytest.param(3, marks=KNOWN_FAILURE)],
-)
+@pytest.mark.parametrize("attempts", [1, 2, 3])
 async def test_gang_that_fails_all_its_attempts_is_shown_as_failed(
     start_cluster, make_job, make_queue, attempts
 ):
