Count a run that fails on a worker as one failure of it, however many members failed

Cause: each failed member was recorded as a failure of its worker; what keeps the repeats apart there is the start time, and members are marked as started one after the other, also after the first of them has failed. Fix: a unit notes on which VMs its newest failed run failed; a worker's failure is recorded once for a run.

--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -221,6 +221,8 @@
     _done_count: int = attrs.field(default=0, init=False)
     failures: int = attrs.field(default=0, init=False)
     failed_run: int = attrs.field(default=0, init=False)
+    _blamed_run: int = attrs.field(default=0, init=False)
+    _blamed_nodes: set[str] = attrs.field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
         for task in self.members:
@@ -255,6 +257,19 @@
             failures += 1
         return attrs.evolve(record, failures=failures, failed_run=max(self.failed_run, record.run))
 
+    def note_failed_node(self, run: int, node: str) -> bool:
+        """Note on which VM a member of a run failed; return whether it is the first one there.
+
+        :param run: number of the run.
+        :param node: VM of the member.
+        """
+        if run != self._blamed_run:
+            self._blamed_run = run
+            self._blamed_nodes.clear()
+        is_first = node not in self._blamed_nodes
+        self._blamed_nodes.add(node)
+        return is_first
+
     def _count(self, phase: tasks.TaskPhase, change: int) -> None:
         if phase is tasks.TaskPhase.WAITING:
             self._waiting_count += change
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -380,6 +380,8 @@
                 attempt=task.record.run,
                 detail=f"task={task.key} failures={unit.failures} attempts={unit.job.attempts}",
             )
+        if not unit.note_failed_node(task.record.run, node):
+            return
         if self.outcomes(node).record_failure(task.key.job_id, now_s, task.started_s, had_progress):
             self._events.record(
                 lines.EventKind.WORKER_EJECTED,
--- a/libs/lead/tests/test_gang_ends.py
+++ b/libs/lead/tests/test_gang_ends.py
@@ -4,6 +4,7 @@
 took 0.9 s, and was late.
 """
 
+import attrs
 import pytest
 
 from papayaspar_events import journal, metrics
@@ -62,3 +63,29 @@
         task.is_stopping = True
     _end_first_member(work, tasks.EndKind.STOPPED)
     assert _free_accelerators(work, 103.0) == [8, 0]
+
+
+# Guards against a worker that pauses for longer after one failed run, since each of several members
+# that failed on it counted as a failed trial; they were marked as started one after the other.
+def test_members_that_fail_on_one_worker_are_one_failure_of_it(work):
+    first, second = (work.find_task(tasks.TaskKey(JOB_ID, 0, 0, index)) for index in (0, 1))
+    second.record = attrs.evolve(second.record, node="node-0")
+    _end_first_member(work, tasks.EndKind.FAILED)
+    second.mark_started(103.1)
+    result = workers.RunResult(2, second.key, 1, tasks.EndKind.FAILED)
+    work.apply_end("node-0", result, 103.2)
+    assert first.is_waiting
+    assert second.is_waiting
+    assert work.outcomes("node-0").failed_trials == 1
+
+
+def test_members_that_fail_in_two_runs_on_one_worker_are_two_failures_of_it(work):
+    first = work.find_task(tasks.TaskKey(JOB_ID, 0, 0, 0))
+    unit = first.unit
+    for run in (1, 2):
+        for number, member in enumerate(unit.members, 1):
+            result = workers.RunResult(2 * run + number, member.key, run, tasks.EndKind.FAILED)
+            work.apply_end(member.record.node, result, 103.0 + 10.0 * run)
+        work.assign(unit, NODES, {node: tasks.Incarnation(node, 1) for node in NODES}, 115.0)
+    assert unit.failures == 2
+    assert work.outcomes("node-0").failed_trials == 2
