Let a gang that failed on several workers at once run there again after a pause

Cause: each failed member bars its worker for the unit until the unit has waited for its estimate, and workers on trial take no unit that has failed before. A gang of which members failed on one worker only waits as before.

--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -278,6 +278,11 @@
         elif phase is tasks.TaskPhase.DONE:
             self._done_count += change
 
+    @property
+    def has_failed_widely(self) -> bool:
+        """Whether members of its newest failed run failed on several VMs."""
+        return len(self._blamed_nodes) > 1
+
     @property
     def is_waiting(self) -> bool:
         """Whether every member waits to be started."""
--- a/libs/lead/tests/test_gang_attempts.py
+++ b/libs/lead/tests/test_gang_attempts.py
@@ -10,6 +10,7 @@
 # Each member takes the whole worker, so that the members of a gang run on different ones.
 MEMBER = specs.Resources(1000, 100, 8)
 GANG = specs.Step(3, MEMBER, 400, is_gang=True)
+LONG_GANG = specs.Step(3, MEMBER, 30_000, is_gang=True)
 NODES = ("node-1", "node-2", "node-3")
 RUN_TIME_S = 0.4
 # Run time of the member that ends after a new lead has taken over, in seconds.
@@ -82,6 +83,19 @@
         assert _runs_started(cluster) == [1, 2]
 
 
+# Guards against a gang that waits for its whole estimate beside idle workers, since its members
+# failed together on all the workers that could run it.
+async def test_gang_whose_members_fail_together_on_all_workers_runs_there_again(
+    start_cluster, make_job, make_queue
+):
+    async with start_cluster() as cluster:
+        await _start_failing_gang(cluster, make_job(1, LONG_GANG), make_queue(attempts=2))
+        _repair_workers(cluster)
+        await cluster.wait_until(lambda: _runs_started(cluster) == [1, 2], timeout_s=10.0)
+        await cluster.wait_until(lambda: cluster.phase(make_job(1).job_id) in FINAL_PHASES)
+        assert cluster.phase(make_job(1).job_id) is registries.JobPhase.SUCCEEDED
+
+
 @pytest.mark.parametrize("attempts", [1, 2, 3])
 async def test_gang_that_fails_all_its_attempts_is_shown_as_failed(
     start_cluster, make_job, make_queue, attempts
--- a/libs/scheduling/src/papayaspar_scheduling/health.py
+++ b/libs/scheduling/src/papayaspar_scheduling/health.py
@@ -156,6 +156,15 @@
         return now_s < self.ejected_until_s
 
 
+def repeat_pause_s(failures: int) -> float:
+    """Return the pause before a unit that failed on several workers at once may run there again.
+
+    :param failures: number of the unit's failed runs, at least 1.
+    :return: seconds.
+    """
+    return _doubled(TRIAL_PAUSE_S, failures, TRIAL_PAUSE_MAX_S)
+
+
 def _doubled(first_s: float, repetitions: int, longest_s: float) -> float:
     """Return a time that doubles with each repetition after the first, up to a longest one."""
     doublings = min(repetitions - 1, DOUBLINGS_MAX)
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -2,7 +2,15 @@
 
 import attrs
 
-from papayaspar_scheduling import claims, evictions, fleet, ordering, placement, preemption
+from papayaspar_scheduling import (
+    claims,
+    evictions,
+    fleet,
+    health,
+    ordering,
+    placement,
+    preemption,
+)
 
 # A unit may use remote racks, which make it slow, once it has waited this multiple of its estimate;
 # also workers that are not trusted, if it would not fit on the others even when they are idle.
@@ -276,6 +284,8 @@
             )
             if has_waited_long or not (fits or self._is_reconnect_expected):
                 scopes.append(placement.PlacementScope(is_remote_allowed=True))
+        if _may_repeat(demand) and not _fits_trusted(demand, free_after_stops):
+            scopes.append(placement.PlacementScope(is_untrusted_allowed=True))
         if has_waited_long and not _fits_trusted(demand, free_after_stops):
             scopes.append(
                 placement.PlacementScope(is_remote_allowed=True, is_untrusted_allowed=True)
@@ -329,6 +339,7 @@
         # Work that ends before a claim begins fits where longer work does not.
         step.estimate_ms,
         _has_waited_long(demand),
+        _may_repeat(demand),
         limited_step,
     )
 
@@ -338,6 +349,17 @@
     return demand.waited_s >= REMOTE_AFTER_ESTIMATES * estimate_s
 
 
+def _may_repeat(demand: ordering.Demand) -> bool:
+    """Return whether a gang may run on the workers on which its newest failed run failed.
+
+    Members that fail on several workers in one run most likely failed by the gang's own fault, so
+    that waiting for other workers would not help.
+    """
+    if not demand.unit.has_failed_widely:
+        return False
+    return demand.waited_s >= health.repeat_pause_s(demand.unit.failures)
+
+
 def _reserve(demand: ordering.Demand, nodes: tuple[str, ...], free: fleet.FreeCapacity) -> None:
     for task, node in zip(demand.unit.members, nodes, strict=True):
         free.reserve(node, task.step.counted_resources, fleet.step_name(task.key))
--- a/libs/scheduling/tests/test_trials.py
+++ b/libs/scheduling/tests/test_trials.py
@@ -67,3 +67,39 @@
     cluster.workers[3].is_trusted = False
     cluster.add_waiting_unit(make_step(), NORMAL, waited_s=60.0)
     assert _nodes(cluster.plan()) == ["node-3"]
+
+
+def _fail_run(unit, *nodes):
+    """Let a run of a unit fail on the given VMs."""
+    for member, node in zip(unit.members, nodes, strict=False):
+        member.failed_nodes.add(node)
+        unit.note_failed_node(1, node)
+    unit.members[0].record = tasks.TaskRecord(run=1, failures=1, failed_run=1)
+
+
+def test_gang_that_failed_on_several_workers_runs_there_again_after_a_pause(cluster, make_step):
+    gang = make_step(task_count=4, is_gang=True)
+    unit = cluster.add_waiting_unit(gang, NORMAL, waited_s=health.repeat_pause_s(1))
+    _fail_run(unit, "node-0", "node-1")
+    assert sorted(_nodes(cluster.plan())) == ["node-0", "node-1", "node-2", "node-3"]
+
+
+def test_gang_that_failed_on_several_workers_pauses_first(cluster, make_step):
+    gang = make_step(task_count=4, is_gang=True)
+    unit = cluster.add_waiting_unit(gang, NORMAL, waited_s=health.repeat_pause_s(1) / 2)
+    _fail_run(unit, "node-0", "node-1")
+    assert cluster.plan().starts == ()
+
+
+def test_gang_that_failed_on_several_workers_prefers_others(cluster, make_step):
+    gang = make_step(task_count=2, is_gang=True)
+    unit = cluster.add_waiting_unit(gang, NORMAL, waited_s=60.0)
+    _fail_run(unit, "node-0", "node-1")
+    assert sorted(_nodes(cluster.plan())) == ["node-2", "node-3"]
+
+
+def test_gang_that_failed_on_one_worker_waits_for_others(cluster, make_step):
+    gang = make_step(task_count=4, is_gang=True)
+    unit = cluster.add_waiting_unit(gang, NORMAL, waited_s=health.repeat_pause_s(1))
+    _fail_run(unit, "node-0")
+    assert cluster.plan().starts == ()
