Credit the success of a gang to the worker of each member

What callers would see: work waits although workers are sound: those that ran all but the first listed member of a gang that ended as done stay on trial, or are ejected for one failure before the gang and one after it. Fix: the success counts for the workers of all members of that run.

--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -320,7 +320,7 @@
         if end.checkpoint and task.step.is_checkpointed:
             task.checkpoint = end.checkpoint
         if end.kind is tasks.EndKind.DONE:
-            self._apply_success(node, task)
+            self._apply_success(task)
         elif end.kind is tasks.EndKind.FAILED:
             self._apply_failure(node, task, now_s)
         else:
@@ -354,8 +354,11 @@
             return
         self.outcomes(task.record.node).record_pace(ratio)
 
-    def _apply_success(self, node: str, task: units.Task) -> None:
-        self.outcomes(node).record_success(task.started_s)
+    def _apply_success(self, task: units.Task) -> None:
+        """Complete a unit; the success of a gang is one of each worker on which it ran."""
+        for member in task.unit.members:
+            if member.record.run == task.record.run:
+                self.outcomes(member.record.node).record_success(member.started_s)
         self._complete(task.unit)
 
     def _complete(self, unit: units.Unit) -> None:
--- /dev/null
+++ b/libs/lead/tests/test_run_outcomes.py
@@ -0,0 +1,77 @@
+"""What the end and the progress of a run say about its workers, and what is restored of it."""
+
+from papayaspar_events import journal, metrics
+from papayaspar_jobs import configurations, registries, specs, tasks
+from papayaspar_lead import workload
+from papayaspar_model import causality, clock
+from papayaspar_runs import workers
+from papayaspar_scheduling import health
+
+CAPACITY = specs.Resources(8000, 8000, 8)
+MEMBER = specs.Resources(1000, 100, 4)
+JOB_ID = "0" * 16
+NODES = ("node-0", "node-1")
+QUEUE = configurations.Queue("checks", "host", "/checks/", "pool", 3000, 0, 2, 1.5, 250)
+FAILED, DONE = tasks.EndKind.FAILED, tasks.EndKind.DONE
+
+
+def _registry(*steps, **changes):
+    registry = registries.JobRegistry()
+    registry.accept(specs.JobSpec(JOB_ID, "checks", "team", "", steps, **changes), QUEUE, 0)
+    return registry
+
+
+def _workload(*steps, **changes):
+    hybrid_clock = causality.HybridClock(clock.BootClock())
+    work = workload.Workload(journal.Journal("entry", "dc", hybrid_clock, metrics.Metrics()))
+    work.sync(_registry(*steps, **changes), 100.0)
+    return work
+
+
+def _gang(count=2):
+    return specs.Step(count, MEMBER, 5000, is_gang=True)
+
+
+def _assign(work, nodes, now_s, is_started=True):
+    (demand,) = work.demands(now_s, 1e15)
+    work.assign(demand.unit, nodes, {node: tasks.Incarnation(node, 1) for node in nodes}, now_s)
+    if is_started:
+        for task in demand.unit.members:
+            task.mark_started(now_s)
+    return demand.unit
+
+
+def _end(work, node, index, run, kind, now_s, number=1):
+    key = tasks.TaskKey(JOB_ID, 0, 0, index)
+    work.apply_end(node, workers.RunResult(number, key, run, kind), now_s)
+
+
+def _progress(work):
+    (active,) = work.jobs()
+    return active.progress
+
+
+# Guards against workers that stay on trial although a run of a gang has succeeded on them: only the
+# worker whose end is read first is credited.
+def test_success_of_a_gang_is_credited_to_the_worker_of_each_member():
+    work = _workload(_gang())
+    for node in NODES:
+        work.outcomes(node).record_failure("other", 90.0)
+    _assign(work, NODES, 100.0)
+    _end(work, "node-0", 0, 1, DONE, 105.0)
+    _end(work, "node-1", 1, 1, DONE, 105.0)
+    trials = [work.outcomes(node).trial(106.0, 100.0) for node in NODES]
+    assert trials == [health.Trial.NONE, health.Trial.NONE]
+
+
+# Guards against a worker that is ejected since two jobs failed on it, although a gang succeeded on
+# it between the two.
+def test_success_of_a_gang_lies_between_two_failures_of_each_worker():
+    work = _workload(_gang())
+    for node in NODES:
+        work.outcomes(node).record_failure("first", 90.0, 80.0, had_progress=True)
+    _assign(work, NODES, 100.0)
+    _end(work, "node-0", 0, 1, DONE, 105.0)
+    _end(work, "node-1", 1, 1, DONE, 105.0)
+    ejected = [work.outcomes(node).record_failure("second", 110.0, 108.0, True) for node in NODES]
+    assert ejected == [False, False]
