Count the progress of a gang's run for all its members

What callers would see: after a run of a gang that had made progress fails by its own fault, workers are left out for the gang and go on trial, since the report of their own member came later than that of another one. Cause: the members of a gang work only together, but each failed member was judged by its own reports. Fix: progress of any member of the run shows that the run could work.

--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -369,7 +369,7 @@
 
     def _apply_failure(self, node: str, task: units.Task, now_s: float) -> None:
         unit = task.unit
-        had_progress = task.has_proven_start
+        had_progress = unit.has_proven_start(task.record.run)
         if not had_progress:
             # A run that fails after it made progress most likely failed by its own fault, and the
             # capacity that it leaves is the first that the unit can have.
--- a/libs/lead/tests/test_run_outcomes.py
+++ b/libs/lead/tests/test_run_outcomes.py
@@ -75,3 +75,15 @@
     _end(work, "node-1", 1, 1, DONE, 105.0)
     ejected = [work.outcomes(node).record_failure("second", 110.0, 108.0, True) for node in NODES]
     assert ejected == [False, False]
+
+
+# Guards against a worker that goes on trial, and is barred for the gang, since the reports of its
+# member came later than those of another member of the same run.
+def test_progress_of_a_run_of_a_gang_counts_for_all_its_members():
+    work = _workload(_gang())
+    unit = _assign(work, NODES, 100.0)
+    report = workers.RunStatus(unit.members[0].key, 1, percent=50.0)
+    work.apply_progress(unit.members[0], report, 103.0)
+    _end(work, "node-0", 0, 1, FAILED, 103.1)
+    _end(work, "node-1", 1, 1, FAILED, 103.1)
+    assert unit.failed_nodes == frozenset()
