Restore the counted run of records of former versions and of other writers

What callers would see: a gang shown as failed with attempts left while the system is upgraded, if the former lead stored the failure of one member and the new one is told of another; and a task that is started for ever after a record of another writer that names a counted run far ahead. Cause: records of former versions have no counted run, and the field was not checked against the run. Fix: a restored record whose run has ended counts it as counted if it has failures; a counted run is never above the run. What this allows: a gang may get one attempt more, if the run that was stored last had not failed before the upgrade.

--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -125,7 +125,7 @@
         self._create_occurrence(key.occurrence)
         task = self._tasks.get(key)
         if task is not None:
-            task.record = record
+            task.record = record.restored()
         return task
 
     def _create_occurrence(self, occurrence: int) -> bool:
--- a/libs/jobs/src/papayaspar_jobs/tasks.py
+++ b/libs/jobs/src/papayaspar_jobs/tasks.py
@@ -111,3 +111,14 @@
     failures: int = 0
     checkpoint: str = ""
     failed_run: int = 0
+
+    def restored(self) -> "TaskRecord":
+        """Return the record as read from the store, with a counted run that agrees with it.
+
+        A record of a former version has no counted run. Its newest run counts as counted once it
+        has ended: to count it again could end a job that has attempts left.
+        """
+        failed_run = min(self.failed_run, self.run)
+        if self.failures > 0 and failed_run == 0 and self.phase is TaskPhase.WAITING:
+            failed_run = self.run
+        return attrs.evolve(self, failed_run=failed_run)
--- a/libs/lead/tests/test_run_outcomes.py
+++ b/libs/lead/tests/test_run_outcomes.py
@@ -1,11 +1,14 @@
 """What the end and the progress of a run say about its workers, and what is restored of it."""
 
+import msgpack
+
 from papayaspar_events import journal, metrics
 from papayaspar_jobs import configurations, registries, specs, tasks
 from papayaspar_lead import workload
 from papayaspar_model import causality, clock
 from papayaspar_runs import workers
 from papayaspar_scheduling import health
+from papayaspar_store import records, stores
 
 CAPACITY = specs.Resources(8000, 8000, 8)
 MEMBER = specs.Resources(1000, 100, 4)
@@ -87,3 +90,28 @@
     _end(work, "node-0", 0, 1, FAILED, 103.1)
     _end(work, "node-1", 1, 1, FAILED, 103.1)
     assert unit.failed_nodes == frozenset()
+
+
+# Guards against a job that is shown as failed with attempts left, since a former version stored the
+# failure of one member of a run and this one is told of another.
+def test_failure_stored_by_a_former_version_counts_once():
+    work = _workload(_gang())
+    for index, phase in enumerate((tasks.TaskPhase.WAITING, tasks.TaskPhase.ASSIGNED)):
+        former = {"phase": phase.value, "run": 1, "node": NODES[index], "failures": 1 - index}
+        stored = stores.KeyedRecord("task/", msgpack.packb(former))
+        key = tasks.TaskKey(JOB_ID, 0, 0, index)
+        work.restore(key, records.decode(stored, tasks.TaskRecord), 100.0)
+    _end(work, "node-1", 1, 1, FAILED, 101.0)
+    assert not _progress(work).has_failed
+
+
+# Guards against a task that is started for ever, since a record of another writer says that a run
+# far ahead was counted.
+def test_counted_run_of_a_record_is_not_above_its_run():
+    work = _workload(specs.Step(1, MEMBER, 1000))
+    key = tasks.TaskKey(JOB_ID, 0, 0, 0)
+    odd = msgpack.packb({"run": 1, "failures": 1, "failed_run": 10**9})
+    work.restore(key, records.decode(stores.KeyedRecord("task/", odd), tasks.TaskRecord), 100.0)
+    _assign(work, ("node-0",), 100.0)
+    _end(work, "node-0", 0, 2, FAILED, 101.0)
+    assert _progress(work).has_failed
