Let progress that is reported to a new lead prove a run

What callers would see: a run that goes on under a new lead for seconds and then fails by its own fault bars its worker for the unit and puts it on trial. Cause: only runs that the lead itself had started from the beginning could show progress, since the first report of others includes earlier work. Fix: for other runs the time counts from the first report to the newest progress.

--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -68,6 +68,8 @@
     _unit: "Unit | None" = attrs.field(default=None, init=False, repr=False)
     _is_start_time_known: bool = attrs.field(default=True, init=False)
     _is_fresh_start: bool = attrs.field(default=False, init=False)
+    # Time of the first report of the run's progress to this lead, on the lead's clock.
+    _reported_s: float | None = attrs.field(default=None, init=False)
 
     @property
     def has_unit(self) -> bool:
@@ -94,6 +96,7 @@
         self._is_fresh_start = not self.record.checkpoint
         self.started_s = self.progressed_s = self.checkpoint_stored_s = now_s
         self.percent = 0.0
+        self._reported_s = None
 
     def mark_started(self, now_s: float) -> None:
         """Record that the worker has started the run.
@@ -114,6 +117,7 @@
         self.percent = 0.0
         self._is_fresh_start = False
         self._is_start_time_known = False
+        self._reported_s = None
 
     def update_progress(self, percent: float, now_s: float) -> None:
         """Update the progress of the run.
@@ -125,15 +129,19 @@
             self._is_start_time_known = True
             self.started_s -= self.step.estimate_ms / MILLISECONDS_PER_SECOND * percent / 100.0
         if percent > self.percent:
+            if self._reported_s is None:
+                self._reported_s = now_s
             self.percent = percent
             self.progressed_s = now_s
 
     @property
     def has_proven_start(self) -> bool:
         """Whether the run shows lasting progress of its own, not only that of a checkpoint."""
-        if not self._is_fresh_start or self.percent < PACE_PERCENT_MIN:
+        if self._reported_s is None or self.percent < PACE_PERCENT_MIN:
             return False
-        return self.progressed_s - self.started_s >= PROVEN_RUN_S
+        # The first report of a run that resumed, or that a former lead started, shows earlier work.
+        since_s = self.started_s if self._is_fresh_start else self._reported_s
+        return self.progressed_s - since_s >= PROVEN_RUN_S
 
     def pace_ratio(self, now_s: float) -> float | None:
         """Return the projected duration of the run as a multiple of its estimate.
@@ -257,6 +265,13 @@
             failures += 1
         return attrs.evolve(record, failures=failures, failed_run=max(self.failed_run, record.run))
 
+    def has_proven_start(self, run: int) -> bool:
+        """Return whether a run shows lasting progress; the members of a gang work only together.
+
+        :param run: number of the run.
+        """
+        return any(task.has_proven_start for task in self.members if task.record.run == run)
+
     def note_failed_node(self, run: int, node: str) -> bool:
         """Note on which VM a member of a run failed; return whether it is the first one there.
 
--- a/libs/lead/tests/test_run_outcomes.py
+++ b/libs/lead/tests/test_run_outcomes.py
@@ -92,6 +92,21 @@
     assert unit.failed_nodes == frozenset()
 
 
+# Guards against workers that are barred for a unit, and go on trial, since its run was started by a
+# former lead, although this lead has seen it make progress for seconds.
+def test_progress_of_a_run_that_was_taken_over_counts():
+    work = _workload(specs.Step(1, MEMBER, 10_000))
+    key = tasks.TaskKey(JOB_ID, 0, 0, 0)
+    incarnation = tasks.Incarnation("node-0", 1)
+    record = tasks.TaskRecord(tasks.TaskPhase.ASSIGNED, 1, "node-0", incarnation)
+    work.restore(key, record, 100.0)
+    task = work.find_task(key)
+    for percent, now_s in ((40.0, 100.5), (50.0, 101.5), (60.0, 102.5)):
+        work.apply_progress(task, workers.RunStatus(key, 1, percent=percent), now_s)
+    _end(work, "node-0", 0, 1, FAILED, 102.6)
+    assert task.failed_nodes == set()
+
+
 # Guards against a job that is shown as failed with attempts left, since a former version stored the
 # failure of one member of a run and this one is told of another.
 def test_failure_stored_by_a_former_version_counts_once():
