--- a/libs/lead/tests/test_run_outcomes.py
+++ b/libs/lead/tests/test_run_outcomes.py
@@ -1,6 +1,7 @@
 """What the end and the progress of a run say about its workers, and what is restored of it."""
 
 import msgpack
+import pytest
 
 from papayaspar_events import journal, metrics
 from papayaspar_jobs import configurations, registries, specs, tasks
@@ -130,3 +131,42 @@
     _assign(work, ("node-0",), 100.0)
     _end(work, "node-0", 0, 2, FAILED, 101.0)
     assert _progress(work).has_failed
+
+
+# Guards against a stall timeout that grows with assignments that never started.
+@pytest.mark.xfail(
+    strict=True, reason="KNOWN-RED.txt: the stall timeout grows with runs that never started"
+)
+def test_refused_starts_do_not_lengthen_the_stall_timeout():
+    work = _workload(specs.Step(1, MEMBER, 1000, is_checkpointed=True))
+    for attempt in range(9):
+        unit = _assign(work, ("node-0",), 100.0 + attempt, is_started=False)
+        unit.members[0].is_starting = False
+        work.release(unit.members[0], "refused: room")
+    unit = _assign(work, ("node-0",), 110.0)
+    assert work.stalled_units(116.1) == [unit]
+
+
+STALLED_NODES = ("node-1", "node-2", "node-3")
+
+
+# Guards against a gang that ejects the workers of all its members: they work only together, so that
+# one worker that stalls holds up the others.
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: a stalled gang ejects all its workers")
+@pytest.mark.anyio
+async def test_stalled_gang_does_not_eject_the_workers_of_all_its_members(start_cluster, make_job):
+    whole = specs.Resources(1000, 100, 8)
+    async with start_cluster() as cluster:
+        entry = await cluster.add_entry("entry-1")
+        for node in STALLED_NODES:
+            agent = await cluster.add_agent(node)
+            agent.worker.run_time_s = 600.0
+        cluster.submit(make_job(1, specs.Step(3, whole, 30_000, is_gang=True)))
+        await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == len(STALLED_NODES))
+        await cluster.wait_until(
+            lambda: not any(cluster.run_recorder.running.values()), timeout_s=15.0
+        )
+        work = entry.election.scheduler._state.work
+        now_s = cluster.clock.now_s()
+        ejected = [node for node in STALLED_NODES if work.outcomes(node).is_ejected(now_s)]
+        assert len(ejected) < len(STALLED_NODES)
