--- a/libs/lead/tests/test_review_refuted.py
+++ b/libs/lead/tests/test_review_refuted.py
@@ -298,13 +298,40 @@
     spec = make_job(1, specs.Step(3, WHOLE, 400, is_gang=True))
     full = memory_workers.WorkerFault.FULL
     async with start_cluster() as cluster:
-        await _run_gang(cluster, spec, make_queue(attempts=2), (FAILS, FAILS, full), (0.05,) * 3)
+        await _run_gang(cluster, spec, make_queue(attempts=2), (FAILS, FAILS, full), (0.3,) * 3)
+        # The members that started end as failed before they are stopped.
+        for agent in cluster.agents.values():
+            agent.worker.stop_time_s = 60.0
         await cluster.wait_until(lambda: len(cluster.run_recorder.starts) >= 2)
         _repair(cluster)
         await cluster.wait_until(lambda: cluster.phase(spec.job_id) in FINAL_PHASES)
         assert cluster.phase(spec.job_id) is registries.JobPhase.SUCCEEDED
 
 
+async def test_new_lead_stops_the_runs_of_a_job_that_was_shown_as_failed_early(
+    start_cluster, make_job, make_queue
+):
+    spec = make_job(1, specs.Step(3, WHOLE, 400, is_gang=True))
+    async with start_cluster() as cluster:
+        await _run_gang(cluster, spec, make_queue(attempts=1), (FAILS,) * 3, (0.3, 60.0, 60.0))
+        await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == 3)
+        for node in NODES[1:]:
+            cluster.agents[node].worker.stop_time_s = 60.0
+        await cluster.wait_until(lambda: cluster.phase(spec.job_id) is registries.JobPhase.FAILED)
+        cluster.entries["entry-1"].scope.cancel()
+        _repair(cluster)
+        for node in NODES[1:]:
+            for run in cluster.agents[node].worker._runs.values():
+                run.stop_s = None
+            cluster.agents[node].worker.stop_time_s = 0.0
+        entry = await cluster.add_entry("entry-2")
+        await cluster.wait_until(lambda: entry.election.is_lead)
+        await cluster.wait_until(lambda: not any(cluster.run_recorder.running.values()))
+        await cluster.sleep(1.0)
+        assert cluster.phase(spec.job_id) is registries.JobPhase.FAILED
+        assert _runs(cluster) == [1]
+
+
 def test_gang_that_lasts_has_no_limit_of_attempts():
     step = attrs.evolve(GANG, is_lasting=True)
     work = workload.Workload(
