Store the count of failed runs with each member of the next run

What callers would see: a gang that starts once more than its queue allows, if the one record with its count is damaged and the lead is replaced. Cause: only the members whose failure was applied had the count in their records. Fix: an assignment writes the unit's count into the records of all members. Evidence: the test failed before.

--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -266,6 +266,9 @@
                     node=node,
                     incarnation=incarnations[node],
                     checkpoint=checkpoint,
+                    # One damaged record then does not lose the count of a gang.
+                    failures=unit.failures,
+                    failed_run=unit.failed_run,
                 ),
             )
             task.mark_starting(now_s)
--- a/libs/lead/tests/test_run_outcomes.py
+++ b/libs/lead/tests/test_run_outcomes.py
@@ -121,6 +121,19 @@
     assert not _progress(work).has_failed
 
 
+# Guards against a gang that has more attempts than its queue allows, since the record of the member
+# whose failure was counted is damaged.
+def test_each_member_of_the_next_run_has_the_count_in_its_record():
+    work = _workload(_gang())
+    _assign(work, NODES, 100.0)
+    for index, node in enumerate(NODES):
+        _end(work, node, index, 1, tasks.EndKind.BROKEN if index else FAILED, 101.0)
+    unit = _assign(work, NODES, 120.0)
+    restored = _workload(_gang())
+    restored.restore(unit.members[1].key, unit.members[1].record, 130.0)
+    assert restored.find_task(unit.members[0].key).unit.failures == 1
+
+
 # Guards against a task that is started for ever, since a record of another writer says that a run
 # far ahead was counted.
 def test_counted_run_of_a_record_is_not_above_its_run():
