Bound how long a refusal or a failure keeps work from its only workers

Cause: nothing but the unit's own estimate ended the exclusion of a worker by a refused start or a failed run. Fix: where no other worker can hold the unit, it may run there again after a pause of 0.5 to 2 s that doubles with its runs, if this costs no attempt (a refused start, a task that lasts) or if members of a gang failed on several workers in one run. The gang's pause, which ended at 6 s, is bounded the same way. A task that failed on its only worker and has attempts to save waits as before.

--- a/libs/scheduling/src/papayaspar_scheduling/health.py
+++ b/libs/scheduling/src/papayaspar_scheduling/health.py
@@ -23,6 +23,9 @@
 # Pause before the first trial after a failure, in seconds; it doubles with each failed trial.
 TRIAL_PAUSE_S = 0.5
 TRIAL_PAUSE_MAX_S = 6.0
+# Longest pause before a unit without other workers runs where it failed or was refused, in seconds:
+# work that waits for 3 s beside room for it counts as lost (LOST in the platform's rules).
+REPEAT_PAUSE_MAX_S = 2.0
 # Largest number of doublings of a pause or an ejection; a power of two of the number of failures of
 # many hours would not fit into a float.
 DOUBLINGS_MAX = 16
@@ -156,13 +159,13 @@
         return now_s < self.ejected_until_s
 
 
-def repeat_pause_s(failures: int) -> float:
-    """Return the pause before a unit that failed on several workers at once may run there again.
+def repeat_pause_s(runs: int) -> float:
+    """Return the pause before a unit may run again on a worker where it failed or was refused.
 
-    :param failures: number of the unit's failed runs, at least 1.
+    :param runs: number of the unit's runs until now, at least 1.
     :return: seconds.
     """
-    return _doubled(TRIAL_PAUSE_S, failures, TRIAL_PAUSE_MAX_S)
+    return _doubled(TRIAL_PAUSE_S, runs, REPEAT_PAUSE_MAX_S)
 
 
 def _doubled(first_s: float, repetitions: int, longest_s: float) -> float:
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -350,14 +350,18 @@
 
 
 def _may_repeat(demand: ordering.Demand) -> bool:
-    """Return whether a gang may run on the workers on which its newest failed run failed.
+    """Return whether a unit may run where it failed or was refused, if no other worker can hold it.
 
-    Members that fail on several workers in one run most likely failed by the gang's own fault, so
-    that waiting for other workers would not help.
+    A refused start costs no attempt, and tasks that last have no limit of attempts. Members of a
+    gang that fail on several workers in one run most likely failed by the gang's own fault, so that
+    waiting for other workers would not help.
     """
-    if not demand.unit.has_failed_widely:
+    unit = demand.unit
+    if not unit.failed_nodes:
         return False
-    return demand.waited_s >= health.repeat_pause_s(demand.unit.failures)
+    if unit.failures > 0 and not unit.step.is_lasting and not unit.has_failed_widely:
+        return False
+    return demand.waited_s >= health.repeat_pause_s(unit.next_run - 1)
 
 
 def _reserve(demand: ordering.Demand, nodes: tuple[str, ...], free: fleet.FreeCapacity) -> None:
--- a/libs/scheduling/tests/test_trials.py
+++ b/libs/scheduling/tests/test_trials.py
@@ -103,3 +103,46 @@
     unit = cluster.add_waiting_unit(gang, NORMAL, waited_s=health.repeat_pause_s(1))
     _fail_run(unit, "node-0")
     assert cluster.plan().starts == ()
+
+
+def _refuse_start(unit, *nodes):
+    """Let the workers of the given VMs refuse the start of a unit."""
+    unit.members[0].failed_nodes.update(nodes)
+    unit.members[0].record = tasks.TaskRecord(run=1)
+
+
+# Guards against a task that waits for its whole estimate beside the only worker that it may use,
+# which refused one start and is well again.
+def test_unit_whose_start_was_refused_by_its_only_worker_tries_it_again(cluster, make_step):
+    cluster.workers[3].labels |= {"only"}
+    step = make_step(required_label="only", estimate_ms=60_000)
+    unit = cluster.add_waiting_unit(step, NORMAL, waited_s=health.repeat_pause_s(1))
+    _refuse_start(unit, "node-3")
+    assert _nodes(cluster.plan()) == ["node-3"]
+
+
+def test_unit_whose_start_was_refused_waits_for_another_worker(cluster, make_step):
+    for node in ("node-0", "node-1", "node-2"):
+        cluster.add_running_unit(make_step(), node, rank=NORMAL)
+    unit = cluster.add_waiting_unit(make_step(estimate_ms=60_000), NORMAL, waited_s=5.0)
+    _refuse_start(unit, "node-3")
+    assert cluster.plan().starts == ()
+
+
+# Guards against a task that lasts and stays away for its whole estimate, after it has failed during
+# its startup on each worker.
+def test_lasting_task_that_failed_on_every_worker_is_restarted(cluster, make_step):
+    step = make_step(is_lasting=True, estimate_ms=60_000)
+    unit = cluster.add_waiting_unit(step, NORMAL, waited_s=health.REPEAT_PAUSE_MAX_S)
+    unit.members[0].failed_nodes.update(worker.node for worker in cluster.workers)
+    unit.members[0].record = tasks.TaskRecord(run=9, failures=9, failed_run=9)
+    assert len(_nodes(cluster.plan())) == 1
+
+
+def test_task_that_failed_on_its_only_worker_saves_its_attempts(cluster, make_step):
+    cluster.workers[3].labels |= {"only"}
+    step = make_step(required_label="only", estimate_ms=60_000)
+    unit = cluster.add_waiting_unit(step, NORMAL, waited_s=5.0)
+    unit.members[0].failed_nodes.add("node-3")
+    unit.members[0].record = tasks.TaskRecord(run=1, failures=1, failed_run=1)
+    assert cluster.plan().starts == ()
