Keep requests whose key's owner has just left until the next shard map

A caller that sent a key right after the agent that owned its shard had left in an orderly way got 503 (ran: unknown), although the claims had been handed over and the new owner answered a few milliseconds later.

Cause: an agent closes its streams as soon as it has handed its shards over. The entry that took them proposes the next map up to half a second later. In between, the map names an owner without a stream, and Deduplicator answered 503 at once. The test passed only because the exit of the agent's process usually takes longer than that.

Two hypotheses: (1) the request arrives before the next map; then the map follows, and only the keys sent before it are refused; (2) the answer with the claims is lost with the stream; then no map follows, and every key of the agent is refused.

The entry now sends the claim again until the deadline of the request: at the next map, and every 0.1 s as for a shard that is moving. It does so only if the owner reported that it drains, and for 5 s after its stream closed. Other lost owners are refused at once as before. A request runs only after an answer that grants its claim, and an owner grants a key again only to the same request id, so it still runs at most once. The 1.5 s for the claims to reach a new owner count from the first claim sent to that owner, since the wait for the map had used them up.

--- a/libs/entry/src/papayaspar_entry/deduplication.py
+++ b/libs/entry/src/papayaspar_entry/deduplication.py
@@ -6,8 +6,9 @@
 import attrs
 from cattrs.preconf import json as cattrs_json
 
-from papayaspar_dispatch import calls, claims
+from papayaspar_dispatch import calls, claims, shards
 from papayaspar_entry import answers, sessions, shard_manager
+from papayaspar_membership import members
 from papayaspar_model import clock, errors, identifiers, work
 from papayaspar_wire import messages
 
@@ -15,6 +16,8 @@
 SETTLE_ATTEMPTS_MAX = 30
 RETRY_INTERVAL_S = 0.1
 UNKNOWN_TIMEOUT_S = 1.5
+# Time for the next shard map to arrive after a draining owner has left.
+HANDOVER_TIMEOUT_S = 5.0
 
 _CONVERTER = cattrs_json.make_converter()
 
@@ -24,11 +27,11 @@
     """A claim and the worker to send it to.
 
     :param claim: claim of an idempotency key.
-    :param owner: name of the worker that owns the key's shard.
+    :param owner: owner of the key's shard.
     """
 
     claim: claims.Claim
-    owner: str
+    owner: shards.ShardOwner
 
 
 class Deduplicator:
@@ -36,19 +39,22 @@
 
     The key is claimed at the owner of its shard, which also stores the answer.
 
+    :param table: this entry's table of workers.
     :param agent_sessions: streams to the agents.
-    :param shards: manager of the shard map.
+    :param shard_maps: manager of the shard map.
     :param clock_source: source of monotonic and wall-clock time.
     """
 
     def __init__(
         self,
+        table: members.MemberTable,
         agent_sessions: sessions.Sessions,
-        shards: shard_manager.ShardManager,
+        shard_maps: shard_manager.ShardManager,
         clock_source: clock.Clock,
     ) -> None:
+        self._table = table
         self._sessions = agent_sessions
-        self._shards = shards
+        self._shards = shard_maps
         self._clock = clock_source
 
     async def run(
@@ -74,19 +80,28 @@
     async def _claim(
         self, request: work.Request, key: str
     ) -> tuple[RoutedClaim, answers.Answer | None]:
-        started_s = self._clock.now_s()
+        owner: shards.ShardOwner | None = None
+        asked_since_s = self._clock.now_s()
         while True:
-            remaining_s = request.deadline_s - self._clock.now_s()
+            seen_sequence = self._shards.changes.sequence
+            now_s = self._clock.now_s()
+            remaining_s = request.deadline_s - now_s
             if remaining_s <= 0:
                 raise errors.DeadlineError("the key could not be claimed", ran=errors.Ran.UNKNOWN)
             routed = self._route_claim(request, key, remaining_s)
+            if routed.owner != owner:
+                owner = routed.owner
+                asked_since_s = now_s
             claim_answer = await self._send_claim(routed)
+            if claim_answer is None:
+                await self._wait_before_retry(seen_sequence)
+                continue
             if claim_answer.verdict is claims.Verdict.GRANTED:
                 return routed, None
             if claim_answer.verdict is claims.Verdict.SETTLED:
                 return routed, decode_answer(claim_answer.answer)
             # A new owner of the shard may not have received the claims of the previous owner yet.
-            may_retry_unknown = self._clock.now_s() - started_s < UNKNOWN_TIMEOUT_S
+            may_retry_unknown = self._clock.now_s() - asked_since_s < UNKNOWN_TIMEOUT_S
             if claim_answer.verdict is claims.Verdict.UNKNOWN and not may_retry_unknown:
                 raise errors.OutcomeUnknownError("an earlier request with the key may have run")
             if claim_answer.verdict is claims.Verdict.CONFLICT:
@@ -94,20 +109,30 @@
                     "the key was used before with different content", field="Idempotency-Key"
                 )
             # Another request with the key is in progress, or the shard is moving to another owner.
-            await anyio.sleep(RETRY_INTERVAL_S)
+            await self._wait_before_retry(seen_sequence)
+
+    async def _wait_before_retry(self, seen_sequence: int) -> None:
+        """Wait until a claim may be sent again: for the next shard map, or for the interval."""
+        with anyio.move_on_after(RETRY_INTERVAL_S):
+            await self._shards.changes.wait_for_change(seen_sequence)
 
-    async def _send_claim(self, routed: RoutedClaim) -> claims.ClaimAnswer:
+    async def _send_claim(self, routed: RoutedClaim) -> claims.ClaimAnswer | None:
         """Send a claim to the owner.
 
-        An unavailable owner may have granted the key before, so ``ran`` is ``unknown`` then.
+        :return: the answer, or ``None`` if there is none because the owner is leaving; the claim
+            may be sent again, because the request runs only after an answer that grants it.
+        :raises UnavailableError: if the owner is unavailable otherwise; it may have granted the
+            key before, so ``ran`` is ``unknown``.
         """
         link = self._shards.link
         revision = link.shard_map.revision if link is not None else 0
         message = calls.ClaimKey(routed.claim, revision)
         try:
-            peer = self._sessions.peer(routed.owner)
+            peer = self._sessions.peer(routed.owner.worker)
             reply = await peer.call(message, min(CLAIM_TIMEOUT_S, routed.claim.remaining_s))
         except errors.PeerError as error:
+            if self._is_leaving(routed.owner):
+                return None
             raise errors.UnavailableError(
                 f"the owner of the key's shard is unavailable: {error.detail}",
                 ran=errors.Ran.UNKNOWN,
@@ -115,6 +140,17 @@
             ) from error
         return messages.expect(reply, claims.ClaimAnswer)
 
+    def _is_leaving(self, owner: shards.ShardOwner) -> bool:
+        """Return whether an owner drains, or drained and left so recently that a map may follow."""
+        member = self._table.get(owner.worker)
+        if member is None or not member.report.draining:
+            return False
+        if member.report.identity.incarnation != owner.incarnation:
+            return False
+        if member.disconnected_at_s is None:
+            return True
+        return self._clock.now_s() - member.disconnected_at_s < HANDOVER_TIMEOUT_S
+
     def _route_claim(self, request: work.Request, key: str, remaining_s: float) -> RoutedClaim:
         link = self._shards.link
         if link is None:
@@ -131,7 +167,7 @@
             remaining_s=remaining_s,
             first_sent_s=identifiers.key_creation_time_s(key),
         )
-        return RoutedClaim(claim, link.shard_map.owner_of(request.team, key).worker)
+        return RoutedClaim(claim, link.shard_map.owner_of(request.team, key))
 
     async def _execute(
         self,
@@ -165,7 +201,8 @@
         """Send the outcome to the owner; if that fails, the key stays marked as possibly run."""
         for _ in range(SETTLE_ATTEMPTS_MAX):
             try:
-                reply = await self._sessions.peer(routed.owner).call(message, CLAIM_TIMEOUT_S)
+                peer = self._sessions.peer(routed.owner.worker)
+                reply = await peer.call(message, CLAIM_TIMEOUT_S)
                 if messages.expect(reply, calls.ClaimNoted).noted:
                     return
             except errors.PapayasparError:
@@ -175,7 +212,7 @@
             link = self._shards.link
             if link is not None:
                 owner = link.shard_map.owner_of(routed.claim.team, routed.claim.key)
-                routed = attrs.evolve(routed, owner=owner.worker)
+                routed = attrs.evolve(routed, owner=owner)
 
 
 def encode_answer(answer: answers.Answer) -> bytes:
--- a/libs/entry/src/papayaspar_entry/process.py
+++ b/libs/entry/src/papayaspar_entry/process.py
@@ -86,7 +86,9 @@
         self._shard_handovers = shard_handovers.ShardHandovers(
             self._table, self._sessions, self._shards
         )
-        self._deduplicator = deduplication.Deduplicator(self._sessions, self._shards, self._clock)
+        self._deduplicator = deduplication.Deduplicator(
+            self._table, self._sessions, self._shards, self._clock
+        )
         self._admission = queues.AdmissionQueue(self._clock)
         self._retries = budgets.RetryBudget(self._clock)
         self._outlier_detector = ejection.OutlierDetector(self._clock)
--- a/libs/entry/tests/test_deduplication.py
+++ b/libs/entry/tests/test_deduplication.py
@@ -6,7 +6,8 @@
 
 from papayaspar_dispatch import calls, claim_tables, shard_chains, shards
 from papayaspar_entry import answers, deduplication
-from papayaspar_model import clock, errors, work, workers
+from papayaspar_membership import members
+from papayaspar_model import clock, errors, signals, work, workers
 
 OWNER = workers.WorkerIdentity("w1", 1, "rack-1", "dc-1", "region-1")
 
@@ -15,6 +16,7 @@
     """Agent that owns every shard, and the entry's stream to it."""
 
     def __init__(self):
+        self.changes = signals.ChangeSignal()
         self.link = shard_chains.ChainLink(shards.create_initial_map([OWNER]), 1)
         self.table = claim_tables.ClaimTable("w1", 1, clock.BootClock())
         self.table.adopt(self.link)
@@ -39,7 +41,7 @@
 
 @pytest.fixture
 def deduplicator(owner):
-    return deduplication.Deduplicator(owner, owner, clock.BootClock())
+    return deduplication.Deduplicator(members.MemberTable(), owner, owner, clock.BootClock())
 
 
 def make_request(request_id):
