Let a leaving agent wait until its claims have reached the entry

The answer of a leaving agent with the claims of its shards could be lost. No entry had evidence of the handover then, so no next map followed, and callers got 503 for the keys of its shards until its VM was replaced; for the next 15 minutes the new owner would have answered `unknown`.

Cause: the agent counted the handover as complete when the shards were frozen, and closed its streams then. The answer was sent only if nothing else was being sent on that stream: if it had to wait for the stream, it was cancelled. By the code, an answer larger than the buffers of the connection could be cut too; that was not run.

The agent now sends its state to each entry after the handover and waits for the acknowledgement, as it does for the replies to requests; an entry reads a stream in order. The bound of 5 s on the handover is unchanged and covers it.

--- a/libs/agent/src/papayaspar_agent/process.py
+++ b/libs/agent/src/papayaspar_agent/process.py
@@ -293,6 +293,7 @@
             await self._wait_no_gangs()
         with anyio.move_on_after(HAND_OVER_TIMEOUT_S):
             await self.claims.wait_handed_over()
+            await self._wait_handover_received()
 
     async def _wait_replies_received(self) -> None:
         """Wait until the entries have received the replies to all requests that have completed.
@@ -305,8 +306,18 @@
 
     async def _wait_peer_received(self, peer: peers.Peer) -> None:
         await peer.wait_replied()
+        await self._wait_sent_received(peer)
+
+    async def _wait_handover_received(self) -> None:
+        """Wait until the entries have received the claims of the shards that were handed over."""
+        async with anyio.create_task_group() as group:
+            for peer in self._entry_peers:
+                group.start_soon(self._wait_sent_received, peer)
+
+    async def _wait_sent_received(self, peer: peers.Peer) -> None:
+        """Wait until an entry has received what was sent to it before."""
         try:
-            # The entry reads frames in order, so its answer shows that it has the replies.
+            # The entry reads frames in order, so its answer shows that it has the earlier ones.
             await peer.call(messages.Report(self.report()), HELLO_TIMEOUT_S)
         except errors.PapayasparError as error:
             self._journal.record(lines.EventKind.PEER_LOST, code=error.code)
