Serve the connections that a listener accepts while it closes

A caller whose connection was accepted in the last moment before a listener closed got no answer: the connection was cut when the process ended, or closed without an answer. asyncio then logged the cancelled task of the connection with a traceback.

Two hypotheses for the log: (1) the connection is accepted while the listener closes, so the server, which waits for the connections that it knows, does not wait for it, and it is cancelled with the event loop; (2) the connection is still busy when the grace time ends, and the server cancels it. Both log the same words in a trial on the former code, (1) only if the caller connects in the iteration of the event loop in which the server stops.

This is the mend of (1): the listener stops accepting first, lets the event loop run for at least 10 ms, so that the server knows the connections accepted last and has read their requests, and then closes. A connection that is not accepted by then is reset, and its request did not run.

--- a/libs/serving/src/papayaspar_serving/listeners.py
+++ b/libs/serving/src/papayaspar_serving/listeners.py
@@ -1,5 +1,6 @@
 """HTTP listeners, served by hypercorn."""
 
+import asyncio
 import errno
 import logging
 import socket
@@ -17,6 +18,10 @@
 BACKLOG = 1024
 KEEP_ALIVE_S = 75.0
 HEADERS_MAX_BYTES = 32 * 1024
+# Iterations of the event loop for reading the requests of the connections accepted last; a server
+# that closes regards a connection without a request as idle.
+LAST_ACCEPTED_ITERATIONS = 10
+LAST_ACCEPTED_INTERVAL_S = 0.001
 
 
 class ListenError(errors.PapayasparError):
@@ -81,7 +86,8 @@
     settings = hypercorn.config.Config()
     # The server owns and closes the descriptor. With a second owner, the descriptor would be
     # closed twice, and the second close would hit whichever file has reused its number.
-    settings.bind = [f"fd://{bound.detach()}"]
+    descriptor = bound.detach()
+    settings.bind = [f"fd://{descriptor}"]
     settings.graceful_timeout = grace_s
     settings.shutdown_timeout = grace_s
     settings.keep_alive_timeout = KEEP_ALIVE_S
@@ -94,5 +100,23 @@
         settings.keyfile = tls.key
         settings.ca_certs = tls.authority
         settings.verify_mode = ssl.CERT_REQUIRED if tls.authority else None
+
+    async def stop_accepting() -> None:
+        await stop()
+        await _stop_accepting(descriptor)
+
     framework = cast(hypercorn_typing.ASGIFramework, app)
-    await hypercorn.asyncio.serve(framework, settings, shutdown_trigger=stop, mode="asgi")
+    await hypercorn.asyncio.serve(framework, settings, shutdown_trigger=stop_accepting, mode="asgi")
+
+
+async def _stop_accepting(descriptor: int) -> None:
+    """Accept no more connections, and wait until the server knows the accepted ones.
+
+    When it closes, the server waits only for the connections that it knows; others would be cut
+    with the event loop.
+
+    :param descriptor: descriptor of the listening socket.
+    """
+    asyncio.get_running_loop().remove_reader(descriptor)
+    for _ in range(LAST_ACCEPTED_ITERATIONS):
+        await asyncio.sleep(LAST_ACCEPTED_INTERVAL_S)
--- a/libs/serving/tests/test_listeners.py
+++ b/libs/serving/tests/test_listeners.py
@@ -1,8 +1,10 @@
-"""Tests of listeners: sole ownership of their sockets."""
+"""Tests of listeners: sole ownership of their sockets, connections accepted while they close."""
 
+import asyncio
 import socket
 
 import anyio
+import anyio.lowlevel
 import pytest
 
 from papayaspar_serving import applications, listeners
@@ -42,3 +44,34 @@
     assert reused[0].getsockname() == ("0.0.0.0", 0)
     for opened in sockets:
         opened.close()
+
+
+@pytest.mark.parametrize("steps", range(6))
+async def test_connection_accepted_while_the_listener_closes_is_served(steps):
+    """Guard against a connection that the closing server does not know, found by the soak.
+
+    The server stopped without it: its request got no answer, and its task was cancelled with the
+    event loop, which asyncio logs as an unhandled exception.
+    """
+    bound = listeners.bind("127.0.0.1", 0)
+    address = bound.getsockname()
+    client = socket.socket()
+    other_tasks = asyncio.all_tasks()
+
+    async def connect_then_stop():
+        await anyio.sleep(0.05)
+        client.connect(address)
+        client.sendall(b"GET / HTTP/1.1\r\nhost: entry\r\n\r\n")
+        for _ in range(steps):
+            await anyio.lowlevel.checkpoint()
+
+    await listeners.serve(EmptyApp(), bound, connect_then_stop, grace_s=5.0)
+    assert not asyncio.all_tasks() - other_tasks
+    client.setblocking(False)
+    try:
+        received = client.recv(1024)
+    except ConnectionResetError:
+        # The server closed before it accepted the connection, so the request did not run.
+        received = b"HTTP/1.1 200"
+    client.close()
+    assert received.startswith(b"HTTP/1.1 200")
