--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -229,8 +229,8 @@
     _done_count: int = attrs.field(default=0, init=False)
     failures: int = attrs.field(default=0, init=False)
     failed_run: int = attrs.field(default=0, init=False)
-    _blamed_run: int = attrs.field(default=0, init=False)
-    _blamed_nodes: set[str] = attrs.field(factory=set, init=False)
+    _noted_run: int = attrs.field(default=0, init=False)
+    _noted_nodes: set[str] = attrs.field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
         for task in self.members:
@@ -265,7 +265,7 @@
             failures += 1
         return attrs.evolve(record, failures=failures, failed_run=max(self.failed_run, record.run))
 
-    def has_proven_start(self, run: int) -> bool:
+    def has_proven_run(self, run: int) -> bool:
         """Return whether a run shows lasting progress; the members of a gang work only together.
 
         :param run: number of the run.
@@ -278,11 +278,11 @@
         :param run: number of the run.
         :param node: VM of the member.
         """
-        if run != self._blamed_run:
-            self._blamed_run = run
-            self._blamed_nodes.clear()
-        is_first = node not in self._blamed_nodes
-        self._blamed_nodes.add(node)
+        if run != self._noted_run:
+            self._noted_run = run
+            self._noted_nodes.clear()
+        is_first = node not in self._noted_nodes
+        self._noted_nodes.add(node)
         return is_first
 
     def _count(self, phase: tasks.TaskPhase, change: int) -> None:
@@ -296,7 +296,7 @@
     @property
     def has_failed_widely(self) -> bool:
         """Whether members of its newest failed run failed on several VMs."""
-        return len(self._blamed_nodes) > 1
+        return len(self._noted_nodes) > 1
 
     @property
     def is_waiting(self) -> bool:
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -371,22 +371,22 @@
                 self._set_record(member, attrs.evolve(member.record, phase=tasks.TaskPhase.DONE))
 
     def _apply_failure(self, node: str, task: units.Task, now_s: float) -> None:
-        unit = task.unit
-        had_progress = unit.has_proven_start(task.record.run)
+        unit, run = task.unit, task.record.run
+        is_counted = run > unit.failed_run
+        had_progress = unit.has_proven_run(run)
         if not had_progress:
             # A run that fails after it made progress most likely failed by its own fault, and the
             # capacity that it leaves is the first that the unit can have.
             task.failed_nodes.add(node)
-        counted_before = unit.failures
         self._requeue(task, unit.with_failure(task.record))
-        if unit.failures > counted_before:
+        if is_counted:
             self._events.record(
                 lines.EventKind.ATTEMPT_FAILED,
                 job=task.key.job_id,
-                attempt=task.record.run,
+                attempt=run,
                 detail=f"task={task.key} failures={unit.failures} attempts={unit.job.attempts}",
             )
-        if not unit.note_failed_node(task.record.run, node):
+        if not unit.note_failed_node(run, node):
             return
         if self.outcomes(node).record_failure(task.key.job_id, now_s, task.started_s, had_progress):
             self._events.record(
