Count the loss of a stream once against its worker

What callers see: one lost connection to an agent that ends five requests or more ejects a sound worker for 5 to 6 s (longer each time), although the agent connects again at once; meanwhile its requests and gangs go elsewhere, or wait.

Cause: each request in flight on the stream was recorded as a failure of the worker, so that one event looked like five in a row.

Changed: an outcome may name its cause, and outcomes with one cause count as one. The dispatcher names the stream if it is closed when the request fails. A trial that the stream ends fails as before.

--- a/libs/entry/src/papayaspar_entry/dispatcher.py
+++ b/libs/entry/src/papayaspar_entry/dispatcher.py
@@ -155,7 +155,7 @@
         self._record(
             lines.EventKind.REQUEST_DISPATCHED, request, attempt.number, worker=member.name
         )
-        async with self._hold_slot(member, request.kind):
+        async with self._hold_slot(member, request.kind, peer):
             reply = await self._call(peer, message, max(0.0, remaining_s))
         answer = messages.expect(reply, messages.RequestAnswer)
         if (answer.request_id, answer.attempt) != (request.request_id, attempt.number):
@@ -187,7 +187,9 @@
             return
 
     @contextlib.asynccontextmanager
-    async def _hold_slot(self, member: members.Member, kind: str) -> AsyncIterator[None]:
+    async def _hold_slot(
+        self, member: members.Member, kind: str, peer: peers.Peer
+    ) -> AsyncIterator[None]:
         """Hold one slot of a worker for the duration of a block, and record the block's outcome."""
         limit = self._limit(member)
         limit.try_acquire()
@@ -196,6 +198,7 @@
         in_flight = self._outlier_detector.begin(member.name)
         signal = limits.Signal.IGNORED
         outcome = ejection.Outcome.NEUTRAL
+        cause: peers.Peer | None = None
         try:
             yield
             signal = limits.Signal.DONE
@@ -207,16 +210,23 @@
             raise
         except errors.PapayasparError:
             outcome = ejection.Outcome.FAILURE
+            # The loss of a stream ends all requests in flight on it, but is one failure.
+            cause = None if peer.is_open else peer
             raise
         finally:
             member.assigned_slots -= 1
             limit.release(signal, kind, self._clock.now_s() - started_s)
-            self._finish(in_flight, outcome)
+            self._finish(in_flight, outcome, cause)
             self._table.notify_slots_changed()
 
-    def _finish(self, in_flight: ejection.InFlightRequest, outcome: ejection.Outcome) -> None:
+    def _finish(
+        self,
+        in_flight: ejection.InFlightRequest,
+        outcome: ejection.Outcome,
+        cause: peers.Peer | None,
+    ) -> None:
         before = self._outlier_detector.status(in_flight.worker)
-        after = self._outlier_detector.finish(in_flight, outcome)
+        after = self._outlier_detector.finish(in_flight, outcome, cause)
         if after is before:
             return
         if after is ejection.EjectionStatus.EJECTED:
--- a/libs/membership/src/papayaspar_membership/ejection.py
+++ b/libs/membership/src/papayaspar_membership/ejection.py
@@ -86,10 +86,11 @@
 
 @attrs.frozen
 class _Sample:
-    """One outcome and its time."""
+    """One outcome, its time, and the event that caused it if that may cause others too."""
 
     at_s: float
     has_failed: bool
+    cause: object | None = None
 
 
 @attrs.define
@@ -191,11 +192,15 @@
         state.trials_in_flight += is_trial
         return InFlightRequest(worker, state.incarnation, is_trial)
 
-    def finish(self, request: InFlightRequest, outcome: Outcome) -> EjectionStatus:
+    def finish(
+        self, request: InFlightRequest, outcome: Outcome, cause: object | None = None
+    ) -> EjectionStatus:
         """Record the outcome of a request; outcomes of older incarnations are ignored.
 
         :param request: the result of :meth:`begin`.
         :param outcome: success, failure, or neutral such as a refusal or a cancelled request.
+        :param cause: identity of an event that may end several requests, such as the stream that
+            was lost; outcomes with the same cause count as one.
         :return: the worker's ejection state afterwards.
         """
         state = self._states.get(request.worker)
@@ -205,10 +210,14 @@
             state.trials_in_flight = max(0, state.trials_in_flight - 1)
         if outcome is Outcome.NEUTRAL:
             return state.status
-        self._record_outcome(state, outcome)
+        is_new = self._record_outcome(state, outcome, cause)
         if request.is_trial and state.status is EjectionStatus.ON_TRIAL:
             self._apply_trial(state, outcome)
-        elif state.status is EjectionStatus.ADMITTED and self._is_outlier(request.worker, state):
+        elif (
+            is_new
+            and state.status is EjectionStatus.ADMITTED
+            and self._is_outlier(request.worker, state)
+        ):
             self._eject(state)
         return state.status
 
@@ -229,13 +238,16 @@
         self._expire(state)
         return load / max(SUCCESS_RATIO_MIN, 1.0 - state.failure_ratio)
 
-    def _record_outcome(self, state: _WorkerState, outcome: Outcome) -> None:
-        """Add an outcome to the window."""
+    def _record_outcome(self, state: _WorkerState, outcome: Outcome, cause: object | None) -> bool:
+        """Add an outcome to the window; return whether it is the first one of its cause."""
+        self._expire(state)
+        if cause is not None and any(sample.cause is cause for sample in state.samples):
+            return False
         has_failed = outcome is Outcome.FAILURE
-        state.samples.append(_Sample(self._clock.now_s(), has_failed))
+        state.samples.append(_Sample(self._clock.now_s(), has_failed, cause))
         state.failed_samples += has_failed
         state.consecutive_failures = state.consecutive_failures + 1 if has_failed else 0
-        self._expire(state)
+        return True
 
     def _expire(self, state: _WorkerState) -> None:
         """Drop outcomes that are older than the window."""
--- a/libs/membership/tests/test_ejection.py
+++ b/libs/membership/tests/test_ejection.py
@@ -70,6 +70,29 @@
     assert detector.status("w0") is EjectionStatus.ADMITTED
 
 
+def test_failures_with_one_cause_count_once(detector, finish):
+    finish("w0", FAILURE, 3)
+    cause = object()
+    in_flight = [detector.begin("w0") for _ in range(9)]
+    for request in in_flight:
+        detector.finish(request, FAILURE, cause)
+    assert detector.status("w0") is EjectionStatus.ADMITTED
+    detector.finish(detector.begin("w0"), FAILURE, object())
+    assert detector.status("w0") is EjectionStatus.EJECTED
+
+
+def test_a_trial_fails_although_its_cause_was_counted_before(detector, finish, clock_source):
+    cause = object()
+    finish("w0", FAILURE, 5)
+    clock_source.advance(7.0)
+    in_flight = [detector.begin("w0") for _ in range(2)]
+    for request in in_flight:
+        detector.finish(request, FAILURE, cause)
+    assert detector.status("w0") is EjectionStatus.EJECTED
+    clock_source.advance(14.0)
+    assert detector.status("w0") is EjectionStatus.ON_TRIAL
+
+
 def test_share_of_ejected_workers_is_limited(detector, finish):
     for number in range(1, 9):
         finish(f"w{number}", SUCCESS, 20)
