Earn retries by first attempts only, not by refused requests

What callers see: an entry that refuses requests because its queues are full may send more retries than `retry default share=` allows: each refused request earns its share, up to 100 unused retries, so that the budget is largest when the workers are overloaded, which it is there to prevent.

Cause: a request was recorded for the budget before its admission.

Changed: it is recorded with its first attempt, once, however often workers without a free slot send it back.

Evidence: with a share of 50%, 9 requests sent and 100 refused, test_requests_that_are_refused_earn_no_retries got five retries or more where 4 are allowed (failed 7 of 7), and 4 with the change. test_a_request_that_is_sent_again_earns_retries_once passes with and without it.

--- a/libs/entry/src/papayaspar_entry/dispatcher.py
+++ b/libs/entry/src/papayaspar_entry/dispatcher.py
@@ -67,7 +67,6 @@
         """
         if not self._table.has_usable():
             raise errors.UnavailableError("no worker is available", retry_after_s=NO_WORKER_RETRY_S)
-        self._retries.record_request()
         ticket = await self._admission.acquire(request)
         has_run = False
         try:
@@ -99,6 +98,8 @@
         while True:
             member = await self._choose(request, request_attempts)
             attempt = request_attempts.begin(member.name, self._clock.now_s())
+            if attempt.number == 1:
+                self._retries.record_request()
             progress.is_sent = True
             try:
                 answer = await self._attempt(request, attempt, member)
--- a/libs/entry/tests/test_dispatcher.py
+++ b/libs/entry/tests/test_dispatcher.py
@@ -26,12 +26,15 @@
         self.is_open = True
         self.lost = trio.Event()
         self.calls = 0
+        self.busy_answers = 0
 
     async def call(self, message, timeout_s):
         """Answer after a while, unless the stream is lost first."""
         if not self.is_open:
             raise errors.PeerError("the stream is closed")
         self.calls += 1
+        if self.calls <= self.busy_answers:
+            raise errors.BusyError
         with trio.move_on_after(ANSWER_S):
             await self.lost.wait()
             raise errors.PeerError("the stream was lost", ran=errors.Ran.UNKNOWN)
@@ -158,3 +161,31 @@
         assert detector.status("w0") is ejection.EjectionStatus.EJECTED
 
     run(scenario)
+
+
+def test_requests_that_are_refused_earn_no_retries(run, make_dispatcher, make_request, sessions):
+    async def scenario():
+        request_dispatcher, _, retries = make_dispatcher(depth=1)
+        async with trio.open_nursery() as nursery:
+            for _ in range(SLOTS + 1):
+                nursery.start_soon(_run_ignoring_errors, request_dispatcher, make_request())
+            await trio.sleep(ANSWER_S / 2)
+            for _ in range(100):
+                await _run_ignoring_errors(request_dispatcher, make_request())
+        assert [retries.try_spend() for _ in range(5)] == [True] * 4 + [False]
+
+    run(scenario)
+
+
+def test_a_request_that_is_sent_again_earns_retries_once(
+    run, make_dispatcher, make_request, sessions
+):
+    async def scenario():
+        request_dispatcher, _, retries = make_dispatcher()
+        sessions.peers["w0"].busy_answers = 4
+        await request_dispatcher.run(make_request())
+        await request_dispatcher.run(make_request())
+        assert sessions.peers["w0"].calls == 6
+        assert [retries.try_spend() for _ in range(2)] == [True, False]
+
+    run(scenario)
