Ignore outcomes of requests sent before a worker's ejection

What callers see: a worker that was ejected, passed its trials and works again is ejected once more, for twice as long, when requests that were sent before the first ejection reach their deadlines; on trial, a trial of an earlier round that ends late fails the present one, and lets a second one go out beside it.

Cause: outcomes were matched to the worker's incarnation only, so failures of one spell counted again in the next.

Changed: each ejection begins a new period; outcomes of requests sent in an earlier one are ignored, as those of an earlier incarnation are.

--- a/libs/membership/src/papayaspar_membership/ejection.py
+++ b/libs/membership/src/papayaspar_membership/ejection.py
@@ -42,11 +42,13 @@
 
     :param worker: name of the worker.
     :param incarnation: incarnation of the agent it is sent to; 0 for an unknown worker.
+    :param period: period of the worker's state in which it is sent; each ejection begins one.
     :param is_trial: whether it is a trial of an ejected worker.
     """
 
     worker: str
     incarnation: int
+    period: int
     is_trial: bool
 
 
@@ -98,6 +100,7 @@
     """Outcomes and ejection state of one incarnation of a worker."""
 
     incarnation: int
+    period: int = 0
     status: EjectionStatus = EjectionStatus.ADMITTED
     samples: collections.deque[_Sample] = attrs.field(factory=collections.deque)
     failed_samples: int = 0
@@ -187,15 +190,18 @@
         """
         state = self._states.get(worker)
         if state is None:
-            return InFlightRequest(worker, 0, is_trial=False)
+            return InFlightRequest(worker, 0, 0, is_trial=False)
         is_trial = self.status(worker) is EjectionStatus.ON_TRIAL
         state.trials_in_flight += is_trial
-        return InFlightRequest(worker, state.incarnation, is_trial)
+        return InFlightRequest(worker, state.incarnation, state.period, is_trial)
 
     def finish(
         self, request: InFlightRequest, outcome: Outcome, cause: object | None = None
     ) -> EjectionStatus:
-        """Record the outcome of a request; outcomes of older incarnations are ignored.
+        """Record the outcome of a request.
+
+        Outcomes of older incarnations are ignored, and so are those of requests sent before the
+        newest ejection, which took their like into account.
 
         :param request: the result of :meth:`begin`.
         :param outcome: success, failure, or neutral such as a refusal or a cancelled request.
@@ -206,6 +212,8 @@
         state = self._states.get(request.worker)
         if state is None or state.incarnation != request.incarnation:
             return self.status(request.worker)
+        if state.period != request.period:
+            return state.status
         if request.is_trial:
             state.trials_in_flight = max(0, state.trials_in_flight - 1)
         if outcome is Outcome.NEUTRAL:
@@ -324,6 +332,7 @@
             self._limits.initial_backoff_s * 2 ** min(state.ejections, BACKOFF_EXPONENT_MAX),
         )
         state.ejections += 1
+        state.period += 1
         state.status = EjectionStatus.EJECTED
         state.ejected_until_s = now_s + backoff_s * self._rng.uniform(1.0, JITTER_MAX_FACTOR)
         state.consecutive_failures = 0
--- a/libs/membership/tests/test_ejection.py
+++ b/libs/membership/tests/test_ejection.py
@@ -139,6 +139,36 @@
     assert detector.status("w0") is EjectionStatus.ON_TRIAL
 
 
+def test_failures_of_requests_sent_before_the_ejection_do_not_eject_again(
+    detector, finish, clock_source
+):
+    in_flight = [detector.begin("w0") for _ in range(9)]
+    finish("w0", FAILURE, 5)
+    clock_source.advance(7.0)
+    finish("w0", SUCCESS, 3)
+    assert detector.status("w0") is EjectionStatus.ADMITTED
+    for request in in_flight:
+        detector.finish(request, FAILURE)
+    assert detector.status("w0") is EjectionStatus.ADMITTED
+
+
+def test_a_late_trial_does_not_fail_the_next_one(detector, finish, clock_source):
+    finish("w0", FAILURE, 5)
+    clock_source.advance(7.0)
+    assert detector.status("w0") is EjectionStatus.ON_TRIAL
+    first, late = detector.begin("w0"), detector.begin("w0")
+    detector.finish(first, FAILURE)
+    clock_source.advance(14.0)
+    assert detector.status("w0") is EjectionStatus.ON_TRIAL
+    trial = detector.begin("w0")
+    detector.finish(late, FAILURE)
+    assert detector.status("w0") is EjectionStatus.ON_TRIAL
+    assert not detector.admits("w0", idempotent=True)
+    detector.finish(trial, SUCCESS)
+    finish("w0", SUCCESS, 2)
+    assert detector.status("w0") is EjectionStatus.ADMITTED
+
+
 def test_successful_trials_readmit_a_worker(detector, finish, clock_source):
     finish("w0", FAILURE, 5)
     clock_source.advance(7.0)
