Don't count a run whose member refused to be armed as failed

What callers see: a job counts as failed after three failed runs. A run also counted when one of its workers began to drain, or its agent restarted, after it had reserved its accelerators and before the lead had armed it; nothing of that run had started. During a release a large gang meets this more often than others, as its members are reserved one after the other.

Cause: the lead ended the gang as `failed` for any refusal of a member to be armed, the state that the entries count.

Changed: such a gang ends as `lost`, as if its member had ended early, with the code of the refusal; the entry places the job again.

--- a/libs/slots/src/papayaspar_slots/leads.py
+++ b/libs/slots/src/papayaspar_slots/leads.py
@@ -175,7 +175,8 @@
             except (TimeoutError, errors.PeerError):
                 await anyio.sleep(self._times.poll_interval_s)
             except errors.PapayasparError as error:
-                self._end(gang, messages.GangState.FAILED, error.code)
+                # The member has no reservation any more, or drains: nothing of this run has failed.
+                self._end(gang, messages.GangState.LOST, error.code)
 
     async def _monitor(self, gang: gangs.Gang) -> None:
         while not gang.state.over:
--- a/libs/slots/src/papayaspar_slots/messages.py
+++ b/libs/slots/src/papayaspar_slots/messages.py
@@ -47,8 +47,8 @@
     """State of a gang at its lead.
 
     ``ARMING``: the members prepare their tasks. ``YIELDING``: the members of a preempted gang save
-    checkpoints. ``FAILED``: a part failed, or not all members were armed. ``LOST``: a part
-    ended early, or a member gave no proof of liveness in time.
+    checkpoints. ``FAILED``: a part failed, or not all members were armed in time. ``LOST``: a part
+    ended early, or a member refused to be armed or gave no proof of liveness in time.
     """
 
     ARMING = "arming"
