Test which ends of a gang's runs count as failures of its job

These pass on the code as it is: three failed runs make a job `failed`, although every second answer of the leads is lost; lost and preempted runs don't count; an entry that follows the runs of another one adds nothing to that one's count.

--- a/libs/entry/tests/test_gang_runs.py
+++ b/libs/entry/tests/test_gang_runs.py
@@ -1,4 +1,4 @@
-"""Tests of runs of gangs: a lead that is temporarily unreachable."""
+"""Tests of runs of gangs: a lead that is unreachable, and which ends count as failures."""
 
 import random
 
@@ -9,7 +9,7 @@
 from papayaspar_entry import gang_runs, job_table
 from papayaspar_events import journal, metrics
 from papayaspar_model import causality, clock, errors, work, workers
-from papayaspar_placement import completions, durations, entitlements
+from papayaspar_placement import completions, durations, entitlements, preemptions, queues
 from papayaspar_slots import claims, launches, messages, peers, timings
 
 UNREACHABLE_S = 6.0
@@ -54,19 +54,92 @@
         raise errors.PeerError("no stream")
 
 
+class EndingAgents(FakeAgents):
+    """Leads whose gangs end in a given state, each one member after the other.
+
+    Their answers to each second query are lost.
+
+    :param state: state in which all gangs end.
+    :param started: number of members that had started.
+    """
+
+    def __init__(self, state, started):
+        super().__init__()
+        self.state = state
+        self.started = started
+        self.launched = []
+        self.queries = 0
+
+    async def launch(self, worker, launch):
+        """Record the launched attempt."""
+        self.launched.append(launch.fence)
+        return messages.GangStatus(launch.fence, messages.GangState.ARMING, 2, 0, 0.0, None)
+
+    async def inquire(self, worker, inquiry):
+        """Return the end of the gang, or lose the answer."""
+        self.queries += 1
+        if self.queries % 2:
+            raise errors.PeerError("the stream was lost", ran=errors.Ran.UNKNOWN)
+        return messages.GangStatus(inquiry.fence, self.state, 2, self.started, 1.0, 0.0)
+
+
 @pytest.fixture
 def agents():
     return FakeAgents()
 
 
 @pytest.fixture
-def runs(agents):
-    hybrid_clock = causality.HybridClock(clock.ManualClock(1.0))
-    event_journal = journal.Journal("entry-1", "dc-1", hybrid_clock, metrics.Metrics())
-    times = timings.Timings()
-    launcher = launches.Launcher("entry-1", agents, random.Random(1), times)
-    estimator = completions.CompletionEstimator(durations.DurationEstimator())
-    return gang_runs.GangRuns(agents, launcher, estimator, event_journal, times)
+def make_runs():
+    """Return a function that makes the runs of one entry; the agents are shared by all entries."""
+
+    def make(agents):
+        hybrid_clock = causality.HybridClock(clock.LoopClock())
+        event_journal = journal.Journal("entry-1", "dc-1", hybrid_clock, metrics.Metrics())
+        times = timings.Timings()
+        launcher = launches.Launcher("entry-1", agents, random.Random(1), times)
+        estimator = completions.CompletionEstimator(durations.DurationEstimator())
+        return gang_runs.GangRuns(agents, launcher, estimator, event_journal, times)
+
+    return make
+
+
+@pytest.fixture
+def runs(agents, make_runs):
+    return make_runs(agents)
+
+
+@pytest.fixture
+def tracked():
+    shape = work.Shape(2, 8)
+    job = work.Job("job-1", "t", "k", work.Urgency.NORMAL, shape, 60.0, True, True)
+    return job_table.TrackedJob(job, 0.0, 0)
+
+
+@pytest.fixture
+def launch(tracked):
+    """Return a function that launches an attempt of the job and follows it to its result."""
+
+    async def launch_on(runs):
+        tasks = tuple(workers.AcceleratorRange(f"w{n}", tuple(range(8))) for n in range(2))
+        plan = preemptions.PreemptionPlan(workers.Placement(tasks))
+        result = await runs.launch(tracked, queues.Decision(tracked.job, plan, 0.0, False))
+        await trio.sleep(1.0)
+        return result
+
+    return launch_on
+
+
+@pytest.fixture
+def adopt(tracked):
+    """Return a function that follows a run of the job that another entry launched."""
+
+    async def adopt_by(runs, fence):
+        held = tuple(workers.AcceleratorRange(f"w{n}", tuple(range(8))) for n in range(2))
+        name = entitlements.GangName(fence.job_id, fence.attempt)
+        running = entitlements.RunningGang(name, "t", held, True, True, 0.0, 60.0, "w0")
+        return await runs.adopt(tracked, running)
+
+    return adopt_by
 
 
 def test_adopted_gang_is_not_cancelled_while_its_lead_is_unreachable(runs, agents):
@@ -84,3 +157,47 @@
     result = trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
     assert result.ended.state is work.JobState.DONE
     assert agents.cancelled == []
+
+
+def test_a_job_fails_with_the_last_of_its_failed_runs(make_runs, launch):
+    agents = EndingAgents(messages.GangState.FAILED, started=2)
+    runs = make_runs(agents)
+
+    async def scenario():
+        for _ in range(gang_runs.FAILURES_MAX - 1):
+            assert (await launch(runs)).ended is None
+        return await launch(runs)
+
+    result = trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert result.ended.state is work.JobState.FAILED
+    assert result.ended.attempt == agents.launched[-1].attempt
+    assert len(set(agents.launched)) == gang_runs.FAILURES_MAX
+
+
+@pytest.mark.parametrize("state", [messages.GangState.LOST, messages.GangState.PREEMPTED])
+def test_runs_that_end_for_other_reasons_are_no_failures(make_runs, launch, state):
+    agents = EndingAgents(state, started=2)
+    runs = make_runs(agents)
+
+    async def scenario():
+        for _ in range(3 * gang_runs.FAILURES_MAX):
+            assert (await launch(runs)).ended is None
+
+    trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert len(set(agents.launched)) == 3 * gang_runs.FAILURES_MAX
+
+
+def test_another_entry_that_follows_the_same_runs_adds_no_failures(make_runs, launch, adopt):
+    """Entries that take each other for dead follow the same runs of a job."""
+    agents = EndingAgents(messages.GangState.FAILED, started=2)
+    first, second = make_runs(agents), make_runs(agents)
+
+    async def scenario():
+        for _ in range(gang_runs.FAILURES_MAX - 1):
+            assert (await launch(first)).ended is None
+            assert (await adopt(second, agents.launched[-1])).ended is None
+        last = await launch(first)
+        assert last.ended.state is work.JobState.FAILED
+        assert (await adopt(second, agents.launched[-1])).ended == last.ended
+
+    trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
