Take a starting gang as started only by reports of a newer attempt

What callers see: an entry that places a failed, lost or moved gang again, on workers that still hold its earlier attempt, may place other work on the same accelerators in the meantime; the agents refuse one of the two, which then waits for another try.

Cause: any report of the job's accelerators confirmed its start, so a report of the earlier attempt ended the assumption that the new accelerators are in use.

Changed: the view keeps the newest attempt that was reported before the job was assumed; only reports of newer attempts confirm the start.

Evidence: test_report_of_an_earlier_attempt_does_not_confirm_a_start failed without the change (the job was no longer assumed after the report of attempt 4), and passes with it. test_repeated_reports_of_a_gang_count_once pins what was right.

--- a/libs/placement/src/papayaspar_placement/fleet.py
+++ b/libs/placement/src/papayaspar_placement/fleet.py
@@ -21,6 +21,8 @@
         self._racks: dict[str, inventory.RackView] = {}
         self._ledger = ledger.GangLedger()
         self._assumed: dict[str, set[str]] = {}
+        # Newest attempt of each assumed job that was reported before the job was assumed.
+        self._previous_attempts: dict[str, int] = {}
         self._homes: tuple[rulesets.Home, ...] = ()
         self._homes_by_team: dict[str, tuple[rulesets.Home, ...]] = {}
         self._owners: dict[str, dict[int, inventory.Ownership]] = {}
@@ -61,6 +63,8 @@
             self._add_to_rack(worker_view)
         worker_view.report = report
         for gang in report.gangs:
+            if gang.attempt <= self._previous_attempts.get(gang.job_id, 0):
+                continue
             if worker_view.assumed.pop(gang.job_id, None) is not None:
                 self._confirm_start(gang.job_id, name)
         self._refresh(worker_view)
@@ -137,6 +141,9 @@
         for task_range in placement.tasks:
             numbers.setdefault(task_range.worker, []).extend(task_range.accelerators)
         self._assumed.setdefault(job.job_id, set()).update(numbers)
+        previous = self._ledger.gang(job.job_id)
+        if previous is not None:
+            self._previous_attempts[job.job_id] = previous.name.attempt
         for name, held in numbers.items():
             worker = self._workers.get(name)
             if worker is None:
@@ -159,6 +166,7 @@
 
         :param job_id: the job.
         """
+        self._previous_attempts.pop(job_id, None)
         for name in sorted(self._assumed.pop(job_id, ())):
             worker = self._workers.get(name)
             if worker is None or worker.assumed.pop(job_id, None) is None:
@@ -325,6 +333,7 @@
         unconfirmed.discard(worker)
         if not unconfirmed:
             del self._assumed[job_id]
+            self._previous_attempts.pop(job_id, None)
 
     def _refresh(self, worker: inventory.WorkerView) -> None:
         worker.refresh()
--- a/libs/placement/tests/test_fleet.py
+++ b/libs/placement/tests/test_fleet.py
@@ -48,6 +48,33 @@
     assert view.team_accelerators("blue") == 0
 
 
+def test_report_of_an_earlier_attempt_does_not_confirm_a_start(
+    view_of, report_of, use_of, job_of, start_job
+):
+    view = view_of("r0")
+    view.observe(report_of("r0-w0", 2, gangs=[use_of("j", (0,), attempt=4)]), 1.0)
+    start_job(view, job_of("j"), ("r0-w0", (7,)), ("r0-w1", (7,)))
+    view.observe(report_of("r0-w0", 3, gangs=[use_of("j", (0,), attempt=4)]), 2.0)
+    view.observe(report_of("r0-w1", 2, gangs=[use_of("j", (1,), attempt=3)]), 2.0)
+    assert view.is_assumed("j")
+    assert 7 not in view.worker("r0-w0").free
+    assert 7 not in view.worker("r0-w1").free
+    for worker in ("r0-w0", "r0-w1"):
+        view.observe(report_of(worker, 4, gangs=[use_of("j", (7,), attempt=5)]), 3.0)
+    assert not view.is_assumed("j")
+    assert view.team_accelerators("blue") == 2
+
+
+def test_repeated_reports_of_a_gang_count_once(view_of, report_of, use_of):
+    view = view_of("r0")
+    for sequence in range(2, 6):
+        for worker in ("r0-w0", "r0-w1"):
+            view.observe(report_of(worker, sequence, gangs=[use_of("j", (0, 1))]), sequence)
+            view.observe(report_of(worker, sequence, gangs=[use_of("j", (0, 1))]), sequence)
+    assert view.team_accelerators("blue") == 4
+    assert len(list(view.gangs())) == 1
+
+
 def test_ejected_and_draining_workers_have_no_free_accelerators(view_of, report_of):
     view = view_of("r0")
     view.set_ejected({"r0-w0"})
