End the run time of a gang with the gang

What callers see: estimates of run times, which decide on backfilling and reservations, grow by the time until an entry reads a gang's end: by up to 12 s where the lead was out of reach, by more where the answer was lost or the entry was stopped in between.

Cause: the lead counted the run time of an ended gang until each query of its status.

Changed: the lead keeps the time of the end; repeated queries give the same run time.

--- a/libs/slots/src/papayaspar_slots/gangs.py
+++ b/libs/slots/src/papayaspar_slots/gangs.py
@@ -41,6 +41,7 @@
     :param state: state of the gang.
     :param liveness_deadline_s: earliest time at which a member can count as failed.
     :param started_s: time of the first run leases.
+    :param ended_s: time at which it ended, or ``None``.
     :param yield_by_s: time at which a preempted gang is ended.
     :param changed: event that is set at the next change of state.
     :param phases: number of members in each phase.
@@ -54,6 +55,7 @@
     state: messages.GangState = messages.GangState.ARMING
     liveness_deadline_s: float = 0.0
     started_s: float = 0.0
+    ended_s: float | None = None
     yield_by_s: float = 0.0
     changed: anyio.Event = attrs.field(factory=anyio.Event)
     phases: collections.Counter[messages.Phase] = attrs.field(factory=collections.Counter)
@@ -119,6 +121,15 @@
         )
         return self.liveness_deadline_s
 
+    def ran_s(self, now_s: float) -> float:
+        """Return how long the gang has run, or ran until it ended; 0 before its start.
+
+        :param now_s: reading of the lead's clock.
+        """
+        if not self.started_s:
+            return 0.0
+        return (now_s if self.ended_s is None else self.ended_s) - self.started_s
+
     def safe_at_s(self) -> float:
         """Return the time after which no part can be running if no further lease is granted."""
         lease_ends_s = [
--- a/libs/slots/src/papayaspar_slots/leads.py
+++ b/libs/slots/src/papayaspar_slots/leads.py
@@ -258,9 +258,10 @@
         if gang.state.over:
             return
         gang.code = code
+        gang.ended_s = self._clock.now_s()
         gang.set_state(state)
         self.counts.ended[state] += 1
-        self._ended_attempts.record_end(gang.fence, self._clock.now_s())
+        self._ended_attempts.record_end(gang.fence, gang.ended_s)
         self._active_gangs.pop(gang.fence, None)
         self._ended_gangs[gang.fence] = gang
         if len(self._ended_gangs) > MAX_ENDED_GANGS:
@@ -271,7 +272,6 @@
 
     def _status(self, gang: gangs.Gang) -> messages.GangStatus:
         now_s = self._clock.now_s()
-        ran_s = now_s - gang.started_s if gang.started_s else 0.0
         safe_after_s = None
         if gang.state.over:
             safe_after_s = max(0.0, gang.safe_at_s() - now_s)
@@ -280,7 +280,7 @@
             gang.state,
             len(gang.members),
             gang.started_count,
-            ran_s,
+            gang.ran_s(now_s),
             safe_after_s,
             gang.code,
         )
--- a/libs/slots/src/papayaspar_slots/messages.py
+++ b/libs/slots/src/papayaspar_slots/messages.py
@@ -161,7 +161,7 @@
     :param state: state of the gang.
     :param members: number of members.
     :param started: number of members that have started or are done.
-    :param ran_s: seconds since the first run lease.
+    :param ran_s: seconds from the first run lease until now, or until the gang ended.
     :param safe_after_s: seconds until no part can be running any more, or ``None`` while the gang
         has not ended.
     :param code: code of the error that ended the gang, or empty.
--- a/libs/slots/tests/test_run_counts.py
+++ b/libs/slots/tests/test_run_counts.py
@@ -87,3 +87,20 @@
         assert counts.ended[messages.GangState.FAILED] == 0
 
     run_fleet(scenario)
+
+
+def test_run_time_of_a_gang_ends_with_the_gang(run_fleet, make_gang):
+    """Entries learn run times from this, also when they ask again after a lost answer."""
+
+    async def scenario(fleet):
+        await fleet.launch(*make_gang(run_time_s=30.0))
+        gang_client = fleet.entry()[1]
+        await anyio.sleep(SETTLE_S)
+        first = await gang_client.wait_for_status(FENCE, "w0")
+        assert first.state is messages.GangState.DONE
+        assert 30.0 <= first.ran_s < 35.0
+        await anyio.sleep(60.0)
+        repeated = await gang_client.wait_for_status(FENCE, "w0")
+        assert repeated.ran_s == first.ran_s
+
+    run_fleet(scenario)
