Observe a job's run time only if one run did all its work

What callers see: estimates of run times are too short for kinds of work that is preempted, moved or lost and resumes from checkpoints, so that jobs are backfilled where they don't fit in time.

Cause: the time of the last run was counted as the run time of the whole job.

Partial: an entry that takes over a job after an earlier run does not know of that run.

--- a/libs/entry/src/papayaspar_entry/gang_runs.py
+++ b/libs/entry/src/papayaspar_entry/gang_runs.py
@@ -196,6 +196,7 @@
             # Too few agents answered; each outcome below is recorded with its own code.
             pass
         if tracked.job.idempotent:
+            tracked.is_partly_done |= tracked.job.checkpoint
             self._record(lines.EventKind.GANG_WITHDRAWN, tracked.job, gang, code="lost")
             return RunResult(gang)
         # The gang may be running or may have run, so the non-idempotent job isn't run again.
@@ -212,7 +213,9 @@
         await anyio.sleep(status.safe_after_s or 0.0)
         job = tracked.job
         is_done = status.state is messages.GangState.DONE
-        self._estimator.record_end(job.job_id, status.ran_s if is_done else None)
+        is_whole_run = is_done and not tracked.is_partly_done
+        self._estimator.record_end(job.job_id, status.ran_s if is_whole_run else None)
+        tracked.is_partly_done |= job.checkpoint
         if self._may_retry(tracked, status):
             self._record(lines.EventKind.GANG_WITHDRAWN, job, gang, code=status.state.value)
             return RunResult(gang)
--- a/libs/entry/src/papayaspar_entry/job_table.py
+++ b/libs/entry/src/papayaspar_entry/job_table.py
@@ -20,6 +20,8 @@
     :param is_cancelled: whether the caller cancelled the job.
     :param claim_id: claim that may launch a non-idempotent job, or empty.
     :param concluded_attempt: newest attempt whose result this entry received, or 0.
+    :param is_partly_done: whether a run that this entry followed may have saved work, from which
+        the next one resumes.
     :param ended: result of the job, or ``None`` until the job has ended.
     """
 
@@ -29,6 +31,7 @@
     is_cancelled: bool = False
     claim_id: str = ""
     concluded_attempt: int = 0
+    is_partly_done: bool = False
     ended: records.JobEnded | None = None
 
 
--- a/libs/entry/tests/test_gang_runs.py
+++ b/libs/entry/tests/test_gang_runs.py
@@ -55,18 +55,16 @@
 
 
 class EndingAgents(FakeAgents):
-    """Leads whose gangs end in a given state, each one member after the other.
+    """Leads whose gangs end in given states.
 
     Their answers to each second query are lost.
 
-    :param state: state in which all gangs end.
-    :param started: number of members that had started.
+    :param states: states in which the gangs end, in turn; the last one stays.
     """
 
-    def __init__(self, state, started):
+    def __init__(self, *states):
         super().__init__()
-        self.state = state
-        self.started = started
+        self.states = states
         self.launched = []
         self.queries = 0
 
@@ -80,7 +78,9 @@
         self.queries += 1
         if self.queries % 2:
             raise errors.PeerError("the stream was lost", ran=errors.Ran.UNKNOWN)
-        return messages.GangStatus(inquiry.fence, self.state, 2, self.started, 1.0, 0.0)
+        number = self.launched.index(inquiry.fence)
+        state = self.states[min(number, len(self.states) - 1)]
+        return messages.GangStatus(inquiry.fence, state, 2, 2, 40.0, 0.0)
 
 
 @pytest.fixture
@@ -92,12 +92,12 @@
 def make_runs():
     """Return a function that makes the runs of one entry; the agents are shared by all entries."""
 
-    def make(agents):
+    def make(agents, estimator=None):
         hybrid_clock = causality.HybridClock(clock.LoopClock())
         event_journal = journal.Journal("entry-1", "dc-1", hybrid_clock, metrics.Metrics())
         times = timings.Timings()
         launcher = launches.Launcher("entry-1", agents, random.Random(1), times)
-        estimator = completions.CompletionEstimator(durations.DurationEstimator())
+        estimator = estimator or completions.CompletionEstimator(durations.DurationEstimator())
         return gang_runs.GangRuns(agents, launcher, estimator, event_journal, times)
 
     return make
@@ -160,7 +160,7 @@
 
 
 def test_a_job_fails_with_the_last_of_its_failed_runs(make_runs, launch):
-    agents = EndingAgents(messages.GangState.FAILED, started=2)
+    agents = EndingAgents(messages.GangState.FAILED)
     runs = make_runs(agents)
 
     async def scenario():
@@ -176,7 +176,7 @@
 
 @pytest.mark.parametrize("state", [messages.GangState.LOST, messages.GangState.PREEMPTED])
 def test_runs_that_end_for_other_reasons_are_no_failures(make_runs, launch, state):
-    agents = EndingAgents(state, started=2)
+    agents = EndingAgents(state)
     runs = make_runs(agents)
 
     async def scenario():
@@ -189,7 +189,7 @@
 
 def test_another_entry_that_follows_the_same_runs_adds_no_failures(make_runs, launch, adopt):
     """Entries that take each other for dead follow the same runs of a job."""
-    agents = EndingAgents(messages.GangState.FAILED, started=2)
+    agents = EndingAgents(messages.GangState.FAILED)
     first, second = make_runs(agents), make_runs(agents)
 
     async def scenario():
@@ -201,3 +201,29 @@
         assert (await adopt(second, agents.launched[-1])).ended == last.ended
 
     trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize(
+    ("states", "observed"),
+    [
+        ((messages.GangState.DONE,), 1),
+        ((messages.GangState.PREEMPTED, messages.GangState.DONE), 0),
+        ((messages.GangState.LOST, messages.GangState.DONE), 0),
+    ],
+)
+def test_run_time_of_a_job_is_observed_only_if_one_run_did_all_its_work(
+    make_runs, launch, tracked, states, observed
+):
+    """The last run of a job that resumed from a checkpoint did only a part of the work."""
+    run_times = durations.DurationEstimator()
+    estimator = completions.CompletionEstimator(run_times)
+    runs = make_runs(EndingAgents(*states), estimator)
+
+    async def scenario():
+        for _ in states:
+            estimator.record_start(tracked.job)
+            result = await launch(runs)
+        assert result.ended.state is work.JobState.DONE
+
+    trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert len(run_times) == observed
