Count the failed runs of a job over all entries

What callers see: a job whose gang fails each time is shown as `failed` after three runs only while one entry lives and owns it; each entry that takes it over, or is restarted, allows three more.

Cause: each entry counted the failures that it had followed itself, in its memory. The entry of a job that another one ended was never removed from that count.

Changed: the job in the table has the set of its failed attempts. A failed run is appended to the log, and a repeated acceptance names the earlier ones, so that each attempt counts once, whoever followed it and however often it is recorded.

The tests of the table pin repeats. Partial: a failed run whose entry dies before it reads the end still doesn't count. If the log is out of reach, the run is named by the next repetition of the acceptance, and the next attempt waits for the answer to this append.

--- a/libs/entry/src/papayaspar_entry/gang_runs.py
+++ b/libs/entry/src/papayaspar_entry/gang_runs.py
@@ -82,7 +82,6 @@
         self._gang_client = gang_clients.GangClient(agents, times)
         self._estimator = estimator
         self._journal = event_journal
-        self._failures: dict[str, int] = {}
 
     async def launch(self, tracked: job_table.TrackedJob, decision: queues.Decision) -> RunResult:
         """Launch a job's gang according to a placement decision, and follow it to its result.
@@ -216,17 +215,18 @@
         is_whole_run = is_done and not tracked.is_partly_done
         self._estimator.record_end(job.job_id, status.ran_s if is_whole_run else None)
         tracked.is_partly_done |= job.checkpoint
-        if self._may_retry(tracked, status):
+        if self._may_retry(tracked, gang, status):
             self._record(lines.EventKind.GANG_WITHDRAWN, job, gang, code=status.state.value)
             return RunResult(gang)
-        self._failures.pop(job.job_id, None)
         state = END_STATES.get(status.state, work.JobState.UNKNOWN)
         if tracked.is_cancelled and not is_done:
             state = work.JobState.CANCELLED
         ended = records.JobEnded(job.job_id, state, gang.fence.attempt, status.code)
         return RunResult(gang, ended)
 
-    def _may_retry(self, tracked: job_table.TrackedJob, status: messages.GangStatus) -> bool:
+    def _may_retry(
+        self, tracked: job_table.TrackedJob, gang: Gang, status: messages.GangStatus
+    ) -> bool:
         if tracked.is_cancelled or status.state is messages.GangState.DONE:
             return False
         has_started = status.started > 0 or status.ran_s > 0
@@ -234,9 +234,8 @@
             return False
         if status.state is not messages.GangState.FAILED:
             return True
-        failures = self._failures.get(tracked.job.job_id, 0) + 1
-        self._failures[tracked.job.job_id] = failures
-        return failures < FAILURES_MAX
+        tracked.failed_attempts.add(gang.fence.attempt)
+        return len(tracked.failed_attempts) < FAILURES_MAX
 
     async def _cancel(self, gang: Gang) -> None:
         try:
--- a/libs/entry/src/papayaspar_entry/job_manager.py
+++ b/libs/entry/src/papayaspar_entry/job_manager.py
@@ -177,7 +177,12 @@
             for tracked in self.table.open_jobs():
                 if not self._owners.is_owned_here(tracked.job.job_id):
                     continue
-                record = records.JobAccepted(tracked.job, tracked.accepted_wall_s, tracked.claim_id)
+                record = records.JobAccepted(
+                    tracked.job,
+                    tracked.accepted_wall_s,
+                    tracked.claim_id,
+                    tuple(sorted(tracked.failed_attempts)),
+                )
                 try:
                     await self._appender.append(records.encode(record))
                 except errors.PapayasparError:
@@ -352,6 +357,16 @@
         if result.ended is not None:
             await self._record_result(tracked, result.ended)
             await self._runs.acknowledge(result)
+        elif result.gang.fence.attempt in tracked.failed_attempts:
+            await self._record_failed_run(tracked.job.job_id, result.gang.fence.attempt)
+
+    async def _record_failed_run(self, job_id: str, attempt: int) -> None:
+        record = records.RunFailed(job_id, attempt)
+        try:
+            await self._appender.append(records.encode(record))
+        except errors.PapayasparError:
+            # The next repetition of the job's acceptance names the run.
+            return
 
     async def _record_result(self, tracked: job_table.TrackedJob, ended: records.JobEnded) -> None:
         """Append a result to the log, and retry until the log is available."""
--- a/libs/entry/src/papayaspar_entry/job_table.py
+++ b/libs/entry/src/papayaspar_entry/job_table.py
@@ -20,6 +20,7 @@
     :param is_cancelled: whether the caller cancelled the job.
     :param claim_id: claim that may launch a non-idempotent job, or empty.
     :param concluded_attempt: newest attempt whose result this entry received, or 0.
+    :param failed_attempts: attempts whose runs failed, as far as this entry knows.
     :param is_partly_done: whether a run that this entry followed may have saved work, from which
         the next one resumes.
     :param ended: result of the job, or ``None`` until the job has ended.
@@ -31,6 +32,7 @@
     is_cancelled: bool = False
     claim_id: str = ""
     concluded_attempt: int = 0
+    failed_attempts: set[int] = attrs.field(factory=set)
     is_partly_done: bool = False
     ended: records.JobEnded | None = None
 
@@ -64,6 +66,8 @@
             self._claim(record)
         elif isinstance(record, records.JobCancelled):
             self._cancel(record)
+        elif isinstance(record, records.RunFailed):
+            self._record_failed_run(record)
         else:
             self._finish(record)
         self.changes.notify()
@@ -72,8 +76,10 @@
         tracked = self._jobs.get(record.job.job_id)
         if tracked is not None:
             tracked.offset = max(tracked.offset, offset)
+            tracked.failed_attempts.update(record.failed_attempts)
             return
         created = TrackedJob(record.job, record.accepted_wall_s, offset, claim_id=record.claim_id)
+        created.failed_attempts.update(record.failed_attempts)
         self._jobs[record.job.job_id] = created
         self._open[record.job.job_id] = created
 
@@ -87,6 +93,11 @@
         if tracked is not None:
             tracked.is_cancelled = True
 
+    def _record_failed_run(self, record: records.RunFailed) -> None:
+        tracked = self._jobs.get(record.job_id)
+        if tracked is not None:
+            tracked.failed_attempts.add(record.attempt)
+
     def _finish(self, record: records.JobEnded) -> None:
         tracked = self._jobs.get(record.job_id)
         if tracked is None or tracked.ended is not None:
--- a/libs/entry/src/papayaspar_entry/records.py
+++ b/libs/entry/src/papayaspar_entry/records.py
@@ -24,11 +24,13 @@
     :param job: specification of the job.
     :param accepted_wall_s: time of acceptance, in seconds since the Unix epoch.
     :param claim_id: claim that had won the job when the record was repeated, or empty.
+    :param failed_attempts: attempts that had failed when the record was repeated.
     """
 
     job: work.Job
     accepted_wall_s: float
     claim_id: str = ""
+    failed_attempts: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -53,6 +55,18 @@
     job_id: str
 
 
+@attrs.frozen
+class RunFailed:
+    """A run of a job failed, and the job is to be placed again.
+
+    :param job_id: identifier of the job.
+    :param attempt: attempt that failed.
+    """
+
+    job_id: str
+    attempt: int
+
+
 @attrs.frozen
 class JobEnded:
     """A job ended.
@@ -96,11 +110,12 @@
     accepted: JobAccepted | None = None
     claimed: JobClaimed | None = None
     cancelled: JobCancelled | None = None
+    run_failed: RunFailed | None = None
     ended: JobEnded | None = None
     packed: HomesPacked | None = None
 
 
-JobRecord = JobAccepted | JobClaimed | JobCancelled | JobEnded
+JobRecord = JobAccepted | JobClaimed | JobCancelled | RunFailed | JobEnded
 
 _CONVERTER = cattrs_json.make_converter(omit_if_default=True)
 
@@ -113,6 +128,8 @@
         envelope = _Envelope(claimed=record)
     elif isinstance(record, JobCancelled):
         envelope = _Envelope(cancelled=record)
+    elif isinstance(record, RunFailed):
+        envelope = _Envelope(run_failed=record)
     elif isinstance(record, JobEnded):
         envelope = _Envelope(ended=record)
     else:
@@ -129,7 +146,13 @@
         envelope = _CONVERTER.loads(data, _Envelope)
     except (cattrs.BaseValidationError, ValueError, RecursionError) as error:
         raise InvalidRecordError("the data is not a record") from error
-    for record in (envelope.accepted, envelope.claimed, envelope.cancelled, envelope.ended):
+    for record in (
+        envelope.accepted,
+        envelope.claimed,
+        envelope.cancelled,
+        envelope.run_failed,
+        envelope.ended,
+    ):
         if record is not None:
             return record
     if envelope.packed is not None:
--- /dev/null
+++ b/libs/entry/tests/conftest.py
@@ -0,0 +1,95 @@
+"""Shared fixtures: entries' runs of jobs on scripted agents."""
+
+import random
+
+import pytest
+import trio
+
+from papayaspar_entry import gang_runs
+from papayaspar_events import journal, metrics
+from papayaspar_model import causality, clock, errors
+from papayaspar_placement import completions, durations
+from papayaspar_slots import launches, messages, peers, timings
+
+
+class ScriptedAgents(peers.GangAgents):
+    """Agents whose gangs end in given states; the first answer about each end is lost.
+
+    :param states: states in which the gangs end, in turn; the last one stays.
+    :param run_s: time that each gang runs, in seconds.
+    """
+
+    def __init__(self, *states, run_s=0.0):
+        self.states = states
+        self.run_s = run_s
+        self.launched = []
+        self.ends_s = []
+        self.lost_answers = set()
+
+    async def launch(self, worker, launch):
+        """Record the launched attempt."""
+        self.launched.append(launch.fence)
+        self.ends_s.append(trio.current_time() + self.run_s)
+        return messages.GangStatus(launch.fence, messages.GangState.ARMING, 2, 0, 0.0, None)
+
+    async def inquire(self, worker, inquiry):
+        """Return the state of the gang after a wait for its end, or lose the answer."""
+        number = self.launched.index(inquiry.fence)
+        remaining_s = max(0.0, self.ends_s[number] - trio.current_time())
+        await trio.sleep(min(inquiry.wait_s, remaining_s))
+        if remaining_s > inquiry.wait_s:
+            return messages.GangStatus(inquiry.fence, messages.GangState.RUNNING, 2, 2, 1.0, None)
+        if inquiry.fence not in self.lost_answers:
+            self.lost_answers.add(inquiry.fence)
+            raise errors.PeerError("the stream was lost", ran=errors.Ran.UNKNOWN)
+        state = self.states[min(number, len(self.states) - 1)]
+        return messages.GangStatus(inquiry.fence, state, 2, 2, 40.0, 0.0)
+
+    async def cancel(self, worker, fence):
+        """Return the status of an unknown gang."""
+        return messages.GangStatus(fence, messages.GangState.CANCELLED, 0, 0, 0.0, 0.0)
+
+    async def reserve(self, worker, claim):
+        """Grant everything."""
+
+    async def unreserve(self, worker, fence):
+        """Do nothing."""
+
+    async def acknowledge(self, worker, fence):
+        """Do nothing."""
+
+    async def inquire_part(self, worker, fence):
+        """Fail: the agent is unreachable."""
+        raise errors.PeerError("no stream")
+
+    async def preempt(self, worker, fence):
+        """Do nothing."""
+
+
+@pytest.fixture
+def make_agents():
+    return ScriptedAgents
+
+
+@pytest.fixture
+def make_journal():
+    """Return a function that makes the event journal of one entry."""
+
+    def make(name="entry-1"):
+        hybrid_clock = causality.HybridClock(clock.LoopClock())
+        return journal.Journal(name, "dc-1", hybrid_clock, metrics.Metrics())
+
+    return make
+
+
+@pytest.fixture
+def make_runs(make_journal):
+    """Return a function that makes the runs of one entry; the agents are shared by all entries."""
+
+    def make(agents, estimator=None):
+        times = timings.Timings()
+        launcher = launches.Launcher("entry-1", agents, random.Random(1), times)
+        estimator = estimator or completions.CompletionEstimator(durations.DurationEstimator())
+        return gang_runs.GangRuns(agents, launcher, estimator, make_journal(), times)
+
+    return make
--- a/libs/entry/tests/test_gang_runs.py
+++ b/libs/entry/tests/test_gang_runs.py
@@ -1,16 +1,13 @@
 """Tests of runs of gangs: a lead that is unreachable, and which ends count as failures."""
 
-import random
-
 import pytest
 import trio
 import trio.testing
 
 from papayaspar_entry import gang_runs, job_table
-from papayaspar_events import journal, metrics
-from papayaspar_model import causality, clock, errors, work, workers
+from papayaspar_model import errors, work, workers
 from papayaspar_placement import completions, durations, entitlements, preemptions, queues
-from papayaspar_slots import claims, launches, messages, peers, timings
+from papayaspar_slots import claims, messages, peers
 
 UNREACHABLE_S = 6.0
 FENCE = claims.Fence("job-1", 7)
@@ -54,55 +51,11 @@
         raise errors.PeerError("no stream")
 
 
-class EndingAgents(FakeAgents):
-    """Leads whose gangs end in given states.
-
-    Their answers to each second query are lost.
-
-    :param states: states in which the gangs end, in turn; the last one stays.
-    """
-
-    def __init__(self, *states):
-        super().__init__()
-        self.states = states
-        self.launched = []
-        self.queries = 0
-
-    async def launch(self, worker, launch):
-        """Record the launched attempt."""
-        self.launched.append(launch.fence)
-        return messages.GangStatus(launch.fence, messages.GangState.ARMING, 2, 0, 0.0, None)
-
-    async def inquire(self, worker, inquiry):
-        """Return the end of the gang, or lose the answer."""
-        self.queries += 1
-        if self.queries % 2:
-            raise errors.PeerError("the stream was lost", ran=errors.Ran.UNKNOWN)
-        number = self.launched.index(inquiry.fence)
-        state = self.states[min(number, len(self.states) - 1)]
-        return messages.GangStatus(inquiry.fence, state, 2, 2, 40.0, 0.0)
-
-
 @pytest.fixture
 def agents():
     return FakeAgents()
 
 
-@pytest.fixture
-def make_runs():
-    """Return a function that makes the runs of one entry; the agents are shared by all entries."""
-
-    def make(agents, estimator=None):
-        hybrid_clock = causality.HybridClock(clock.LoopClock())
-        event_journal = journal.Journal("entry-1", "dc-1", hybrid_clock, metrics.Metrics())
-        times = timings.Timings()
-        launcher = launches.Launcher("entry-1", agents, random.Random(1), times)
-        estimator = estimator or completions.CompletionEstimator(durations.DurationEstimator())
-        return gang_runs.GangRuns(agents, launcher, estimator, event_journal, times)
-
-    return make
-
-
 @pytest.fixture
 def runs(agents, make_runs):
     return make_runs(agents)
@@ -159,8 +112,8 @@
     assert agents.cancelled == []
 
 
-def test_a_job_fails_with_the_last_of_its_failed_runs(make_runs, launch):
-    agents = EndingAgents(messages.GangState.FAILED)
+def test_a_job_fails_with_the_last_of_its_failed_runs(make_runs, make_agents, launch):
+    agents = make_agents(messages.GangState.FAILED)
     runs = make_runs(agents)
 
     async def scenario():
@@ -175,8 +128,8 @@
 
 
 @pytest.mark.parametrize("state", [messages.GangState.LOST, messages.GangState.PREEMPTED])
-def test_runs_that_end_for_other_reasons_are_no_failures(make_runs, launch, state):
-    agents = EndingAgents(state)
+def test_runs_that_end_for_other_reasons_are_no_failures(make_runs, make_agents, launch, state):
+    agents = make_agents(state)
     runs = make_runs(agents)
 
     async def scenario():
@@ -187,9 +140,11 @@
     assert len(set(agents.launched)) == 3 * gang_runs.FAILURES_MAX
 
 
-def test_another_entry_that_follows_the_same_runs_adds_no_failures(make_runs, launch, adopt):
+def test_another_entry_that_follows_the_same_runs_adds_no_failures(
+    make_runs, make_agents, launch, adopt
+):
     """Entries that take each other for dead follow the same runs of a job."""
-    agents = EndingAgents(messages.GangState.FAILED)
+    agents = make_agents(messages.GangState.FAILED)
     first, second = make_runs(agents), make_runs(agents)
 
     async def scenario():
@@ -212,12 +167,12 @@
     ],
 )
 def test_run_time_of_a_job_is_observed_only_if_one_run_did_all_its_work(
-    make_runs, launch, tracked, states, observed
+    make_runs, make_agents, launch, tracked, states, observed
 ):
     """The last run of a job that resumed from a checkpoint did only a part of the work."""
     run_times = durations.DurationEstimator()
     estimator = completions.CompletionEstimator(run_times)
-    runs = make_runs(EndingAgents(*states), estimator)
+    runs = make_runs(make_agents(*states), estimator)
 
     async def scenario():
         for _ in states:
--- /dev/null
+++ b/libs/entry/tests/test_job_manager.py
@@ -0,0 +1,88 @@
+"""Tests of the jobs of several entries on one log."""
+
+import types
+
+import anyio
+import pytest
+import trio
+import trio.testing
+
+from papayaspar_entry import gang_runs, job_manager
+from papayaspar_model import clock, rulesets, signals, work, workers
+from papayaspar_placement import completions, durations, fleet, queues, shape_keeping
+from papayaspar_slots import messages
+from papayaspar_standin import memory_logs
+
+JOB = work.Job("job-1", "t", "k", work.Urgency.NORMAL, work.Shape(2, 8), 60.0, True, True)
+RUN_S = 2.0
+JOB_TIMEOUT_S = 600.0
+
+
+@pytest.fixture
+def make_manager(make_runs, make_journal):
+    """Return a function that makes the job manager of an entry that sees itself alone.
+
+    It must be called in virtual time.
+    """
+
+    def make(log, agents):
+        view = fleet.FleetView()
+        for name in ("w0", "w1"):
+            identity = workers.WorkerIdentity(name, 1, "r", "dc", "region")
+            view.observe(workers.WorkerReport(identity, workers.Capacity(), 1, 0, False), 0.0)
+        rules = types.SimpleNamespace(
+            current=rulesets.RuleSet(revision=1, teams=(rulesets.Team("t", 1),)),
+            changes=signals.ChangeSignal(),
+        )
+        homes = types.SimpleNamespace(packed=types.SimpleNamespace(homes=()))
+        links = types.SimpleNamespace(live_addresses=("e1",), own_address="e1")
+        estimator = completions.CompletionEstimator(durations.DurationEstimator())
+        queue = queues.JobQueue(shape_keeping.ShapeKeeping(estimator), estimator)
+        return job_manager.JobManager(
+            log,
+            rules,
+            homes,
+            links,
+            view,
+            queue,
+            make_runs(agents, estimator),
+            make_journal(),
+            clock.LoopClock(),
+        )
+
+    return make
+
+
+async def _wait_for_launches(agents, count):
+    while len(agents.launched) < count:
+        await trio.sleep(0.01)
+
+
+def test_failed_runs_of_a_job_count_once_beside_restarted_entries(make_manager, make_agents):
+    """Each entry is killed while it follows a run, whose end no entry reads."""
+    agents = make_agents(messages.GangState.FAILED, run_s=RUN_S)
+
+    async def scenario():
+        log = memory_logs.MemoryLog()
+        for count in range(1, gang_runs.FAILURES_MAX):
+            manager = make_manager(log, agents)
+            async with anyio.create_task_group() as group:
+                group.start_soon(manager.run)
+                if count == 1:
+                    await manager.submit(JOB)
+                # The first run of this entry has failed, and the second one is running.
+                await _wait_for_launches(agents, 2 * count)
+                group.cancel_scope.cancel()
+        last = make_manager(log, agents)
+        async with anyio.create_task_group() as group:
+            group.start_soon(last.run)
+            with anyio.fail_after(JOB_TIMEOUT_S):
+                while last.table.get(JOB.job_id) is None:
+                    await trio.sleep(0.1)
+                tracked = await last.wait_for_completion(JOB.job_id, JOB_TIMEOUT_S)
+            group.cancel_scope.cancel()
+        assert tracked.ended.state is work.JobState.FAILED
+
+    trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+    lost_runs = gang_runs.FAILURES_MAX - 1
+    assert len(agents.launched) == gang_runs.FAILURES_MAX + lost_runs
--- a/libs/entry/tests/test_job_table.py
+++ b/libs/entry/tests/test_job_table.py
@@ -22,7 +22,9 @@
     [
         records.JobAccepted(JOB, 5.0, "claim-1"),
         records.JobClaimed("job-1", "claim-1"),
+        records.JobAccepted(JOB, 5.0, "claim-1", (3, 7)),
         records.JobCancelled("job-1"),
+        records.RunFailed("job-1", 7),
         records.JobEnded("job-1", work.JobState.DONE, 7),
         records.HomesPacked(2, 1, 3, (), ("models/0",)),
     ],
@@ -55,3 +57,17 @@
     table.apply(records.JobEnded("job-1", work.JobState.FAILED), 2)
     assert table.get("job-1").ended.state is work.JobState.DONE
     assert table.open_jobs() == ()
+
+
+def test_a_failed_run_counts_once_however_often_it_is_recorded(table):
+    for offset, attempt in enumerate((7, 7, 9, 7), start=1):
+        table.apply(records.RunFailed("job-1", attempt), offset)
+    table.apply(records.JobAccepted(JOB, 5.0, "", (7, 8)), 5)
+    assert table.get("job-1").failed_attempts == {7, 8, 9}
+
+
+def test_repeated_acceptance_carries_the_failed_runs_to_a_later_reader(table):
+    new_table = job_table.JobTable()
+    new_table.apply(records.JobAccepted(JOB, 5.0, "", (7, 8)), 9)
+    new_table.apply(records.RunFailed("job-1", 8), 10)
+    assert new_table.get("job-1").failed_attempts == {7, 8}
