--- a/libs/intake/tests/test_job_service.py
+++ b/libs/intake/tests/test_job_service.py
@@ -29,6 +29,16 @@
     assert service.store.append_count == appends
 
 
+async def test_job_submitted_several_times_at_once_counts_once(service, spec):
+    """Callers send a request again while the entry still works on the first one."""
+    async with anyio.create_task_group() as group:
+        for _ in range(3):
+            group.start_soon(service.jobs.submit, spec, service.authorization, 3.0)
+    await service.follower.catch_up()
+    assert await service.jobs.queued_count("checks") == 1
+    assert len(service.view.jobs) == 1
+
+
 @pytest.mark.parametrize("fault", ["BUSY", "SILENT", "LOST", "LATE"])
 async def test_rejected_job_is_never_stored(service, spec, fault):
     """Guard against status 504 from an entry that can't reach the store.
