Count a repeated handover of keys once against the memory limits

What callers see: where the answer to a handover of a shard is lost and the new owner's table is over half full, the owner refuses the repeated handover; the entry sends the shard's claims again and again until keys expire.

Cause: the check of the limits counted the keys of the export that the owner had imported before a second time.

Changed: only keys without a record are counted.

Evidence: test_a_repeated_handover_counts_once_against_the_memory_limits failed 3 of 3 without the change (the repeat was refused), and passes 3 of 3 with it.

--- a/libs/dispatch/src/papayaspar_dispatch/claim_shards.py
+++ b/libs/dispatch/src/papayaspar_dispatch/claim_shards.py
@@ -179,9 +179,10 @@
         return True
 
     def _has_capacity_for_claims(self, export: claims.ShardExport) -> bool:
-        """Return whether all keys of an export fit into the memory limits."""
-        added_bytes = sum(_size_bytes(claim.name) for claim in export.claims)
-        if self._usage.claims + len(export.claims) > self._limits.claims_max:
+        """Return whether all keys of an export that have no record yet fit into the limits."""
+        added = [claim.name for claim in export.claims if claim.name not in self._records]
+        added_bytes = sum(map(_size_bytes, added))
+        if self._usage.claims + len(added) > self._limits.claims_max:
             return False
         return self._usage.claim_bytes + added_bytes <= self._limits.claim_bytes_max
 
--- a/libs/dispatch/tests/test_claims.py
+++ b/libs/dispatch/tests/test_claims.py
@@ -135,3 +135,17 @@
     table = new_table("w1", incarnation=2)
     table.adopt(shard_chains.ChainLink(initial_map, 1))
     assert table.claim(make_claim(), 1).verdict is Verdict.NOT_OWNER
+
+
+def test_a_repeated_handover_counts_once_against_the_memory_limits(
+    owner, new_table, initial_map, new_child_map, make_claim
+):
+    for key in ("a", "b", "c"):
+        owner.claim(make_claim(key), 1)
+        owner.settle(make_claim(key), b"printed")
+    exports = owner.hand_over()
+    table = new_table("w2", claims_max=3, answer_bytes_max=21)
+    table.adopt(shard_chains.ChainLink(new_child_map(initial_map), 2))
+    for _ in range(3):
+        assert all(table.take_over(export) for export in exports)
+        assert (table.usage.claims, table.usage.answer_bytes) == (3, 21)
