--- a/libs/slots/src/papayaspar_slots/leads.py
+++ b/libs/slots/src/papayaspar_slots/leads.py
@@ -175,7 +175,8 @@
             except (TimeoutError, errors.PeerError):
                 await anyio.sleep(self._times.poll_interval_s)
             except errors.PapayasparError as error:
-                self._end(gang, messages.GangState.FAILED, error.code)
+                # The member has no reservation any more, or drains: nothing of this run has failed.
+                self._end(gang, messages.GangState.LOST, error.code)
 
     async def _monitor(self, gang: gangs.Gang) -> None:
         while not gang.state.over:
@@ -257,9 +258,10 @@
         if gang.state.over:
             return
         gang.code = code
+        gang.ended_s = self._clock.now_s()
         gang.set_state(state)
         self.counts.ended[state] += 1
-        self._ended_attempts.record_end(gang.fence, self._clock.now_s())
+        self._ended_attempts.record_end(gang.fence, gang.ended_s)
         self._active_gangs.pop(gang.fence, None)
         self._ended_gangs[gang.fence] = gang
         if len(self._ended_gangs) > MAX_ENDED_GANGS:
@@ -270,7 +272,6 @@
 
     def _status(self, gang: gangs.Gang) -> messages.GangStatus:
         now_s = self._clock.now_s()
-        ran_s = now_s - gang.started_s if gang.started_s else 0.0
         safe_after_s = None
         if gang.state.over:
             safe_after_s = max(0.0, gang.safe_at_s() - now_s)
@@ -279,7 +280,7 @@
             gang.state,
             len(gang.members),
             gang.started_count,
-            ran_s,
+            gang.ran_s(now_s),
             safe_after_s,
             gang.code,
         )
