--- a/libs/entry/tests/test_departing_owners.py
+++ b/libs/entry/tests/test_departing_owners.py
@@ -107,7 +107,7 @@
         """Run a request with the key ``k1`` and return its answer."""
         deadline_s = self.clock.now_s() + DEADLINE_S
         request = work.Request(
-            request_id, "booths", "", "print", work.Urgency.URGENT, False, deadline_s, b"{}", "k1"
+            request_id, "albums", "", "print", work.Urgency.URGENT, False, deadline_s, b"{}", "k1"
         )
         with anyio.fail_after(HANG_TIMEOUT_S):
             return await self.deduplicator.run(request, "k1", self._execute)
