--- a/libs/jobs/src/papayaspar_jobs/tasks.py
+++ b/libs/jobs/src/papayaspar_jobs/tasks.py
@@ -115,8 +115,9 @@
     def restored(self) -> "TaskRecord":
         """Return the record as read from the store, with a counted run that agrees with it.
 
-        A record of a former version has no counted run. Its newest run counts as counted once it
-        has ended: to count it again could end a job that has attempts left.
+        A record of a former version does not name the run that was counted last. If its newest run
+        has ended, that run is taken for it: counting the run again could end a job that has
+        attempts left.
         """
         failed_run = min(self.failed_run, self.run)
         if self.failures > 0 and failed_run == 0 and self.phase is TaskPhase.WAITING:
--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -229,6 +229,7 @@
     _done_count: int = attrs.field(default=0, init=False)
     failures: int = attrs.field(default=0, init=False)
     failed_run: int = attrs.field(default=0, init=False)
+    # Newest failed run, and the VMs on which its members failed.
     _noted_run: int = attrs.field(default=0, init=False)
     _noted_nodes: set[str] = attrs.field(factory=set, init=False)
 
@@ -255,8 +256,8 @@
     def with_failure(self, record: tasks.TaskRecord) -> tasks.TaskRecord:
         """Return a member's record with the failure of its run, which counts once for the unit.
 
-        A run is counted by its number, so that the failures of further members don't count, nor do
-        those that only a new lead is told of.
+        A run that is counted already is not counted again, whether another member fails in it, too,
+        or a new lead is told of it later.
 
         :param record: the member's record, whose run has failed.
         """
--- a/libs/lead/tests/test_run_outcomes.py
+++ b/libs/lead/tests/test_run_outcomes.py
@@ -11,7 +11,6 @@
 from papayaspar_scheduling import health
 from papayaspar_store import records, stores
 
-CAPACITY = specs.Resources(8000, 8000, 8)
 MEMBER = specs.Resources(1000, 100, 4)
 JOB_ID = "0" * 16
 NODES = ("node-0", "node-1")
