Keep the test of a late answer apart from how long its job's estimate is

Cause: the job's estimate was 200 ms, and a unit that has waited for its estimate may start again on the worker that failed it. Where the test process stands still for longer than that before it has attached the two sound workers, the second and last attempt goes to the failing worker.

Result: the estimate is 30 s, so that the second run goes to another worker, which the test is about.

--- a/libs/lead/tests/test_no_task_twice.py
+++ b/libs/lead/tests/test_no_task_twice.py
@@ -264,7 +264,8 @@
         failing.run_time_s, failing.answer_after_s = 0.02, 0.3
         await cluster.add_agent("node-1", failing)
         await cluster.wait_until(lambda: cluster.lead() != "")
-        cluster.submit(make_job(1))
+        # A unit that has waited for its estimate may start again on the worker that failed it.
+        cluster.submit(make_job(1, specs.Step(1, specs.Resources(1000, 100, 1), 30_000)))
         await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == 1)
         for node in ("node-2", "node-3"):
             workers_by_node[node].start_after_s = 0.5
