--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -9,6 +9,7 @@
     links,
     listings,
     orders,
+    planning_inputs,
     reconciling,
     recording,
     restoring,
@@ -109,6 +110,7 @@
         self._state = state.SchedulerState(
             workload.Workload(events), {}, view, clock_source, events
         )
+        self._inputs = planning_inputs.PlanningInputs(self._state.work)
         self._recorder = recording.Recorder(self._state, shared, tasks_writer)
         self._orders = orders.Orders(self._state, self._recorder, self.is_lead_lease_valid)
         # When the lease of a worker without a link has certainly expired.
@@ -317,14 +319,13 @@
         self._recorder.flush()
 
     def _start_waiting(self, now_s: float, wall_ms: float) -> None:
-        work = self._state.work
         if self._starting_tasks_left(now_s) <= 0:
             return
         unassigned = listings.unassigned_runs(self._state, now_s)
-        demands = self._startable(work.demands(now_s, wall_ms), unassigned, now_s)
+        demands = self._startable(self._inputs.demands(now_s, wall_ms), unassigned, now_s)
         reserved = [(run.node, self._resources_of(run)) for run in unassigned]
         deferred = [
-            work.restart_demand(unit, now_s, wall_ms)
+            self._inputs.restart_demand(unit, now_s, wall_ms)
             for unit in self._reconciler.deferred_units(now_s)
         ]
         for pool in sorted({self._pool_of(demand) for demand in demands + deferred}):
@@ -380,12 +381,11 @@
             candidates.append(link.worker)
         _end_uninformative_trials(candidates)
         self._mark_replacements(pool)
-        work = self._state.work
         plan = self._planner.plan(
             [demand for demand in demands if self._pool_of(demand) == pool],
-            work.free_capacity(candidates, unassigned, now_s, is_stopping_counted=True),
-            work.free_capacity(candidates, unassigned, now_s, is_stopping_counted=False),
-            work.victims(now_s),
+            self._inputs.free_capacity(candidates, unassigned, now_s, is_stopping_counted=True),
+            self._inputs.free_capacity(candidates, unassigned, now_s, is_stopping_counted=False),
+            self._inputs.victims(now_s),
             now_s,
             any(link.is_reconnect_expected(now_s) for link in self._state.links.values()),
             [demand for demand in deferred if self._pool_of(demand) == pool],
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -5,14 +5,11 @@
 import attrs
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import configurations, progress, registries, specs, tasks, units
+from papayaspar_jobs import configurations, progress, registries, tasks, units
 from papayaspar_runs import workers
-from papayaspar_scheduling import fleet, guarantees, health, ordering, preemption
+from papayaspar_scheduling import health
 
 MILLISECONDS_PER_SECOND = 1000.0
-# A late job keeps part of its value until this multiple of its objective has passed (payoff in the
-# platform's rules).
-WORTHLESS_AFTER_OBJECTIVES = 3.0
 # Minimum interval between two stored checkpoints of a task, in seconds: the work that is repeated
 # after a loss of all VMs. A worker saves a checkpoint for each half second of work
 # (`checkpoint_s`).
@@ -20,12 +17,6 @@
 # Maximum number of checkpoints stored per second in the whole domain: one append holds as many
 # records (`writing.APPEND_BYTES_MAX`), and the store handles several hundred appends per second.
 CHECKPOINTS_PER_S = 200.0
-# Maximum number of units of one step that a planning round considers; the units of a step differ in
-# little, and a round starts no more of them (`scheduling.STARTING_TASKS_MAX`).
-STEP_DEMANDS_MAX = 200
-# The members of a gang end within this time after the first one that failed, in seconds, unless the
-# VM of one of them is unreachable.
-GANG_END_TIMEOUT_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -70,6 +61,11 @@
             team.name: team.guaranteed_accelerators for team in configuration.teams
         }
 
+    @property
+    def guaranteed_accelerators(self) -> dict[str, int]:
+        """Number of accelerators that each team is guaranteed."""
+        return self._guaranteed_accelerators
+
     def jobs(self) -> Iterator[ActiveJob]:
         """Return the unfinished jobs; the workload may change during the iteration."""
         return iter(list(self._jobs.values()))
@@ -219,17 +215,17 @@
         """Return the VMs to which tasks are assigned."""
         return [node for node, assigned in self._tasks_by_node.items() if assigned]
 
+    def assigned_tasks(self) -> Iterator[units.Task]:
+        """Return the tasks that are assigned to a VM."""
+        for assigned in self._tasks_by_node.values():
+            yield from assigned
+
     def starting_count(self, since_s: float) -> int:
         """Return the number of tasks whose start is in progress.
 
         :param since_s: starts that were begun before are not counted; on the lead's clock.
         """
-        count = 0
-        for assigned in self._tasks_by_node.values():
-            for task in assigned:
-                if task.is_starting and task.started_s >= since_s:
-                    count += 1
-        return count
+        return sum(task.is_starting and task.started_s >= since_s for task in self.assigned_tasks())
 
     def newest_start_s(self, node: str) -> float:
         """Return when the newest run on a VM started, on the lead's clock; ``-inf`` if none."""
@@ -407,124 +403,9 @@
         self._tasks_by_node.setdefault(task.record.node, set()).add(task)
         self._checkpointed_count += task.step.is_checkpointed
 
-    def demands(self, now_s: float, wall_ms: float) -> list[ordering.Demand]:
-        """Return the waiting units that may start now."""
-        covered = self._covered_jobs()
-        demands: list[ordering.Demand] = []
-        for active in self._jobs.values():
-            job = active.progress
-            if active.is_cancelled or job.has_failed:
-                continue
-            job.create_due_tasks(wall_ms)
-            job.drop_done_occurrences(now_s)
-            for unit in job.waiting_units(wall_ms, STEP_DEMANDS_MAX):
-                if unit.ready_s is None:
-                    unit.ready_s = now_s
-                demands.append(self._demand(unit, covered, now_s, wall_ms))
-        return demands
-
-    def restart_demand(self, unit: units.Unit, now_s: float, wall_ms: float) -> ordering.Demand:
-        """Return the demand of a running unit if it were stopped now."""
-        demand = self._demand(unit, self._covered_jobs(), now_s, wall_ms)
-        return attrs.evolve(demand, waited_s=0.0)
-
-    def _demand(
-        self, unit: units.Unit, covered: frozenset[str], now_s: float, wall_ms: float
-    ) -> ordering.Demand:
-        job = unit.job
-        queue = self.queue_of(job)
-        due_ms = job.accepted_job.accepted_ms
-        if job.spec.schedule is not None:
-            due_ms = job.spec.schedule.due_ms(unit.members[0].key.occurrence)
-        age_s = max(0.0, (wall_ms - due_ms) / MILLISECONDS_PER_SECOND)
-        objective_s = (
-            queue.stretch * job.critical_path_ms + queue.objective_ms
-        ) / MILLISECONDS_PER_SECOND
-        return ordering.Demand(
-            unit,
-            ordering.Rank.of(queue.priority, job.spec.job_id in covered),
-            now_s - age_s + objective_s,
-            now_s - age_s + WORTHLESS_AFTER_OBJECTIVES * objective_s,
-            job.remaining_ms(unit) / MILLISECONDS_PER_SECOND,
-            now_s - (unit.ready_s if unit.ready_s is not None else now_s),
-        )
-
-    def _covered_jobs(self) -> frozenset[str]:
-        """Return the ids of the urgent jobs that their teams' guarantees cover."""
-        urgent = [
-            active.progress
-            for active in self._jobs.values()
-            if not active.is_cancelled and self.queue_of(active.progress).priority == 0
-        ]
-        return guarantees.covered_jobs(urgent, self._guaranteed_accelerators)
-
-    def victims(self, now_s: float) -> list[preemption.Victim]:
-        """Return the running units that may be preempted for urgent work."""
-        covered = self._covered_jobs()
-        victims: list[preemption.Victim] = []
-        for active in self._jobs.values():
-            job = active.progress
-            rank = ordering.Rank.of(self.queue_of(job).priority, job.spec.job_id in covered)
-            for unit in job.active_units():
-                if unit.step.is_lasting:
-                    continue
-                if any(task.is_starting or task.is_stopping for task in unit.members):
-                    continue
-                cost = preemption.lost_work_core_s(unit, now_s)
-                victims.append(preemption.Victim(unit, rank, cost))
-        return victims
-
     def is_assigned_run(self, key: tasks.TaskKey, run: int, node: str) -> bool:
         """Return whether a run on a VM is the current assignment of its task."""
         task = self.find_task(key)
         if task is None or not task.is_assigned:
             return False
         return task.record.run == run and task.record.node == node
-
-    def free_capacity(
-        self,
-        candidates: list[fleet.Worker],
-        unassigned: Iterable[tuple[str, specs.Resources]],
-        now_s: float,
-        is_stopping_counted: bool,
-    ) -> fleet.FreeCapacity:
-        """Return the free capacity of workers.
-
-        :param candidates: the workers.
-        :param unassigned: VM and resources of runs without an assigned task; they use capacity
-            until the worker lists their end.
-        :param now_s: the lead's clock.
-        :param is_stopping_counted: whether tasks that are being stopped use capacity.
-        """
-        free = fleet.FreeCapacity(candidates)
-        for node, resources in unassigned:
-            free.reserve(node, resources)
-        for node, assigned in self._tasks_by_node.items():
-            for task in assigned:
-                if task.is_stopping and not is_stopping_counted:
-                    continue
-                free.reserve(node, task.step.counted_resources, fleet.step_name(task.key))
-        for task in self._vacating_members(now_s):
-            free.reserve(task.record.node, task.step.counted_resources)
-        return free
-
-    def _vacating_members(self, now_s: float) -> Iterator[units.Task]:
-        """Return the ended members of gangs whose other members are about to end.
-
-        Their capacity is kept until the gang can start again as a whole: small tasks would take it
-        within the fraction of a second in which the others end, and the gang would have to preempt
-        them.
-        """
-        for active in self._jobs.values():
-            if active.is_cancelled:
-                continue
-            for unit in active.progress.active_units():
-                if len(unit.members) == 1 or not unit.is_ending_by_itself:
-                    continue
-                if active.progress.has_failed:
-                    break
-                if unit.ending_s is None:
-                    unit.ending_s = now_s
-                if now_s - unit.ending_s > GANG_END_TIMEOUT_S:
-                    continue
-                yield from (task for task in unit.members if task.is_waiting and task.record.node)
--- a/libs/lead/tests/test_attempts_model.py
+++ b/libs/lead/tests/test_attempts_model.py
@@ -17,7 +17,7 @@
 
 from papayaspar_events import journal, metrics
 from papayaspar_jobs import configurations, registries, specs, tasks
-from papayaspar_lead import workload
+from papayaspar_lead import planning_inputs, workload
 from papayaspar_model import causality, clock
 from papayaspar_runs import workers
 from papayaspar_store import records, stores
@@ -118,7 +118,7 @@
         for keys in self.units:
             if any(self.members[key].phase is tasks.TaskPhase.DONE for key in keys):
                 self.expect_done(keys)
-        self.work.demands(self.clock.now_s(), 0.0)
+        planning_inputs.PlanningInputs(self.work).demands(self.clock.now_s(), 0.0)
         self.flush()
 
     def flush(self):
@@ -231,7 +231,7 @@
     @stateful.precondition(lambda self: self.waiting_units())
     @stateful.rule(pick=PICK, nodes=SOME_NODES, is_stored=st.sampled_from([True, True, False]))
     def unit_starts(self, pick, nodes, is_stored):
-        demands = self.work.demands(self.clock.now_s(), 0.0)
+        demands = planning_inputs.PlanningInputs(self.work).demands(self.clock.now_s(), 0.0)
         unit = demands[pick % len(demands)].unit
         keys = tuple(task.key for task in unit.members)
         incarnations = {node: tasks.Incarnation(node, self.incarnations[node]) for node in nodes}
@@ -366,7 +366,7 @@
 
     @stateful.invariant()
     def waiting_units_of_jobs_that_have_not_failed_are_demanded(self):
-        demands = self.work.demands(self.clock.now_s(), 0.0)
+        demands = planning_inputs.PlanningInputs(self.work).demands(self.clock.now_s(), 0.0)
         demanded = {tuple(task.key for task in demand.unit.members) for demand in demands}
         assert demanded == set(self.waiting_units())
 
--- a/libs/lead/tests/test_failed_gang_runs.py
+++ b/libs/lead/tests/test_failed_gang_runs.py
@@ -8,7 +8,7 @@
 
 from papayaspar_events import journal, metrics
 from papayaspar_jobs import configurations, registries, specs, tasks
-from papayaspar_lead import workload
+from papayaspar_lead import planning_inputs, workload
 from papayaspar_model import causality, clock
 from papayaspar_runs import workers
 from papayaspar_standin import keyed_stores, memory_workers
@@ -96,7 +96,7 @@
         self.flush()
 
     def start(self):
-        for demand in self.work.demands(100.0, 0.0):
+        for demand in planning_inputs.PlanningInputs(self.work).demands(100.0, 0.0):
             nodes = tuple(self.rng.sample(NODES, self.members))
             incarnations = {node: tasks.Incarnation(node, 1) for node in nodes}
             self.work.assign(demand.unit, nodes, incarnations, 100.0)
@@ -242,7 +242,7 @@
     work.sync(registry, 100.0)
     ended = set()
     for _ in range(4 * 2):
-        demand = next(iter(work.demands(100.0, 1e15)))
+        demand = next(iter(planning_inputs.PlanningInputs(work).demands(100.0, 1e15)))
         nodes = NODES[:2]
         work.assign(demand.unit, nodes, {n: tasks.Incarnation(n, 1) for n in nodes}, 100.0)
         for task, node in zip(demand.unit.members, nodes, strict=True):
@@ -341,7 +341,7 @@
     registry.accept(specs.JobSpec(JOB_ID, "checks", "team", "", (step,)), QUEUE, 0)
     work.sync(registry, 100.0)
     for run in range(1, 6):
-        (demand,) = work.demands(100.0, 0.0)
+        (demand,) = planning_inputs.PlanningInputs(work).demands(100.0, 0.0)
         work.assign(demand.unit, NODES, {n: tasks.Incarnation(n, 1) for n in NODES}, 100.0)
         for task, node in zip(demand.unit.members, NODES, strict=True):
             end = workers.RunResult(1, task.key, run, tasks.EndKind.FAILED)
--- a/libs/lead/tests/test_failures_of_workers.py
+++ b/libs/lead/tests/test_failures_of_workers.py
@@ -6,7 +6,7 @@
 
 from papayaspar_events import journal, metrics
 from papayaspar_jobs import configurations, registries, specs, tasks
-from papayaspar_lead import workload
+from papayaspar_lead import planning_inputs, workload
 from papayaspar_model import causality, clock
 from papayaspar_runs import workers
 from papayaspar_scheduling import health
@@ -52,7 +52,7 @@
 
 
 def _assign(work, nodes, now_s):
-    (demand,) = work.demands(now_s, 0.0)
+    (demand,) = planning_inputs.PlanningInputs(work).demands(now_s, 0.0)
     work.assign(demand.unit, nodes, {node: tasks.Incarnation(node, 1) for node in nodes}, now_s)
     return demand.unit.members
 
--- a/libs/lead/tests/test_former_attempts.py
+++ b/libs/lead/tests/test_former_attempts.py
@@ -5,7 +5,7 @@
 
 from papayaspar_events import journal, metrics
 from papayaspar_jobs import configurations, registries, specs, tasks
-from papayaspar_lead import workload
+from papayaspar_lead import planning_inputs, workload
 from papayaspar_model import causality, clock
 from papayaspar_runs import workers
 from papayaspar_store import records, stores
@@ -42,7 +42,7 @@
 
 
 def _fail_next_run(work):
-    (demand,) = work.demands(101.0, 0.0)
+    (demand,) = planning_inputs.PlanningInputs(work).demands(101.0, 0.0)
     work.assign(demand.unit, NODES, {node: tasks.Incarnation(node, 1) for node in NODES}, 101.0)
     for number, task in enumerate(demand.unit.members, 1):
         end = workers.RunResult(number, task.key, task.record.run, tasks.EndKind.FAILED)
@@ -57,7 +57,7 @@
 def test_job_that_a_former_version_counted_as_failed_has_failed(unit_of):
     work, unit = unit_of(QUEUE.attempts, 0)
     assert unit.job.has_failed
-    assert work.demands(101.0, 0.0) == []
+    assert planning_inputs.PlanningInputs(work).demands(101.0, 0.0) == []
 
 
 def test_next_failed_run_counts_once_after_those_of_a_former_version(unit_of):
--- a/libs/lead/tests/test_gang_ends.py
+++ b/libs/lead/tests/test_gang_ends.py
@@ -9,7 +9,7 @@
 
 from papayaspar_events import journal, metrics
 from papayaspar_jobs import configurations, registries, specs, tasks
-from papayaspar_lead import workload
+from papayaspar_lead import planning_inputs, workload
 from papayaspar_model import causality, clock
 from papayaspar_runs import workers
 from papayaspar_scheduling import fleet
@@ -29,7 +29,7 @@
     registry = registries.JobRegistry()
     registry.accept(specs.JobSpec(JOB_ID, "checks", "team", "", (STEP,)), QUEUE, 0)
     work.sync(registry, 100.0)
-    (demand,) = work.demands(100.0, 0.0)
+    (demand,) = planning_inputs.PlanningInputs(work).demands(100.0, 0.0)
     work.assign(demand.unit, NODES, {node: tasks.Incarnation(node, 1) for node in NODES}, 100.0)
     for task in demand.unit.members:
         task.mark_started(100.0)
@@ -38,7 +38,9 @@
 
 def _free_accelerators(work, now_s):
     pool = [fleet.Worker(node, "pool", capacity=CAPACITY, is_open=True) for node in NODES]
-    free = work.free_capacity(pool, [], now_s, is_stopping_counted=True)
+    free = planning_inputs.PlanningInputs(work).free_capacity(
+        pool, [], now_s, is_stopping_counted=True
+    )
     return [free.free(node).accelerators for node in NODES]
 
 
@@ -55,7 +57,7 @@
 def test_place_is_not_kept_for_long(work):
     _end_first_member(work, tasks.EndKind.FAILED)
     _free_accelerators(work, 103.0)
-    assert _free_accelerators(work, 103.0 + workload.GANG_END_TIMEOUT_S + 0.1) == [8, 0]
+    assert _free_accelerators(work, 103.0 + planning_inputs.GANG_END_TIMEOUT_S + 0.1) == [8, 0]
 
 
 def test_place_of_a_preempted_member_is_not_kept(work):
--- a/libs/lead/tests/test_paused_lead.py
+++ b/libs/lead/tests/test_paused_lead.py
@@ -10,7 +10,7 @@
 
 from papayaspar_events import journal, lines, metrics
 from papayaspar_jobs import configurations, registries, specs, tasks, units
-from papayaspar_lead import reconciling, state, workload
+from papayaspar_lead import planning_inputs, reconciling, state, workload
 from papayaspar_model import causality, clock
 from papayaspar_runs import workers
 from papayaspar_scheduling import fleet
@@ -41,7 +41,7 @@
     step = specs.Step(1, specs.Resources(1000, 1000, 1), 10_000)
     registry.accept(specs.JobSpec(KEY.job_id, "checks", "team", "", (step,)), QUEUE, 0)
     work.sync(registry, 100.0)
-    (demand,) = work.demands(100.0, 0.0)
+    (demand,) = planning_inputs.PlanningInputs(work).demands(100.0, 0.0)
     work.assign(demand.unit, ("node-1",), {"node-1": tasks.Incarnation("w-1", 1)}, 100.0)
     demand.unit.members[0].mark_started(100.0)
     worker = fleet.Worker("node-1", "pool", is_open=True)
--- a/libs/lead/tests/test_run_outcomes.py
+++ b/libs/lead/tests/test_run_outcomes.py
@@ -5,7 +5,7 @@
 
 from papayaspar_events import journal, metrics
 from papayaspar_jobs import configurations, registries, specs, tasks
-from papayaspar_lead import workload
+from papayaspar_lead import planning_inputs, workload
 from papayaspar_model import causality, clock
 from papayaspar_runs import workers
 from papayaspar_scheduling import health
@@ -36,7 +36,7 @@
 
 
 def _assign(work, nodes, now_s, is_started=True):
-    (demand,) = work.demands(now_s, 1e15)
+    (demand,) = planning_inputs.PlanningInputs(work).demands(now_s, 1e15)
     work.assign(demand.unit, nodes, {node: tasks.Incarnation(node, 1) for node in nodes}, now_s)
     if is_started:
         for task in demand.unit.members:
