Add tests of failed runs after an upgrade that are not counted, as known failures

What callers would see: a gang that starts once more than its queue allows (BUDGET), when the lead is replaced again after the upgrade, at any time until its next failure. Cause: TaskRecord.restored leaves failed_run at 0 in an assigned record of a former version, assignments and other ends store 0 again, and the next new lead takes the run of a member that has ended, whatever its end, for the counted one. The failures of an assigned record can only be of earlier runs. Result: the tests are expected failures.

--- a/libs/lead/tests/test_counted_once.py
+++ b/libs/lead/tests/test_counted_once.py
@@ -80,3 +80,32 @@
     task.mark_started(106.0)
     _end(work, 0, 2, FAILED, 106.1)
     assert unit.failed_nodes == {"node-0"}
+
+
+# Guards against a gang that has one attempt more than its queue allows, long after the lead of a
+# former version was replaced: its count stays without a run until the next failure.
+@pytest.mark.xfail(
+    strict=False, reason="KNOWN-RED.txt: a failed run after an upgrade is not counted"
+)
+@pytest.mark.parametrize("first", [BROKEN, tasks.EndKind.EXPIRED])
+def test_run_that_begins_before_an_upgrade_counts_after_two_new_leads(make_work, first):
+    work = make_work(GANG, [_former_record(node) for node in NODES])
+    _end(work, 0, 2, first, 101.0)
+    work = make_work(GANG, _stored(work))
+    _end(work, 1, 2, FAILED, 102.0)
+    assert work.find_task(_key(0)).unit.failures == 2
+
+
+# As above; the run is started by a lead of this version, after the first one was preempted.
+@pytest.mark.xfail(
+    strict=False, reason="KNOWN-RED.txt: a failed run after an upgrade is not counted"
+)
+def test_run_that_begins_after_an_upgrade_counts_after_another_new_lead(make_work):
+    work = make_work(GANG, [_former_record(node) for node in NODES])
+    for index in range(len(NODES)):
+        _end(work, index, 2, tasks.EndKind.STOPPED, 101.0)
+    _assign(work, 102.0)
+    _end(work, 0, 3, BROKEN, 103.0)
+    work = make_work(GANG, _stored(work))
+    _end(work, 1, 3, FAILED, 104.0)
+    assert work.find_task(_key(0)).unit.failures == 2
