Add tests of repeated units that are admitted to ejected workers, as known failures

A unit without a refused start waits for its estimate. Cause: the scope that planner._may_repeat adds lifts all suspicion, not only that of the workers where the unit failed or was refused. Result: three tests are expected failures.

--- /dev/null
+++ b/libs/scheduling/tests/test_repeats.py
@@ -0,0 +1,79 @@
+"""Which workers a unit may use again after a start was refused or a run of it failed there."""
+
+import pytest
+
+from papayaspar_jobs import tasks
+from papayaspar_scheduling import health, ordering
+
+NORMAL = ordering.Rank.NORMAL
+ADMITTED_TOO_WIDELY = pytest.mark.xfail(
+    strict=False,
+    reason="KNOWN-RED.txt: a unit that may repeat is admitted to ejected workers",
+)
+
+
+def _nodes(plan):
+    return [node for start in plan.starts for node in start.nodes]
+
+
+def _refuse_start(unit, *nodes):
+    unit.members[0].failed_nodes.update(nodes)
+    unit.members[0].record = tasks.TaskRecord(run=1)
+
+
+@pytest.fixture
+def add_labelled_unit(cluster, make_step):
+    """Return a function that adds a waiting unit that may use only node-0 and node-3."""
+    for number in (0, 3):
+        cluster.workers[number].labels |= {"needed"}
+
+    def add(waited_s):
+        step = make_step(required_label="needed", estimate_ms=60_000)
+        return cluster.add_waiting_unit(step, NORMAL, waited_s=waited_s)
+
+    return add
+
+
+# Guards against an attempt that is used up on an ejected worker, since a sound one refused a start:
+# the unit may use each worker then, not only the one that refused.
+@ADMITTED_TOO_WIDELY
+def test_refused_start_does_not_admit_a_unit_to_ejected_workers(cluster, add_labelled_unit):
+    cluster.workers[0].is_trusted = False
+    _refuse_start(add_labelled_unit(health.repeat_pause_s(1)), "node-3")
+    assert _nodes(cluster.plan()) in ([], ["node-3"])
+
+
+# As above, with a worker that pauses after a failure, or tries another unit.
+@ADMITTED_TOO_WIDELY
+def test_refused_start_does_not_admit_a_unit_to_workers_that_pause(
+    cluster, make_step, add_labelled_unit
+):
+    cluster.workers[0].trial = health.Trial.CLOSED
+    cluster.add_running_unit(make_step(), "node-3", rank=NORMAL)
+    _refuse_start(add_labelled_unit(health.repeat_pause_s(1)), "node-3")
+    assert _nodes(cluster.plan()) == []
+
+
+# Without a refused start, a unit waits for a worker that pauses.
+def test_unit_without_a_refused_start_waits_for_workers_that_pause(
+    cluster, make_step, add_labelled_unit
+):
+    cluster.workers[0].trial = health.Trial.CLOSED
+    cluster.add_running_unit(make_step(), "node-3", rank=NORMAL)
+    add_labelled_unit(5.0)
+    assert _nodes(cluster.plan()) == []
+
+
+# Guards against a gang that fails again on workers that are ejected, beside sound ones on which it
+# failed before.
+@ADMITTED_TOO_WIDELY
+def test_gang_that_failed_widely_is_not_admitted_to_ejected_workers(cluster, make_step):
+    for worker in cluster.workers[:2]:
+        worker.is_trusted = False
+    gang = make_step(task_count=2, is_gang=True, estimate_ms=60_000)
+    unit = cluster.add_waiting_unit(gang, NORMAL, waited_s=health.repeat_pause_s(1))
+    for member, node in zip(unit.members, ("node-2", "node-3"), strict=True):
+        member.failed_nodes.add(node)
+        unit.note_failed_node(1, node)
+    unit.members[0].record = tasks.TaskRecord(run=1, failures=1, failed_run=1)
+    assert sorted(_nodes(cluster.plan())) in ([], ["node-2", "node-3"])
