--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -17,11 +17,14 @@
 
     :param states: states in which the gangs end, in turn; the last one stays.
     :param run_s: time that each gang runs, in seconds.
+    :param safe_after_s: time from a gang's end until no part can be running, in seconds.
     """
 
-    def __init__(self, *states, run_s=0.0):
+    def __init__(self, *states, run_s=0.0, safe_after_s=0.0):
         self.states = states
         self.run_s = run_s
+        self.safe_after_s = safe_after_s
+        self.ends_told = []
         self.launched = []
         self.ends_s = []
         self.lost_answers = set()
@@ -43,7 +46,8 @@
             self.lost_answers.add(inquiry.fence)
             raise errors.PeerError("the stream was lost", ran=errors.Ran.UNKNOWN)
         state = self.states[min(number, len(self.states) - 1)]
-        return messages.GangStatus(inquiry.fence, state, 2, 2, 40.0, 0.0)
+        self.ends_told.append(inquiry.fence)
+        return messages.GangStatus(inquiry.fence, state, 2, 2, 40.0, self.safe_after_s)
 
     async def cancel(self, worker, fence):
         """Return the status of an unknown gang."""
