Admit a unit that repeats only to the workers of its own failures and refusals

What callers would see: an attempt used up on an ejected worker, or on one that pauses after a failure, 0.5 s after a sound worker refused one start; a gang that failed on sound workers runs next on ejected ones.

Cause: the scope that planner._may_repeat adds lifted all suspicion of all workers.

Result: a scope of its own lifts the bar of the workers where the unit failed or was refused, and the trial that its own failure began, but no ejection. Tasks that last keep the wider one, since they have no attempts to save and must be restarted; a test says so.

--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -20,11 +20,14 @@
 
     :param is_remote_allowed: whether the tasks may run on other racks than their data or than each
         other, which makes them slow.
+    :param is_repeat_allowed: whether workers on which the unit failed or was refused are allowed,
+        unless they are ejected; a trial that the unit's own failure began does not matter either.
     :param is_untrusted_allowed: whether ejected workers, workers on trial, and workers on which the
         unit failed are allowed.
     """
 
     is_remote_allowed: bool = False
+    is_repeat_allowed: bool = False
     is_untrusted_allowed: bool = False
 
 
@@ -103,16 +106,29 @@
             return False
         if scope.is_untrusted_allowed:
             return True
-        return worker.is_trusted and worker.node not in failed_nodes
-
-    key = (step.required_label, resources, failed_nodes, scope.is_untrusted_allowed)
+        if not worker.is_trusted:
+            return False
+        return scope.is_repeat_allowed or worker.node not in failed_nodes
+
+    key = (
+        step.required_label,
+        resources,
+        failed_nodes,
+        scope.is_repeat_allowed,
+        scope.is_untrusted_allowed,
+    )
     usable = free.select(key, is_usable)
     if scope.is_untrusted_allowed or not free.has_trials:
         return usable
-    return [worker for worker in usable if _is_admitted(demand, free, worker)]
+    return [worker for worker in usable if _is_admitted(demand, free, worker, scope)]
 
 
-def _is_admitted(demand: ordering.Demand, free: fleet.FreeCapacity, worker: fleet.Worker) -> bool:
+def _is_admitted(
+    demand: ordering.Demand,
+    free: fleet.FreeCapacity,
+    worker: fleet.Worker,
+    scope: PlacementScope,
+) -> bool:
     """Return whether a unit may run on a worker as far as its trial is concerned.
 
     A unit that has failed before is not used for trials, since another failure may be its last.
@@ -120,7 +136,7 @@
     if worker.trial is health.Trial.NONE:
         return True
     if demand.unit.failures > 0:
-        return False
+        return scope.is_repeat_allowed and worker.node in demand.unit.failed_nodes
     return free.may_try(worker.node, unit_name(demand))
 
 
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -285,7 +285,13 @@
             if has_waited_long or not (fits or self._is_reconnect_expected):
                 scopes.append(placement.PlacementScope(is_remote_allowed=True))
         if _may_repeat(demand) and not _fits_trusted(demand, free_after_stops):
-            scopes.append(placement.PlacementScope(is_untrusted_allowed=True))
+            # Tasks that last have no attempts that an ejected worker could use up.
+            is_lasting = step.is_lasting
+            scopes.append(
+                placement.PlacementScope(
+                    is_repeat_allowed=not is_lasting, is_untrusted_allowed=is_lasting
+                )
+            )
         if has_waited_long and not _fits_trusted(demand, free_after_stops):
             scopes.append(
                 placement.PlacementScope(is_remote_allowed=True, is_untrusted_allowed=True)
--- a/libs/scheduling/tests/test_repeats.py
+++ b/libs/scheduling/tests/test_repeats.py
@@ -6,10 +6,6 @@
 from papayaspar_scheduling import health, ordering
 
 NORMAL = ordering.Rank.NORMAL
-ADMITTED_TOO_WIDELY = pytest.mark.xfail(
-    strict=False,
-    reason="KNOWN-RED.txt: a unit that may repeat is admitted to ejected workers",
-)
 
 
 def _nodes(plan):
@@ -36,7 +32,6 @@
 
 # Guards against an attempt that is used up on an ejected worker, since a sound one refused a start:
 # the unit may use each worker then, not only the one that refused.
-@ADMITTED_TOO_WIDELY
 def test_refused_start_does_not_admit_a_unit_to_ejected_workers(cluster, add_labelled_unit):
     cluster.workers[0].is_trusted = False
     _refuse_start(add_labelled_unit(health.repeat_pause_s(1)), "node-3")
@@ -44,7 +39,6 @@
 
 
 # As above, with a worker that pauses after a failure, or tries another unit.
-@ADMITTED_TOO_WIDELY
 def test_refused_start_does_not_admit_a_unit_to_workers_that_pause(
     cluster, make_step, add_labelled_unit
 ):
@@ -66,7 +60,6 @@
 
 # Guards against a gang that fails again on workers that are ejected, beside sound ones on which it
 # failed before.
-@ADMITTED_TOO_WIDELY
 def test_gang_that_failed_widely_is_not_admitted_to_ejected_workers(cluster, make_step):
     for worker in cluster.workers[:2]:
         worker.is_trusted = False
@@ -77,3 +70,26 @@
         unit.note_failed_node(1, node)
     unit.members[0].record = tasks.TaskRecord(run=1, failures=1, failed_run=1)
     assert sorted(_nodes(cluster.plan())) in ([], ["node-2", "node-3"])
+
+
+# Guards against a task that lasts and stays away while all workers are ejected, as long as an
+# ejection lasts: it has no attempts to save.
+def test_lasting_task_that_failed_is_restarted_on_ejected_workers(cluster, make_step):
+    for worker in cluster.workers:
+        worker.is_trusted = False
+    step = make_step(is_lasting=True, estimate_ms=60_000)
+    unit = cluster.add_waiting_unit(step, NORMAL, waited_s=health.repeat_pause_s(1))
+    unit.members[0].failed_nodes.update(worker.node for worker in cluster.workers)
+    unit.members[0].record = tasks.TaskRecord(run=1, failures=1, failed_run=1)
+    assert len(_nodes(cluster.plan())) == 1
+
+
+# Guards against an attempt that is used up on a worker that fails what it starts: the worker is on
+# trial because of other units, and refused a start of this one before.
+def test_refused_start_does_not_end_the_pause_of_its_worker(cluster, make_step):
+    cluster.workers[3].labels |= {"only"}
+    cluster.workers[3].trial = health.Trial.CLOSED
+    step = make_step(required_label="only", estimate_ms=60_000)
+    unit = cluster.add_waiting_unit(step, NORMAL, waited_s=health.repeat_pause_s(1))
+    _refuse_start(unit, "node-3")
+    assert _nodes(cluster.plan()) == []
