Resume a gang from the checkpoint that was reported last

What callers would see: work of a gang that is done again: after the worker of one member was cut off, the gang resumed from that member's checkpoint, although others had reported newer ones.

Cause: Unit.newest_checkpoint returned the checkpoint of the first member that has one.

Result: each member has the time at which its checkpoint was reported, and the newest one counts.

--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -46,6 +46,8 @@
     :param percent: progress of the current run, 0 to 100.
     :param progressed_s: time at which the progress last increased, in seconds on the lead's clock.
     :param checkpoint: newest checkpoint reported by the current run.
+    :param checkpoint_s: time at which the run reported it, or started from it, in seconds on the
+        lead's clock.
     :param checkpoint_stored_s: time at which a checkpoint of the current run was last stored, in
         seconds on the lead's clock.
     :param failed_nodes: VMs on which a run of the task failed.
@@ -62,6 +64,7 @@
     percent: float = 0.0
     progressed_s: float = 0.0
     checkpoint: str = ""
+    checkpoint_s: float = 0.0
     checkpoint_stored_s: float = 0.0
     failed_nodes: set[str] = attrs.field(factory=set)
     listed_run_max: int = 0
@@ -94,7 +97,8 @@
         self.is_starting = True
         self.is_stopping = False
         self._is_fresh_start = not self.record.checkpoint
-        self.started_s = self.progressed_s = self.checkpoint_stored_s = now_s
+        self.started_s = self.progressed_s = now_s
+        self.checkpoint_s = self.checkpoint_stored_s = now_s
         self.percent = 0.0
         self._reported_s = None
 
@@ -138,6 +142,16 @@
             self.percent = percent
             self.progressed_s = now_s
 
+    def update_checkpoint(self, checkpoint: str, now_s: float) -> None:
+        """Update the newest checkpoint of the run.
+
+        :param checkpoint: checkpoint that the worker reports.
+        :param now_s: current time in seconds on the lead's clock.
+        """
+        if checkpoint != self.checkpoint:
+            self.checkpoint = checkpoint
+            self.checkpoint_s = now_s
+
     @property
     def has_proven_start(self) -> bool:
         """Whether the run shows lasting progress of its own, not only that of a checkpoint."""
@@ -339,11 +353,14 @@
 
     @property
     def newest_checkpoint(self) -> str:
-        """Checkpoint from which all members resume in the next run, or empty."""
-        for task in self.members:
-            if task.record.checkpoint:
-                return task.record.checkpoint
-        return ""
+        """Checkpoint from which all members resume in the next run, or empty.
+
+        It is the one that was reported last: a member may have run on without being heard.
+        """
+        saved = [task for task in self.members if task.record.checkpoint]
+        if not saved:
+            return ""
+        return max(saved, key=lambda task: task.checkpoint_s).record.checkpoint
 
     @property
     def failed_nodes(self) -> frozenset[str]:
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -317,7 +317,7 @@
             detail=f"task={end.task} node={node} number={end.number}",
         )
         if end.checkpoint and task.step.is_checkpointed:
-            task.checkpoint = end.checkpoint
+            task.update_checkpoint(end.checkpoint, now_s)
         if end.kind is tasks.EndKind.DONE:
             self._apply_success(task)
         elif end.kind is tasks.EndKind.FAILED:
@@ -339,7 +339,7 @@
                 self.outcomes(task.record.node).record_health(task.started_s)
         if not run_status.checkpoint or not task.step.is_checkpointed:
             return
-        task.checkpoint = run_status.checkpoint
+        task.update_checkpoint(run_status.checkpoint, now_s)
         interval_s = max(CHECKPOINT_INTERVAL_S, self._checkpointed_count / CHECKPOINTS_PER_S)
         if now_s < task.checkpoint_stored_s + interval_s:
             return
--- a/libs/lead/tests/test_counted_once.py
+++ b/libs/lead/tests/test_counted_once.py
@@ -105,7 +105,6 @@
 
 # Guards against work of a gang that is done again, since the member whose checkpoint is used is
 # that of a worker that was cut off, while another one has reported newer checkpoints.
-@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: a gang resumes from an old checkpoint")
 def test_gang_resumes_from_the_checkpoint_that_was_reported_last(make_work):
     step = attrs.evolve(GANG, is_checkpointed=True)
     work = make_work(step)
