--- a/libs/entry/src/papayaspar_entry/job_manager.py
+++ b/libs/entry/src/papayaspar_entry/job_manager.py
@@ -14,13 +14,14 @@
     gang_moves,
     gang_runs,
     home_manager,
+    job_claims,
     job_owners,
     job_table,
     records,
     rules_manager,
 )
 from papayaspar_events import journal, lines
-from papayaspar_model import clock, errors, identifiers, work
+from papayaspar_model import clock, errors, work
 from papayaspar_placement import entitlements, fleet, queues
 from papayaspar_platform import followers, logs
 
@@ -28,7 +29,6 @@
 SCHEDULE_SPACING_S = 0.02
 RACK_CHECK_INTERVAL_S = 1.0
 ADOPT_GRACE_S = 3.0
-CLAIM_TIMEOUT_S = 5.0
 UNKNOWN_AFTER_S = 60.0
 REPEAT_INTERVAL_S = 300.0
 
@@ -70,12 +70,12 @@
         self._journal = event_journal
         self._clock = clock_source
         self._appender = appends.Appender(log, records.JOBS_STREAM)
-        self._claim_id = identifiers.new_id("claim")
         self._active_jobs: set[str] = set()
         self._queued_jobs: set[str] = set()
         self._owned_since_s: dict[str, float] = {}
         self._new_jobs: set[str] = set()
         self.table = job_table.JobTable()
+        self._claims = job_claims.JobClaims(self._appender, self.table)
 
     async def submit(self, job: work.Job) -> None:
         """Accept a job and append it to the log.
@@ -240,7 +240,7 @@
         job_id = tracked.job.job_id
         if job_id in self._queued_jobs:
             return
-        if tracked.claim_id not in ("", self._claim_id):
+        if self._claims.is_foreign(tracked):
             self._expire_foreign_claim(group, tracked, now_s)
             return
         # The previous owner may have launched the job, and its agents may not have reported yet.
@@ -300,8 +300,10 @@
 
     async def _run_gang(self, tracked: job_table.TrackedJob, decision: queues.Decision) -> None:
         try:
-            if tracked.job.idempotent or await self._claim(tracked):
+            if tracked.job.idempotent or await self._claims.claim(tracked):
                 await self._run_to_completion(tracked, decision)
+            else:
+                self._view.release(tracked.job.job_id)
         finally:
             self._active_jobs.discard(tracked.job.job_id)
             self.table.changes.notify()
@@ -321,27 +323,6 @@
             if next_decision is not None:
                 self._view.assume(tracked.job, next_decision.plan.placement)
 
-    async def _claim(self, tracked: job_table.TrackedJob) -> bool:
-        """Claim a non-idempotent job on the log, so that no other entry launches it too.
-
-        :param tracked: job to claim.
-        :return: whether this entry won the claim, which stays valid while this entry is running.
-        """
-        if not tracked.claim_id:
-            record = records.JobClaimed(tracked.job.job_id, self._claim_id)
-            try:
-                await self._appender.append(records.encode(record))
-            except errors.PapayasparError:
-                # The claim may have been appended; the log shows below which claim won.
-                await anyio.sleep(SCHEDULE_INTERVAL_S)
-            with anyio.move_on_after(CLAIM_TIMEOUT_S):
-                while not tracked.claim_id:
-                    await self.table.changes.wait_for_change(self.table.changes.sequence)
-        is_won = tracked.claim_id == self._claim_id
-        if not is_won:
-            self._view.release(tracked.job.job_id)
-        return is_won
-
     async def _follow_gang(
         self, tracked: job_table.TrackedJob, gang: entitlements.RunningGang
     ) -> None:
