--- a/libs/lead/src/papayaspar_lead/planning_inputs.py
+++ b/libs/lead/src/papayaspar_lead/planning_inputs.py
@@ -80,6 +80,20 @@
         ]
         return guarantees.covered_jobs(urgent, self._work.guaranteed_accelerators)
 
+    def starting_count(self, since_s: float) -> int:
+        """Return the number of tasks whose start is in progress.
+
+        :param since_s: starts that were begun before are not counted; on the lead's clock.
+        """
+        return sum(
+            task.is_starting and task.started_s >= since_s for task in self._work.assigned_tasks()
+        )
+
+    def newest_start_s(self, node: str) -> float:
+        """Return when the newest run on a VM started, on the lead's clock; ``-inf`` if none."""
+        starts_s = (task.started_s for task in self._work.tasks_on_node(node))
+        return max(starts_s, default=float("-inf"))
+
     def victims(self, now_s: float) -> list[preemption.Victim]:
         """Return the running units that may be preempted for urgent work."""
         covered = self._covered_jobs()
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -358,7 +358,7 @@
     def _starting_tasks_left(self, now_s: float) -> int:
         """Return how many more tasks may be started now."""
         since_s = now_s - STARTING_COUNTED_S
-        return STARTING_TASKS_MAX - self._state.work.starting_count(since_s)
+        return STARTING_TASKS_MAX - self._inputs.starting_count(since_s)
 
     def _pool_of(self, demand: ordering.Demand) -> str:
         return self._state.work.queue_of(demand.unit.job).pool
@@ -423,7 +423,7 @@
         outcomes = self._state.work.outcomes(worker.node)
         worker.is_trusted = not outcomes.is_ejected(now_s)
         worker.slowness = outcomes.slowness
-        worker.trial = outcomes.trial(now_s, self._state.work.newest_start_s(worker.node))
+        worker.trial = outcomes.trial(now_s, self._inputs.newest_start_s(worker.node))
         worker.proven_s = outcomes.proven_s
 
     def _resources_of(self, run: listings.UnassignedRun) -> specs.Resources:
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -220,18 +220,6 @@
         for assigned in self._tasks_by_node.values():
             yield from assigned
 
-    def starting_count(self, since_s: float) -> int:
-        """Return the number of tasks whose start is in progress.
-
-        :param since_s: starts that were begun before are not counted; on the lead's clock.
-        """
-        return sum(task.is_starting and task.started_s >= since_s for task in self.assigned_tasks())
-
-    def newest_start_s(self, node: str) -> float:
-        """Return when the newest run on a VM started, on the lead's clock; ``-inf`` if none."""
-        starts_s = (task.started_s for task in self._tasks_by_node.get(node, ()))
-        return max(starts_s, default=float("-inf"))
-
     def pop_changed(self) -> list[units.Task]:
         """Return the tasks whose records changed since the last call, and clear the list."""
         changed = list(self._changed_tasks.values())
