--- a/libs/placement/tests/conftest.py
+++ b/libs/placement/tests/conftest.py
@@ -66,6 +66,16 @@
     return make
 
 
+@pytest.fixture
+def use_of():
+    """Return a function that makes a gang's use of accelerators of one worker."""
+
+    def make(job_id, accelerators, attempt=1, team="blue"):
+        return workers.GangUse(job_id, attempt, team, accelerators, True, True, 5.0, 10.0)
+
+    return make
+
+
 @pytest.fixture
 def view_of(report_of):
     """Return a function that makes a view of empty racks of three workers."""
--- a/libs/placement/tests/test_fleet.py
+++ b/libs/placement/tests/test_fleet.py
@@ -1,19 +1,9 @@
 """Tests of the view of the fleet and of entitlements."""
 
-import pytest
-
-from papayaspar_model import work, workers
+from papayaspar_model import work
 from papayaspar_placement import entitlements, homes
 
 
-@pytest.fixture
-def use_of():
-    def make(job_id, accelerators, attempt=1, team="blue"):
-        return workers.GangUse(job_id, attempt, team, accelerators, True, True, 5.0, 10.0)
-
-    return make
-
-
 def test_older_reports_are_ignored(view_of, report_of, use_of):
     view = view_of("r0")
     assert view.observe(report_of("r0-w0", 5, gangs=[use_of("j", (0, 1))]), 10.0)
