--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -1,14 +1,15 @@
-"""Shared fixtures: entries' runs of jobs on scripted agents."""
+"""Shared fixtures: entries' jobs and their runs on scripted agents."""
 
 import random
+import types
 
 import pytest
 import trio
 
-from papayaspar_entry import gang_runs
+from papayaspar_entry import gang_runs, job_manager
 from papayaspar_events import journal, metrics
-from papayaspar_model import causality, clock, errors
-from papayaspar_placement import completions, durations
+from papayaspar_model import causality, clock, errors, rulesets, signals, workers
+from papayaspar_placement import completions, durations, fleet, queues, shape_keeping
 from papayaspar_slots import launches, messages, peers, timings
 
 
@@ -93,3 +94,42 @@
         return gang_runs.GangRuns(agents, launcher, estimator, make_journal(), times)
 
     return make
+
+
+@pytest.fixture
+def make_manager(make_runs, make_journal):
+    """Return a function that makes the job manager of an entry that sees itself alone.
+
+    It must be called in virtual time. The entry learns run times into ``run_times``, and its view
+    of the fleet has reports of two free workers unless another one is given.
+    """
+
+    def make(log, agents, run_times=None, view=None):
+        if view is None:
+            view = fleet.FleetView()
+        for name in ("w0", "w1"):
+            identity = workers.WorkerIdentity(name, 1, "r", "dc", "region")
+            view.observe(workers.WorkerReport(identity, workers.Capacity(), 1, 0, False), 0.0)
+        rules = types.SimpleNamespace(
+            current=rulesets.RuleSet(revision=1, teams=(rulesets.Team("t", 1),)),
+            changes=signals.ChangeSignal(),
+        )
+        homes = types.SimpleNamespace(packed=types.SimpleNamespace(homes=()))
+        links = types.SimpleNamespace(live_addresses=("e1",), own_address="e1")
+        if run_times is None:
+            run_times = durations.DurationEstimator()
+        estimator = completions.CompletionEstimator(run_times)
+        queue = queues.JobQueue(shape_keeping.ShapeKeeping(estimator), estimator)
+        return job_manager.JobManager(
+            log,
+            rules,
+            homes,
+            links,
+            view,
+            queue,
+            make_runs(agents, estimator),
+            make_journal(),
+            clock.LoopClock(),
+        )
+
+    return make
--- a/libs/entry/tests/test_job_manager.py
+++ b/libs/entry/tests/test_job_manager.py
@@ -1,15 +1,11 @@
 """Tests of the jobs of several entries on one log."""
 
-import types
-
 import anyio
-import pytest
 import trio
 import trio.testing
 
-from papayaspar_entry import gang_runs, job_manager
-from papayaspar_model import clock, rulesets, signals, work, workers
-from papayaspar_placement import completions, durations, fleet, queues, shape_keeping
+from papayaspar_entry import gang_runs
+from papayaspar_model import work
 from papayaspar_slots import messages
 from papayaspar_standin import memory_logs
 
@@ -18,41 +14,6 @@
 JOB_TIMEOUT_S = 600.0
 
 
-@pytest.fixture
-def make_manager(make_runs, make_journal):
-    """Return a function that makes the job manager of an entry that sees itself alone.
-
-    It must be called in virtual time.
-    """
-
-    def make(log, agents):
-        view = fleet.FleetView()
-        for name in ("w0", "w1"):
-            identity = workers.WorkerIdentity(name, 1, "r", "dc", "region")
-            view.observe(workers.WorkerReport(identity, workers.Capacity(), 1, 0, False), 0.0)
-        rules = types.SimpleNamespace(
-            current=rulesets.RuleSet(revision=1, teams=(rulesets.Team("t", 1),)),
-            changes=signals.ChangeSignal(),
-        )
-        homes = types.SimpleNamespace(packed=types.SimpleNamespace(homes=()))
-        links = types.SimpleNamespace(live_addresses=("e1",), own_address="e1")
-        estimator = completions.CompletionEstimator(durations.DurationEstimator())
-        queue = queues.JobQueue(shape_keeping.ShapeKeeping(estimator), estimator)
-        return job_manager.JobManager(
-            log,
-            rules,
-            homes,
-            links,
-            view,
-            queue,
-            make_runs(agents, estimator),
-            make_journal(),
-            clock.LoopClock(),
-        )
-
-    return make
-
-
 async def _wait_for_launches(agents, count):
     while len(agents.launched) < count:
         await trio.sleep(0.01)
