Place a task that lasts although an equal task that may use fewer workers does not fit

What callers would see: a task that lasts is not restarted, while a task with the same resources, estimate and failed workers that does not last waits before it.

Cause: since a unit that repeats is let onto ejected workers only if it lasts, and the key by which a planning round knows units that do not fit did not tell the two apart. Found by reading.

Result: the key says whether the task lasts. The new test failed without it and passes.

--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -340,6 +340,7 @@
         step.required_label,
         step.data_rack,
         step.is_same_rack,
+        step.is_lasting,
         len(demand.unit.members),
         demand.unit.failed_nodes,
         demand.unit.failures > 0,
--- a/libs/scheduling/tests/test_repeats.py
+++ b/libs/scheduling/tests/test_repeats.py
@@ -93,3 +93,16 @@
     unit = cluster.add_waiting_unit(step, NORMAL, waited_s=health.repeat_pause_s(1))
     _refuse_start(unit, "node-3")
     assert _nodes(cluster.plan()) == []
+
+
+# Guards against a task that lasts and is passed over, since a task that may use fewer workers, and
+# is equal to it otherwise, did not fit.
+def test_lasting_task_is_restarted_beside_an_equal_task_that_waits(cluster, make_step):
+    for worker in cluster.workers:
+        worker.is_trusted = False
+    for is_lasting in (False, True):
+        step = make_step(is_lasting=is_lasting, estimate_ms=60_000)
+        unit = cluster.add_waiting_unit(step, NORMAL, waited_s=health.repeat_pause_s(1))
+        _refuse_start(unit, "node-3")
+    (start,) = cluster.plan().starts
+    assert start.demand.unit.step.is_lasting
