Play ejections of workers beside killed leads and lost answers

Callers would see work that waits beside a worker that one gang alone has ejected, or that is ejected for longer than its failures allow.

Ejections were not tried over processes at all, nor the success of a gang for its workers.

The plays run the real programs: two entries, two agents and their workers. They observe ejections in the entries' logs, and from the workers' events which worker a job gets.

Mutations of the product code, all reverted, that made them fail:

- each report counts as another failed job of its worker: all four;
- one failed job ejects a worker: all four;
- only the third failed job ejects a worker: the first three;
- an ejected worker is ejected again by another member: the first and the third;
- the success counts only for the worker that is listed first: the fourth.

No mutation of the attempts or of the pause of a trial shows here; these are tried in test_gang_attempts.py and libs/lead/tests/test_counts_across_leads.py.

--- /dev/null
+++ b/tests/soak/test_worker_counts.py
@@ -0,0 +1,235 @@
+"""A failed run of a gang is one failure of each of its workers, and its success one success."""
+
+import contextlib
+import re
+import signal
+
+import anyio
+import attrs
+import httpx
+import proxies
+import pytest
+import systems
+
+pytestmark = pytest.mark.anyio
+
+ATTEMPTS = 9
+RUN_TIME_S = 0.8
+CALL_TIMEOUT_S = 3.0
+END_TIMEOUT_S = 25.0
+POLL_INTERVAL_S = 0.05
+# Time in which an ejection or a start that must not happen would happen, in seconds.
+QUIET_S = 1.0
+# Two members fill a worker.
+STEP = {"cpu": 4000, "mem_mb": 1000, "gpu": 4, "est_ms": 800, "gang": True}
+MEMBERS_PER_WORKER = 2
+# Ends its run long after the end of a test; reports progress each second meanwhile.
+LASTING_SCRIPT = "fail-runs:1 after-s:100"
+UNAVAILABLE_STATUSES = (429, 503)
+LEAD_TAKEN_LINE = re.compile(r"^stamp=(\d+) event=lead_taken ", re.MULTILINE)
+WORKER_EJECTED_LINE = re.compile(r' event=worker_ejected .*detail="node=(\S+) ')
+
+
+@attrs.define
+class Jobs:
+    """The jobs of a test, as their caller and the workers see them.
+
+    :param system: system that runs them.
+    :param client: the caller's client.
+    """
+
+    system: systems.System
+    client: httpx.AsyncClient
+
+    async def submit(self, number, script, workers=1):
+        """Submit a gang that fills a number of workers, until it is accepted."""
+        step = STEP | {"count": workers * MEMBERS_PER_WORKER}
+        body = {"spec": script, "steps": [step]}
+
+        async def is_accepted():
+            return await self._send("POST", number, body) is not None
+
+        await wait_until(is_accepted)
+
+    async def _send(self, method, number, body=None):
+        """Return the response of the first entry that is available, or ``None``."""
+        headers = {"Host": systems.ROUTE_HOST, "Authorization": f"Bearer {systems.TEAM_KEY}"}
+        for entry in self.system.entries:
+            address = systems.format_address(*entry.links["front"].listen)
+            url = f"http://{address}{systems.ROUTE_PREFIX}{number:016x}"
+            with contextlib.suppress(httpx.TransportError):
+                response = await self.client.request(method, url, json=body, headers=headers)
+                if response.status_code not in UNAVAILABLE_STATUSES:
+                    assert response.status_code == 200
+                    return response
+        return None
+
+    async def wait_until_succeeded(self, number):
+        """Wait until a job is shown as succeeded."""
+
+        async def is_shown():
+            response = await self._send("GET", number)
+            return response is not None and response.json()["state"] == "succeeded"
+
+        await wait_until(is_shown)
+
+    def events(self, number, what, run=None):
+        """Return the names of the agents whose workers printed an event, once for each event.
+
+        :param run: number of the run, or ``None`` for any.
+        """
+        return [
+            agent.name
+            for agent in self.system.agents
+            for row in agent.events()
+            if row["what"] == what
+            and run in (None, row["run"])
+            and row["task"].startswith(f"{number:016x}.")
+        ]
+
+    async def wait_until_printed(self, number, what, run=None, count=MEMBERS_PER_WORKER):
+        """Wait until events of a job are printed, and return the names of the workers' agents."""
+
+        async def are_printed():
+            return len(self.events(number, what, run)) >= count
+
+        await wait_until(are_printed)
+        return set(self.events(number, what, run))
+
+    def lead(self):
+        """Return the entry that became lead last."""
+        stamps = {}
+        for entry in self.system.entries:
+            found = LEAD_TAKEN_LINE.findall(entry.log_path.read_text())
+            stamps[entry.name] = max(map(int, found), default=0)
+        return max(self.system.entries, key=lambda entry: stamps[entry.name])
+
+    def ejections(self):
+        """Return the names of the ejected workers' VMs, once for each ejection by any lead."""
+        return [
+            node
+            for entry in self.system.entries
+            for node in WORKER_EJECTED_LINE.findall(entry.log_path.read_text())
+        ]
+
+    async def wait_until_ejected(self):
+        """Wait until a lead has ejected a worker."""
+
+        async def is_ejected():
+            return bool(self.ejections())
+
+        await wait_until(is_ejected)
+
+    async def leave_one_worker(self):
+        """Fill a worker with a job that lasts, and return the agent of the other one."""
+        await self.submit(1, LASTING_SCRIPT)
+        (busy,) = await self.wait_until_printed(1, "began", 1)
+        (free,) = [agent for agent in self.system.agents if agent.name != busy]
+        return free
+
+
+async def wait_until(check):
+    """Poll a coroutine function until it returns something true."""
+    with anyio.fail_after(END_TIMEOUT_S):
+        while not await check():
+            await anyio.sleep(POLL_INTERVAL_S)
+
+
+@pytest.fixture
+def anyio_backend():
+    """Run the tests on asyncio, as the programs do."""
+    return "asyncio"
+
+
+@pytest.fixture
+async def jobs(tmp_path):
+    """Return the jobs of a system of two entries and two workers."""
+    system = systems.System(tmp_path, 2, 2, run_time_s=RUN_TIME_S, attempts=ATTEMPTS)
+    try:
+        async with anyio.create_task_group() as group:
+            await system.start(group)
+            async with httpx.AsyncClient(
+                trust_env=False, verify=False, timeout=CALL_TIMEOUT_S
+            ) as client:
+                yield Jobs(system, client)
+            group.cancel_scope.cancel()
+    finally:
+        system.close()
+
+
+async def assert_ejected_once(jobs, agent):
+    """Check that a worker is ejected, once, and that it gets no further job."""
+    await jobs.wait_until_ejected()
+    await jobs.submit(4, "fail-runs:1")
+    await anyio.sleep(QUIET_S)
+    assert jobs.ejections() == [agent.name]
+    assert jobs.events(4, "began", 1) == []
+
+
+# Guards against a worker that is ejected by one gang alone: its members fail together, and a new
+# lead is told of all of them since the former one could store nothing.
+async def test_gang_that_fails_while_the_lead_dies_ejects_no_worker_by_itself(jobs):
+    agent = await jobs.leave_one_worker()
+    await jobs.submit(2, "fail-runs:1 gap-s:0.1")
+    assert await jobs.wait_until_printed(2, "began", 1) == {agent.name}
+    lead = jobs.lead()
+    await lead.links["store"].switch(proxies.LinkState.SILENT)
+    await jobs.wait_until_printed(2, "failed", 1)
+    lead.send_signal(signal.SIGKILL)
+    await lead.links["store"].switch(proxies.LinkState.OPEN)
+    # The worker gets another job, so that it is not ejected; that one's failure ejects it.
+    await jobs.submit(3, "fail-runs:1 gap-s:0.1")
+    assert await jobs.wait_until_printed(3, "began", 1) == {agent.name}
+    assert jobs.ejections() == []
+    await assert_ejected_once(jobs, agent)
+
+
+# Guards against a worker that two leads eject for the same run, or a second lead for one job.
+async def test_worker_is_ejected_once_if_the_lead_dies_between_the_ends_of_members(jobs):
+    agent = await jobs.leave_one_worker()
+    await jobs.submit(2, "fail-runs:1 gap-s:0.1")
+    assert await jobs.wait_until_printed(2, "failed", 1) == {agent.name}
+    await jobs.submit(3, "fail-runs:1 gap-s:3")
+    assert await jobs.wait_until_printed(3, "began", 1) == {agent.name}
+    await jobs.wait_until_ejected()
+    assert len(jobs.events(3, "failed", 1)) == 1
+    jobs.lead().send_signal(signal.SIGKILL)
+    await jobs.wait_until_printed(3, "failed", 1)
+    # The new lead has read the ends once it starts another job.
+    await jobs.submit(4, "succeeds")
+    await jobs.wait_until_printed(4, "began")
+    assert jobs.ejections() == [agent.name]
+
+
+# Guards against a worker whose answers get lost, so that each of its failures is reported late and
+# with others, and that is ejected by one gang, or twice by two.
+async def test_worker_is_ejected_once_by_the_second_gang_while_its_answers_are_lost(jobs):
+    agent = await jobs.leave_one_worker()
+    link = agent.links["worker"]
+    for number in (2, 3):
+        await jobs.submit(number, "fail-runs:1 gap-s:0.1")
+        assert await jobs.wait_until_printed(number, "began", 1) == {agent.name}
+        assert jobs.ejections() == []
+        await link.switch(proxies.LinkState.ONE_WAY)
+        await jobs.wait_until_printed(number, "failed", 1)
+        await link.switch(proxies.LinkState.OPEN)
+    await assert_ejected_once(jobs, agent)
+
+
+# Guards against workers that are ejected although a gang succeeded on them between two failures:
+# the answers of one were lost, so that the lead was told of the success on the other alone.
+async def test_success_of_a_gang_counts_for_a_worker_whose_answers_are_lost(jobs):
+    members = 2 * MEMBERS_PER_WORKER
+    await jobs.submit(2, "fail-runs:1 gap-s:0.1", workers=2)
+    await jobs.wait_until_printed(2, "began", 1, members)
+    jobs.lead().send_signal(signal.SIGKILL)
+    await jobs.wait_until_printed(2, "began", 2, members)
+    assert len(jobs.events(2, "failed", 1)) == members
+    link = jobs.system.agents[1].links["worker"]
+    await link.switch(proxies.LinkState.ONE_WAY)
+    await jobs.wait_until_succeeded(2)
+    await link.switch(proxies.LinkState.OPEN)
+    await jobs.submit(3, "fail-runs:all gap-s:0.1", workers=2)
+    # The lead has read the failures of a run once the next one fails.
+    await jobs.wait_until_printed(3, "failed", count=2 * members)
+    assert jobs.ejections() == []
