Play ends that a restarted agent lists again over processes

Callers would see work that waits beside a worker that one gang has ejected, since its ends were listed twice.

Ends whose acknowledgement was lost were listed again in one process only.

The lead reads the failures of both members while its store is silent, so that it can neither store nor acknowledge them, and the agent is killed. In a play that was looked at, the restarted agent listed two ends to the same lead, which counted no further failure; the next gang that failed ejected the worker, once.

It fails if each report counts as another failed job of its worker, if one failed job or only the third ejects a worker, and if an ejected worker is ejected again by another member; all four mutations were reverted.

--- a/tests/soak/test_worker_counts.py
+++ b/tests/soak/test_worker_counts.py
@@ -27,6 +27,7 @@
 LASTING_SCRIPT = "fail-runs:1 after-s:100"
 UNAVAILABLE_STATUSES = (429, 503)
 LEAD_TAKEN_LINE = re.compile(r"^stamp=(\d+) event=lead_taken ", re.MULTILINE)
+TASK_FAILED_LINE = re.compile(r" event=task_ended .*job=0*2 .*code=failed ")
 WORKER_EJECTED_LINE = re.compile(r' event=worker_ejected .*detail="node=(\S+) ')
 
 
@@ -184,6 +185,27 @@
     await assert_ejected_once(jobs, agent)
 
 
+# Guards against a worker that is ejected by one gang alone: its restarted agent lists the ends
+# again, which could neither be stored nor acknowledged.
+async def test_ends_that_a_restarted_agent_lists_again_eject_no_worker(jobs):
+    agent = await jobs.leave_one_worker()
+    await jobs.submit(2, "fail-runs:1 gap-s:0.1")
+    assert await jobs.wait_until_printed(2, "began", 1) == {agent.name}
+    lead = jobs.lead()
+    await lead.links["store"].switch(proxies.LinkState.SILENT)
+
+    async def has_lead_read_ends():
+        return len(TASK_FAILED_LINE.findall(lead.log_path.read_text())) == MEMBERS_PER_WORKER
+
+    await wait_until(has_lead_read_ends)
+    agent.send_signal(signal.SIGKILL)
+    await lead.links["store"].switch(proxies.LinkState.OPEN)
+    await jobs.submit(3, "fail-runs:1 gap-s:0.1")
+    assert await jobs.wait_until_printed(3, "began", 1) == {agent.name}
+    assert jobs.ejections() == []
+    await assert_ejected_once(jobs, agent)
+
+
 # Guards against a worker that two leads eject for the same run, or a second lead for one job.
 async def test_worker_is_ejected_once_if_the_lead_dies_between_the_ends_of_members(jobs):
     agent = await jobs.leave_one_worker()
