Share the caller of the plays over real processes

test_gang_attempts.py and test_worker_counts.py each had their own copy of the system's start, the calls, the lead's name and the polling. They are in job_callers.py now, and the backend of the tests in a conftest.

--- a/tests/soak/test_gang_attempts.py
+++ b/tests/soak/test_gang_attempts.py
@@ -1,27 +1,20 @@
 """A failed run of a gang counts as one attempt, however many of its members end ``failed``."""
 
-import contextlib
-import re
 import signal
 
 import anyio
 import attrs
-import httpx
+import job_callers
 import proxies
 import pytest
-import systems
 
 pytestmark = pytest.mark.anyio
 
 ATTEMPTS = 2
 MEMBERS = 4
-RUN_TIME_S = 0.8
 JOB_ID = "00000000000000a1"
 # Two members fill a worker.
 STEP = {"count": MEMBERS, "cpu": 4000, "mem_mb": 1000, "gpu": 4, "est_ms": 800, "gang": True}
-CALL_TIMEOUT_S = 3.0
-END_TIMEOUT_S = 25.0
-POLL_INTERVAL_S = 0.05
 # Time in which a lead stores a failure that an agent has reported, and in which a start that must
 # not happen would happen, in seconds.
 STORE_TIME_S = 0.3
@@ -29,37 +22,25 @@
 # Events of members of a failing run that end.
 END_EVENTS = ("failed", "ended")
 ENDED_STATES = ("succeeded", "failed", "canceled")
-UNAVAILABLE_STATUSES = (429, 503)
-LEAD_TAKEN_LINE = re.compile(r"^stamp=(\d+) event=lead_taken ", re.MULTILINE)
 
 
 @attrs.define
 class Gang:
     """The gang of a test, as its caller and its workers see it.
 
-    :param system: system that runs it.
-    :param client: the caller's client.
+    :param caller: its caller.
     """
 
-    system: systems.System
-    client: httpx.AsyncClient
+    caller: job_callers.JobCaller
+
+    @property
+    def system(self):
+        """The system that runs it."""
+        return self.caller.system
 
     async def submit(self, script):
         """Submit the job until it is accepted."""
-        body = {"spec": script, "steps": [STEP]}
-        await wait_until(lambda: self._send("POST", self.system.entries[0], body))
-
-    async def _send(self, method, entry, body=None):
-        """Return the response of an entry, or ``None`` if it is unavailable."""
-        address = systems.format_address(*entry.links["front"].listen)
-        headers = {"Host": systems.ROUTE_HOST, "Authorization": f"Bearer {systems.TEAM_KEY}"}
-        url = f"http://{address}{systems.ROUTE_PREFIX}{JOB_ID}"
-        with contextlib.suppress(httpx.TransportError):
-            response = await self.client.request(method, url, json=body, headers=headers)
-            if response.status_code not in UNAVAILABLE_STATUSES:
-                assert response.status_code == 200
-                return response
-        return None
+        await self.caller.submit(JOB_ID, script, STEP)
 
     async def shown_states(self):
         """Return the last state that each entry shows, once all of them show that it ended."""
@@ -67,19 +48,18 @@
 
         async def have_all_ended():
             for entry in self.system.entries:
-                response = await self._send("GET", entry)
+                response = await self.caller.call("GET", entry, JOB_ID)
                 if response is not None:
                     states[entry.name] = response.json()["state"]
             shown = [states.get(entry.name) for entry in self.system.entries]
             return all(state in ENDED_STATES for state in shown)
 
-        await wait_until(have_all_ended)
+        await job_callers.wait_until(have_all_ended)
         return set(states.values())
 
     def events(self, what):
         """Return the events of a kind that the workers printed, as pairs of task and run."""
-        rows = [row for agent in self.system.agents for row in agent.events()]
-        return sorted((row["task"], row["run"]) for row in rows if row["what"] == what)
+        return sorted((row["task"], row["run"]) for _, row in self.caller.events(JOB_ID, what))
 
     def starts_of(self, *runs):
         """Return the starts of all members in the given runs."""
@@ -91,47 +71,14 @@
         async def are_printed():
             return sum(len(self.events(kind)) for kind in kinds) >= count
 
-        await wait_until(are_printed)
-
-    def lead(self):
-        """Return the entry that became lead last."""
-        stamps = {}
-        for entry in self.system.entries:
-            found = LEAD_TAKEN_LINE.findall(entry.log_path.read_text())
-            stamps[entry.name] = max(map(int, found), default=0)
-        return max(self.system.entries, key=lambda entry: stamps[entry.name])
-
-
-async def wait_until(check):
-    """Poll a coroutine function until it returns something true, and return that."""
-    with anyio.fail_after(END_TIMEOUT_S):
-        while True:
-            result = await check()
-            if result:
-                return result
-            await anyio.sleep(POLL_INTERVAL_S)
-
-
-@pytest.fixture
-def anyio_backend():
-    """Run the tests on asyncio, as the programs do."""
-    return "asyncio"
+        await job_callers.wait_until(are_printed)
 
 
 @pytest.fixture
 async def gang(tmp_path):
     """Return a gang to submit, on two entries and three workers."""
-    system = systems.System(tmp_path, 2, 3, run_time_s=RUN_TIME_S, attempts=ATTEMPTS)
-    try:
-        async with anyio.create_task_group() as group:
-            await system.start(group)
-            async with httpx.AsyncClient(
-                trust_env=False, verify=False, timeout=CALL_TIMEOUT_S
-            ) as client:
-                yield Gang(system, client)
-            group.cancel_scope.cancel()
-    finally:
-        system.close()
+    async with job_callers.running_system(tmp_path, agents=3, attempts=ATTEMPTS) as caller:
+        yield Gang(caller)
 
 
 async def assert_succeeds_in_second_run(gang):
@@ -181,7 +128,7 @@
     await gang.submit("fail-runs:1 gap-s:0.7")
     await gang.wait_until_printed(members_before, *END_EVENTS)
     await anyio.sleep(STORE_TIME_S)
-    gang.lead().send_signal(signal.SIGKILL)
+    gang.caller.lead().send_signal(signal.SIGKILL)
     await assert_succeeds_in_second_run(gang)
 
 
@@ -203,7 +150,7 @@
 async def test_run_is_one_attempt_when_the_store_does_not_answer_the_lead(gang, dies):
     await gang.submit("fail-runs:1 gap-s:0.1")
     await gang.wait_until_printed(MEMBERS, "began")
-    lead = gang.lead()
+    lead = gang.caller.lead()
     await lead.links["store"].switch(proxies.LinkState.ONE_WAY)
     await gang.wait_until_printed(MEMBERS, *END_EVENTS)
     await anyio.sleep(STORE_TIME_S)
--- a/tests/soak/test_worker_counts.py
+++ b/tests/soak/test_worker_counts.py
@@ -1,23 +1,17 @@
 """A failed run of a gang is one failure of each of its workers, and its success one success."""
 
-import contextlib
 import re
 import signal
 
 import anyio
 import attrs
-import httpx
+import job_callers
 import proxies
 import pytest
-import systems
 
 pytestmark = pytest.mark.anyio
 
 ATTEMPTS = 9
-RUN_TIME_S = 0.8
-CALL_TIMEOUT_S = 3.0
-END_TIMEOUT_S = 25.0
-POLL_INTERVAL_S = 0.05
 # Time in which an ejection or a start that must not happen would happen, in seconds.
 QUIET_S = 1.0
 # Two members fill a worker.
@@ -25,8 +19,6 @@
 MEMBERS_PER_WORKER = 2
 # Ends its run long after the end of a test; reports progress each second meanwhile.
 LASTING_SCRIPT = "fail-runs:1 after-s:100"
-UNAVAILABLE_STATUSES = (429, 503)
-LEAD_TAKEN_LINE = re.compile(r"^stamp=(\d+) event=lead_taken ", re.MULTILINE)
 TASK_FAILED_LINE = re.compile(r" event=task_ended .*job=0*2 .*code=failed ")
 WORKER_EJECTED_LINE = re.compile(r' event=worker_ejected .*detail="node=(\S+) ')
 
@@ -35,58 +27,37 @@
 class Jobs:
     """The jobs of a test, as their caller and the workers see them.
 
-    :param system: system that runs them.
-    :param client: the caller's client.
+    :param caller: their caller.
     """
 
-    system: systems.System
-    client: httpx.AsyncClient
+    caller: job_callers.JobCaller
+
+    @property
+    def system(self):
+        """The system that runs them."""
+        return self.caller.system
 
     async def submit(self, number, script, workers=1):
         """Submit a gang that fills a number of workers, until it is accepted."""
         step = STEP | {"count": workers * MEMBERS_PER_WORKER}
-        body = {"spec": script, "steps": [step]}
-
-        async def is_accepted():
-            return await self._send("POST", number, body) is not None
-
-        await wait_until(is_accepted)
-
-    async def _send(self, method, number, body=None):
-        """Return the response of the first entry that is available, or ``None``."""
-        headers = {"Host": systems.ROUTE_HOST, "Authorization": f"Bearer {systems.TEAM_KEY}"}
-        for entry in self.system.entries:
-            address = systems.format_address(*entry.links["front"].listen)
-            url = f"http://{address}{systems.ROUTE_PREFIX}{number:016x}"
-            with contextlib.suppress(httpx.TransportError):
-                response = await self.client.request(method, url, json=body, headers=headers)
-                if response.status_code not in UNAVAILABLE_STATUSES:
-                    assert response.status_code == 200
-                    return response
-        return None
+        await self.caller.submit(f"{number:016x}", script, step)
 
     async def wait_until_succeeded(self, number):
         """Wait until a job is shown as succeeded."""
 
         async def is_shown():
-            response = await self._send("GET", number)
+            response = await self.caller.call_any("GET", f"{number:016x}")
             return response is not None and response.json()["state"] == "succeeded"
 
-        await wait_until(is_shown)
+        await job_callers.wait_until(is_shown)
 
     def events(self, number, what, run=None):
         """Return the names of the agents whose workers printed an event, once for each event.
 
         :param run: number of the run, or ``None`` for any.
         """
-        return [
-            agent.name
-            for agent in self.system.agents
-            for row in agent.events()
-            if row["what"] == what
-            and run in (None, row["run"])
-            and row["task"].startswith(f"{number:016x}.")
-        ]
+        found = self.caller.events(f"{number:016x}", what)
+        return [agent.name for agent, row in found if run in (None, row["run"])]
 
     async def wait_until_printed(self, number, what, run=None, count=MEMBERS_PER_WORKER):
         """Wait until events of a job are printed, and return the names of the workers' agents."""
@@ -94,17 +65,9 @@
         async def are_printed():
             return len(self.events(number, what, run)) >= count
 
-        await wait_until(are_printed)
+        await job_callers.wait_until(are_printed)
         return set(self.events(number, what, run))
 
-    def lead(self):
-        """Return the entry that became lead last."""
-        stamps = {}
-        for entry in self.system.entries:
-            found = LEAD_TAKEN_LINE.findall(entry.log_path.read_text())
-            stamps[entry.name] = max(map(int, found), default=0)
-        return max(self.system.entries, key=lambda entry: stamps[entry.name])
-
     def ejections(self):
         """Return the names of the ejected workers' VMs, once for each ejection by any lead."""
         return [
@@ -119,7 +82,7 @@
         async def is_ejected():
             return bool(self.ejections())
 
-        await wait_until(is_ejected)
+        await job_callers.wait_until(is_ejected)
 
     async def leave_one_worker(self):
         """Fill a worker with a job that lasts, and return the agent of the other one."""
@@ -129,33 +92,11 @@
         return free
 
 
-async def wait_until(check):
-    """Poll a coroutine function until it returns something true."""
-    with anyio.fail_after(END_TIMEOUT_S):
-        while not await check():
-            await anyio.sleep(POLL_INTERVAL_S)
-
-
-@pytest.fixture
-def anyio_backend():
-    """Run the tests on asyncio, as the programs do."""
-    return "asyncio"
-
-
 @pytest.fixture
 async def jobs(tmp_path):
     """Return the jobs of a system of two entries and two workers."""
-    system = systems.System(tmp_path, 2, 2, run_time_s=RUN_TIME_S, attempts=ATTEMPTS)
-    try:
-        async with anyio.create_task_group() as group:
-            await system.start(group)
-            async with httpx.AsyncClient(
-                trust_env=False, verify=False, timeout=CALL_TIMEOUT_S
-            ) as client:
-                yield Jobs(system, client)
-            group.cancel_scope.cancel()
-    finally:
-        system.close()
+    async with job_callers.running_system(tmp_path, agents=2, attempts=ATTEMPTS) as caller:
+        yield Jobs(caller)
 
 
 async def assert_ejected_once(jobs, agent):
@@ -173,7 +114,7 @@
     agent = await jobs.leave_one_worker()
     await jobs.submit(2, "fail-runs:1 gap-s:0.1")
     assert await jobs.wait_until_printed(2, "began", 1) == {agent.name}
-    lead = jobs.lead()
+    lead = jobs.caller.lead()
     await lead.links["store"].switch(proxies.LinkState.SILENT)
     await jobs.wait_until_printed(2, "failed", 1)
     lead.send_signal(signal.SIGKILL)
@@ -191,13 +132,13 @@
     agent = await jobs.leave_one_worker()
     await jobs.submit(2, "fail-runs:1 gap-s:0.1")
     assert await jobs.wait_until_printed(2, "began", 1) == {agent.name}
-    lead = jobs.lead()
+    lead = jobs.caller.lead()
     await lead.links["store"].switch(proxies.LinkState.SILENT)
 
     async def has_lead_read_ends():
         return len(TASK_FAILED_LINE.findall(lead.log_path.read_text())) == MEMBERS_PER_WORKER
 
-    await wait_until(has_lead_read_ends)
+    await job_callers.wait_until(has_lead_read_ends)
     agent.send_signal(signal.SIGKILL)
     await lead.links["store"].switch(proxies.LinkState.OPEN)
     await jobs.submit(3, "fail-runs:1 gap-s:0.1")
@@ -215,7 +156,7 @@
     assert await jobs.wait_until_printed(3, "began", 1) == {agent.name}
     await jobs.wait_until_ejected()
     assert len(jobs.events(3, "failed", 1)) == 1
-    jobs.lead().send_signal(signal.SIGKILL)
+    jobs.caller.lead().send_signal(signal.SIGKILL)
     await jobs.wait_until_printed(3, "failed", 1)
     # The new lead has read the ends once it starts another job.
     await jobs.submit(4, "succeeds")
@@ -244,7 +185,7 @@
     members = 2 * MEMBERS_PER_WORKER
     await jobs.submit(2, "fail-runs:1 gap-s:0.1", workers=2)
     await jobs.wait_until_printed(2, "began", 1, members)
-    jobs.lead().send_signal(signal.SIGKILL)
+    jobs.caller.lead().send_signal(signal.SIGKILL)
     await jobs.wait_until_printed(2, "began", 2, members)
     assert len(jobs.events(2, "failed", 1)) == members
     link = jobs.system.agents[1].links["worker"]
