Confirm the start of a gang by reports of the launched attempt only

What callers would see: accelerators count as free while a gang of /v1 starts on them, so that another job is placed there, refused, and placed again.

Cause: a start counted as confirmed by any attempt above those that a worker still reported when the gang was assumed: also by a late report of an attempt that had ended or was given up.

Result: the entry tells its view the number of the attempt that it launches, and only reports of it or of a later one confirm the start. The test of the view had no launched attempt; it names one now, as the entry does, and checks the confirmation by that attempt, too.

--- a/libs/entry/src/papayaspar_entry/gang_runs.py
+++ b/libs/entry/src/papayaspar_entry/gang_runs.py
@@ -85,15 +85,26 @@
         self._estimator = estimator
         self._journal = event_journal
 
-    async def launch(self, tracked: job_table.TrackedJob, decision: queues.Decision) -> RunResult:
+    def next_attempt(self) -> int:
+        """Return an attempt number greater than that of every gang reported to this entry.
+
+        The hybrid clock is ahead of every stamp received from agents, so it is above the attempt
+        of each reported gang, whichever entry launched it.
+        """
+        return self._journal.hybrid_clock.tick() >> STAMP_TO_ATTEMPT_SHIFT_BITS
+
+    async def launch(
+        self, tracked: job_table.TrackedJob, decision: queues.Decision, attempt: int
+    ) -> RunResult:
         """Launch a job's gang according to a placement decision, and follow it to its result.
 
         :param tracked: job to run.
         :param decision: placement of the gang and the gangs to preempt.
+        :param attempt: number of the attempt, from :meth:`next_attempt`.
         """
         job = tracked.job
         placement = decision.plan.placement
-        gang = _make_gang(job.job_id, self._next_attempt(), placement)
+        gang = _make_gang(job.job_id, attempt, placement)
         self._record(lines.EventKind.JOB_PLACED, job, gang)
         try:
             # On a home, the agents preempt other teams' gangs themselves; a gang that is moved
@@ -244,14 +255,6 @@
         except errors.PapayasparError:
             await anyio.sleep(INQUIRE_INTERVAL_S)
 
-    def _next_attempt(self) -> int:
-        """Return an attempt number greater than that of every gang reported to this entry.
-
-        The hybrid clock is ahead of every stamp received from agents, so it is above the attempt
-        of each reported gang, whichever entry launched it.
-        """
-        return self._journal.hybrid_clock.tick() >> STAMP_TO_ATTEMPT_SHIFT_BITS
-
     def _record(self, kind: lines.EventKind, job: work.Job, gang: Gang, code: str = "") -> None:
         self._journal.record(
             kind,
--- a/libs/entry/src/papayaspar_entry/job_manager.py
+++ b/libs/entry/src/papayaspar_entry/job_manager.py
@@ -317,7 +317,9 @@
         """Run a gang, and run it again in its new placement after each move."""
         next_decision: queues.Decision | None = decision
         while next_decision is not None:
-            result = await self._runs.launch(tracked, next_decision)
+            attempt = self._runs.next_attempt()
+            self._view.expect_attempt(tracked.job.job_id, attempt)
+            result = await self._runs.launch(tracked, next_decision, attempt)
             await self._wait_until_safe(tracked, result)
             next_decision = self._gang_moves.pop(tracked.job.job_id)
             await self._finish(tracked, result)
--- a/libs/entry/tests/test_gang_runs.py
+++ b/libs/entry/tests/test_gang_runs.py
@@ -75,7 +75,8 @@
     async def launch_on(runs):
         tasks = tuple(workers.AcceleratorRange(f"w{n}", tuple(range(8))) for n in range(2))
         plan = preemptions.PreemptionPlan(workers.Placement(tasks))
-        result = await runs.launch(tracked, queues.Decision(tracked.job, plan, 0.0, False))
+        decision = queues.Decision(tracked.job, plan, 0.0, False)
+        result = await runs.launch(tracked, decision, runs.next_attempt())
         await trio.sleep(1.0)
         return result
 
--- a/libs/entry/tests/test_job_counts_beside_kills.py
+++ b/libs/entry/tests/test_job_counts_beside_kills.py
@@ -356,9 +356,6 @@
 
 # Guards against a start that is confirmed by an attempt which was given up: the answer to a
 # reservation is late, the gang is placed again, and the first report of that reservation arrives.
-@pytest.mark.xfail(
-    strict=False, reason="KNOWN-RED.txt: a start is confirmed by an attempt that was given up"
-)
 def test_a_late_report_of_a_given_up_attempt_does_not_confirm_a_start(
     run, make_manager, make_agents
 ):
--- a/libs/placement/src/papayaspar_placement/fleet.py
+++ b/libs/placement/src/papayaspar_placement/fleet.py
@@ -161,6 +161,15 @@
             )
             self._refresh(worker)
 
+    def expect_attempt(self, job_id: str, attempt: int) -> None:
+        """Let only reports of an attempt, or of a later one, confirm the start of an assumed gang.
+
+        :param job_id: the job.
+        :param attempt: number of the attempt that is launched.
+        """
+        if job_id in self._assumed:
+            self._previous_attempts[job_id] = attempt - 1
+
     def release(self, job_id: str) -> None:
         """Stop counting an assumed gang that failed to start or has ended.
 
--- a/libs/placement/tests/test_fleet.py
+++ b/libs/placement/tests/test_fleet.py
@@ -1,7 +1,5 @@
 """Tests of the view of the fleet and of entitlements."""
 
-import pytest
-
 from papayaspar_model import work
 from papayaspar_placement import entitlements, homes
 
@@ -59,9 +57,6 @@
 
 # Guards against accelerators that count as free while a gang starts on them: a worker whose stream
 # was slow reports an earlier attempt, which the others have already ended.
-@pytest.mark.xfail(
-    strict=False, reason="KNOWN-RED.txt: a late report of an earlier attempt confirms a start"
-)
 def test_late_report_of_an_attempt_that_has_ended_does_not_confirm_a_start(
     view_of, report_of, use_of, job_of, start_job
 ):
@@ -69,8 +64,12 @@
     view.observe(report_of("r0-w0", 2, gangs=[use_of("j", (0,), attempt=4)]), 1.0)
     view.observe(report_of("r0-w0", 3), 1.5)
     start_job(view, job_of("j"), ("r0-w0", (7,)), ("r0-w1", (7,)))
+    view.expect_attempt("j", 5)
     view.observe(report_of("r0-w1", 2, gangs=[use_of("j", (1,), attempt=4)]), 2.0)
     assert 7 not in view.worker("r0-w1").free
+    for worker in ("r0-w0", "r0-w1"):
+        view.observe(report_of(worker, 4, gangs=[use_of("j", (7,), attempt=5)]), 3.0)
+    assert not view.is_assumed("j")
 
 
 def test_repeated_reports_of_a_gang_count_once(view_of, report_of, use_of):
