Show that progress before a late answer to a start is forgotten

What callers would see: a sound worker is put on trial and barred for a unit whose run resumed, made progress, and failed by its own fault soon after a late answer to its start order.

Cause: since the answer sets the time of the first report, also if the reports before it already showed lasting progress.

Result: an expected failure.

--- a/libs/lead/tests/test_resumed_gangs.py
+++ b/libs/lead/tests/test_resumed_gangs.py
@@ -1,5 +1,6 @@
 """Checkpoints of gangs and progress of runs, beside new leads and late answers."""
 
+import attrs
 import pytest
 
 from papayaspar_events import journal, metrics
@@ -115,3 +116,18 @@
     _end(work, 1, 1, FAILED, 105.4, "30")
     _assign(work, 115.0)
     assert _checkpoints(work) == ["50", "50"]
+
+
+# Guards against a sound worker that is barred for the unit: the run made progress for more than
+# half a second before the answer to its start order was read, and failed soon after.
+@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: progress before a late answer is forgotten")
+def test_progress_before_a_late_answer_proves_a_run_that_resumed(make_work):
+    work = make_work(attrs.evolve(GANG, task_count=1, is_gang=False, estimate_ms=10_000))
+    _assign(work, 100.0)
+    _end(work, 0, 1, tasks.EndKind.STOPPED, 104.0, "saved")
+    unit = _assign(work, 105.0, is_started=False)
+    for now_s, percent in ((105.1, 40.0), (105.9, 48.0)):
+        _report(work, 0, 2, "saved", percent, now_s)
+    unit.members[0].mark_started(106.0)
+    _end(work, 0, 2, FAILED, 106.1)
+    assert not unit.failed_nodes
