Let a gang that repeats try a worker that is on trial for another job

What callers would see: a gang that failed on several workers waits for its estimate beside idle workers, if it needs one on which a run of a job failed that has ended (LOST): only a run of other work ends that worker's trial, never time.

Cause: since the scope of a unit that repeats lifts only the trials of the unit's own failures, and a unit that has failed was admitted to no other.

Result: where no other workers can hold it, the unit may try a worker whose trial is open, one unit at a time, as one that has not failed may.

--- a/libs/lead/tests/test_gangs_beside_trials.py
+++ b/libs/lead/tests/test_gangs_beside_trials.py
@@ -13,9 +13,6 @@
 
 # Guards against a gang that waits for its estimate beside idle workers: it failed on two of them,
 # and the failure of a job that has ended left a third one on trial, which only other work ends.
-@pytest.mark.xfail(
-    strict=False, reason="KNOWN-RED.txt: a gang waits for its estimate beside a trial"
-)
 @pytest.mark.anyio
 async def test_gang_runs_again_beside_a_worker_on_trial(start_cluster, make_job, make_queue):
     async with start_cluster() as cluster:
--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -131,12 +131,16 @@
 ) -> bool:
     """Return whether a unit may run on a worker as far as its trial is concerned.
 
-    A unit that has failed before is not used for trials, since another failure may be its last.
+    A unit that has failed before is not used for trials, since another failure may be its last,
+    unless no other workers can hold it.
     """
     if worker.trial is health.Trial.NONE:
         return True
     if demand.unit.failures > 0:
-        return scope.is_repeat_allowed and worker.node in demand.unit.failed_nodes
+        if not scope.is_repeat_allowed:
+            return False
+        if worker.node in demand.unit.failed_nodes:
+            return True
     return free.may_try(worker.node, unit_name(demand))
 
 
--- a/libs/scheduling/tests/test_repeats_beside_trials.py
+++ b/libs/scheduling/tests/test_repeats_beside_trials.py
@@ -27,9 +27,6 @@
 
 # Guards against a gang that waits for its estimate beside idle workers: a run of a job that has
 # ended failed on a worker that the gang needs, and no other work ends the worker's trial.
-@pytest.mark.xfail(
-    strict=False, reason="KNOWN-RED.txt: a gang waits for its estimate beside a trial"
-)
 @pytest.mark.parametrize("attempts", [3, 2])
 def test_gang_that_failed_widely_does_not_wait_for_an_open_trial(
     cluster, add_failed_gang, attempts
