Keep the progress that proved a run before the answer to its start was read

What callers would see: a sound worker is barred for a unit and put on trial, because a run that had made progress for over half a second failed soon after a late answer to its start.

Cause: since the answer starts the time of the progress anew.

Result: progress that has lasted long enough by then counts.

--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -106,14 +106,15 @@
         """Record that the worker has started the run.
 
         The start time is set again because the assignment may have waited seconds for a slow store.
-        Progress that was reported before the answer to the start order shows nothing more than the
-        checkpoint from which the run resumed.
+        A report of progress before the answer to the start order shows nothing more than the
+        checkpoint from which the run resumed, unless it proves the start by itself.
 
         :param now_s: current time in seconds on the lead's clock.
         """
+        is_proven = self.has_proven_start
         self.is_starting = False
         self.started_s = self.progressed_s = self.checkpoint_stored_s = now_s
-        if self._reported_s is not None:
+        if self._reported_s is not None and not is_proven:
             self._reported_s = now_s
 
     def mark_taken_over(self, now_s: float) -> None:
--- a/libs/lead/tests/test_resumed_gangs.py
+++ b/libs/lead/tests/test_resumed_gangs.py
@@ -120,7 +120,6 @@
 
 # Guards against a sound worker that is barred for the unit: the run made progress for more than
 # half a second before the answer to its start order was read, and failed soon after.
-@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: progress before a late answer is forgotten")
 def test_progress_before_a_late_answer_proves_a_run_that_resumed(make_work):
     work = make_work(attrs.evolve(GANG, task_count=1, is_gang=False, estimate_ms=10_000))
     _assign(work, 100.0)
