--- a/libs/lead/tests/simulated_lead.py
+++ b/libs/lead/tests/simulated_lead.py
@@ -82,6 +82,9 @@
             run_now(self.handle_call(None, messages.Vouch(self.node)))
             self.simulated.confirmed_s, self.simulated.has_lapsed = now_s, False
 
+    def stop_dialling(self) -> None:
+        self.disconnect()
+
     def disconnect(self) -> None:
         if not self._is_up:
             return
