Add a failing test: a trial that nobody takes (F5)

A unit with one failed run waits beside an idle, sound worker on trial, for more than 60 s, since another worker that is full could hold it if idle.

Cause: units with failures are admitted to no trial, and only a run ends it (S6).

--- /dev/null
+++ b/libs/lead/tests/test_waiting_faults.py
@@ -0,0 +1,95 @@
+"""Units that wait too long: the open faults that the model of waiting work excludes.
+
+Each test is one fault of docs/notes/waiting.md, on the simulation that the model uses. The bounds
+are the callers': 3 s beside room for twice the demand, and ``reclaim_ms`` for guaranteed work.
+"""
+
+import loguru
+import pytest
+
+from papayaspar_events import journal
+from papayaspar_jobs import specs
+from papayaspar_scheduling import health
+
+from . import simulated_lead, simulated_workers, waiting_liveness, waiting_simulation
+
+pytestmark = pytest.mark.anyio
+
+URGENT, NORMAL, BULK = waiting_simulation.QUEUES
+ONE = specs.Resources(1000, 1000, 1)
+HOUR_MS = 3_600_000
+SPECIAL_NODE, SECOND_SPECIAL_NODE, OTHER_NODE, LAST_NODE, _ = simulated_workers.NODES
+SPECIAL = simulated_workers.SPECIAL
+
+
+@pytest.fixture
+async def simulation():
+    """Return a simulation, while the journal writes no lines."""
+    loguru.logger.disable(journal.__name__)
+    yield waiting_simulation.Simulation(simulated_lead.Observer())
+    loguru.logger.enable(journal.__name__)
+
+
+def _keep(simulation, *nodes):
+    """Let all workers leave but those on some VMs."""
+    for node, worker in simulation.workers.items():
+        if node not in nodes:
+            simulation.leave(worker)
+    simulation.tick()
+
+
+def _pass(simulation, seconds):
+    for _ in range(round(seconds / waiting_simulation.TICK_S)):
+        simulation.tick()
+
+
+def _submit(simulation, step, queue=NORMAL, team="other", payload=""):
+    return simulation.submit(step, queue, team, payload)
+
+
+def _fill_special(simulation):
+    """Fill the workers with the label with tasks that last."""
+    for node in simulated_workers.SPECIAL_NODES:
+        if simulation.workers[node].incarnation is None:
+            continue
+        full = specs.Step(
+            1, simulated_workers.CAPACITY, HOUR_MS, is_lasting=True, required_label=SPECIAL
+        )
+        _submit(simulation, full, BULK)
+    _pass(simulation, 1.0)
+
+
+def _is_assigned(simulation, job_id):
+    active = simulation.work.job(job_id)
+    return active is not None and active.progress.is_active
+
+
+def _start_s(simulation, job_id, longest_s):
+    """Return after which time a job has started, in seconds; infinite if it has not."""
+    submitted_s = simulation.now_s
+    while simulation.now_s - submitted_s < longest_s:
+        simulation.tick()
+        if _is_assigned(simulation, job_id):
+            return simulation.now_s - submitted_s
+    return float("inf")
+
+
+# Guards against a unit with one failed run that waits for its estimate beside an idle worker on
+# trial, which nobody else tries, while the other worker that could hold it is full (F5).
+@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: a trial that nobody takes (F5)")
+async def test_unit_that_has_failed_does_not_wait_beside_an_idle_worker_on_trial(simulation):
+    nodes = (OTHER_NODE, LAST_NODE)
+    _keep(simulation, SPECIAL_NODE, SECOND_SPECIAL_NODE, *nodes)
+    _fill_special(simulation)
+    for node in nodes:
+        simulation.workers[node].is_failing = True
+    step = specs.Step(1, simulated_workers.CAPACITY, HOUR_MS)
+    first_id, second_id = (_submit(simulation, step, BULK) for _ in nodes)
+    while not all(simulation.work.outcomes(node).failed_s for node in nodes):
+        simulation.tick()
+    simulation.cancel(first_id)
+    simulation.leave(simulation.workers[LAST_NODE])
+    simulation.workers[OTHER_NODE].is_failing = False
+    _pass(simulation, health.TRIAL_PAUSE_S)
+    assert not _is_assigned(simulation, second_id)
+    assert _start_s(simulation, second_id, 60.0) <= waiting_liveness.WAIT_MAX_S
