--- a/libs/lead/tests/test_waiting_faults.py
+++ b/libs/lead/tests/test_waiting_faults.py
@@ -85,6 +85,18 @@
     assert _start_s(simulation, job_id, 60.0) <= waiting_liveness.WAIT_MAX_S
 
 
+# Guards against two failures an hour apart, each after progress, that eject a worker (F2).
+@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: failures of any age eject a worker (F2)")
+async def test_failures_an_hour_apart_eject_no_worker(simulation):
+    _keep(simulation, SPECIAL_NODE)
+    for _ in range(2):
+        _submit(simulation, specs.Step(1, ONE, 4000), payload="late")
+        _pass(simulation, 5.0)
+        simulation.clock.advance(HOUR_MS / waiting_simulation.MILLISECONDS_PER_SECOND)
+        _pass(simulation, 5.0)
+    assert simulation.work.outcomes(SPECIAL_NODE).ejections == 0
+
+
 # Guards against a unit with one failed run that waits for its estimate beside an idle worker on
 # trial, which nobody else tries, while the other worker that could hold it is full (F5).
 @pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: a trial that nobody takes (F5)")
