Add a failing test: a task that fails again and again closes a worker (F4)

A task that lasts and fails at once repeats on its only worker, and its failures start the pause again: another job for this worker does not start in 60 s.

Cause: the pause of a trial has no longest sum (S5).

--- a/libs/lead/tests/test_waiting_faults.py
+++ b/libs/lead/tests/test_waiting_faults.py
@@ -97,6 +97,19 @@
     assert simulation.work.outcomes(SPECIAL_NODE).ejections == 0
 
 
+# Guards against tasks that last and fail at once: their trials are the only ones, and with each
+# failure the worker's pause begins again for all others (F4).
+@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: pauses of a trial go on (F4)")
+async def test_tasks_that_fail_again_and_again_keep_no_other_from_a_worker(simulation):
+    _keep(simulation, SPECIAL_NODE, OTHER_NODE)
+    _submit(
+        simulation, specs.Step(1, ONE, 1000, is_lasting=True, required_label=SPECIAL), payload="bad"
+    )
+    _pass(simulation, 20.0)
+    job_id = _submit(simulation, specs.Step(1, ONE, 60_000, required_label=SPECIAL))
+    assert _start_s(simulation, job_id, 60.0) <= waiting_liveness.WAIT_MAX_S
+
+
 # Guards against a unit with one failed run that waits for its estimate beside an idle worker on
 # trial, which nobody else tries, while the other worker that could hold it is full (F5).
 @pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: a trial that nobody takes (F5)")
