--- a/libs/lead/tests/test_waiting_faults.py
+++ b/libs/lead/tests/test_waiting_faults.py
@@ -129,3 +129,17 @@
     _pass(simulation, health.TRIAL_PAUSE_S)
     assert not _is_assigned(simulation, second_id)
     assert _start_s(simulation, second_id, 60.0) <= waiting_liveness.WAIT_MAX_S
+
+
+# Guards against a unit that one worker refused to start and that never runs there again, as long
+# as a worker that is full for ever could hold it if idle (F6).
+@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: a refused start bars a unit for ever (F6)")
+async def test_unit_whose_start_was_refused_runs_on_the_worker_that_is_well_again(simulation):
+    _keep(simulation, SPECIAL_NODE, OTHER_NODE)
+    _fill_special(simulation)
+    refusing = simulation.workers[OTHER_NODE]
+    refusing.is_refusing = True
+    job_id = _submit(simulation, specs.Step(1, ONE, HOUR_MS))
+    _pass(simulation, 1.0)
+    refusing.is_refusing = False
+    assert _start_s(simulation, job_id, 60.0) <= waiting_liveness.WAIT_MAX_S
