--- a/libs/lead/tests/test_waiting_faults.py
+++ b/libs/lead/tests/test_waiting_faults.py
@@ -154,3 +154,14 @@
     _pass(simulation, 10.0)
     job_id = _submit(simulation, specs.Step(1, ONE, 4000), URGENT, "guaranteed")
     assert _start_s(simulation, job_id, 30.0) <= waiting_liveness.RECLAIM_MAX_S
+
+
+# Guards against guaranteed urgent work that waits beside other work whose starts have no answer
+# yet, since that is never preempted (row U6).
+@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: starting units are never preempted (U6)")
+async def test_guaranteed_work_starts_beside_units_that_are_being_started(simulation):
+    simulation.start_delay_s = 8.0
+    _submit(simulation, specs.Step(5, simulated_workers.CAPACITY, HOUR_MS), BULK)
+    _pass(simulation, 1.0)
+    job_id = _submit(simulation, specs.Step(1, ONE, 4000), URGENT, "guaranteed")
+    assert _start_s(simulation, job_id, 30.0) <= waiting_liveness.RECLAIM_MAX_S
