Add a failing test: a start without an answer counts as stalled

A run whose assignment waited 4 s for the store and whose start got no answer counts as stalled when it is listed, and its sound worker is ejected for 6 s. Found by the model of waiting work.

Cause: Orders._start_task clears is_starting after a lost answer, but the start and progress times stay those of the assignment, and Reconciler.restart_stalled takes their age for a stall.

--- a/libs/lead/tests/test_waiting_faults.py
+++ b/libs/lead/tests/test_waiting_faults.py
@@ -165,3 +165,19 @@
     _pass(simulation, 1.0)
     job_id = _submit(simulation, specs.Step(1, ONE, 4000), URGENT, "guaranteed")
     assert _start_s(simulation, job_id, 30.0) <= waiting_liveness.RECLAIM_MAX_S
+
+
+# Guards against a run that counts as stalled as soon as it is listed, and ejects its worker: its
+# assignment waited for the store, and the answer to its start was lost, so that its start time is
+# that of the assignment (found by the model).
+@pytest.mark.xfail(
+    strict=False, reason="KNOWN-RED.txt: a start without an answer counts as stalled"
+)
+async def test_run_whose_start_was_not_answered_after_an_outage_is_not_stalled(simulation):
+    _keep(simulation, SPECIAL_NODE)
+    _pass(simulation, 5.0)
+    simulation.store_away_until_s = simulation.now_s + 4.0
+    simulation.workers[SPECIAL_NODE].loses_answers = True
+    _submit(simulation, specs.Step(1, ONE, 60_000))
+    _pass(simulation, 6.0)
+    assert not simulation.work.outcomes(SPECIAL_NODE).is_ejected(simulation.now_s)
