Join the model of waiting work with the module of planning inputs

The simulation replaces the workload, so that the scheduler's inputs have to be those of the new one. Loops that wait for a condition end after 120 s: while the two did not fit, one of them never ended.

--- a/libs/lead/tests/test_waiting_faults.py
+++ b/libs/lead/tests/test_waiting_faults.py
@@ -17,6 +17,8 @@
 
 URGENT, NORMAL, BULK = waiting_simulation.QUEUES
 ONE = specs.Resources(1000, 1000, 1)
+# Longest time that a test waits for what it needs, in seconds.
+WAIT_LIMIT_S = 120.0
 HOUR_MS = 3_600_000
 SPECIAL_NODE, SECOND_SPECIAL_NODE, OTHER_NODE, LAST_NODE, _ = simulated_workers.NODES
 SPECIAL = simulated_workers.SPECIAL
@@ -43,6 +45,15 @@
         simulation.tick()
 
 
+def _wait_until(simulation, condition):
+    """Let time pass until a condition holds."""
+    for _ in range(round(WAIT_LIMIT_S / waiting_simulation.TICK_S)):
+        if condition():
+            return
+        simulation.tick()
+    raise AssertionError("the condition does not hold")
+
+
 def _submit(simulation, step, queue=NORMAL, team="other", payload=""):
     return simulation.submit(step, queue, team, payload)
 
@@ -121,8 +132,7 @@
         simulation.workers[node].is_failing = True
     step = specs.Step(1, simulated_workers.CAPACITY, HOUR_MS)
     first_id, second_id = (_submit(simulation, step, BULK) for _ in nodes)
-    while not all(simulation.work.outcomes(node).failed_s for node in nodes):
-        simulation.tick()
+    _wait_until(simulation, lambda: all(simulation.work.outcomes(node).failed_s for node in nodes))
     simulation.cancel(first_id)
     simulation.leave(simulation.workers[LAST_NODE])
     simulation.workers[OTHER_NODE].is_failing = False
--- a/libs/lead/tests/waiting_liveness.py
+++ b/libs/lead/tests/waiting_liveness.py
@@ -3,6 +3,7 @@
 import attrs
 
 from papayaspar_jobs import tasks, units
+from papayaspar_lead import planning_inputs
 from papayaspar_runs import workers
 from papayaspar_scheduling import health, ordering
 
@@ -62,9 +63,11 @@
             # U9: nothing starts in a long outage of the store.
             self.note_lead()
             return
-        work = self.simulation.work
         policy = ordering.ByNextValueLoss()
-        demands = work.demands(self.now_s, self.now_s * waiting_simulation.MILLISECONDS_PER_SECOND)
+        inputs = planning_inputs.PlanningInputs(self.simulation.work)
+        demands = inputs.demands(
+            self.now_s, self.now_s * waiting_simulation.MILLISECONDS_PER_SECOND
+        )
         demands.sort(key=lambda demand: policy.key(demand, self.now_s))
         room, reclaimable = Room(self._free()), Room(self._free(with_victims=True))
         beside_room, beside_victims = set(), set()
@@ -132,7 +135,8 @@
         return not self._is_guaranteed(unit)
 
     def _is_guaranteed(self, unit: units.Unit) -> bool:
-        demand = self.simulation.work.restart_demand(
+        inputs = planning_inputs.PlanningInputs(self.simulation.work)
+        demand = inputs.restart_demand(
             unit, self.now_s, self.now_s * waiting_simulation.MILLISECONDS_PER_SECOND
         )
         return demand.rank is ordering.Rank.GUARANTEED
--- a/libs/lead/tests/waiting_simulation.py
+++ b/libs/lead/tests/waiting_simulation.py
@@ -11,7 +11,7 @@
 
 from papayaspar_events import metrics
 from papayaspar_jobs import configurations, specs, tasks, units
-from papayaspar_lead import scheduling, workload
+from papayaspar_lead import planning_inputs, scheduling, workload
 from papayaspar_model import causality, clock
 from papayaspar_runs import lease, workers
 from papayaspar_store import records, stores, views
@@ -136,6 +136,7 @@
         self.planner = self.scheduler._planner = simulated_lead.ObservedPlanner()
         lead_state = self.scheduler._state
         lead_state.work = simulated_lead.ObservedWorkload(self.events, self.observer)
+        self.scheduler._inputs = planning_inputs.PlanningInputs(lead_state.work)
         lead_state.spawner = self.spawner
         simulated_lead.run_now(
             self.scheduler.restore(stores.Snapshot(0, tuple(self.stored.values())))
