Wait until the entry has heard of a moved gang before its state is checked

Cause: the test waits until the runtimes run both gangs on one worker, and reads the states that the entry shows at once. The entry hears of a run by the next report of its agent.

Result: the test waits until the entry shows both as running, and checks all it checked before.

--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -62,8 +62,12 @@
                 job_ids_by_worker.setdefault(worker.place.worker, []).append(use.job_id)
         for job_ids in job_ids_by_worker.values():
             await caller.cancel(job_ids[0])
+        remaining = [job_ids[1] for job_ids in job_ids_by_worker.values()]
         with anyio.move_on_after(TIMEOUT_S):
             await wait_until_consolidated(system)
+        # The entry hears of a run by the next report of its agent.
+        for job_id in remaining:
+            assert await caller.wait_for_state(job_id, "running", TIMEOUT_S) is not None
         return running_by_worker(system), [await caller.state(job) for job in jobs]
 
 
