Tell hung runs from runs that wait for their gang or take long

Cause: a run counted as stalled when its progress stood still, also at 100 percent. A gang ends together, so members on fast workers stand there and wait for the one on a slow worker, and a task that is longer than declared works on there. The lead stopped whole gangs and sound tasks, again and again, and ejected the workers of all members that stood still.

Change: of a gang, only the slowest member tells, below 100 percent; only its worker is ejected. At 100 percent a run is hung only if the learned run times of its kind are far exceeded and the other runs of its worker stand still, too. The timeout grows with runs that started, not with refused starts; a start without an answer begins to count when the answer is given up.

--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from papayaspar_jobs import specs, tasks
+from papayaspar_jobs import run_counts, specs, tasks
 
 if typing.TYPE_CHECKING:
     from papayaspar_jobs import progress
@@ -69,6 +69,10 @@
     failed_nodes: set[str] = attrs.field(factory=set)
     listed_run_max: int = 0
     _unit: "Unit | None" = attrs.field(default=None, init=False, repr=False)
+    # Whether the current run was seen to have started; a taken over one counts as started.
+    _has_started: bool = attrs.field(default=True, init=False)
+    # Number of runs that never started, which say nothing about the pace of the task.
+    _unstarted_runs: int = attrs.field(default=0, init=False)
     _is_start_time_known: bool = attrs.field(default=True, init=False)
     _is_fresh_start: bool = attrs.field(default=False, init=False)
     # Time of the first report of the run's progress to this lead, on the lead's clock.
@@ -96,6 +100,7 @@
         """
         self.is_starting = True
         self.is_stopping = False
+        self._has_started = False
         self._is_fresh_start = not self.record.checkpoint
         self.started_s = self.progressed_s = now_s
         self.checkpoint_s = self.checkpoint_stored_s = now_s
@@ -113,10 +118,28 @@
         """
         is_proven = self.has_proven_start
         self.is_starting = False
+        self._has_started = True
         self.started_s = self.progressed_s = self.checkpoint_stored_s = now_s
         if self._reported_s is not None and not is_proven:
             self._reported_s = now_s
 
+    def mark_unanswered(self, now_s: float) -> None:
+        """Record that the start order got no answer, so that the run may or may not have started.
+
+        The order may have waited for seconds before it was sent, which is no time of the run.
+
+        :param now_s: current time in seconds on the lead's clock.
+        """
+        self.is_starting = False
+        if self._reported_s is None:
+            self.started_s = self.progressed_s = now_s
+
+    def mark_released(self) -> None:
+        """Record that the run has ended, was lost or never started."""
+        self.is_stopping = False
+        if not self._has_started:
+            self._unstarted_runs += 1
+
     def mark_taken_over(self, now_s: float) -> None:
         """Record that this lead takes over a run started by a former lead.
 
@@ -124,6 +147,7 @@
         """
         self.started_s = self.progressed_s = self.checkpoint_stored_s = now_s
         self.percent = 0.0
+        self._has_started = True
         self._is_fresh_start = False
         self._is_start_time_known = False
         self._reported_s = None
@@ -138,6 +162,7 @@
             self._is_start_time_known = True
             self.started_s -= self.step.estimate_ms / MILLISECONDS_PER_SECOND * percent / 100.0
         if percent > self.percent:
+            self._has_started = True
             if self._reported_s is None:
                 self._reported_s = now_s
             self.percent = percent
@@ -178,26 +203,40 @@
         duration_s = (now_s - self.started_s) * 100.0 / self.percent
         return duration_s * MILLISECONDS_PER_SECOND / self.step.estimate_ms
 
-    def remaining_s(self, now_s: float) -> float:
+    def remaining_s(self, now_s: float, expected_s: float | None = None) -> float:
         """Return the estimated remaining time of the run, in seconds.
 
         It is computed from the run's progress where possible, because the caller's estimate may be
         far off.
+
+        :param now_s: current time in seconds on the lead's clock.
+        :param expected_s: expected run time until progress is reported, in seconds; ``None`` for
+            the caller's estimate.
         """
-        return max(0.0, self.started_s + self._estimated_duration_s() - now_s)
+        return max(0.0, self.started_s + self._estimated_duration_s(expected_s) - now_s)
 
-    def _estimated_duration_s(self) -> float:
+    def _estimated_duration_s(self, expected_s: float | None) -> float:
         elapsed_s = self.progressed_s - self.started_s
         if self.percent > 0 and elapsed_s > 0:
             return elapsed_s * 100.0 / self.percent
+        if expected_s is not None:
+            return expected_s
         return self.step.estimate_ms / MILLISECONDS_PER_SECOND
 
-    def is_stalled(self, now_s: float) -> bool:
-        """Return whether the run has stalled so long that a restart costs less than waiting."""
+    def is_stalled(self, now_s: float, expected_s: float | None = None) -> bool:
+        """Return whether the run has stood still so long that a restart costs less than waiting.
+
+        This alone does not show that the run has hung: it may wait for others, or be at its end.
+
+        :param now_s: current time in seconds on the lead's clock.
+        :param expected_s: expected run time until progress is reported, in seconds; ``None`` for
+            the caller's estimate.
+        """
         idle_s = now_s - self.progressed_s
-        progress_time_s = self._estimated_duration_s() * STALL_PROGRESS_PERCENT / 100.0
+        progress_time_s = self._estimated_duration_s(expected_s) * STALL_PROGRESS_PERCENT / 100.0
         # The timeout grows with the number of runs, so that a task isn't restarted endlessly.
-        if idle_s < max(STALL_TIMEOUT_S, progress_time_s) * max(1, self.record.run):
+        runs = max(1, self.record.run - self._unstarted_runs)
+        if idle_s < max(STALL_TIMEOUT_S, progress_time_s) * runs:
             return False
         return self.step.is_checkpointed or idle_s >= self.progressed_s - self.started_s
 
@@ -235,6 +274,7 @@
 
     :attr:`failures` is the number of failed runs; a run counts once, however many members failed in
     it. :attr:`failed_run` is the number of the newest run that was counted, or 0.
+    :attr:`stops` counts the stops of its runs.
     """
 
     job: "progress.JobProgress"
@@ -243,18 +283,15 @@
     ready_s: float | None = None
     ending_s: float | None = None
     preempting_s: float | None = None
-    _waiting_count: int = attrs.field(default=0, init=False)
-    _assigned_count: int = attrs.field(default=0, init=False)
-    _done_count: int = attrs.field(default=0, init=False)
+    stops: run_counts.StopHistory = attrs.field(factory=run_counts.StopHistory, init=False)
+    _counts: run_counts.PhaseCounts = attrs.field(factory=run_counts.PhaseCounts, init=False)
     failures: int = attrs.field(default=0, init=False)
     failed_run: int = attrs.field(default=0, init=False)
-    # Newest failed run, and the VMs on which its members failed.
-    _noted_run: int = attrs.field(default=0, init=False)
-    _noted_nodes: set[str] = attrs.field(factory=set, init=False)
+    _noted: run_counts.FailedNodes = attrs.field(factory=run_counts.FailedNodes, init=False)
 
     def __attrs_post_init__(self) -> None:
         for task in self.members:
-            self._count(task.record.phase, 1)
+            self._counts.change(task.record.phase, 1)
             task.join(self)
 
     def update_counts(self, task: Task, record: tasks.TaskRecord) -> None:
@@ -266,8 +303,8 @@
         :param task: the member, which still has its former record.
         :param record: the new record.
         """
-        self._count(task.record.phase, -1)
-        self._count(record.phase, 1)
+        self._counts.change(task.record.phase, -1)
+        self._counts.change(record.phase, 1)
         self.failures = max(self.failures, record.failures)
         self.failed_run = max(self.failed_run, record.failed_run)
         self.job.update_unit(self, has_run=record.run > 0)
@@ -298,45 +335,32 @@
         :param run: number of the run.
         :param node: VM of the member.
         """
-        if run != self._noted_run:
-            self._noted_run = run
-            self._noted_nodes.clear()
-        is_first = node not in self._noted_nodes
-        self._noted_nodes.add(node)
-        return is_first
-
-    def _count(self, phase: tasks.TaskPhase, change: int) -> None:
-        if phase is tasks.TaskPhase.WAITING:
-            self._waiting_count += change
-        elif phase is tasks.TaskPhase.ASSIGNED:
-            self._assigned_count += change
-        elif phase is tasks.TaskPhase.DONE:
-            self._done_count += change
+        return self._noted.note(run, node)
 
     @property
     def has_failed_widely(self) -> bool:
         """Whether members of its newest failed run failed on several VMs."""
-        return len(self._noted_nodes) > 1
+        return len(self._noted.nodes) > 1
 
     @property
     def is_waiting(self) -> bool:
         """Whether every member waits to be started."""
-        return self._waiting_count == len(self.members)
+        return self._counts.waiting == len(self.members)
 
     @property
     def is_done(self) -> bool:
         """Whether every member has completed successfully."""
-        return self._done_count == len(self.members)
+        return self._counts.done == len(self.members)
 
     @property
     def has_done_member(self) -> bool:
         """Whether any member has completed successfully."""
-        return self._done_count > 0
+        return self._counts.done > 0
 
     @property
     def is_active(self) -> bool:
         """Whether any member is assigned to a worker."""
-        return self._assigned_count > 0
+        return self._counts.assigned > 0
 
     @property
     def is_ending_by_itself(self) -> bool:
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -181,7 +181,7 @@
             # Neither a lost stream nor an error shows whether the run started; the agent's state at
             # the next attachment does.
             if task.record.run == run:
-                task.is_starting = False
+                task.mark_unanswered(self._state.clock.now_s())
             link.disconnect()
             return
         if task.record.run != run:
--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -172,7 +172,7 @@
         return list(evacuating.values())
 
     def restart_stalled(self, now_s: float) -> None:
-        """Stop stalled units, so that they restart elsewhere, and eject their stalled workers.
+        """Stop units with a hung member, so that they restart elsewhere, and eject its worker.
 
         After a pause of the lead, reports that arrived meanwhile have not been read yet: no run
         counts as stalled until the lead has been running for as long as a stall takes.
@@ -180,18 +180,17 @@
         if now_s - self._steady_since_s < units.STALL_TIMEOUT_S:
             return
         for unit in self._state.work.stalled_units(now_s):
-            stalled_tasks = [task for task in unit.members if task.is_stalled(now_s)]
-            stalled_links = [self._state.links.get(task.record.node) for task in stalled_tasks]
-            if not all(link is not None and link.worker.is_open for link in stalled_links):
+            task = self._state.work.stalled_member(unit, now_s)
+            link = self._state.links.get(task.record.node) if task is not None else None
+            if task is None or link is None or not link.worker.is_open:
                 continue
-            for task in stalled_tasks:
-                self._state.work.outcomes(task.record.node).record_stall(now_s)
-                self._state.events.record(
-                    lines.EventKind.TASK_STALLED,
-                    worker=task.record.node,
-                    job=task.key.job_id,
-                    attempt=task.record.run,
-                    detail=f"task={task.key} percent={task.percent:.0f}"
-                    f" still_s={now_s - task.progressed_s:.1f}",
-                )
+            self._state.work.outcomes(link.node).record_stall(now_s)
+            self._state.events.record(
+                lines.EventKind.TASK_STALLED,
+                worker=link.node,
+                job=task.key.job_id,
+                attempt=task.record.run,
+                detail=f"task={task.key} percent={task.percent:.0f}"
+                f" still_s={now_s - task.progressed_s:.1f}",
+            )
             self._orders.stop_unit(unit, "stalled")
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -5,9 +5,9 @@
 import attrs
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import configurations, progress, registries, tasks, units
+from papayaspar_jobs import configurations, durations, progress, registries, tasks, units
 from papayaspar_runs import workers
-from papayaspar_scheduling import health
+from papayaspar_scheduling import health, stalls
 
 MILLISECONDS_PER_SECOND = 1000.0
 # Minimum interval between two stored checkpoints of a task, in seconds: the work that is repeated
@@ -36,10 +36,13 @@
 class Workload:
     """The unfinished jobs of a scheduling domain.
 
+    ``durations`` are the expected run times of tasks.
+
     :param events: journal of decisions.
     """
 
     def __init__(self, events: journal.Journal) -> None:
+        self.durations: durations.DurationEstimates = durations.DeclaredDurations()
         self._events = events
         self._jobs: dict[str, ActiveJob] = {}
         # Ended jobs are kept until their records are deleted: the view may not show their end yet.
@@ -165,18 +168,18 @@
             task.mark_taken_over(now_s)
 
     def stalled_units(self, now_s: float) -> list[units.Unit]:
-        """Return the units with a member that makes no progress on its worker."""
+        """Return the units that are held up by a member whose run has hung."""
         stalled: list[units.Unit] = []
         for active in self._jobs.values():
             for unit in active.progress.active_units():
-                if unit.step.is_lasting:
-                    continue
-                if any(task.is_starting or task.is_stopping for task in unit.members):
-                    continue
-                if any(task.is_assigned and task.is_stalled(now_s) for task in unit.members):
+                if self.stalled_member(unit, now_s) is not None:
                     stalled.append(unit)
         return stalled
 
+    def stalled_member(self, unit: units.Unit, now_s: float) -> units.Task | None:
+        """Return the member that holds up a unit since its run has hung, or ``None``."""
+        return stalls.stalled_member(unit, now_s, self.durations, self.tasks_on_node)
+
     def finish(self, job_id: str, phase: registries.JobPhase) -> None:
         """Remove an ended job without assigned runs, and ignore it in the registry from now on.
 
@@ -278,7 +281,7 @@
         """Return a task to the queue with a record of its run's end."""
         waiting = attrs.evolve(record, phase=tasks.TaskPhase.WAITING, checkpoint=task.checkpoint)
         self._set_record(task, waiting)
-        task.is_stopping = False
+        task.mark_released()
         unit = task.unit
         unit.ready_s = unit.preempting_s = None
         if not unit.is_waiting:
--- a/libs/lead/tests/test_run_outcomes.py
+++ b/libs/lead/tests/test_run_outcomes.py
@@ -146,9 +146,6 @@
 
 
 # Guards against a stall timeout that grows with assignments that never started.
-@pytest.mark.xfail(
-    strict=True, reason="KNOWN-RED.txt: the stall timeout grows with runs that never started"
-)
 def test_refused_starts_do_not_lengthen_the_stall_timeout():
     work = _workload(specs.Step(1, MEMBER, 1000, is_checkpointed=True))
     for attempt in range(9):
@@ -164,7 +161,6 @@
 
 # Guards against a gang that ejects the workers of all its members: they work only together, so that
 # one worker that stalls holds up the others.
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: a stalled gang ejects all its workers")
 @pytest.mark.anyio
 async def test_stalled_gang_does_not_eject_the_workers_of_all_its_members(start_cluster, make_job):
     whole = specs.Resources(1000, 100, 8)
--- a/libs/lead/tests/test_waiting_faults.py
+++ b/libs/lead/tests/test_waiting_faults.py
@@ -180,9 +180,6 @@
 # Guards against a run that counts as stalled as soon as it is listed, and ejects its worker: its
 # assignment waited for the store, and the answer to its start was lost, so that its start time is
 # that of the assignment (found by the model).
-@pytest.mark.xfail(
-    strict=False, reason="KNOWN-RED.txt: a start without an answer counts as stalled"
-)
 async def test_run_whose_start_was_not_answered_after_an_outage_is_not_stalled(simulation):
     _keep(simulation, SPECIAL_NODE)
     _pass(simulation, 5.0)
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -44,6 +44,7 @@
     run: int
     end_s: float
     run_time_s: float
+    full_s: float
     planned_end: tasks.EndKind
     start_checkpoint: str = ""
     stop_s: float | None = None
@@ -207,13 +208,20 @@
         self._extend_lease(order.expiry_ms)
         run_time_s, planned_end = self.run_time_s, tasks.EndKind.DONE
         script = scripts.parse(order.payload)
+        if script.ends_s is not None:
+            run_time_s = script.ends_s
         if script.covers(order.run):
             run_time_s, planned_end = script.run_time_s(order.task), script.end_kind(order.task)
         if self.fault is WorkerFault.FAILS:
             planned_end = tasks.EndKind.FAILED
-        end_s = self._clock.now_s() + run_time_s
         self._runs[order.task] = _Run(
-            order.task, order.run, end_s, run_time_s, planned_end, order.checkpoint
+            order.task,
+            order.run,
+            self._clock.now_s() + run_time_s,
+            run_time_s,
+            script.full_time_s(order.task, run_time_s),
+            planned_end,
+            order.checkpoint,
         )
         self._run_recorder.checkpoints[order.task, order.run] = order.checkpoint
         self._run_recorder.record_start(order.task, order.run, self.name)
@@ -259,7 +267,7 @@
 
     def _percent(self, run: _Run) -> float:
         worked_s = run.run_time_s - (run.end_s - self._clock.now_s())
-        return max(0.0, min(100.0, worked_s * 100.0 / run.run_time_s)) // 1
+        return max(0.0, min(100.0, worked_s * 100.0 / run.full_s)) // 1
 
     def _checkpoint(self, run: _Run) -> str:
         if not self.saves_progress or self._percent(run) < 1:
--- a/libs/standin/tests/test_scripts.py
+++ b/libs/standin/tests/test_scripts.py
@@ -26,3 +26,11 @@
 @pytest.mark.parametrize("spec", ["", "(text)", "a fail-runs:1"])
 def test_other_texts_end_no_run_early(spec):
     assert not scripts.parse(spec).covers(1)
+
+
+def test_script_may_show_the_end_of_the_work_before_the_run_ends():
+    script = scripts.parse("full-s:1 ends-s:6 slow-members:1")
+    other = tasks.TaskKey(TASK.job_id, TASK.occurrence, TASK.step, 0)
+    assert not script.covers(1)
+    assert script.ends_s == 6.0
+    assert [script.full_time_s(key, 6.0) for key in (other, TASK)] == [6.0, 1.0]
