Price every stop alike, and stop the cheapest work of the pool

Cause: lost_work_core_s gave a checkpointed unit 4 core-seconds for each member, whatever its size, its accelerators and the age of its checkpoint: whole gangs appeared at 4 to 16 core-seconds in the logs and were stopped first. The members of a gang that end since another was stopped save nothing, and a restart holds all cores and accelerators of a task without work. Urgent work stopped other work also where it would have been in time by waiting, the unit that had just been stopped was the cheapest again, and a gang never counted as making room on several workers at once.

Change: stop_costs prices the work of all members since the newest checkpoint, the time in which members wait, and the restart; accelerators count as 8 cores. What former stops of a unit lost is added where units are compared. Urgent work beyond a guarantee may cost half of its own work only if the stop changes its value. A guaranteed job that has begun and can't end before it is worthless stops nothing. The search over a group of workers is repeated with the cost of a gang shared by its workers, and units that need not stop are left out. Each stop has a cause and a beneficiary, and counts once for a run: metrics and the stop_ordered lines show what is lost and what is gained.

The scopes of the planner are a module of their own, unchanged.

--- a/libs/bench/src/papayaspar_bench/reference.py
+++ b/libs/bench/src/papayaspar_bench/reference.py
@@ -29,6 +29,19 @@
         "duration of planning rounds and of the stages of a unit's start: seen, room, stops,"
         " stored, answered",
     ),
+    ("papayaspar_stops_total", "counter", "cause", "units that the lead stopped"),
+    (
+        "papayaspar_stopped_work_core_seconds_total",
+        "counter",
+        "cause",
+        "work that the stops threw away; an accelerator counts as 8 cores",
+    ),
+    (
+        "papayaspar_gained_work_core_seconds_total",
+        "counter",
+        "cause",
+        "work that ends in time, or at all, since other work was stopped",
+    ),
     ("papayaspar_state", "gauge", "name", "sizes of the state: workers, slots, revisions, short"),
 )
 HEADER = """\
--- a/libs/events/src/papayaspar_events/metrics.py
+++ b/libs/events/src/papayaspar_events/metrics.py
@@ -34,6 +34,24 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._stops = prometheus_client.Counter(
+            "papayaspar_stops",
+            "Units that the lead stopped, by cause.",
+            ("cause",),
+            registry=self._registry,
+        )
+        self._stopped_work = prometheus_client.Counter(
+            "papayaspar_stopped_work_core_seconds",
+            "Work that stops threw away, by cause; an accelerator counts as 8 cores.",
+            ("cause",),
+            registry=self._registry,
+        )
+        self._gained_work = prometheus_client.Counter(
+            "papayaspar_gained_work_core_seconds",
+            "Work that ends in time, or at all, since other work was stopped, by cause.",
+            ("cause",),
+            registry=self._registry,
+        )
         self._gauges = prometheus_client.Gauge(
             "papayaspar_state",
             "Sizes of the process's state: workers, slots, queues, revision, short guarantees.",
@@ -53,6 +71,17 @@
         """Record the duration of a stage of scheduling."""
         self._stages.labels(stage).observe(duration_s)
 
+    def count_stop(self, cause: str, lost_core_s: float, gain_core_s: float) -> None:
+        """Count the stop of a unit.
+
+        :param cause: why it is stopped.
+        :param lost_core_s: work that is thrown away, in core-seconds.
+        :param gain_core_s: work of another job that gains by the stop, in core-seconds.
+        """
+        self._stops.labels(cause).inc()
+        self._stopped_work.labels(cause).inc(lost_core_s)
+        self._gained_work.labels(cause).inc(gain_core_s)
+
     def set_state(self, name: str, value: float) -> None:
         """Set a gauge of the process's state."""
         self._gauges.labels(name).set(value)
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -10,7 +10,7 @@
 from papayaspar_lead import links, listings, recording, state
 from papayaspar_model import errors
 from papayaspar_runs import messages, workers
-from papayaspar_scheduling import planner
+from papayaspar_scheduling import planner, stop_costs, stops
 
 MILLISECONDS_PER_SECOND = 1000.0
 # Reasons of refusals that repeat until the state of the agent or its worker changes; the lead may
@@ -214,14 +214,18 @@
         accepted_job = job.accepted_job
         return accepted_job.phase is registries.JobPhase.CANCELLED or job.has_failed
 
-    def stop_unit(self, unit: units.Unit, reason: str) -> None:
+    def stop_unit(
+        self, unit: units.Unit, reason: str, purpose: stops.Purpose = stops.NOT_STARTED
+    ) -> None:
         """Order the stop of a unit's members that run or are being started.
 
         An agent sends a start that got no answer again; the stop ends that, too.
 
         :param unit: the unit.
         :param reason: reason to record in the journal.
+        :param purpose: what the unit is stopped for.
         """
+        lost_core_s = stop_costs.lost_core_s(unit, self._state.clock.now_s())
         for task in unit.members:
             if not task.is_assigned or task.is_stopping:
                 continue
@@ -229,15 +233,25 @@
             if link is None or not link.is_attached:
                 continue
             task.is_stopping = True
+            self._count_stop(unit, lost_core_s, purpose)
             self._state.events.record(
                 lines.EventKind.STOP_ORDERED,
                 worker=link.node,
                 job=task.key.job_id,
                 attempt=task.record.run,
-                detail=f"task={task.key} reason={reason}",
+                detail=f"task={task.key} reason={reason} cause={purpose.cause.value}"
+                f" unit_lost_core_s={lost_core_s:.1f} for={purpose.job_id or '-'}"
+                f" gain_core_s={purpose.gain_core_s:.1f}",
             )
             self._state.spawner.start(self._stop_task, link, task)
 
+    def _count_stop(self, unit: units.Unit, lost_core_s: float, purpose: stops.Purpose) -> None:
+        """Count the stop of a unit's run once, however many members are stopped, and how often."""
+        run = max(task.record.run for task in unit.members)
+        if not unit.stops.count(run, lost_core_s):
+            return
+        self._state.events.metrics.count_stop(purpose.cause.value, lost_core_s, purpose.gain_core_s)
+
     async def _stop_task(self, link: links.AgentLink, task: units.Task) -> None:
         run = task.record.run
         if not await self.stop_run(link, task.key, run) and task.record.run == run:
--- a/libs/lead/src/papayaspar_lead/planning_inputs.py
+++ b/libs/lead/src/papayaspar_lead/planning_inputs.py
@@ -6,7 +6,7 @@
 
 from papayaspar_jobs import specs, units
 from papayaspar_lead import workload
-from papayaspar_scheduling import fleet, guarantees, ordering, preemption
+from papayaspar_scheduling import fleet, guarantees, ordering, preemption, stop_costs
 
 MILLISECONDS_PER_SECOND = 1000.0
 # A late job keeps part of its value until this multiple of its objective has passed (payoff in the
@@ -106,8 +106,8 @@
                     continue
                 if any(task.is_starting or task.is_stopping for task in unit.members):
                     continue
-                cost = preemption.lost_work_core_s(unit, now_s)
-                victims.append(preemption.Victim(unit, rank, cost))
+                cost = stop_costs.stop_cost(unit, now_s)
+                victims.append(preemption.Victim(unit, rank, cost.weighed_core_s))
         return victims
 
     def free_capacity(
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -18,7 +18,7 @@
 )
 from papayaspar_model import causality, clock
 from papayaspar_runs import messages
-from papayaspar_scheduling import fleet, health, ordering, planner
+from papayaspar_scheduling import fleet, health, ordering, planner, stop_costs, stops
 from papayaspar_store import following, records, stores, views, writing
 
 MILLISECONDS_PER_SECOND = 1000.0
@@ -106,10 +106,10 @@
         self._limits = limits
         self._hybrid_clock = hybrid_clock
         self._token_count = 0
-        self._planner = planner.Planner()
         self._state = state.SchedulerState(
             workload.Workload(events), {}, view, clock_source, events
         )
+        self._planner = planner.Planner(estimates=self._state.work.durations)
         self._inputs = planning_inputs.PlanningInputs(self._state.work)
         self._recorder = recording.Recorder(self._state, shared, tasks_writer)
         self._orders = orders.Orders(self._state, self._recorder, self.is_lead_lease_valid)
@@ -396,13 +396,19 @@
                 lines.EventKind.JOB_RECLAIMED,
                 job=victim.unit.job.spec.job_id,
                 detail=f"for={demand.unit.job.spec.job_id} rank={demand.rank.name}"
-                f" lost_core_s={victim.cost_core_s:.1f}",
+                f" lost_core_s={stop_costs.lost_core_s(victim.unit, now_s):.1f}",
             )
             if demand.unit.preempting_s is None:
                 demand.unit.preempting_s = now_s
-            self._orders.stop_unit(victim.unit, f"preempted for {demand.unit.job.spec.job_id}")
+            self._orders.stop_unit(
+                victim.unit,
+                f"preempted for {demand.unit.job.spec.job_id}",
+                planner.stop_purpose(plan, victim, demand),
+            )
         for demand in plan.moves:
-            self._orders.stop_unit(demand.unit, "its worker is draining, and another has capacity")
+            self._orders.stop_unit(
+                demand.unit, "its worker is draining, and another has capacity", stops.MOVE
+            )
         for start in plan.starts:
             self._orders.assign(start, now_s)
 
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -1,22 +1,22 @@
 """One planning round: decide starts and stops from the waiting and the running units."""
 
+from collections.abc import Mapping
+
 import attrs
 
-from papayaspar_jobs import units
+from papayaspar_jobs import durations
 from papayaspar_scheduling import (
     claims,
     evictions,
     fleet,
-    health,
     ordering,
     placement,
     preemption,
+    scopes,
+    stop_costs,
+    stops,
 )
 
-# A unit may use remote racks, which make it slow, once it has waited this multiple of its estimate;
-# also workers that are not trusted, if it would not fit on the others even when they are idle.
-REMOTE_AFTER_ESTIMATES = 1.0
-MILLISECONDS_PER_SECOND = 1000.0
 # Units claim capacity until this share of the workers is claimed; the rest stays open to all.
 CLAIMED_SHARE_MAX = 0.5
 # Nothing is claimed while less than this share of the accelerators is used: a job may not wait for
@@ -76,11 +76,27 @@
     :param starts: units to start.
     :param stops: units to preempt, each with the demand that needs their resources.
     :param moves: units to stop on draining workers since other workers have capacity for them.
+    :param gains_core_s: by preempted unit, its share of what the demand gains by the stops, in
+        core-seconds.
     """
 
     starts: tuple[Start, ...]
     stops: tuple[tuple[preemption.Victim, ordering.Demand], ...]
     moves: tuple[ordering.Demand, ...] = ()
+    gains_core_s: Mapping[preemption.Victim, float] = attrs.field(factory=dict)
+
+
+def stop_purpose(plan: Plan, victim: preemption.Victim, demand: ordering.Demand) -> stops.Purpose:
+    """Return what a preempted unit of a plan is stopped for.
+
+    :param plan: the plan.
+    :param victim: the unit.
+    :param demand: the demand that needs its resources.
+    """
+    is_guaranteed = demand.rank is ordering.Rank.GUARANTEED
+    cause = stops.Cause.RECLAIM if is_guaranteed else stops.Cause.PREEMPTION
+    gain_core_s = plan.gains_core_s.get(victim, 0.0)
+    return stops.Purpose(cause, demand.unit.job.spec.job_id, gain_core_s)
 
 
 class Planner:
@@ -89,6 +105,7 @@
     :param ordering_policy: order of the waiting units.
     :param placement_policy: choice of workers for a unit.
     :param preemption_policy: choice of the units to stop for urgent work.
+    :param estimates: expected run times.
     """
 
     def __init__(
@@ -96,10 +113,12 @@
         ordering_policy: ordering.Ordering | None = None,
         placement_policy: placement.PlacementPolicy | None = None,
         preemption_policy: preemption.PreemptionPolicy | None = None,
+        estimates: durations.DurationEstimates | None = None,
     ) -> None:
         self._ordering_policy = ordering_policy or ordering.ByNextValueLoss()
         self._placement_policy = placement_policy or placement.PackedPlacement()
         self._preemption_policy = preemption_policy or preemption.LowestCostPreemption()
+        self._estimates = estimates or durations.DeclaredDurations()
         self._evictions = evictions.Evictions()
         self._is_reconnect_expected = False
 
@@ -131,11 +150,16 @@
         """
         self._is_reconnect_expected = is_reconnect_expected
         starts: list[Start] = []
-        stops: list[tuple[preemption.Victim, ordering.Demand]] = []
+        preempted: list[tuple[preemption.Victim, ordering.Demand]] = []
+        gains_core_s: dict[preemption.Victim, float] = {}
         preemptible = preemption.VictimIndex(victims)
         unplaceable, unplaceable_after_stops = _UnplaceableKeys(), _UnplaceableKeys()
         self._evictions.prune(now_s)
         releases = claims.Releases(victims, now_s)
+        # A run that should have ended by now may take any time.
+        dependable_releases = claims.Releases(
+            [victim for victim in victims if not _is_overdue(victim, now_s)], now_s
+        )
         moves: list[ordering.Demand] = []
         deferred_demands = frozenset(deferred or ())
         all_demands = [*demands, *deferred_demands]
@@ -167,22 +191,24 @@
                     demand, free_after_stops, free_after_stops, unplaceable_after_stops
                 )
             if reserved is None:
-                chosen_victims, reserved = self._plan_eviction(
-                    demand, free_after_stops, preemptible, now_s
+                eviction = self._plan_eviction(
+                    demand, free, free_after_stops, preemptible, dependable_releases, now_s
                 )
-                for victim in chosen_victims:
+                reserved = eviction.nodes
+                for victim in eviction.victims:
                     preemptible.remove(victim)
-                    stops.append((victim, demand))
+                    preempted.append((victim, demand))
+                    gains_core_s[victim] = eviction.gain_core_s / len(eviction.victims)
                     _release(victim, free_after_stops)
                     unplaceable_after_stops.clear()
                 if reserved is not None:
-                    self._evictions.begin(demand, reserved, chosen_victims, now_s)
+                    self._evictions.begin(demand, reserved, eviction.victims, now_s)
             if reserved is None:
                 self._claim(demand, free, free_after_stops, releases, now_s)
                 continue
             _reserve(demand, reserved, free)
             _reserve(demand, reserved, free_after_stops)
-        return Plan(tuple(starts), tuple(stops), tuple(moves))
+        return Plan(tuple(starts), tuple(preempted), tuple(moves), gains_core_s)
 
     def _choose_nodes(
         self,
@@ -193,7 +219,7 @@
     ) -> tuple[str, ...] | None:
         if unplaceable.contains(demand):
             return None
-        for scope in self._scopes(demand, free_after_stops):
+        for scope in scopes.permitted(demand, free_after_stops, self._is_reconnect_expected):
             nodes = self._placement_policy.choose(demand, free, scope)
             if nodes is not None:
                 return nodes
@@ -203,25 +229,60 @@
     def _plan_eviction(
         self,
         demand: ordering.Demand,
+        free: fleet.FreeCapacity,
         free_after_stops: fleet.FreeCapacity,
         victims: preemption.VictimIndex,
+        releases: claims.Releases,
         now_s: float,
-    ) -> tuple[tuple[preemption.Victim, ...], tuple[str, ...] | None]:
+    ) -> "_PlannedEviction":
         """Return the units to preempt for a demand, and the VMs that it gets.
 
         No unit is preempted unless the demand can be placed afterwards: its capacity would go to
         other units, and the demand would preempt again in the next round.
         """
-        chosen_victims = self._choose_victims(demand, free_after_stops, victims, now_s)
-        if not chosen_victims:
-            return (), None
-        free = free_after_stops.copy()
-        for victim in chosen_victims:
-            _release(victim, free)
-        nodes = self._choose_nodes(demand, free, free, _UnplaceableKeys())
-        if nodes is None:
-            return (), None
-        return chosen_victims, nodes
+        if demand.rank > ordering.Rank.URGENT:
+            return _PlannedEviction()
+        starts_in_s: float | None = None
+        for scope in scopes.permitted(demand, free_after_stops, self._is_reconnect_expected):
+            chosen = self._choose_victims(demand, free_after_stops, victims, scope)
+            if chosen is None:
+                continue
+            if not chosen:
+                break
+            if starts_in_s is None:
+                starts_in_s = self._starts_in_s(demand, free, free_after_stops, releases)
+            cost_core_s = sum(victim.cost_core_s for victim in chosen)
+            if not preemption.is_justified(
+                demand, cost_core_s, now_s, starts_in_s, self._estimates
+            ):
+                continue
+            after = free_after_stops.copy()
+            for victim in chosen:
+                _release(victim, after)
+            nodes = self._choose_nodes(demand, after, after, _UnplaceableKeys())
+            if nodes is None:
+                return _PlannedEviction()
+            gain_core_s = stop_costs.gain_core_s(demand, now_s, starts_in_s, self._estimates)
+            return _PlannedEviction(chosen, nodes, gain_core_s)
+        return _PlannedEviction()
+
+    def _starts_in_s(
+        self,
+        demand: ordering.Demand,
+        free: fleet.FreeCapacity,
+        free_after_stops: fleet.FreeCapacity,
+        releases: claims.Releases,
+    ) -> float:
+        """Return when a unit would start if nothing were stopped for it, in seconds.
+
+        It is ``inf`` if the unit fits on no workers that it may use.
+        """
+        for scope in scopes.permitted(demand, free_after_stops, self._is_reconnect_expected):
+            groups = placement.candidate_groups(demand, free, scope)
+            claim = claims.earliest(demand, groups, free, releases)
+            if claim is not None:
+                return claim.starts_in_s
+        return float("inf")
 
     def _claim(
         self,
@@ -236,7 +297,7 @@
             return
         if claims.claimed_share(free) >= CLAIMED_SHARE_MAX:
             return
-        for scope in self._scopes(demand, free_after_stops):
+        for scope in scopes.permitted(demand, free_after_stops, self._is_reconnect_expected):
             groups = placement.candidate_groups(demand, free, scope)
             claim = claims.earliest(demand, groups, free, releases)
             if claim is None:
@@ -250,63 +311,26 @@
         demand: ordering.Demand,
         free_after_stops: fleet.FreeCapacity,
         victims: preemption.VictimIndex,
-        now_s: float,
-    ) -> tuple[preemption.Victim, ...]:
-        if demand.rank > ordering.Rank.URGENT:
-            return ()
+        scope: placement.PlacementScope,
+    ) -> tuple[preemption.Victim, ...] | None:
+        """Return the units that cost least to preempt over all groups of workers of a scope."""
         best: tuple[preemption.Victim, ...] | None = None
-        best_cost = 0.0
-        for scope in self._scopes(demand, free_after_stops):
-            for group in placement.candidate_groups(demand, free_after_stops, scope):
-                chosen = self._preemption_policy.choose(demand, group, free_after_stops, victims)
-                if chosen is None:
-                    continue
-                cost = sum(victim.cost_core_s for victim in chosen)
-                if not preemption.is_justified(demand, cost, now_s):
-                    continue
-                if best is None or cost < best_cost:
-                    best, best_cost = chosen, cost
-            if best is not None:
-                return best
-        return ()
-
-    def _scopes(
-        self, demand: ordering.Demand, free_after_stops: fleet.FreeCapacity
-    ) -> list[placement.PlacementScope]:
-        """Return the scopes in which a demand may be placed, narrowest first."""
-        narrowest = placement.PlacementScope()
-        step = demand.unit.step
-        scopes = [narrowest]
-        has_waited_long = _has_waited_long(demand)
-        if step.data_rack or step.is_same_rack:
-            fits = any(
-                placement.can_hold_when_empty(demand, group)
-                for group in placement.candidate_groups(demand, free_after_stops, narrowest)
-            )
-            if has_waited_long or not (fits or self._is_reconnect_expected):
-                scopes.append(placement.PlacementScope(is_remote_allowed=True))
-        if _may_repeat(demand) and not _fits_trusted(demand, free_after_stops):
-            # Tasks that last have no attempts that an ejected worker could use up.
-            is_lasting = step.is_lasting
-            scopes.append(
-                placement.PlacementScope(
-                    is_repeat_allowed=not is_lasting, is_untrusted_allowed=is_lasting
-                )
-            )
-        if has_waited_long and not _fits_trusted(demand, free_after_stops):
-            scopes.append(
-                placement.PlacementScope(is_remote_allowed=True, is_untrusted_allowed=True)
-            )
-        return scopes
+        for group in placement.candidate_groups(demand, free_after_stops, scope):
+            chosen = self._preemption_policy.choose(demand, group, free_after_stops, victims)
+            if chosen is None:
+                continue
+            if best is None or preemption.weighed_cost(chosen) < preemption.weighed_cost(best):
+                best = chosen
+        return best
+
 
+@attrs.frozen
+class _PlannedEviction:
+    """Units to preempt for a demand, the VMs that it gets, or ``None``, and what it gains."""
 
-def _fits_trusted(demand: ordering.Demand, free: fleet.FreeCapacity) -> bool:
-    """Return whether a unit would fit on the trusted workers of all racks if they were idle."""
-    scope = placement.PlacementScope(is_remote_allowed=True)
-    return any(
-        placement.can_hold_when_empty(demand, group)
-        for group in placement.candidate_groups(demand, free, scope)
-    )
+    victims: tuple[preemption.Victim, ...] = ()
+    nodes: tuple[str, ...] | None = None
+    gain_core_s: float = 0.0
 
 
 class _UnplaceableKeys:
@@ -320,70 +344,21 @@
 
     def contains(self, demand: ordering.Demand) -> bool:
         """Return whether a unit with the same placement key did not fit."""
-        return bool(self._keys) and _placement_key(demand) in self._keys
+        return bool(self._keys) and scopes.placement_key(demand) in self._keys
 
     def add(self, demand: ordering.Demand) -> None:
         """Record that a unit does not fit."""
-        self._keys.add(_placement_key(demand))
+        self._keys.add(scopes.placement_key(demand))
 
     def clear(self) -> None:
         """Remove all keys, after capacity was released."""
         self._keys.clear()
 
 
-def _placement_key(demand: ordering.Demand) -> tuple[object, ...]:
-    """Return all properties of a unit on which its placement depends."""
-    step = demand.unit.step
-    limited_step = fleet.step_name(demand.unit.members[0].key) if step.per_worker_max else ""
-    return (
-        step.counted_resources,
-        step.required_label,
-        step.data_rack,
-        step.is_same_rack,
-        step.is_lasting,
-        len(demand.unit.members),
-        demand.unit.failed_nodes,
-        demand.unit.failures > 0,
-        # Work that ends before a claim begins fits where longer work does not.
-        step.estimate_ms,
-        _has_waited_long(demand),
-        _may_repeat(demand),
-        limited_step,
-    )
-
-
-def _has_waited_long(demand: ordering.Demand) -> bool:
-    estimate_s = demand.unit.step.estimate_ms / MILLISECONDS_PER_SECOND
-    return demand.waited_s >= REMOTE_AFTER_ESTIMATES * estimate_s
-
-
-def _may_repeat(demand: ordering.Demand) -> bool:
-    """Return whether a unit may run where it failed or was refused, if no other worker can hold it.
-
-    A refused start costs no attempt, and tasks that last have no limit of attempts. Members of a
-    gang that fail on several workers in one run most likely failed by the gang's own fault, so that
-    waiting for other workers would not help.
-    """
-    unit = demand.unit
-    if not unit.failed_nodes:
-        return False
-    if unit.failures > 0 and not unit.step.is_lasting and not unit.has_failed_widely:
-        return False
-    return demand.waited_s >= _repeat_pause_s(unit)
-
-
-def _repeat_pause_s(unit: units.Unit) -> float:
-    """Return the pause before a unit may run where it failed or was refused, in seconds.
-
-    Workers may fail all they start for some seconds. The last attempt waits for as long as a worker
-    is ejected, so that a unit does not use up all its attempts within such a time.
-    """
-    has_attempts_to_save = unit.failures > 0 and not unit.step.is_lasting
-    is_last_attempt = unit.failures + 1 >= unit.job.attempts
-    has_newest_run_failed = unit.failed_run == unit.next_run - 1
-    if has_attempts_to_save and is_last_attempt and has_newest_run_failed:
-        return health.EJECTION_S
-    return health.repeat_pause_s(unit.next_run - 1)
+def _is_overdue(victim: preemption.Victim, now_s: float) -> bool:
+    """Return whether a unit runs longer than expected."""
+    members = [task for task in victim.unit.members if task.is_assigned]
+    return max((task.remaining_s(now_s) for task in members), default=0.0) <= 0.0
 
 
 def _reserve(demand: ordering.Demand, nodes: tuple[str, ...], free: fleet.FreeCapacity) -> None:
--- a/libs/scheduling/tests/conftest.py
+++ b/libs/scheduling/tests/conftest.py
@@ -6,7 +6,7 @@
 import pytest
 
 from papayaspar_jobs import configurations, progress, registries, specs, tasks, units
-from papayaspar_scheduling import fleet, ordering, planner, preemption
+from papayaspar_scheduling import fleet, ordering, planner, preemption, stop_costs
 
 CAPACITY = specs.Resources(64_000, 262_144, 8)
 QUEUE = configurations.Queue("queue", "host", "/queue/", "pool", 3000)
@@ -38,9 +38,10 @@
         unit = self.new_unit(step)
         for task, node in zip(unit.members, nodes, strict=True):
             task.record = tasks.TaskRecord(tasks.TaskPhase.ASSIGNED, 1, node)
-            task.started_s = 100.0 - elapsed_s
-        cost = preemption.lost_work_core_s(unit, 100.0)
-        self.running.append(preemption.Victim(unit, rank, cost))
+            task.mark_starting(100.0 - elapsed_s)
+            task.mark_started(100.0 - elapsed_s)
+        cost = stop_costs.stop_cost(unit, 100.0)
+        self.running.append(preemption.Victim(unit, rank, cost.weighed_core_s))
         return unit
 
     def add_waiting_unit(
@@ -61,13 +62,23 @@
         )
         return unit
 
+    def update_costs(self, now_s: float = 100.0) -> None:
+        """Compute the costs of stopping the running units again."""
+        self.running = [
+            attrs.evolve(
+                victim, cost_core_s=stop_costs.stop_cost(victim.unit, now_s).weighed_core_s
+            )
+            for victim in self.running
+        ]
+
     def start_unit(self, start: planner.Start, now_s: float) -> None:
         """Run a unit that the planner started."""
         self.waiting.remove(start.demand)
         unit = start.demand.unit
         for task, node in zip(unit.members, start.nodes, strict=True):
             task.record = tasks.TaskRecord(tasks.TaskPhase.ASSIGNED, 1, node)
-            task.started_s = now_s
+            task.mark_starting(now_s)
+            task.mark_started(now_s)
         self.running.append(preemption.Victim(unit, start.demand.rank, 0.0))
 
     def end_unit(self, unit: units.Unit) -> None:
