Estimate the rest of a resumed run by its own progress

Cause: a run that resumed at half of its work shows 50 percent at once, so that its whole duration was projected from the fraction of a second since its start: it seemed to end at once, to claims and on draining workers.

Change: the pace of such a run counts from its first report of progress.

--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -77,6 +77,7 @@
     _is_fresh_start: bool = attrs.field(default=False, init=False)
     # Time of the first report of the run's progress to this lead, on the lead's clock.
     _reported_s: float | None = attrs.field(default=None, init=False)
+    _first_percent: float = attrs.field(default=0.0, init=False)
 
     @property
     def has_unit(self) -> bool:
@@ -164,7 +165,7 @@
         if percent > self.percent:
             self._has_started = True
             if self._reported_s is None:
-                self._reported_s = now_s
+                self._reported_s, self._first_percent = now_s, percent
             self.percent = percent
             self.progressed_s = now_s
 
@@ -213,12 +214,17 @@
         :param expected_s: expected run time until progress is reported, in seconds; ``None`` for
             the caller's estimate.
         """
-        return max(0.0, self.started_s + self._estimated_duration_s(expected_s) - now_s)
+        rest_s = self._estimated_duration_s(expected_s) * (100.0 - self.percent) / 100.0
+        return max(0.0, self.progressed_s + rest_s - now_s)
 
     def _estimated_duration_s(self, expected_s: float | None) -> float:
-        elapsed_s = self.progressed_s - self.started_s
-        if self.percent > 0 and elapsed_s > 0:
-            return elapsed_s * 100.0 / self.percent
+        since_s, since_percent = self.started_s, 0.0
+        if not self._is_fresh_start and self._reported_s is not None:
+            # What a run that resumed shows at first is earlier work.
+            since_s, since_percent = self._reported_s, self._first_percent
+        elapsed_s = self.progressed_s - since_s
+        if self.percent > since_percent and elapsed_s > 0:
+            return elapsed_s * 100.0 / (self.percent - since_percent)
         if expected_s is not None:
             return expected_s
         return self.step.estimate_ms / MILLISECONDS_PER_SECOND
@@ -274,7 +280,6 @@
 
     :attr:`failures` is the number of failed runs; a run counts once, however many members failed in
     it. :attr:`failed_run` is the number of the newest run that was counted, or 0.
-    :attr:`stops` counts the stops of its runs.
     """
 
     job: "progress.JobProgress"
@@ -330,11 +335,7 @@
         return any(task.has_proven_start for task in self.members if task.record.run == run)
 
     def note_failed_node(self, run: int, node: str) -> bool:
-        """Note on which VM a member of a run failed; return whether it is the first one there.
-
-        :param run: number of the run.
-        :param node: VM of the member.
-        """
+        """Note on which VM a member of a run failed; return whether it is the first one there."""
         return self._noted.note(run, node)
 
     @property
--- a/libs/jobs/tests/test_progress.py
+++ b/libs/jobs/tests/test_progress.py
@@ -192,6 +192,20 @@
     assert task.remaining_s(101.0) == pytest.approx(4.0)
 
 
+def test_remaining_time_of_a_resumed_run_is_that_of_its_own_progress(make_job):
+    """A run that resumes at half of its work shows 50 percent at once."""
+    step = specs.Step(1, estimate_ms=20_000, is_checkpointed=True)
+    (unit,) = make_job(step).waiting_units(0.0)
+    task = unit.members[0]
+    task.record = attrs.evolve(task.record, checkpoint="saved")
+    task.mark_starting(100.0)
+    task.mark_started(100.0)
+    task.update_progress(50.0, 100.5)
+    assert task.remaining_s(100.5) == pytest.approx(10.0)
+    task.update_progress(55.0, 101.5)
+    assert task.remaining_s(102.0) == pytest.approx(8.5)
+
+
 def test_task_counts_as_stalled_once_a_restart_costs_less(make_job):
     """Tasks may stall on a worker for seconds, and a restart repeats a run without checkpoints."""
     (unit,) = make_job(specs.Step(1, estimate_ms=10_000)).waiting_units(0.0)
