Leave units on draining workers alone for as long as it costs nothing

Cause: a checkpointed unit that could not end before its worker left was stopped as soon as the drain was announced, seconds before its worker left. A gang counted as ending with the member on the leaving worker, also if that one waited for a slower member. The time that was left did not pass between two heartbeats.

Change: drains decides. Each stop of the reconciler names its cause.

--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -2,8 +2,9 @@
 
 from papayaspar_events import lines
 from papayaspar_jobs import tasks, units
-from papayaspar_lead import orders, recording, state
+from papayaspar_lead import links, orders, recording, state
 from papayaspar_runs import workers
+from papayaspar_scheduling import drains, stalls, stops
 from papayaspar_store import records
 
 MILLISECONDS_PER_SECOND = 1000.0
@@ -41,6 +42,8 @@
         self._steady_since_s = float("-inf")
         # Runs on unreachable workers that were recorded as such, by VM.
         self._unconfirmed: dict[str, set[tuple[tasks.TaskKey, int]]] = {}
+        # Newest heartbeat of each draining worker, and when it leaves, on the lead's clock, by VM.
+        self._departures: dict[str, tuple[int, float]] = {}
 
     def reconcile(self, now_s: float) -> None:
         """Requeue or stop the tasks that can't continue on their workers, and forget lost agents.
@@ -65,6 +68,7 @@
                 continue
             link.stop_dialling()
             del self._state.links[node]
+            self._departures.pop(node, None)
             self._state.view.agents.pop(node, None)
             self._recorder.delete_agent(node)
             self._state.events.record(lines.EventKind.AGENT_FORGOTTEN, worker=node)
@@ -74,9 +78,11 @@
         for active in self._state.work.jobs():
             if not active.is_cancelled and not active.progress.has_failed:
                 continue
-            reason = "cancelled" if active.is_cancelled else "the job has failed"
+            reason, purpose = "the job has failed", stops.FAILED_JOB
+            if active.is_cancelled:
+                reason, purpose = "cancelled", stops.CANCEL
             for unit in active.progress.active_units():
-                self._orders.stop_unit(unit, reason)
+                self._orders.stop_unit(unit, reason, purpose)
 
     def release_departed(self, now_s: float) -> None:
         """Apply the stored departures of workers to their tasks."""
@@ -138,10 +144,10 @@
             )
 
     def evacuate(self, now_s: float) -> None:
-        """Stop the units that can't finish on a draining worker, except the deferred ones."""
-        for unit in self._evacuating_units(now_s):
-            if not self._is_deferrable(unit):
-                self._orders.stop_unit(unit, "its worker is draining")
+        """Stop the units whose worker leaves before they can end, as late as it makes sense."""
+        for unit, action in self._leaving_units(now_s):
+            if action is drains.Action.STOP:
+                self._orders.stop_unit(unit, "its worker is draining", stops.DRAIN)
 
     def deferred_units(self, now_s: float) -> list[units.Unit]:
         """Return the units on draining workers that restart from the beginning when stopped.
@@ -149,27 +155,48 @@
         They are stopped only once another worker has capacity, since a draining worker may run
         longer than it announced.
         """
-        return [unit for unit in self._evacuating_units(now_s) if self._is_deferrable(unit)]
+        return [unit for unit, action in self._leaving_units(now_s) if action is drains.Action.MOVE]
 
-    def _is_deferrable(self, unit: units.Unit) -> bool:
-        if unit.step.is_checkpointed or unit.step.is_lasting:
-            return False
-        # Urgent work may preempt other work elsewhere, so it is moved without delay.
-        return self._state.work.queue_of(unit.job).priority > 0
-
-    def _evacuating_units(self, now_s: float) -> list[units.Unit]:
-        """Return the units with a task that can't finish before its draining worker terminates."""
-        evacuating: dict[tasks.TaskKey, units.Unit] = {}
+    def _leaving_units(self, now_s: float) -> list[tuple[units.Unit, drains.Action]]:
+        """Return the units with a task on a draining worker, and what to do with each."""
+        leaves_s: dict[units.Unit, float] = {}
         for link in self._state.links.values():
-            heartbeat = link.state.heartbeat if link.state is not None else None
-            if heartbeat is None or heartbeat.condition is not workers.Condition.DRAINING:
+            node_leaves_s = self._leaves_s(link, now_s)
+            if node_leaves_s is None:
                 continue
             for task in self._state.work.tasks_on_node(link.node):
-                remaining_ms = task.remaining_s(now_s) * MILLISECONDS_PER_SECOND
-                if task.step.is_lasting or remaining_ms > (heartbeat.remaining_ms or 0):
-                    unit = task.unit
-                    evacuating[unit.members[0].key] = unit
-        return list(evacuating.values())
+                leaves_s[task.unit] = min(node_leaves_s, leaves_s.get(task.unit, node_leaves_s))
+        return [
+            (
+                unit,
+                drains.action(
+                    unit,
+                    unit_leaves_s - now_s,
+                    now_s,
+                    self._state.work.durations,
+                    # Urgent work may preempt other work elsewhere, so it moves without delay.
+                    self._state.work.queue_of(unit.job).priority == 0,
+                ),
+            )
+            for unit, unit_leaves_s in leaves_s.items()
+        ]
+
+    def _leaves_s(self, link: links.AgentLink, now_s: float) -> float | None:
+        """Return when a draining worker leaves at the earliest, on the lead's clock.
+
+        It is ``None`` for other workers. Each heartbeat gives the time that is left when it was
+        sent; a heartbeat that is read again is as old as when it was first read.
+        """
+        heartbeat = link.state.heartbeat if link.state is not None else None
+        if heartbeat is None or heartbeat.condition is not workers.Condition.DRAINING:
+            self._departures.pop(link.node, None)
+            return None
+        known = self._departures.get(link.node)
+        if known is None or known[0] != heartbeat.sequence:
+            remaining_s = (heartbeat.remaining_ms or 0) / MILLISECONDS_PER_SECOND
+            known = (heartbeat.sequence, now_s + remaining_s)
+            self._departures[link.node] = known
+        return known[1]
 
     def restart_stalled(self, now_s: float) -> None:
         """Stop units with a hung member, so that they restart elsewhere, and eject its worker.
@@ -179,12 +206,13 @@
         """
         if now_s - self._steady_since_s < units.STALL_TIMEOUT_S:
             return
-        for unit in self._state.work.stalled_units(now_s):
-            task = self._state.work.stalled_member(unit, now_s)
+        work = self._state.work
+        for unit in work.stalled_units(now_s):
+            task = stalls.stalled_member(unit, now_s, work.durations, work.tasks_on_node)
             link = self._state.links.get(task.record.node) if task is not None else None
             if task is None or link is None or not link.worker.is_open:
                 continue
-            self._state.work.outcomes(link.node).record_stall(now_s)
+            work.outcomes(link.node).record_stall(now_s)
             self._state.events.record(
                 lines.EventKind.TASK_STALLED,
                 worker=link.node,
@@ -193,4 +221,4 @@
                 detail=f"task={task.key} percent={task.percent:.0f}"
                 f" still_s={now_s - task.progressed_s:.1f}",
             )
-            self._orders.stop_unit(unit, "stalled")
+            self._orders.stop_unit(unit, "stalled", stops.STALL)
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -172,14 +172,10 @@
         stalled: list[units.Unit] = []
         for active in self._jobs.values():
             for unit in active.progress.active_units():
-                if self.stalled_member(unit, now_s) is not None:
+                if stalls.stalled_member(unit, now_s, self.durations, self.tasks_on_node):
                     stalled.append(unit)
         return stalled
 
-    def stalled_member(self, unit: units.Unit, now_s: float) -> units.Task | None:
-        """Return the member that holds up a unit since its run has hung, or ``None``."""
-        return stalls.stalled_member(unit, now_s, self.durations, self.tasks_on_node)
-
     def finish(self, job_id: str, phase: registries.JobPhase) -> None:
         """Remove an ended job without assigned runs, and ignore it in the registry from now on.
 
--- a/libs/lead/tests/test_paused_lead.py
+++ b/libs/lead/tests/test_paused_lead.py
@@ -27,7 +27,7 @@
     def __init__(self):
         self.stopped = []
 
-    def stop_unit(self, unit, reason):
+    def stop_unit(self, unit, reason, purpose):
         self.stopped.append(reason)
 
 
--- a/libs/lead/tests/test_stalls.py
+++ b/libs/lead/tests/test_stalls.py
@@ -30,7 +30,7 @@
     def __init__(self):
         self.stopped = []
 
-    def stop_unit(self, unit, reason, *details, **more_details):
+    def stop_unit(self, unit, reason, purpose):
         self.stopped.append(unit)
 
 
