Store the checkpoints of the dearest work most often

Cause: where checkpoints come faster than the store takes them, all tasks were stored at one interval, so that a loss of all VMs repeated as many seconds of a task of 90 cores as of one of 10.

Change: the interval of a task is inversely proportional to the square root of its cores, accelerators at their weight, which makes the repeated work least for the rate of the store. Equal tasks and small numbers of tasks have the same intervals as before.

--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -7,16 +7,9 @@
 from papayaspar_events import journal, lines
 from papayaspar_jobs import configurations, durations, progress, registries, tasks, units
 from papayaspar_runs import workers
-from papayaspar_scheduling import health, stalls
+from papayaspar_scheduling import checkpoint_rates, health, stalls
 
 MILLISECONDS_PER_SECOND = 1000.0
-# Minimum interval between two stored checkpoints of a task, in seconds: the work that is repeated
-# after a loss of all VMs. A worker saves a checkpoint for each half second of work
-# (`checkpoint_s`).
-CHECKPOINT_INTERVAL_S = 2.0
-# Maximum number of checkpoints stored per second in the whole domain: one append holds as many
-# records (`writing.APPEND_BYTES_MAX`), and the store handles several hundred appends per second.
-CHECKPOINTS_PER_S = 200.0
 
 
 @attrs.define(eq=False)
@@ -52,7 +45,7 @@
         self._changed_tasks: dict[tasks.TaskKey, units.Task] = {}
         self._queues: dict[str, configurations.Queue] = {}
         self._guaranteed_accelerators: dict[str, int] = {}
-        self._checkpointed_count = 0
+        self._checkpoint_rates = checkpoint_rates.CheckpointRates()
         # Tasks with an unreadable record, of which a former lead may have started a run.
         self._unreadable_tasks: dict[tasks.TaskKey, units.Task] = {}
 
@@ -334,8 +327,7 @@
         if not run_status.checkpoint or not task.step.is_checkpointed:
             return
         task.update_checkpoint(run_status.checkpoint, now_s)
-        interval_s = max(CHECKPOINT_INTERVAL_S, self._checkpointed_count / CHECKPOINTS_PER_S)
-        if now_s < task.checkpoint_stored_s + interval_s:
+        if now_s < task.checkpoint_stored_s + self._checkpoint_rates.interval_s(task.step):
             return
         task.checkpoint_stored_s = now_s
         if run_status.checkpoint != task.record.checkpoint:
@@ -387,7 +379,7 @@
     def _set_record(self, task: units.Task, record: tasks.TaskRecord) -> None:
         if task.is_assigned:
             self._tasks_by_node.get(task.record.node, set()).discard(task)
-            self._checkpointed_count -= task.step.is_checkpointed
+            self._checkpoint_rates.remove(task.step)
         task.record = record
         if task.is_assigned:
             self._index_task(task)
@@ -395,7 +387,7 @@
 
     def _index_task(self, task: units.Task) -> None:
         self._tasks_by_node.setdefault(task.record.node, set()).add(task)
-        self._checkpointed_count += task.step.is_checkpointed
+        self._checkpoint_rates.add(task.step)
 
     def is_assigned_run(self, key: tasks.TaskKey, run: int, node: str) -> bool:
         """Return whether a run on a VM is the current assignment of its task."""
