Give room to the unit for which it was made

Cause: of two urgent jobs, the one that comes first in the order took the room that was being made for the other as soon as the stops had ended. What it did not need went to the work that had just been stopped, and the stops for the other job were repeated elsewhere.

Change: within a rank, a unit for which others were stopped comes first until its eviction ends or times out.

Measured: the new test of this load fails without the change.

--- a/libs/scheduling/src/papayaspar_scheduling/evictions.py
+++ b/libs/scheduling/src/papayaspar_scheduling/evictions.py
@@ -59,6 +59,10 @@
         )
         self._by_task[demand.unit.members[0].key] = Eviction(nodes, runs, now_s + STOP_TIMEOUT_S)
 
+    def has_begun(self, demand: ordering.Demand) -> bool:
+        """Return whether units were stopped for a demand, and their time has not passed."""
+        return demand.unit.members[0].key in self._by_task
+
     def nodes(self, demand: ordering.Demand, now_s: float) -> tuple[str, ...] | None:
         """Return the VMs reserved for a demand while its eviction is in progress, or ``None``."""
         eviction = self._by_task.get(demand.unit.members[0].key)
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -163,9 +163,7 @@
         moves: list[ordering.Demand] = []
         deferred_demands = frozenset(deferred or ())
         all_demands = [*demands, *deferred_demands]
-        for demand in sorted(
-            all_demands, key=lambda demand: self._ordering_policy.key(demand, now_s)
-        ):
+        for demand in sorted(all_demands, key=lambda demand: self._order_key(demand, now_s)):
             if start_limit is not None and start_limit.is_reached:
                 break
             if start_limit is not None and not start_limit.allows(demand):
@@ -210,6 +208,15 @@
             _reserve(demand, reserved, free_after_stops)
         return Plan(tuple(starts), tuple(preempted), tuple(moves), gains_core_s)
 
+    def _order_key(self, demand: ordering.Demand, now_s: float) -> tuple[float, ...]:
+        """Return the sort key of a demand.
+
+        Within a rank, a unit for which others were stopped comes first: another one would take the
+        room as it becomes free, and the stops would be repeated.
+        """
+        key = self._ordering_policy.key(demand, now_s)
+        return (demand.rank, not self._evictions.has_begun(demand), *key)
+
     def _choose_nodes(
         self,
         demand: ordering.Demand,
--- a/libs/scheduling/tests/test_stops_under_load.py
+++ b/libs/scheduling/tests/test_stops_under_load.py
@@ -152,3 +152,35 @@
     assert {purpose.job_id for purpose in purposes} == {demand.unit.job.spec.job_id}
     gain_core_s = sum(purpose.gain_core_s for purpose in purposes)
     assert gain_core_s == pytest.approx(2 * 5.0 * (7.5 + 64.0))
+
+
+# Burst of urgent jobs: a job that comes before another in the order took the room that was made for
+# it as soon as the stops ended, and the stops for the other one were repeated on other workers.
+def test_room_goes_to_the_job_for_which_it_was_made(cluster, make_step):
+    for number in range(4):
+        cluster.add_running_unit(
+            make_step(estimate_ms=60_000, is_checkpointed=True), f"node-{number}", rank=BULK
+        )
+    first = cluster.add_waiting_unit(make_step(2, is_gang=True), URGENT, objective_s=112.0)
+    stopped = [victim for victim, _ in cluster.plan().stops]
+    assert len(stopped) == 2
+    for victim in stopped:
+        cluster.stopping.remove(victim)
+        victim.unit.members[0].record = tasks.TaskRecord()
+        victim.unit.members[0].is_stopping = False
+    cluster.add_waiting_unit(make_step(2, is_gang=True), URGENT, objective_s=108.0)
+    plan = cluster.plan(100.3)
+    assert [start.demand.unit for start in plan.starts] == [first]
+
+
+def test_room_that_was_made_for_urgent_work_goes_to_guaranteed_work_first(cluster, make_step):
+    cluster.workers[:] = cluster.workers[:1]
+    step = make_step(estimate_ms=60_000, is_checkpointed=True)
+    cluster.add_running_unit(step, "node-0", rank=BULK)
+    cluster.add_waiting_unit(make_step(), URGENT)
+    ((victim, _),) = cluster.plan().stops
+    cluster.stopping.remove(victim)
+    victim.unit.members[0].record = tasks.TaskRecord()
+    victim.unit.members[0].is_stopping = False
+    guaranteed = cluster.add_waiting_unit(make_step(), GUARANTEED)
+    assert [start.demand.unit for start in cluster.plan(100.3).starts] == [guaranteed]
