--- a/libs/scheduling/src/papayaspar_scheduling/ordering.py
+++ b/libs/scheduling/src/papayaspar_scheduling/ordering.py
@@ -33,6 +33,18 @@
         return cls.NORMAL if priority == 1 else cls.BULK
 
 
+class ShareStanding(enum.IntEnum):
+    """Standing of a unit with regard to its team's share of the pool.
+
+    ``UNCONTENDED``: no other team waits for the pool. ``WITHIN``: the team's use before the unit is
+    below its share. ``BEYOND``: the team has its share without the unit.
+    """
+
+    UNCONTENDED = 0
+    WITHIN = 1
+    BEYOND = 2
+
+
 @attrs.frozen(eq=False)
 class Demand:
     """Demand of a unit that waits for capacity.
@@ -43,6 +55,7 @@
     :param worthless_s: when its job loses its remaining value, on the lead's clock.
     :param remaining_s: estimated time that its job needs from the start of the unit, in seconds.
     :param waited_s: how long the unit has waited, in seconds.
+    :param standing: standing of the unit with regard to its team's share of the pool.
     """
 
     unit: units.Unit
@@ -51,6 +64,7 @@
     worthless_s: float
     remaining_s: float
     waited_s: float
+    standing: ShareStanding = ShareStanding.UNCONTENDED
 
 
 class Ordering(abc.ABC):
@@ -82,6 +96,21 @@
         return (demand.rank, 1, demand.remaining_s)
 
 
+class ByTeamShares(ByNextValueLoss):
+    """By rank, then by the teams' shares where they compete, then by the next loss of value.
+
+    Work of teams that are within their share goes before that of teams that are beyond it, late
+    work included: a short job is late once it has waited for one long task of a burst, and would
+    wait for all of them. Worthless work comes last, whosever it is.
+    """
+
+    def key(self, demand: Demand, now_s: float) -> tuple[float, ...]:
+        """Return the rank, whether worthless or beyond the share, and the latest start."""
+        rank, is_worthless, latest_start_s = super().key(demand, now_s)
+        is_beyond = demand.standing is ShareStanding.BEYOND and not is_worthless
+        return (rank, is_worthless, is_beyond, latest_start_s)
+
+
 class ByReachableObjective(Ordering):
     """By rank, then work that can meet its objective, work that still has value, and the rest.
 
