Serve teams below their share of a contended pool first

Cause: two teams of one rank, six workers; one hands in 60 jobs at once, and some jobs of the other had not begun after 20 s, since all latest starts of the burst came first.

Change: where several teams wait for a pool that can't hold all, units beyond the share of their team come after the others of their rank. The share is max-min, weighted by guarantees; use is that of the dominant resource, now and in the contended part of the last half minute.

--- a/libs/jobs/src/papayaspar_jobs/specs.py
+++ b/libs/jobs/src/papayaspar_jobs/specs.py
@@ -63,6 +63,20 @@
             self.cpu_millicores * count, self.memory_mb * count, self.accelerators * count
         )
 
+    def dominant_share(self, total: "Resources") -> float:
+        """Return the largest of the shares of CPU, memory and accelerators that this amount is.
+
+        :param total: what it is a share of; a resource of which there is none is left out.
+        """
+        share = 0.0
+        if total.cpu_millicores > 0:
+            share = max(share, self.cpu_millicores / total.cpu_millicores)
+        if total.memory_mb > 0:
+            share = max(share, self.memory_mb / total.memory_mb)
+        if total.accelerators > 0:
+            share = max(share, self.accelerators / total.accelerators)
+        return share
+
     def holds(self, other: "Resources") -> bool:
         """Return whether the other amount fits into this one."""
         return (
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -6,6 +6,7 @@
 from papayaspar_events import journal, lines
 from papayaspar_jobs import configurations, specs, tasks
 from papayaspar_lead import (
+    contention,
     links,
     listings,
     orders,
@@ -106,11 +107,12 @@
         self._limits = limits
         self._hybrid_clock = hybrid_clock
         self._token_count = 0
-        self._planner = planner.Planner()
+        self._planner = planner.Planner(ordering.ByTeamShares())
         self._state = state.SchedulerState(
             workload.Workload(events), {}, view, clock_source, events
         )
         self._inputs = planning_inputs.PlanningInputs(self._state.work)
+        self._contention = contention.Contention(self._state)
         self._recorder = recording.Recorder(self._state, shared, tasks_writer)
         self._orders = orders.Orders(self._state, self._recorder, self.is_lead_lease_valid)
         # When the lease of a worker without a link has certainly expired.
@@ -381,9 +383,11 @@
             candidates.append(link.worker)
         _end_uninformative_trials(candidates)
         self._mark_replacements(pool)
+        free = self._inputs.free_capacity(candidates, unassigned, now_s, is_stopping_counted=True)
+        pool_demands = [demand for demand in demands if self._pool_of(demand) == pool]
         plan = self._planner.plan(
-            [demand for demand in demands if self._pool_of(demand) == pool],
-            self._inputs.free_capacity(candidates, unassigned, now_s, is_stopping_counted=True),
+            self._contention.assess(pool, pool_demands, free, now_s),
+            free,
             self._inputs.free_capacity(candidates, unassigned, now_s, is_stopping_counted=False),
             self._inputs.victims(now_s),
             now_s,
--- a/libs/lead/tests/simulated_lead.py
+++ b/libs/lead/tests/simulated_lead.py
@@ -8,7 +8,7 @@
 from papayaspar_lead import links, state, workload
 from papayaspar_model import errors
 from papayaspar_runs import messages, workers
-from papayaspar_scheduling import fleet, planner
+from papayaspar_scheduling import fleet, ordering, planner
 from papayaspar_store import stores, writing
 
 from . import simulated_workers
@@ -183,10 +183,13 @@
 
 
 class ObservedPlanner(planner.Planner):
-    """A planner that keeps the free capacity of its newest round, with its claims."""
+    """The planner of a lead, which keeps the free capacity of its newest round, with its claims."""
 
     free: fleet.FreeCapacity | None = None
 
+    def __init__(self) -> None:
+        super().__init__(ordering.ByTeamShares())
+
     def plan(self, demands, free, *arguments):
         self.free = free
         return super().plan(demands, free, *arguments)
--- a/libs/scheduling/src/papayaspar_scheduling/ordering.py
+++ b/libs/scheduling/src/papayaspar_scheduling/ordering.py
@@ -33,18 +33,6 @@
         return cls.NORMAL if priority == 1 else cls.BULK
 
 
-class ShareStanding(enum.IntEnum):
-    """Standing of a unit with regard to its team's share of the pool.
-
-    ``UNCONTENDED``: no other team waits for the pool. ``WITHIN``: the team's use before the unit is
-    below its share. ``BEYOND``: the team has its share without the unit.
-    """
-
-    UNCONTENDED = 0
-    WITHIN = 1
-    BEYOND = 2
-
-
 @attrs.frozen(eq=False)
 class Demand:
     """Demand of a unit that waits for capacity.
@@ -55,7 +43,7 @@
     :param worthless_s: when its job loses its remaining value, on the lead's clock.
     :param remaining_s: estimated time that its job needs from the start of the unit, in seconds.
     :param waited_s: how long the unit has waited, in seconds.
-    :param standing: standing of the unit with regard to its team's share of the pool.
+    :param is_beyond_share: whether its team has its share of a contended pool without the unit.
     """
 
     unit: units.Unit
@@ -64,7 +52,7 @@
     worthless_s: float
     remaining_s: float
     waited_s: float
-    standing: ShareStanding = ShareStanding.UNCONTENDED
+    is_beyond_share: bool = False
 
 
 class Ordering(abc.ABC):
@@ -107,7 +95,7 @@
     def key(self, demand: Demand, now_s: float) -> tuple[float, ...]:
         """Return the rank, whether worthless or beyond the share, and the latest start."""
         rank, is_worthless, latest_start_s = super().key(demand, now_s)
-        is_beyond = demand.standing is ShareStanding.BEYOND and not is_worthless
+        is_beyond = demand.is_beyond_share and not is_worthless
         return (rank, is_worthless, is_beyond, latest_start_s)
 
 
--- a/libs/scheduling/src/papayaspar_scheduling/shares.py
+++ b/libs/scheduling/src/papayaspar_scheduling/shares.py
@@ -44,22 +44,6 @@
     guaranteed_accelerators: Mapping[str, int]
 
 
-def dominant_share(used: specs.Resources, total: specs.Resources) -> float:
-    """Return the largest of the shares of CPU, memory and accelerators.
-
-    :param used: resources of a team.
-    :param total: resources of the pool; one that it does not have is left out.
-    """
-    share = 0.0
-    if total.cpu_millicores > 0:
-        share = max(share, used.cpu_millicores / total.cpu_millicores)
-    if total.memory_mb > 0:
-        share = max(share, used.memory_mb / total.memory_mb)
-    if total.accelerators > 0:
-        share = max(share, used.accelerators / total.accelerators)
-    return share
-
-
 def fair_shares(needs: Mapping[str, float], pool: Pool) -> dict[str, float]:
     """Return the share of the pool that each team may use before others that wait (max-min).
 
@@ -105,7 +89,8 @@
         return False
     asked = specs.Resources()
     for demand in demands:
-        asked = asked.plus(_resources(demand))
+        resources = demand.unit.step.counted_resources
+        asked = asked.plus(resources.times(len(demand.unit.members)))
         if not pool.free.holds(asked):
             return True
     return False
@@ -142,7 +127,9 @@
         pool: Pool,
         now_s: float,
     ) -> list[ordering.Demand]:
-        """Return the demands with the standing of each unit; to be called in each round.
+        """Return the demands, with those marked that are beyond their team's share.
+
+        To be called in each round.
 
         :param demands: demands of the pool's waiting units.
         :param running: resources in use by team.
@@ -153,27 +140,37 @@
         if not is_contended(demands, pool):
             self._running, self._contending, self._ahead_s = {}, frozenset(), {}
             return list(demands)
-        self._running = {team: dominant_share(used, pool.total) for team, used in running.items()}
+        self._running = {team: used.dominant_share(pool.total) for team, used in running.items()}
         self._contending = frozenset(
             demand.unit.job.spec.team for demand in demands if demand.waited_s >= CONTENDING_WAIT_S
         )
         by_team: dict[str, list[ordering.Demand]] = {}
         for demand in demands:
             by_team.setdefault(demand.unit.job.spec.team, []).append(demand)
-        fair = fair_shares(_needs(by_team, running, pool), pool)
+        needs = dict(self._running)
+        for team, team_demands in by_team.items():
+            use = _Use(running.get(team, specs.Resources()), pool.total)
+            for demand in team_demands:
+                use.add(demand)
+            needs[team] = use.share
+        fair = fair_shares(needs, pool)
         total_s = sum(self._used_s.get(team, 0.0) for team in fair)
         self._ahead_s = {
             team: self._used_s.get(team, 0.0) - share * total_s for team, share in fair.items()
         }
         assessed: list[ordering.Demand] = []
         for team, team_demands in by_team.items():
-            used = running.get(team, specs.Resources())
-            is_ahead = self._ahead_s[team] > AHEAD_MAX_S
+            use = _Use(running.get(team, specs.Resources()), pool.total)
+            is_beyond = self._ahead_s[team] > AHEAD_MAX_S
             team_demands.sort(key=lambda demand: self._base_ordering.key(demand, now_s))
             for demand in team_demands:
-                is_beyond = is_ahead or dominant_share(used, pool.total) >= fair[team] - ROUNDING
-                used = used.plus(_resources(demand))
-                assessed.append(_with_standing(demand, is_beyond))
+                is_beyond = is_beyond or use.share >= fair[team] - ROUNDING
+                # Guarantees are each team's own.
+                if is_beyond and demand.rank is not ordering.Rank.GUARANTEED:
+                    assessed.append(attrs.evolve(demand, is_beyond_share=True))
+                    continue
+                use.add(demand)
+                assessed.append(demand)
         return assessed
 
     def _advance(self, now_s: float) -> None:
@@ -197,28 +194,30 @@
             self._used_s[team] = used_s
 
 
-def _needs(
-    by_team: Mapping[str, Sequence[ordering.Demand]],
-    running: Mapping[str, specs.Resources],
-    pool: Pool,
-) -> dict[str, float]:
-    """Return the share of the pool that each team uses and waits for."""
-    needs: dict[str, float] = {}
-    for team in {**by_team, **running}:
-        needed = running.get(team, specs.Resources())
-        for demand in by_team.get(team, ()):
-            needed = needed.plus(_resources(demand))
-        needs[team] = dominant_share(needed, pool.total)
-    return needs
-
+class _Use:
+    """Use of a pool by one team, as shares of its resources.
 
-def _resources(demand: ordering.Demand) -> specs.Resources:
-    return demand.unit.step.counted_resources.times(len(demand.unit.members))
+    :param used: resources in use.
+    :param total: resources of the pool.
+    """
 
+    def __init__(self, used: specs.Resources, total: specs.Resources) -> None:
+        self._total = total
+        # Plain integers: a round adds thousands of units.
+        self._cpu_millicores = used.cpu_millicores
+        self._memory_mb = used.memory_mb
+        self._accelerators = used.accelerators
+
+    def add(self, demand: ordering.Demand) -> None:
+        """Add the resources of a unit."""
+        resources = demand.unit.step.counted_resources
+        count = len(demand.unit.members)
+        self._cpu_millicores += resources.cpu_millicores * count
+        self._memory_mb += resources.memory_mb * count
+        self._accelerators += resources.accelerators * count
 
-def _with_standing(demand: ordering.Demand, is_beyond: bool) -> ordering.Demand:
-    """Return a demand with its standing; guarantees are each team's own and not shared."""
-    if demand.rank is ordering.Rank.GUARANTEED:
-        return demand
-    standing = ordering.ShareStanding.BEYOND if is_beyond else ordering.ShareStanding.WITHIN
-    return attrs.evolve(demand, standing=standing)
+    @property
+    def share(self) -> float:
+        """Share of the dominant resource."""
+        used = specs.Resources(self._cpu_millicores, self._memory_mb, self._accelerators)
+        return used.dominant_share(self._total)
--- a/libs/scheduling/tests/shared_pool.py
+++ b/libs/scheduling/tests/shared_pool.py
@@ -104,7 +104,7 @@
         )
 
     def assessed(self) -> list[ordering.Demand]:
-        """Return the demands of the waiting jobs with their standing."""
+        """Return the demands of the waiting jobs, as the lead assesses them."""
         total = specs.Resources()
         for worker in self.workers:
             total = total.plus(worker.capacity)
--- a/libs/scheduling/tests/test_shares.py
+++ b/libs/scheduling/tests/test_shares.py
@@ -14,7 +14,6 @@
 from . import shared_pool
 
 NORMAL, GUARANTEED = ordering.Rank.NORMAL, ordering.Rank.GUARANTEED
-UNCONTENDED, WITHIN, BEYOND = ordering.ShareStanding
 # A unit starts in the round that follows the end of the task before it.
 ROUNDS_S = 2 * shared_pool.ROUND_S
 
@@ -138,17 +137,19 @@
         shared.assessed(), key=lambda demand: ordering.ByTeamShares().key(demand, shared.now_s)
     )
     assert demands[0].unit is covered.unit
-    assert demands[0].standing is UNCONTENDED
+    assert not demands[0].is_beyond_share
 
 
 def test_only_the_part_of_a_burst_that_exceeds_the_share_is_beyond_it(shared):
     for _ in range(6):
         shared.submit("large", 5.0)
     shared.submit("small", 5.0)
-    standings = [
-        demand.standing for demand in shared.assessed() if demand.unit.job.spec.team == "large"
+    are_beyond = [
+        demand.is_beyond_share
+        for demand in shared.assessed()
+        if demand.unit.job.spec.team == "large"
     ]
-    assert standings == [WITHIN] * 5 + [BEYOND]
+    assert are_beyond == [False] * 5 + [True]
 
 
 @pytest.mark.parametrize("teams", [("one",), ("one", "two")])
@@ -156,13 +157,13 @@
     for _ in range(3):
         for team in teams:
             shared.submit(team, 5.0)
-    assert {demand.standing for demand in shared.assessed()} == {UNCONTENDED}
+    assert not any(demand.is_beyond_share for demand in shared.assessed())
 
 
 def test_one_team_alone_is_ordered_as_before(shared):
     for _ in range(12):
         shared.submit("one", 5.0)
-    assert {demand.standing for demand in shared.assessed()} == {UNCONTENDED}
+    assert not any(demand.is_beyond_share for demand in shared.assessed())
 
 
 def test_use_that_nobody_else_waited_for_is_not_counted(shared):
@@ -181,9 +182,9 @@
     shared.play(1.0)
     shared.accounts = shares.ShareAccounts()
     small = shared.submit("small", 3.0)
-    standings = {demand.unit: demand.standing for demand in shared.assessed()}
-    assert standings.pop(small.unit) is WITHIN
-    assert set(standings.values()) == {BEYOND}
+    are_beyond = {demand.unit: demand.is_beyond_share for demand in shared.assessed()}
+    assert not are_beyond.pop(small.unit)
+    assert all(are_beyond.values())
 
 
 def test_window_fades_once_nothing_is_contended(shared):
@@ -201,21 +202,21 @@
     assert shared.accounts.ahead_s["gangs"] == pytest.approx(0.0, abs=0.01)
 
 
-def _demand(shared, standing, came_s, run_s=5.0):
+def _demand(shared, came_s, run_s=5.0, is_beyond_share=False):
     job = shared.submit("team", run_s)
     job.came_s = came_s
-    return attrs.evolve(shared.demand(job), standing=standing)
+    return attrs.evolve(shared.demand(job), is_beyond_share=is_beyond_share)
 
 
 def test_groups_of_the_order(shared):
     """Within the share before beyond it, by the next loss of value; worthless work comes last."""
     late_s, worthless_s = shared.now_s - 15.0, shared.now_s - 60.0
     demands = [
-        _demand(shared, WITHIN, shared.now_s),
-        _demand(shared, WITHIN, late_s),
-        _demand(shared, BEYOND, shared.now_s - 1.0),
-        _demand(shared, BEYOND, late_s),
-        _demand(shared, WITHIN, worthless_s),
+        _demand(shared, shared.now_s),
+        _demand(shared, late_s),
+        _demand(shared, shared.now_s - 1.0, is_beyond_share=True),
+        _demand(shared, late_s, is_beyond_share=True),
+        _demand(shared, worthless_s),
     ]
     order = ordering.ByTeamShares()
     shuffled = [demands[position] for position in (3, 0, 4, 2, 1)]
@@ -226,7 +227,7 @@
 def test_order_without_contention_is_that_of_the_next_loss_of_value(shared):
     for came_s in (shared.now_s, shared.now_s - 15.0, shared.now_s - 45.0, shared.now_s - 60.0):
         for run_s in (1.0, 5.0, 9.0):
-            _demand(shared, UNCONTENDED, came_s, run_s)
+            _demand(shared, came_s, run_s)
     demands = [shared.demand(job) for job in shared.jobs]
     before, now = ordering.ByNextValueLoss(), ordering.ByTeamShares()
     assert sorted(demands, key=lambda demand: now.key(demand, shared.now_s)) == sorted(
