Publish the room of the pools from the lead

Cause: entries know neither which workers a pool has nor how long new work will wait, so that they accept what can never run or be of use.

Change: a keyed record on the shared partition holds for each pool the kinds of its workers, whether they are all known, and the least wait of newcomers by rank and resource. The view accepts it from a lead that it sees renewing its record.

--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -4,7 +4,7 @@
 import attrs
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import configurations, specs, tasks
+from papayaspar_jobs import configurations, durations, specs, tasks
 from papayaspar_lead import (
     contention,
     links,
@@ -14,6 +14,7 @@
     reconciling,
     recording,
     restoring,
+    room_summaries,
     state,
     workload,
 )
@@ -113,6 +114,11 @@
         )
         self._inputs = planning_inputs.PlanningInputs(self._state.work)
         self._contention = contention.Contention(self._state)
+        # Demands of the newest round that looked at them.
+        self._waiting: list[ordering.Demand] = []
+        self._room_summary = room_summaries.RoomSummary(
+            self._state, epoch, durations.DeclaredDurations()
+        )
         self._recorder = recording.Recorder(self._state, shared, tasks_writer)
         self._orders = orders.Orders(self._state, self._recorder, self.is_lead_lease_valid)
         # When the lease of a worker without a link has certainly expired.
@@ -318,13 +324,20 @@
         self._finish_jobs(now_s)
         if self.is_lead_lease_valid():
             self._start_waiting(now_s, wall_ms)
+            self._publish_room(now_s)
         self._recorder.flush()
 
+    def _publish_room(self, now_s: float) -> None:
+        room = self._room_summary.updated(self._waiting, now_s)
+        if room is not None:
+            self._shared.enqueue(records.encode(records.ROOM_KEY, room))
+
     def _start_waiting(self, now_s: float, wall_ms: float) -> None:
         if self._starting_tasks_left(now_s) <= 0:
             return
         unassigned = listings.unassigned_runs(self._state, now_s)
         demands = self._startable(self._inputs.demands(now_s, wall_ms), unassigned, now_s)
+        self._waiting = demands
         reserved = [(run.node, self._resources_of(run)) for run in unassigned]
         deferred = [
             self._inputs.restart_demand(unit, now_s, wall_ms)
--- a/libs/lead/tests/test_contention.py
+++ b/libs/lead/tests/test_contention.py
@@ -1,4 +1,4 @@
-"""Teams that compete for a pool of a lead, also across leads.
+"""Teams that compete for a pool of a lead, also across leads, and what the lead publishes then.
 
 The load is a burst of one team beside a small one; the bound is the time of one task of the burst.
 """
@@ -9,8 +9,9 @@
 from papayaspar_events import journal
 from papayaspar_jobs import specs
 from papayaspar_lead import contention
+from papayaspar_store import records
 
-from . import simulated_lead, waiting_simulation
+from . import simulated_lead, simulated_workers, waiting_simulation
 
 pytestmark = pytest.mark.anyio
 
@@ -85,3 +86,26 @@
         _pass(simulation, TASK_S)
     shown = simulation.events.metrics.exposition().decode().count("share_ahead_s/pool/")
     assert 1 <= shown <= contention.SHOWN_TEAMS_MAX
+
+
+async def test_backlog_is_published_and_withdrawn(simulation):
+    jobs = _submit(simulation, "large", 60)
+    _pass(simulation, 2.0)
+    waits = simulation.view.room.pools[0].waits
+    assert waits[3].accelerators_s > 0
+    assert waits[0].accelerators_s == 0
+    for job_id in jobs:
+        simulation.cancel(job_id)
+    _pass(simulation, 3.0)
+    assert simulation.view.room.pools[0].waits == ()
+
+
+async def test_new_lead_publishes_the_room_under_its_own_epoch(simulation):
+    _submit(simulation, "large", 60)
+    _pass(simulation, 2.0)
+    former = simulation.view.room
+    simulation.lose_lead(len(simulation.tasks_writer.queue), 0.5)
+    _pass(simulation, 3.0)
+    assert simulation.view.room.epoch == former.epoch + 1
+    assert len(records.encode(records.ROOM_KEY, simulation.view.room).value) < 512
+    assert simulation.view.room.pools[0].pool == simulated_workers.POOL
--- a/libs/store/src/papayaspar_store/records.py
+++ b/libs/store/src/papayaspar_store/records.py
@@ -7,7 +7,7 @@
 import msgpack
 from cattrs.preconf import msgpack as cattrs_msgpack
 
-from papayaspar_jobs import configurations, registries, specs, tasks
+from papayaspar_jobs import configurations, registries, rooms, specs, tasks
 from papayaspar_store import failures, stores
 
 RecordT = TypeVar("RecordT")
@@ -30,6 +30,7 @@
 AGENT_PREFIX = "agent/"
 TASK_PREFIX = "task/"
 LEAD_KEY = "lead"
+ROOM_KEY = "room"
 
 
 @attrs.frozen
@@ -93,6 +94,21 @@
     former_lease_ms: int = 0
 
 
+@attrs.frozen
+class RoomRecord:
+    """Room of the pools, as the lead knows it.
+
+    It counts while the record of the same lead is renewed: one writer stores both in order, so no
+    newer record of the room is missing when a newer one of the lead is read.
+
+    :param epoch: epoch of the lead.
+    :param pools: the pools.
+    """
+
+    epoch: int
+    pools: tuple[rooms.PoolRoom, ...] = ()
+
+
 @attrs.frozen
 class DoneRun:
     """A run that completed successfully.
--- a/libs/store/tests/test_odd_records.py
+++ b/libs/store/tests/test_odd_records.py
@@ -3,7 +3,7 @@
 import msgpack
 import pytest
 
-from papayaspar_jobs import configurations, registries, specs, tasks
+from papayaspar_jobs import configurations, registries, rooms, specs, tasks
 from papayaspar_model import clock
 from papayaspar_store import failures, records, stores, views
 
@@ -30,6 +30,19 @@
     records.LEAD_KEY: records.LeadRecord(
         1024, "entry-1", "boot-1", attached=("node-1",), former_lease_ms=1
     ),
+    records.ROOM_KEY: records.RoomRecord(
+        1024,
+        (
+            rooms.PoolRoom(
+                "pool",
+                True,
+                (rooms.WorkerKind(specs.Resources(1, 2, 3), ("label",), 2),),
+                ("r1-0",),
+                True,
+                (rooms.ExpectedWait(1, 2, 3),),
+            ),
+        ),
+    ),
 }
 # Replaced by deeply nested lists in the encoded record, since the encoder refuses such values.
 DEEP_MARK = "@deep@"
@@ -92,6 +105,9 @@
         records.encode(key, records.JobRecord(job.spec, job.queue, job.accepted_ms, "entry-1"))
     for agent in view.agents.values():
         records.encode(key, agent)
+    for room in view.room.pools if view.room is not None else ():
+        rooms.find_impossible(SPEC, room)
+        rooms.expected_wait_s(SPEC, room, 0)
     for valid_key, valid_record in RECORDS.items():
         view.apply(records.encode(valid_key, valid_record))
     assert view.jobs.find(JOB_ID) is not None
