Refuse at once what can never run or earn nothing any more

Cause: a job whose task asks for more than any worker has was accepted and queued for ever; so were jobs that would begin after they have lost their value.

It refuses nothing that it does not know (former, old or unreadable record, store that answers badly, id that may be stored), no scheduled, lasting or wide job, and no urgent job that its team's guarantee could hold. After a refusal nothing is appended.

--- a/libs/intake/src/papayaspar_intake/access.py
+++ b/libs/intake/src/papayaspar_intake/access.py
@@ -68,10 +68,12 @@
 
     :param queue: queue that the call addresses.
     :param team: name of the caller's team; empty on a public queue.
+    :param guaranteed_accelerators: number of accelerators guaranteed to the team's urgent jobs.
     """
 
     queue: configurations.Queue
     team: str
+    guaranteed_accelerators: int = 0
 
 
 class Authorizer:
@@ -131,7 +133,7 @@
             raise UnknownKeyError(
                 f"the key is not in configuration version {configuration.version}"
             )
-        return Authorization(queue, team.name)
+        return Authorization(queue, team.name, team.guaranteed_accelerators)
 
     def _outdated_error(self) -> NoConfigurationError:
         return NoConfigurationError(
--- a/libs/intake/src/papayaspar_intake/job_service.py
+++ b/libs/intake/src/papayaspar_intake/job_service.py
@@ -5,7 +5,7 @@
 import anyio
 
 from papayaspar_events import journal, lines
-from papayaspar_intake import access
+from papayaspar_intake import access, admission
 from papayaspar_jobs import registries, specs
 from papayaspar_model import clock, errors
 from papayaspar_store import failures, following, records, stores, views
@@ -18,6 +18,9 @@
 RETRY_DELAY_S = 0.05
 # Time before the caller's deadline at which a call must be answered, in seconds.
 ANSWER_MARGIN_S = 0.1
+# Time after which an append of this entry is certainly not carried out any more, in seconds: the
+# store may execute a call some seconds after it was sent.
+APPENDED_KEPT_S = 60.0
 # Maximum age of the view for counting queued jobs, in seconds; an older view is updated first.
 VIEW_AGE_MAX_S = 2.0
 
@@ -45,6 +48,7 @@
     :param follower: follower of the shared partition.
     :param clock_source: clock for deadlines and times of acceptance.
     :param events: journal for accepted and cancelled jobs.
+    :param admission_policy: decides which jobs are refused; by the room of the pools if ``None``.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         follower: following.Follower,
         clock_source: clock.Clock,
         events: journal.Journal,
+        admission_policy: admission.Admission | None = None,
     ) -> None:
         self._node = node
         self._store = store
@@ -62,6 +67,9 @@
         self._follower = follower
         self._clock = clock_source
         self._events = events
+        self._admission = admission_policy or admission.RoomAdmission(view, clock_source)
+        # When this entry began to append each job, oldest first, for `APPENDED_KEPT_S`.
+        self._appended_s: dict[str, float] = {}
 
     async def submit(
         self, spec: specs.JobSpec, authorization: access.Authorization, timeout_s: float
@@ -72,6 +80,8 @@
         :param authorization: queue and team of the call.
         :param timeout_s: timeout of the caller, in seconds.
         :raises InvalidJobError: when the job is not valid.
+        :raises NoWorkerError: when no worker can ever run the job; it is not stored.
+        :raises NoRoomError: when the job can earn nothing any more; it is not stored.
         :raises StoreUnavailableError: when the job is certainly not stored and will never run.
         :raises JobTimeoutError: when it is unknown whether the job is stored.
         """
@@ -86,6 +96,9 @@
         deadline_s = start_s + timeout_s - ANSWER_MARGIN_S
         if self._view.jobs.find(spec.job_id) is not None:
             return
+        if not self._may_be_stored(spec):
+            self._admission.check(spec, authorization)
+        self._note_append(spec.job_id)
         await self._store_record(
             encoded, spec.job_id, deadline_s, lambda: self._view.jobs.find(spec.job_id) is not None
         )
@@ -100,6 +113,24 @@
             f" tasks={sum(step.task_count for step in spec.steps)} shape={spec.summary}",
         )
 
+    def _may_be_stored(self, spec: specs.JobSpec) -> bool:
+        """Return whether a record of a job, which this entry has not read, may be stored.
+
+        An append may be carried out seconds after it was sent, also if it was answered by an error.
+        """
+        if self._view.has_unreadable_job(spec.job_id) or spec.job_id in self._appended_s:
+            return True
+        return self._view.jobs.is_cancelled(spec.job_id, spec.team)
+
+    def _note_append(self, job_id: str) -> None:
+        now_s = self._clock.now_s()
+        for former_id, appended_s in list(self._appended_s.items()):
+            if now_s - appended_s < APPENDED_KEPT_S:
+                break
+            del self._appended_s[former_id]
+        self._appended_s.pop(job_id, None)
+        self._appended_s[job_id] = now_s
+
     async def _wait_for_store(self, wait_s: float) -> None:
         """Wait until the store answers a read, before anything is appended.
 
@@ -111,6 +142,8 @@
         """
         deadline_s = self._clock.now_s() + wait_s
         detail = "the store has not been read yet"
+        if self._follower.is_unavailable:
+            self._admission.note_store_trouble()
         while self._follower.unavailable_for_s() < access.OUTAGE_MAX_S:
             remaining_s = deadline_s - self._clock.now_s()
             if remaining_s <= 0:
@@ -120,6 +153,7 @@
                 try:
                     await self._follower.catch_up()
                 except errors.LogUnavailableError as error:
+                    self._admission.note_store_trouble()
                     detail = error.detail
                     await anyio.sleep(RETRY_DELAY_S)
                     continue
@@ -225,6 +259,7 @@
                     record, min(APPEND_TIMEOUT_S, remaining_s), is_read_back
                 )
             except (errors.LogUnavailableError, failures.AppendRefusedError) as error:
+                self._admission.note_store_trouble()
                 # A refusal says nothing about an earlier attempt that got no answer.
                 may_be_stored = may_be_stored or error.ran is not errors.Ran.NO
                 if not may_be_stored:
