Move urgent work off a leaving worker only where it finds room

Cause: urgent work without checkpoints was stopped as soon as its worker began to drain, whether or not it found room elsewhere. Beyond its team's guarantee it then waited, or threw away other work for no gain: a tenth of the work of a long job is much.

Change: such work moves when other workers have room, or when it justifies a preemption; it and what it preempts are stopped together. Where a stop does not change the value of urgent work, it may cost no more than a second of that work's own resources.

The test that urgent work is stopped at once had no worker to which it could go: it now has one with work of a lower rank, and a new test asks that it stays where there is none. The drained stand-in of the checkpointed case counts its remaining time down, with the same bound of 3 s for the stop.

--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -152,8 +152,8 @@
     def deferred_units(self, now_s: float) -> list[units.Unit]:
         """Return the units on draining workers that restart from the beginning when stopped.
 
-        They are stopped only once another worker has capacity, since a draining worker may run
-        longer than it announced.
+        They are stopped only once other workers have capacity for them, or may be preempted, since
+        a draining worker may run longer than it announced.
         """
         return [unit for unit, action in self._leaving_units(now_s) if action is drains.Action.MOVE]
 
@@ -169,14 +169,7 @@
         return [
             (
                 unit,
-                drains.action(
-                    unit,
-                    unit_leaves_s - now_s,
-                    now_s,
-                    self._state.work.durations,
-                    # Urgent work may preempt other work elsewhere, so it moves without delay.
-                    self._state.work.queue_of(unit.job).priority == 0,
-                ),
+                drains.action(unit, unit_leaves_s - now_s, now_s, self._state.work.durations),
             )
             for unit, unit_leaves_s in leaves_s.items()
         ]
--- a/libs/lead/tests/test_departures.py
+++ b/libs/lead/tests/test_departures.py
@@ -168,14 +168,36 @@
 async def test_urgent_or_checkpointed_work_on_a_draining_worker_is_stopped_at_once(
     start_cluster, make_job, make_queue, priority, is_checkpointed
 ):
+    """Urgent work takes the place of other work at once; checkpointed work is stopped in time."""
     async with start_cluster() as cluster:
         queue = make_queue(priority=priority)
         spec = make_job(1, _long_step(is_checkpointed=is_checkpointed))
         _, first = await cluster.start_single_task(spec, 30.0, queue)
+        second = await cluster.add_agent("node-2")
+        second.worker.run_time_s = 60.0
+        filler = make_job(2, _long_step(is_checkpointed=True), queue="bulk")
+        cluster.submit(filler, make_queue(name="bulk", priority=2))
+        await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == 2)
+        first.worker.counts_down = True
         await _drain(cluster, first)
         await cluster.wait_until(lambda: not first.controller.state().runs, timeout_s=3.0)
 
 
+async def test_urgent_work_stays_on_a_draining_worker_while_there_is_no_other(
+    start_cluster, make_job, make_queue
+):
+    async with start_cluster() as cluster:
+        queue = make_queue(priority=0)
+        _, first = await cluster.start_single_task(make_job(1, _long_step()), 30.0, queue)
+        first.worker.counts_down = True
+        await _drain(cluster, first)
+        await cluster.sleep(1.0)
+        assert len(first.controller.state().runs) == 1
+        await cluster.add_agent("node-2")
+        await cluster.wait_until(lambda: len(cluster.run_recorder.starts) == 2, timeout_s=3.0)
+        assert cluster.run_recorder.overlaps == []
+
+
 async def test_deregistration_of_a_former_incarnation_is_ignored(start_cluster, make_job):
     async with start_cluster() as cluster:
         _, agent = await cluster.start_single_task(make_job(1), 60.0)
--- a/libs/scheduling/src/papayaspar_scheduling/drains.py
+++ b/libs/scheduling/src/papayaspar_scheduling/drains.py
@@ -13,8 +13,8 @@
 class Action(enum.Enum):
     """What to do with a unit on a leaving worker.
 
-    ``KEEP``: leave it alone for now. ``MOVE``: stop it as soon as another worker has room for it.
-    ``STOP``: stop it now.
+    ``KEEP``: leave it alone for now. ``MOVE``: stop it as soon as other workers have room for it,
+    or it may preempt others there. ``STOP``: stop it now.
     """
 
     KEEP = "keep"
@@ -27,20 +27,18 @@
     leaves_in_s: float,
     now_s: float,
     estimates: durations.DurationEstimates,
-    is_urgent: bool,
 ) -> Action:
     """Return what to do with a unit of which a member runs on a leaving worker.
 
     A checkpointed unit works on as long as its stop still saves what it has done: it may end by
     itself until then, and moving it earlier gains nothing. A unit without checkpoints that can't
-    end in time loses more the longer it runs, but only if it would run elsewhere; a leaving worker
-    may also stay longer than it announced.
+    end in time loses more the longer it runs, but only if there is room for it elsewhere; a leaving
+    worker may also stay longer than it announced.
 
     :param unit: the unit.
     :param leaves_in_s: minimum time until the worker leaves, in seconds.
     :param now_s: the lead's clock.
     :param estimates: expected run times.
-    :param is_urgent: whether the unit may get room elsewhere by preemption.
     """
     if unit.step.is_lasting:
         return Action.STOP
@@ -48,7 +46,7 @@
         return Action.KEEP
     if unit.step.is_checkpointed:
         return Action.STOP if leaves_in_s <= LAST_STOP_S else Action.KEEP
-    return Action.STOP if is_urgent else Action.MOVE
+    return Action.MOVE
 
 
 def remaining_s(unit: units.Unit, now_s: float, estimates: durations.DurationEstimates) -> float:
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -75,7 +75,8 @@
 
     :param starts: units to start.
     :param stops: units to preempt, each with the demand that needs their resources.
-    :param moves: units to stop on draining workers since other workers have capacity for them.
+    :param moves: units to stop on draining workers since other workers have capacity for them, or
+        will have it after the stops.
     :param gains_core_s: by preempted unit, its share of what the demand gains by the stops, in
         core-seconds.
     """
@@ -144,7 +145,8 @@
         :param is_reconnect_expected: whether workers are expected to reconnect soon; meanwhile no
             unit is placed on remote racks only because workers on its own rack are disconnected.
         :param deferred: demands that units running on draining workers would have if stopped;
-            such a unit is stopped only when other workers have capacity for it.
+            such a unit is stopped only when other workers have capacity for it, or when it
+            justifies the preemption of others.
         :param start_limit: limit on the tasks that are started; changed by the planning. ``None``
             for no limit.
         """
@@ -179,7 +181,8 @@
                     if start_limit is not None:
                         start_limit.count(demand)
                 continue
-            if demand in deferred_demands:
+            is_deferred = demand in deferred_demands
+            if is_deferred and demand.rank > ordering.Rank.URGENT:
                 continue
             # The reservation of an eviction in progress is kept while its worker briefly does not
             # answer; otherwise more units would be preempted elsewhere.
@@ -201,8 +204,11 @@
                     unplaceable_after_stops.clear()
                 if reserved is not None:
                     self._evictions.begin(demand, reserved, eviction.victims, now_s)
+                if reserved is not None and is_deferred:
+                    moves.append(demand)
             if reserved is None:
-                self._claim(demand, free, free_after_stops, releases, now_s)
+                if not is_deferred:
+                    self._claim(demand, free, free_after_stops, releases, now_s)
                 continue
             _reserve(demand, reserved, free)
             _reserve(demand, reserved, free_after_stops)
--- a/libs/scheduling/src/papayaspar_scheduling/preemption.py
+++ b/libs/scheduling/src/papayaspar_scheduling/preemption.py
@@ -11,9 +11,10 @@
 # Urgent work beyond its team's guarantee may cause a loss of other work up to this share of its own
 # work: with a larger loss, fewer callers are served than if it waits.
 URGENT_COST_RATIO_MAX = 0.5
-# The same share while a stop does not change the value of the urgent work, so that only units that
-# lose almost no work are stopped for it.
+# The same share while a stop does not change the value of the urgent work, and the loss in seconds
+# of its own resources, so that only units that lose little more than their restart are stopped.
 UNCHANGED_VALUE_COST_RATIO_MAX = 0.1
+UNCHANGED_VALUE_COST_S_MAX = 1.0
 # Weight of lost work by the rank of its job: the objective of a higher rank leaves less time for a
 # repetition.
 RANK_WEIGHTS = {
@@ -102,9 +103,13 @@
         return not (is_worthless and demand.unit.job.has_started)
     if is_worthless:
         return False
-    gains = stop_costs.gain_core_s(demand, now_s, starts_in_s, estimates) > 0.0
-    ratio_max = URGENT_COST_RATIO_MAX if gains else UNCHANGED_VALUE_COST_RATIO_MAX
-    return cost_core_s <= ratio_max * stop_costs.work_core_s(demand.unit, estimates)
+    work_core_s = stop_costs.work_core_s(demand.unit, estimates)
+    if stop_costs.gain_core_s(demand, now_s, starts_in_s, estimates) > 0.0:
+        return cost_core_s <= URGENT_COST_RATIO_MAX * work_core_s
+    demand_cores = stop_costs.cores(demand.unit.step) * len(demand.unit.members)
+    return cost_core_s <= min(
+        UNCHANGED_VALUE_COST_RATIO_MAX * work_core_s, UNCHANGED_VALUE_COST_S_MAX * demand_cores
+    )
 
 
 class PreemptionPolicy(abc.ABC):
--- a/libs/scheduling/tests/test_draining.py
+++ b/libs/scheduling/tests/test_draining.py
@@ -61,3 +61,44 @@
     )
     _fill(cluster, make_step, "node-2")
     assert cluster.plan(deferred=[second, first]).moves == (first,)
+
+
+def _drain_urgent(cluster, make_step, rank):
+    """Drain a worker on which urgent work runs, and return the demand of that work."""
+    step = make_step(estimate_ms=20_000)
+    unit = cluster.add_running_unit(step, "node-0", rank=rank, elapsed_s=1.0)
+    cluster.workers[0].is_open = False
+    return ordering.Demand(unit, rank, 125.0, 160.0, 20.0, 0.0)
+
+
+# Urgent work whose worker leaves is stopped at once where it may take the place of others. It
+# preempts them at the same time, so that it waits for the stops only once.
+def test_urgent_work_moves_at_once_to_the_place_of_saved_work(cluster, make_step):
+    deferred = _drain_urgent(cluster, make_step, ordering.Rank.URGENT)
+    for node in ("node-1", "node-2", "node-3"):
+        step = make_step(estimate_ms=60_000, is_checkpointed=True)
+        cluster.add_running_unit(step, node, rank=NORMAL)
+    plan = cluster.plan(deferred=[deferred])
+    assert plan.moves == (deferred,)
+    assert len(plan.stops) == 1
+
+
+# Guards against urgent work that is stopped on a leaving worker and then waits: a gang threw away
+# six seconds of work, and preempted dearer work for no gain.
+def test_urgent_work_stays_where_no_preemption_is_justified(cluster, make_step):
+    deferred = _drain_urgent(cluster, make_step, ordering.Rank.URGENT)
+    _fill(cluster, make_step, "node-1", "node-2", "node-3")
+    for victim in cluster.running:
+        victim.unit.members[0].started_s -= 60.0
+    cluster.update_costs()
+    plan = cluster.plan(deferred=[deferred])
+    assert plan.moves == ()
+    assert plan.stops == ()
+
+
+def test_guaranteed_work_moves_at_once_whatever_it_preempts(cluster, make_step):
+    deferred = _drain_urgent(cluster, make_step, ordering.Rank.GUARANTEED)
+    _fill(cluster, make_step, "node-1", "node-2", "node-3")
+    plan = cluster.plan(deferred=[deferred])
+    assert plan.moves == (deferred,)
+    assert len(plan.stops) == 1
--- a/libs/scheduling/tests/test_stops_under_load.py
+++ b/libs/scheduling/tests/test_stops_under_load.py
@@ -184,3 +184,16 @@
     victim.unit.members[0].is_stopping = False
     guaranteed = cluster.add_waiting_unit(make_step(), GUARANTEED)
     assert [start.demand.unit for start in cluster.plan(100.3).starts] == [guaranteed]
+
+
+# Steady overload: long urgent work that is late either way threw away a hundred seconds of several
+# jobs, since a tenth of its own work is much.
+@pytest.mark.parametrize(("is_checkpointed", "stop_count"), [(False, 0), (True, 1)])
+def test_late_long_work_stops_only_saved_work(cluster, make_step, is_checkpointed, stop_count):
+    cluster.workers[:] = cluster.workers[:1]
+    step = make_step(estimate_ms=20_000, is_checkpointed=is_checkpointed)
+    cluster.add_running_unit(step, "node-0", rank=BULK, elapsed_s=5.0)
+    cluster.add_waiting_unit(
+        make_step(estimate_ms=66_000), URGENT, objective_s=150.0, worthless_after_s=100.0
+    )
+    assert len(cluster.plan().stops) == stop_count
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -12,7 +12,7 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 POLL_INTERVAL_S = 0.02
-# Remaining time that a draining worker reports.
+# Remaining time that a worker reports at the beginning of a drain.
 DRAIN_REMAINING_MS = 3500
 
 
@@ -120,6 +120,10 @@
         self.stop_time_s = 0.0
         self.saves_progress = False
         self.starts_to_delay = 0
+        # Whether the remaining time that a draining worker reports passes.
+        self.counts_down = False
+        # Start of the drain that is reported, on the worker's clock.
+        self._drained_s: float | None = None
         # Maximum number of results in one answer to a poll.
         self.ends_listed_max = 500
         self._wall_clock_offset_ms = 0
@@ -175,11 +179,19 @@
             rack=self.rack,
             sequence=sequence,
             born_ms=self.born_ms,
-            remaining_ms=DRAIN_REMAINING_MS
-            if self.condition is workers.Condition.DRAINING
-            else None,
+            remaining_ms=self._remaining_ms(),
         )
 
+    def _remaining_ms(self) -> int | None:
+        """Return the time until a draining worker leaves, in milliseconds, or ``None``."""
+        if self.condition is not workers.Condition.DRAINING:
+            self._drained_s = None
+            return None
+        if self._drained_s is None or not self.counts_down:
+            self._drained_s = self._clock.now_s()
+        drained_ms = int((self._clock.now_s() - self._drained_s) * MILLISECONDS_PER_SECOND)
+        return max(0, DRAIN_REMAINING_MS - drained_ms)
+
     def clock_ms(self) -> int:
         """Return the time since the incarnation started, in milliseconds."""
         return int((self._clock.now_s() - self._incarnation_started_s) * MILLISECONDS_PER_SECOND)
