Keep the place of units for which others were stopped

Cause: a unit's standing changes while the units that were stopped for it end: its team has its share meanwhile, others take the room, and it has more units stopped.

Change: a unit for which others were stopped is not beyond its team's share.

Result: the new test fails without the change.

--- a/libs/scheduling/src/papayaspar_scheduling/shares.py
+++ b/libs/scheduling/src/papayaspar_scheduling/shares.py
@@ -165,8 +165,7 @@
             team_demands.sort(key=lambda demand: self._base_ordering.key(demand, now_s))
             for demand in team_demands:
                 is_beyond = is_beyond or use.share >= fair[team] - ROUNDING
-                # Guarantees are each team's own.
-                if is_beyond and demand.rank is not ordering.Rank.GUARANTEED:
+                if is_beyond and not _is_settled(demand):
                     assessed.append(attrs.evolve(demand, is_beyond_share=True))
                     continue
                 use.add(demand)
@@ -194,6 +193,15 @@
             self._used_s[team] = used_s
 
 
+def _is_settled(demand: ordering.Demand) -> bool:
+    """Return whether a unit keeps its place whatever its team uses.
+
+    Guarantees are each team's own. What other units were stopped for starts before others: its
+    room would go to these, and it would have more units stopped.
+    """
+    return demand.rank is ordering.Rank.GUARANTEED or demand.unit.preempting_s is not None
+
+
 class _Use:
     """Use of a pool by one team, as shares of its resources.
 
--- a/libs/scheduling/tests/test_shares.py
+++ b/libs/scheduling/tests/test_shares.py
@@ -140,6 +140,20 @@
     assert not demands[0].is_beyond_share
 
 
+def test_unit_for_which_others_were_stopped_keeps_its_place(shared):
+    """Its team has its share meanwhile; the room went to others, and more units were stopped."""
+    for _ in range(12):
+        shared.submit("large", 5.0)
+    shared.submit("small", 5.0)
+    shared.play(1.0)
+    waiting = next(job for job in shared.of("large") if job.unit.is_waiting)
+    waiting.unit.preempting_s = shared.now_s
+    shared.submit("small", 5.0)
+    are_beyond = {demand.unit: demand.is_beyond_share for demand in shared.assessed()}
+    assert not are_beyond[waiting.unit]
+    assert any(are_beyond.values())
+
+
 def test_only_the_part_of_a_burst_that_exceeds_the_share_is_beyond_it(shared):
     for _ in range(6):
         shared.submit("large", 5.0)
