Keep units on a leaving worker that may just end in time

Cause: a unit without checkpoints was moved off a leaving worker whenever its expected rest was longer than the time left, however much work it had done.

A move saves at most the time until the worker leaves; it is made only if that is worth more than the work that is lost where the unit would have ended, each weighed by its chance.

--- a/libs/scheduling/tests/test_drains.py
+++ b/libs/scheduling/tests/test_drains.py
@@ -50,6 +50,29 @@
     assert _action(unit, 5.0) is MOVE
 
 
+# Guards against a gang of which 18 s of work were thrown away half a second too early to tell that
+# it would end: a move saves at most the time until the worker leaves.
+@pytest.mark.parametrize(("elapsed_s", "action"), [(18.0, KEEP), (1.0, MOVE)])
+def test_unit_that_may_just_end_is_moved_only_while_it_is_young(
+    cluster, make_step, elapsed_s, action
+):
+    unit = cluster.add_running_unit(
+        make_step(estimate_ms=round(1000 * (elapsed_s + 4.4))),
+        "node-0",
+        rank=NORMAL,
+        elapsed_s=elapsed_s,
+    )
+    assert _action(unit, 4.0) is action
+
+
+# A move a moment before the worker leaves saves nothing.
+def test_unit_that_was_kept_so_far_stays_to_the_end(cluster, make_step):
+    unit = cluster.add_running_unit(
+        make_step(estimate_ms=22_400), "node-0", rank=NORMAL, elapsed_s=21.6
+    )
+    assert _action(unit, 0.4) is KEEP
+
+
 # Uneven workers: the member on the leaving worker has done its share, but the gang ends with its
 # slow member elsewhere.
 def test_gang_ends_with_its_slowest_member(cluster, make_step):
