Learn run times and worker speeds in a library of their own

Change: libs/estimates holds all of them. quantiles and averages moved there unchanged (one copy of each type; their tests import them from there). New: run_times, a model of declared run time, kind of work and worker, robust to a tail and to a team's odd runs. Nothing calls the new model yet.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,7 +1,7 @@
 # Installs the two programs and their dependencies under target/, compiled to bytecode.
 set -eu
 DEPS=target/deps
-LIBS="model events settings jobs store scheduling runs lead intake wire serving"
+LIBS="model events settings estimates jobs store scheduling runs lead intake wire serving"
 if [ ! -f "$DEPS/.stamp" ] || [ constraints.txt -nt "$DEPS/.stamp" ]; then
     rm -rf "$DEPS"
     python3 -m pip install --quiet --disable-pip-version-check --target "$DEPS" \
--- a/libs/admission/src/papayaspar_admission/limits.py
+++ b/libs/admission/src/papayaspar_admission/limits.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from papayaspar_admission import durations
+from papayaspar_estimates import averages
 
 LIMIT_MIN = 1.0
 BASELINE_SMOOTHING_RATIO = 0.01
@@ -40,8 +40,8 @@
     connections: int
     in_flight: int = attrs.field(default=0, init=False)
     _limit: float = attrs.field(init=False)
-    _baselines: durations.Durations = attrs.field(
-        factory=lambda: durations.Durations(BASELINE_SMOOTHING_RATIO, kinds_max=64), init=False
+    _baselines: averages.Durations = attrs.field(
+        factory=lambda: averages.Durations(BASELINE_SMOOTHING_RATIO, kinds_max=64), init=False
     )
     _recent_ratio: float = attrs.field(default=1.0, init=False)
     _cooldown_requests: int = attrs.field(default=0, init=False)
--- a/libs/admission/src/papayaspar_admission/queues.py
+++ b/libs/admission/src/papayaspar_admission/queues.py
@@ -7,7 +7,8 @@
 import anyio.lowlevel
 import attrs
 
-from papayaspar_admission import durations, fairness, heaps, lanes, reserves, teams
+from papayaspar_admission import fairness, heaps, lanes, reserves, teams
+from papayaspar_estimates import averages
 from papayaspar_model import clock, errors, rulesets, work
 
 RETRY_AFTER_MIN_S = 0.1
@@ -82,7 +83,7 @@
         self._below_guarantee: heaps.KeyedHeap[str] = heaps.KeyedHeap()
         self._borrowers: fairness.FairQueue[str] = fairness.FairQueue()
         self._reserve = reserves.Reserve()
-        self._durations = durations.Durations()
+        self._durations = averages.Durations()
         self._charges: dict[int, _Charge] = {}
         self._serial = 0
 
--- a/libs/admission/src/papayaspar_admission/teams.py
+++ b/libs/admission/src/papayaspar_admission/teams.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from papayaspar_admission import durations, fairness, lanes
+from papayaspar_admission import fairness, lanes
+from papayaspar_estimates import averages
 from papayaspar_model import rulesets, work
 
 
@@ -95,7 +96,7 @@
     :param averages: moving averages of durations by kind.
     """
 
-    averages: durations.Durations
+    averages: averages.Durations
     by_urgency: dict[work.Urgency, lanes.Lane] = attrs.field(
         factory=lambda: {urgency: lanes.Lane() for urgency in work.Urgency}, init=False
     )
--- a/libs/admission/tests/test_fairness.py
+++ b/libs/admission/tests/test_fairness.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from papayaspar_admission import drains, durations, fairness, heaps, reserves
+from papayaspar_admission import drains, fairness, heaps, reserves
+from papayaspar_estimates import averages
 
 
 def test_keyed_heap_matches_sorted_order():
@@ -51,13 +52,13 @@
 
 
 def test_durations_are_averaged_and_kinds_are_bounded():
-    averages = durations.Durations(kinds_max=10)
+    expected = averages.Durations(kinds_max=10)
     for number in range(100):
-        averages.observe(f"kind-{number}", 5.0)
-    assert len(averages) == 10
-    averages.observe("kind-99", 7.0)
-    assert averages.expected_s("kind-99") == 6.0
-    assert averages.expected_s("kind-0") == durations.DEFAULT_DURATION_S
+        expected.observe(f"kind-{number}", 5.0)
+    assert len(expected) == 10
+    expected.observe("kind-99", 7.0)
+    assert expected.expected_s("kind-99") == 6.0
+    assert expected.expected_s("kind-0") == averages.DEFAULT_DURATION_S
 
 
 def test_wait_estimate_increases_while_a_queue_is_stalled():
--- a/libs/bench/src/papayaspar_bench/fragmentation.py
+++ b/libs/bench/src/papayaspar_bench/fragmentation.py
@@ -5,11 +5,11 @@
 import attrs
 
 from papayaspar_bench import experiments, fleet_fakes, fleet_runs, fleet_workloads
+from papayaspar_estimates import quantiles
 from papayaspar_model import rulesets, work
 from papayaspar_placement import (
     completions,
     consolidation,
-    durations,
     policies,
     preemptions,
     queues,
@@ -125,7 +125,7 @@
     policy_name: str,
     seed: int,
 ) -> tuple[fleet_runs.FleetRun, _CapacityObserver]:
-    estimator = completions.CompletionEstimator(durations.DurationEstimator())
+    estimator = completions.CompletionEstimator(quantiles.DurationEstimator())
     compared_policies: list[policies.PlacementPolicy] = [
         policies.FirstFit(),
         policies.BestFit(),
--- a/libs/bench/src/papayaspar_bench/guarantees.py
+++ b/libs/bench/src/papayaspar_bench/guarantees.py
@@ -8,11 +8,11 @@
 import attrs
 
 from papayaspar_bench import experiments, fleet_claims, fleet_fakes, fleet_runs, fleet_workloads
+from papayaspar_estimates import quantiles
 from papayaspar_model import rulesets, work
 from papayaspar_placement import (
     completions,
     consolidation,
-    durations,
     fleet,
     preemptions,
     shape_keeping,
@@ -94,7 +94,7 @@
 ) -> tuple[fleet_runs.FleetRun, fleet_claims.ClaimObserver]:
     rng = random.Random(seed)
     rules = rulesets.RuleSet(guarantees=_guarantees(deployment.instances))
-    estimator = completions.CompletionEstimator(durations.DurationEstimator())
+    estimator = completions.CompletionEstimator(quantiles.DurationEstimator())
     observer = fleet_claims.ClaimObserver(rules.guarantees)
     run = fleet_runs.FleetRun(
         fleet_fakes.FakeFleet(deployment.workers),
--- a/libs/bench/src/papayaspar_bench/slopes.py
+++ b/libs/bench/src/papayaspar_bench/slopes.py
@@ -8,9 +8,10 @@
 import attrs
 
 from papayaspar_entry import records
+from papayaspar_estimates import quantiles
 from papayaspar_membership import members
 from papayaspar_model import causality, clock, rulesets, work, workers
-from papayaspar_placement import completions, durations, fleet, homes, queues, shape_keeping
+from papayaspar_placement import completions, fleet, homes, queues, shape_keeping
 from papayaspar_rules import parsing, revisions
 from papayaspar_rules import records as rule_records
 from papayaspar_slots import claims, messages
@@ -187,7 +188,7 @@
 
 def _time_schedule(size: int) -> float:
     _, view = _build_worker_state(size)
-    expected = completions.CompletionEstimator(durations.DurationEstimator())
+    expected = completions.CompletionEstimator(quantiles.DurationEstimator())
     queue = queues.JobQueue(shape_keeping.ShapeKeeping(expected), expected)
     shape = work.Shape(4, 2, work.Adjacency.RACK)
     for number in range(JOBS):
--- a/libs/entry/src/papayaspar_entry/process.py
+++ b/libs/entry/src/papayaspar_entry/process.py
@@ -24,10 +24,11 @@
     shard_handovers,
     shard_manager,
 )
+from papayaspar_estimates import quantiles
 from papayaspar_events import journal, lines, metrics
 from papayaspar_membership import ejection, members
 from papayaspar_model import causality, clock
-from papayaspar_placement import completions, consolidation, durations, fleet, shape_keeping
+from papayaspar_placement import completions, consolidation, fleet, shape_keeping
 from papayaspar_placement import queues as job_queues
 from papayaspar_platform import http_logs, logs
 from papayaspar_serving import listeners
@@ -167,7 +168,7 @@
 
     def _make_job_manager(self) -> job_manager.JobManager:
         times = timings.Timings()
-        estimator = completions.CompletionEstimator(durations.DurationEstimator())
+        estimator = completions.CompletionEstimator(quantiles.DurationEstimator())
         agents = gang_calls.StreamGangAgents(self._sessions, self._table, times)
         launcher = launches.Launcher(self._settings.name, agents, random.Random(), times)
         runs = gang_runs.GangRuns(agents, launcher, estimator, self._journal, times)
--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -7,9 +7,10 @@
 import trio
 
 from papayaspar_entry import gang_runs, job_manager
+from papayaspar_estimates import quantiles
 from papayaspar_events import journal, metrics
 from papayaspar_model import causality, clock, errors, rulesets, signals, workers
-from papayaspar_placement import completions, durations, fleet, queues, shape_keeping
+from papayaspar_placement import completions, fleet, queues, shape_keeping
 from papayaspar_slots import launches, messages, peers, timings
 
 
@@ -94,7 +95,7 @@
     def make(agents, estimator=None):
         times = timings.Timings()
         launcher = launches.Launcher("entry-1", agents, random.Random(1), times)
-        estimator = estimator or completions.CompletionEstimator(durations.DurationEstimator())
+        estimator = estimator or completions.CompletionEstimator(quantiles.DurationEstimator())
         return gang_runs.GangRuns(agents, launcher, estimator, make_journal(), times)
 
     return make
@@ -121,7 +122,7 @@
         homes = types.SimpleNamespace(packed=types.SimpleNamespace(homes=()))
         links = types.SimpleNamespace(live_addresses=("e1",), own_address="e1")
         if run_times is None:
-            run_times = durations.DurationEstimator()
+            run_times = quantiles.DurationEstimator()
         estimator = completions.CompletionEstimator(run_times)
         queue = queues.JobQueue(shape_keeping.ShapeKeeping(estimator), estimator)
         return job_manager.JobManager(
--- a/libs/entry/tests/test_gang_runs.py
+++ b/libs/entry/tests/test_gang_runs.py
@@ -5,8 +5,9 @@
 import trio.testing
 
 from papayaspar_entry import gang_runs, job_table
+from papayaspar_estimates import quantiles
 from papayaspar_model import errors, work, workers
-from papayaspar_placement import completions, durations, entitlements, preemptions, queues
+from papayaspar_placement import completions, entitlements, preemptions, queues
 from papayaspar_slots import claims, messages, peers
 
 UNREACHABLE_S = 6.0
@@ -171,7 +172,7 @@
     make_runs, make_agents, launch, tracked, states, observed
 ):
     """The last run of a job that resumed from a checkpoint did only a part of the work."""
-    run_times = durations.DurationEstimator()
+    run_times = quantiles.DurationEstimator()
     estimator = completions.CompletionEstimator(run_times)
     runs = make_runs(make_agents(*states), estimator)
 
--- a/libs/entry/tests/test_job_counts_beside_kills.py
+++ b/libs/entry/tests/test_job_counts_beside_kills.py
@@ -9,8 +9,9 @@
 import trio.testing
 
 from papayaspar_entry import gang_runs, job_manager, records
+from papayaspar_estimates import quantiles
 from papayaspar_model import errors, work, workers
-from papayaspar_placement import durations, fleet
+from papayaspar_placement import fleet
 from papayaspar_slots import messages
 from papayaspar_standin import memory_logs
 
@@ -24,7 +25,7 @@
 DONE = messages.GangState.DONE
 
 
-class RecordedRunTimes(durations.DurationEstimator):
+class RecordedRunTimes(quantiles.DurationEstimator):
     """An estimator that keeps what it observes."""
 
     def __init__(self):
--- a/libs/entry/tests/test_last_failed_runs.py
+++ b/libs/entry/tests/test_last_failed_runs.py
@@ -6,8 +6,9 @@
 import trio.testing
 
 from papayaspar_entry import gang_runs, job_manager
+from papayaspar_estimates import quantiles
 from papayaspar_model import work
-from papayaspar_placement import durations, fleet
+from papayaspar_placement import fleet
 from papayaspar_platform import http_logs
 from papayaspar_slots import messages
 from papayaspar_standin import memory_logs
@@ -19,7 +20,7 @@
 FAILED, DONE = messages.GangState.FAILED, messages.GangState.DONE
 
 
-class RecordedRunTimes(durations.DurationEstimator):
+class RecordedRunTimes(quantiles.DurationEstimator):
     """An estimator that keeps what it observes."""
 
     def __init__(self):
--- /dev/null
+++ b/libs/estimates/src/papayaspar_estimates/run_times.py
@@ -0,0 +1,322 @@
+"""Run times of work and speeds of workers, learned together from finished runs.
+
+The model is ``run time = declared^slope x bias(kind) x slowness(worker) x rest``, in logarithms.
+The prediction for work is drawn from wide kinds to narrow ones; each level counts by the number of
+its runs (partial pooling): all teams of a queue, the team there, the team's shape there, and the
+step of the job itself.
+"""
+
+import collections
+import math
+import zlib
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from papayaspar_estimates import robust, speeds, windows
+
+KINDS_MAX = 512
+STEPS_MAX = 256
+# Number of identities of counted runs that are kept.
+COUNTED_MAX = 8192
+# Shortest run time that is told apart, in seconds.
+DURATION_MIN_S = 0.001
+# Standard deviation of what a level adds to the wider one, as a logarithm: with it, a level counts
+# by how much its runs scatter.
+LEVEL_SPREAD_LOG = 0.25
+# All teams of a queue count from this number of teams on, with this many runs each: with fewer, one
+# of them would decide for another.
+TEAMS_MIN = 3
+RUNS_OF_TEAM_MIN = 3
+# Number of teams of a queue that count, those whose runs ended last.
+TEAMS_MAX = 32
+# A step counts from this number of its runs on, and shows the speed of workers.
+RUNS_OF_STEP_MIN = 3
+# Members of a gang from which they show the speeds of their workers beside one another.
+COMPARED_MEMBERS_MIN = 3
+# A level gives the high value from this number of runs on.
+RUNS_OF_HIGH_MIN = 8
+# Shape of the level of a team in a queue.
+ALL_SHAPES = ""
+
+
+@attrs.frozen
+class Kind:
+    """Kind of work.
+
+    :param team: team of the work.
+    :param queue: queue of the work.
+    :param shape: what the work runs or needs; :data:`ALL_SHAPES` stands for all of the team's work.
+    """
+
+    team: str
+    queue: str
+    shape: str = ALL_SHAPES
+
+
+@attrs.frozen
+class MemberRun:
+    """Run of one member of a gang, or of a single task.
+
+    :param node: VM of its worker.
+    :param born_ms: start of the worker's incarnation, in milliseconds since the Unix epoch.
+    :param worked_s: time that the member's own work took, in seconds; ``None`` if it is not known.
+    """
+
+    node: str
+    born_ms: int
+    worked_s: float | None
+
+
+@attrs.frozen
+class FinishedRun:
+    """A run that ended successfully, with all its members.
+
+    :param kind: kind of its work.
+    :param step: name of its step, which its equal tasks share.
+    :param identity: number of the run that no other run is likely to have.
+    :param declared_s: declared run time in seconds.
+    :param observed_s: run time of the whole work in seconds.
+    :param members: its members; one unless it is a gang.
+    """
+
+    kind: Kind
+    step: str
+    identity: int
+    declared_s: float
+    observed_s: float
+    members: tuple[MemberRun, ...]
+
+
+@attrs.frozen
+class Expectation:
+    """Expected run time on a worker of ordinary speed.
+
+    :param middle_s: value that half of the runs stay below, in seconds.
+    :param high_s: value that nearly all runs stay below, in seconds.
+    :param run_count: number of finished runs behind the values; 0 if they are the declared ones.
+    """
+
+    middle_s: float
+    high_s: float
+    run_count: int
+
+
+class RunTimes:
+    """Learn run times and speeds from finished runs, with bounded memory.
+
+    :attr:`revision` changes with each run and bound that counts.
+
+    :param kinds_max: maximum number of kinds kept, each level counted.
+    """
+
+    def __init__(self, kinds_max: int = KINDS_MAX) -> None:
+        self._kinds_max = kinds_max
+        self.speeds = speeds.WorkerSpeeds()
+        self.revision = 0
+        # Kinds in order of their newest run.
+        self._kinds: collections.OrderedDict[Kind, windows.RunWindow] = collections.OrderedDict()
+        # Teams by queue, in order of their newest run.
+        self._teams: dict[str, dict[str, None]] = {}
+        self._steps: collections.OrderedDict[str, windows.RunWindow] = collections.OrderedDict()
+        self._counted: collections.OrderedDict[int, None] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        """Return the number of kinds."""
+        return len(self._kinds)
+
+    def kinds(self) -> Iterator[tuple[Kind, windows.RunWindow]]:
+        """Return the kinds with a shape, and the runs of each."""
+        for kind, window in list(self._kinds.items()):
+            if kind.shape != ALL_SHAPES:
+                yield kind, window
+
+    def is_counted(self, identity: int) -> bool:
+        """Return whether a run was counted, here or by whom its records are from."""
+        return identity in self._counted
+
+    def observe(self, run: FinishedRun) -> bool:
+        """Record a finished run; return whether it counts, which it does once."""
+        if run.identity in self._counted:
+            return False
+        self._observe_speeds(run)
+        slowest = max(run.members, key=lambda member: member.worked_s or 0.0)
+        declared_log = _log(run.declared_s)
+        observed_log = _log(run.observed_s) - self.speeds.slowness_log(slowest.node)
+        step = self._step(run.step)
+        step.add(windows.Sample(declared_log, observed_log, run.identity, run.identity))
+        fit = step.fit()
+        assert fit is not None
+        group = zlib.crc32(run.step.encode())
+        sample = windows.Sample(
+            declared_log, fit.level_log, group, run.identity, run_count=len(step)
+        )
+        self.restore(run.kind, sample)
+        if len(step) >= RUNS_OF_STEP_MIN:
+            for level in _levels(run.kind):
+                self._window(level).add_scatter(observed_log - fit.level_log)
+        self.revision += 1
+        return True
+
+    def restore(self, kind: Kind, sample: windows.Sample) -> None:
+        """Count runs of a kind, also from a record of former evidence.
+
+        :param kind: the kind, with its shape.
+        :param sample: the runs.
+        """
+        if sample.identity in self._counted:
+            return
+        self._counted[sample.identity] = None
+        if len(self._counted) > COUNTED_MAX:
+            self._counted.popitem(last=False)
+        for level in _levels(kind):
+            self._window(level).add(sample)
+        while len(self._kinds) > self._kinds_max:
+            dropped, _ = self._kinds.popitem(last=False)
+            if dropped.shape == ALL_SHAPES:
+                self._teams[dropped.queue].pop(dropped.team, None)
+
+    def _window(self, kind: Kind) -> windows.RunWindow:
+        """Return the window of a kind, which becomes the newest one."""
+        window = self._kinds.pop(kind, None)
+        if window is None:
+            window = windows.RunWindow()
+        self._kinds[kind] = window
+        teams = self._teams.setdefault(kind.queue, {})
+        teams.pop(kind.team, None)
+        teams[kind.team] = None
+        if len(teams) > TEAMS_MAX:
+            del teams[next(iter(teams))]
+        return window
+
+    def _step(self, step: str) -> windows.RunWindow:
+        window = self._steps.pop(step, None) or windows.RunWindow()
+        self._steps[step] = window
+        if len(self._steps) > STEPS_MAX:
+            self._steps.popitem(last=False)
+        return window
+
+    def _observe_speeds(self, run: FinishedRun) -> None:
+        """Record what a run shows of the speeds of its workers, beside equal work on others."""
+        known = [
+            (member, _log(member.worked_s)) for member in run.members if member.worked_s is not None
+        ]
+        if len(run.members) >= COMPARED_MEMBERS_MIN and len(known) == len(run.members):
+            ordinary_log = robust.median(
+                worked_log - self.speeds.slowness_log(member.node) for member, worked_log in known
+            )
+        elif len(run.members) == 1 and known:
+            window = self._steps.get(run.step)
+            if window is None or len(window) < RUNS_OF_STEP_MIN:
+                return
+            ordinary_log = robust.median(sample.observed_log for sample in window)
+        else:
+            return
+        for member, worked_log in known:
+            self.speeds.observe(
+                member.node, member.born_ms, run.kind.team, worked_log - ordinary_log
+            )
+
+    def set_bound(
+        self, kind: Kind, step: str, identity: int, declared_s: float, worked_s: float, node: str
+    ) -> None:
+        """Record that a run has worked for a time and goes on.
+
+        :param kind: kind of its work.
+        :param step: name of its step.
+        :param identity: number of the run.
+        :param declared_s: declared run time in seconds.
+        :param worked_s: time that it has worked, in seconds.
+        :param node: VM of its worker.
+        """
+        bound_log = _log(worked_s) - self.speeds.slowness_log(node)
+        for window in self._windows_of(kind, step):
+            window.set_bound(identity, _log(declared_s), bound_log)
+        self.revision += 1
+
+    def remove_bound(self, kind: Kind, step: str, identity: int) -> None:
+        """Forget a run that ended without a result.
+
+        :param kind: kind of its work.
+        :param step: name of its step.
+        :param identity: number of the run.
+        """
+        for window in self._windows_of(kind, step):
+            window.remove_bound(identity)
+        self.revision += 1
+
+    def _windows_of(self, kind: Kind, step: str) -> Iterable[windows.RunWindow]:
+        known = [self._kinds.get(level) for level in _levels(kind)]
+        known.append(self._steps.get(step))
+        return [window for window in known if window is not None]
+
+    def expected(self, kind: Kind, step: str, declared_s: float) -> Expectation:
+        """Return the expected run time of work on a worker of ordinary speed.
+
+        :param kind: kind of the work.
+        :param step: name of its step.
+        :param declared_s: declared run time in seconds.
+        """
+        declared_log = _log(declared_s)
+        middle_log, slope, run_count = declared_log, 1.0, 0
+        high_log: float | None = None
+        fits = self._fits_of_teams(kind.queue)
+        if len(fits) >= TEAMS_MIN:
+            predicted_log = robust.median(fit.predict_log(declared_log) for fit in fits)
+            run_count = sum(fit.run_count for fit in fits)
+            spread_log = robust.median(fit.spread_log for fit in fits)
+            middle_log = _pooled(middle_log, predicted_log, spread_log, float(run_count))
+            slope = robust.median(fit.slope for fit in fits)
+            high_log = robust.median(fit.high_log for fit in fits)
+        for level in _levels(kind):
+            window = self._kinds.get(level)
+            fit = window.fit(slope) if window is not None else None
+            if fit is None:
+                continue
+            middle_log = _pooled(
+                middle_log, fit.predict_log(declared_log), fit.spread_log, fit.weight
+            )
+            slope, run_count = fit.slope, max(run_count, fit.run_count)
+            if high_log is None or fit.run_count >= RUNS_OF_HIGH_MIN:
+                high_log = fit.high_log
+        step_window = self._steps.get(step)
+        if step_window is not None and len(step_window) >= RUNS_OF_STEP_MIN:
+            fit = step_window.fit()
+            assert fit is not None
+            middle_log = _pooled(middle_log, fit.level_log, fit.spread_log, fit.weight)
+            if fit.run_count >= RUNS_OF_HIGH_MIN:
+                high_log = fit.high_log
+        if high_log is None:
+            return Expectation(declared_s, declared_s, 0)
+        return Expectation(math.exp(middle_log), math.exp(middle_log + high_log), run_count)
+
+    def _fits_of_teams(self, queue: str) -> list[windows.Fit]:
+        """Return the fits of the teams that have enough runs in a queue."""
+        fits: list[windows.Fit] = []
+        for team in self._teams.get(queue, ()):
+            window = self._kinds.get(Kind(team, queue))
+            if window is None or len(window) < RUNS_OF_TEAM_MIN:
+                continue
+            fit = window.fit()
+            if fit is not None:
+                fits.append(fit)
+        return fits
+
+
+def _levels(kind: Kind) -> tuple[Kind, Kind]:
+    """Return the levels of a team that a kind belongs to, the wider one first."""
+    return attrs.evolve(kind, shape=ALL_SHAPES), kind
+
+
+def _pooled(wide_log: float, narrow_log: float, spread_log: float, weight: float) -> float:
+    """Return a prediction between those of a wide and a narrow level, by their precision.
+
+    :param spread_log: standard deviation of the runs of the narrow level.
+    :param weight: weight of the narrow level, in runs.
+    """
+    wide_runs = (spread_log / LEVEL_SPREAD_LOG) ** 2
+    return wide_log + (narrow_log - wide_log) * weight / (weight + wide_runs)
+
+
+def _log(duration_s: float) -> float:
+    return math.log(max(DURATION_MIN_S, duration_s))
--- a/libs/placement/src/papayaspar_placement/__init__.py
+++ b/libs/placement/src/papayaspar_placement/__init__.py
@@ -3,7 +3,6 @@
 from papayaspar_placement import (
     completions,
     consolidation,
-    durations,
     entitlements,
     feasibility,
     fleet,
@@ -18,7 +17,6 @@
 __all__ = [
     "completions",
     "consolidation",
-    "durations",
     "entitlements",
     "feasibility",
     "fleet",
--- a/libs/placement/src/papayaspar_placement/completions.py
+++ b/libs/placement/src/papayaspar_placement/completions.py
@@ -1,7 +1,8 @@
 """Estimates of when running gangs complete."""
 
+from papayaspar_estimates import quantiles
 from papayaspar_model import work
-from papayaspar_placement import durations, entitlements, fleet, inventory
+from papayaspar_placement import entitlements, fleet, inventory
 
 
 class CompletionEstimator:
@@ -13,7 +14,7 @@
     :param run_times: estimates run times by team and kind.
     """
 
-    def __init__(self, run_times: durations.DurationEstimator) -> None:
+    def __init__(self, run_times: quantiles.DurationEstimator) -> None:
         self.run_times = run_times
         self._jobs: dict[str, work.Job] = {}
 
@@ -43,7 +44,7 @@
         self,
         gang: entitlements.RunningGang,
         now_s: float,
-        quantile: float = durations.MEDIAN_QUANTILE,
+        quantile: float = quantiles.MEDIAN_QUANTILE,
     ) -> float:
         """Return how much longer a gang is expected to run.
 
--- a/libs/placement/tests/conftest.py
+++ b/libs/placement/tests/conftest.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from papayaspar_estimates import quantiles
 from papayaspar_model import rulesets, work, workers
-from papayaspar_placement import completions, durations, fleet, queues, shape_keeping
+from papayaspar_placement import completions, fleet, queues, shape_keeping
 
 
 @pytest.fixture
@@ -107,7 +108,7 @@
 @pytest.fixture
 def completion_estimator():
     """Return an estimator without observations."""
-    return completions.CompletionEstimator(durations.DurationEstimator())
+    return completions.CompletionEstimator(quantiles.DurationEstimator())
 
 
 @pytest.fixture
--- a/libs/placement/tests/test_durations.py
+++ b/libs/placement/tests/test_durations.py
@@ -5,12 +5,12 @@
 import attrs
 import pytest
 
-from papayaspar_placement import durations
+from papayaspar_estimates import quantiles
 
 
 @pytest.fixture
 def estimator():
-    return durations.DurationEstimator(max_kinds=3)
+    return quantiles.DurationEstimator(max_kinds=3)
 
 
 def test_steady_ratio_to_declared_run_time_is_applied(estimator, job_of):
--- a/libs/placement/tests/test_policies.py
+++ b/libs/placement/tests/test_policies.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from papayaspar_estimates import quantiles
 from papayaspar_model import rulesets, work, workers
-from papayaspar_placement import completions, durations, homes, policies, shape_keeping
+from papayaspar_placement import completions, homes, policies, shape_keeping
 
 POLICIES = ("first_fit", "best_fit", "random_of_two", "shape_keeping")
 
@@ -13,7 +14,7 @@
 @pytest.fixture
 def policy_of():
     def make(name):
-        estimator = completions.CompletionEstimator(durations.DurationEstimator())
+        estimator = completions.CompletionEstimator(quantiles.DurationEstimator())
         known = [
             policies.FirstFit(),
             policies.BestFit(),
