Order, claim and place by learned run times and worker speeds

Cause: everything was decided by the callers' estimates, and a wrong one looked like a slow worker.

Change: the lead learns from runs that it saw whole and that ended done, once each. Expected run times replace the declared ones in the order, objectives, claims and backfilling. Gangs run on workers of one class of speed, urgent and normal work on the fastest, bulk on the slowest that suits it. What was learned is stored in bounded records of the lead's partition. PAPAYASPAR_RUN_TIMES=declared turns it off. task_assigned names what is expected; a histogram has predicted over actual run times.

--- a/libs/events/src/papayaspar_events/metrics.py
+++ b/libs/events/src/papayaspar_events/metrics.py
@@ -5,6 +5,8 @@
 
 # Includes the bounds on the time until a job within a guarantee starts: 7.3 s if urgent, else 15 s.
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 7.3, 15.0, 60.0)
+# Predicted run times divided by actual ones; 1 is exact.
+PREDICTION_BUCKETS = (0.1, 0.25, 0.5, 0.67, 0.8, 0.9, 1.0, 1.1, 1.25, 1.5, 2.0, 4.0, 10.0)
 
 
 class Metrics:
@@ -34,6 +36,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._predictions = prometheus_client.Histogram(
+            "papayaspar_run_time_prediction_ratio",
+            "Predicted run time of finished runs divided by the actual one, by source.",
+            ("source",),
+            buckets=PREDICTION_BUCKETS,
+            registry=self._registry,
+        )
         self._gauges = prometheus_client.Gauge(
             "papayaspar_state",
             "Sizes of the process's state: workers, slots, queues, revision, short guarantees.",
@@ -53,6 +62,10 @@
         """Record the duration of a stage of scheduling."""
         self._stages.labels(stage).observe(duration_s)
 
+    def observe_prediction(self, source: str, ratio: float) -> None:
+        """Record a predicted run time divided by the actual one."""
+        self._predictions.labels(source).observe(ratio)
+
     def set_state(self, name: str, value: float) -> None:
         """Set a gauge of the process's state."""
         self._gauges.labels(name).set(value)
--- a/libs/jobs/src/papayaspar_jobs/durations.py
+++ b/libs/jobs/src/papayaspar_jobs/durations.py
@@ -35,10 +35,28 @@
     source: Source = Source.DECLARED
     run_count: int = 0
 
+    @property
+    def is_learned(self) -> bool:
+        """Whether finished runs stand behind the values."""
+        return self.source is Source.LEARNED
+
+    @property
+    def summary(self) -> str:
+        """Short text for logs: values, source and number of runs."""
+        return (
+            f"expected_s={self.middle_s:.2f} high_s={self.high_s:.2f}"
+            f" source={self.source.value} runs={self.run_count}"
+        )
+
 
 class DurationEstimates(abc.ABC):
     """Expected run times of tasks."""
 
+    @property
+    def revision(self) -> int:
+        """Number that changes whenever expected run times may have changed."""
+        return 0
+
     @abc.abstractmethod
     def expected(self, spec: specs.JobSpec, step: specs.Step) -> ExpectedDuration:
         """Return the expected run time of a task from its beginning.
--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from papayaspar_jobs import registries, tasks, units
+from papayaspar_jobs import durations, registries, tasks, units
 
 # Occurrences that are due are created only while this many tasks of the job are not done, so that
 # a job whose occurrences are all due at once does not fill the memory.
@@ -56,13 +56,19 @@
 
     :param accepted_job: the accepted job.
     :param attempts: number of failed runs after which a task is not retried.
+    :param estimates: expected run times; the declared ones if ``None``.
     """
 
-    def __init__(self, accepted_job: registries.AcceptedJob, attempts: int) -> None:
+    def __init__(
+        self,
+        accepted_job: registries.AcceptedJob,
+        attempts: int,
+        estimates: durations.DurationEstimates | None = None,
+    ) -> None:
         self.accepted_job = accepted_job
         self.spec = accepted_job.spec
         self.attempts = max(1, attempts)
-        self.critical_path_ms = accepted_job.spec.critical_path_ms
+        self.estimates = estimates or durations.DeclaredDurations()
         self.has_started = False
         self._task_count = sum(step.task_count for step in self.spec.steps)
         # The next occurrence to create when it is due; restored ones may be later.
@@ -79,7 +85,10 @@
         self._active: dict[units.Unit, None] = {}
         self._failed: set[units.Unit] = set()
         self._done: set[units.Unit] = set()
-        self._remaining_ms: dict[int, float] = {}
+        # Duration of the longest chain of steps from each step on, and revision of the estimates
+        # that it is computed from.
+        self._path_s: dict[int, float] = {}
+        self._path_revision = self.estimates.revision
 
     @property
     def task_count(self) -> int:
@@ -252,32 +261,47 @@
             for predecessor in self.spec.steps[number].after
         )
 
-    def remaining_ms(self, unit: units.Unit) -> float:
-        """Return the estimated time from a unit's start to the end of the job.
+    def expected(self, unit: units.Unit) -> durations.ExpectedDuration:
+        """Return the expected run time of a unit from its beginning."""
+        return self.estimates.expected(self.spec, unit.step)
+
+    def critical_path_s(self) -> float:
+        """Return the expected duration of the longest chain of dependent steps, in seconds."""
+        first_steps = [number for number, step in enumerate(self.spec.steps) if not step.after]
+        return max((self._path_from_s(number) for number in first_steps), default=0.0)
+
+    def remaining_s(self, unit: units.Unit) -> float:
+        """Return the expected time from a unit's start to the end of the job.
 
         Time during which later steps wait for workers is not included.
 
-        :return: milliseconds.
+        :return: seconds.
         """
-        number = unit.members[0].key.step
-        remaining_ms = self._remaining_ms.get(number)
-        if remaining_ms is None:
-            remaining_ms = self._remaining_ms[number] = self._path_ms(number)
-        return remaining_ms
-
-    def _path_ms(self, number: int) -> float:
-        """Return the duration of the longest chain of steps that begins with a step."""
+        return self._path_from_s(unit.members[0].key.step)
+
+    def _path_from_s(self, number: int) -> float:
+        """Return the expected duration of the longest chain of steps that begins with a step."""
+        if self._path_revision != self.estimates.revision:
+            self._path_revision = self.estimates.revision
+            self._path_s.clear()
+        path_s = self._path_s.get(number)
+        if path_s is None:
+            path_s = self._path_s[number] = self._computed_path_s(number)
+        return path_s
+
+    def _computed_path_s(self, number: int) -> float:
         steps = self.spec.steps
-        path_ms = {number: float(steps[number].estimate_ms)}
+        path_s = {number: self.estimates.expected(self.spec, steps[number]).middle_s}
         for later_number in range(number + 1, len(steps)):
-            predecessor_ends_ms = [
-                path_ms[predecessor]
+            predecessor_ends_s = [
+                path_s[predecessor]
                 for predecessor in steps[later_number].after
-                if predecessor in path_ms
+                if predecessor in path_s
             ]
-            if predecessor_ends_ms:
-                path_ms[later_number] = max(predecessor_ends_ms) + steps[later_number].estimate_ms
-        return max(path_ms.values())
+            if predecessor_ends_s:
+                later_s = self.estimates.expected(self.spec, steps[later_number]).middle_s
+                path_s[later_number] = max(predecessor_ends_s) + later_s
+        return max(path_s.values())
 
     @property
     def is_active(self) -> bool:
--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from papayaspar_jobs import specs, tasks
+from papayaspar_jobs import durations, specs, tasks
 
 if typing.TYPE_CHECKING:
     from papayaspar_jobs import progress
@@ -153,6 +153,11 @@
             self.checkpoint = checkpoint
             self.checkpoint_s = now_s
 
+    @property
+    def is_start_seen(self) -> bool:
+        """Whether this lead started the run, from the beginning of its work."""
+        return self._is_fresh_start
+
     @property
     def has_proven_start(self) -> bool:
         """Whether the run shows lasting progress of its own, not only that of a checkpoint."""
@@ -232,6 +237,7 @@
         the others, in seconds on the lead's clock, or ``None``.
     :param preempting_s: time at which other units were first stopped for this unit since it became
         ready, in seconds on the lead's clock, or ``None``.
+    :param expected: run time that was expected when the current run was assigned, or ``None``.
 
     :attr:`failures` is the number of failed runs; a run counts once, however many members failed in
     it. :attr:`failed_run` is the number of the newest run that was counted, or 0.
@@ -243,6 +249,7 @@
     ready_s: float | None = None
     ending_s: float | None = None
     preempting_s: float | None = None
+    expected: durations.ExpectedDuration | None = None
     _waiting_count: int = attrs.field(default=0, init=False)
     _assigned_count: int = attrs.field(default=0, init=False)
     _done_count: int = attrs.field(default=0, init=False)
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -80,7 +80,8 @@
             attempt=unit.members[0].record.run,
             duration_ms=start.demand.waited_s * MILLISECONDS_PER_SECOND,
             detail=f"task={unit.members[0].key} count={len(unit.members)}"
-            f" nodes={','.join(sorted(set(start.nodes)))} rank={start.demand.rank.name}",
+            f" nodes={','.join(sorted(set(start.nodes)))} rank={start.demand.rank.name}"
+            f" {unit.expected.summary if unit.expected is not None else ''}",
         )
         stages = self._stages_until_assignment(start, now_s)
         self._state.spawner.start(self._start_unit, unit, unit.members[0].record.run, stages)
--- a/libs/lead/src/papayaspar_lead/planning_inputs.py
+++ b/libs/lead/src/papayaspar_lead/planning_inputs.py
@@ -60,15 +60,17 @@
             due_ms = job.spec.schedule.due_ms(unit.members[0].key.occurrence)
         age_s = max(0.0, (wall_ms - due_ms) / MILLISECONDS_PER_SECOND)
         objective_s = (
-            queue.stretch * job.critical_path_ms + queue.objective_ms
-        ) / MILLISECONDS_PER_SECOND
+            queue.stretch * job.critical_path_s() + queue.objective_ms / MILLISECONDS_PER_SECOND
+        )
+        remaining_s = job.remaining_s(unit)
         return ordering.Demand(
             unit,
             ordering.Rank.of(queue.priority, job.spec.job_id in covered),
             now_s - age_s + objective_s,
             now_s - age_s + WORTHLESS_AFTER_OBJECTIVES * objective_s,
-            job.remaining_ms(unit) / MILLISECONDS_PER_SECOND,
+            remaining_s,
             now_s - (unit.ready_s if unit.ready_s is not None else now_s),
+            max(0.0, objective_s - age_s - remaining_s),
         )
 
     def _covered_jobs(self) -> frozenset[str]:
--- a/libs/lead/src/papayaspar_lead/recording.py
+++ b/libs/lead/src/papayaspar_lead/recording.py
@@ -4,7 +4,7 @@
 
 from papayaspar_events import lines
 from papayaspar_jobs import registries, tasks
-from papayaspar_lead import links, state, workload
+from papayaspar_lead import estimate_records, links, state, workload
 from papayaspar_model import errors
 from papayaspar_store import records, stores, writing
 
@@ -30,6 +30,9 @@
         self._state = scheduler_state
         self._shared = shared
         self._tasks_writer = tasks_writer
+        self.estimates = estimate_records.EstimateRecords(scheduler_state.work.learner.times)
+        # Set once the newest records of estimates are stored.
+        self._estimates_stored: anyio.Event | None = None
         self._published_phases: dict[str, registries.JobPhase] = {}
         # VMs with results of which the store refuses a record.
         self._refused_nodes: set[str] = set()
@@ -50,6 +53,7 @@
 
     def flush(self) -> None:
         """Queue the records of changed tasks, and publish the phases of their jobs."""
+        self._queue_estimates()
         changed = self._state.work.pop_changed()
         if not changed:
             return
@@ -61,6 +65,14 @@
         for job_id in {task.key.job_id for task in changed}:
             self.publish_phase(job_id)
 
+    def _queue_estimates(self) -> None:
+        """Queue what was learned, unless the store is behind with earlier records of it."""
+        if self._estimates_stored is not None and not self._estimates_stored.is_set():
+            return
+        changed = self.estimates.changed(self._state.clock.now_s())
+        if changed:
+            self._estimates_stored = self._tasks_writer.enqueue(*changed)
+
     async def acknowledge(
         self, link: links.AgentLink, incarnation: tasks.Incarnation, number: int
     ) -> None:
--- a/libs/lead/src/papayaspar_lead/restoring.py
+++ b/libs/lead/src/papayaspar_lead/restoring.py
@@ -26,7 +26,12 @@
     for number, record in enumerate(snapshot.records, 1):
         if number % RESTORED_AT_ONCE == 0:
             await anyio.lowlevel.checkpoint()
-        if not record.value or not record.key.startswith(records.TASK_PREFIX):
+        if not record.value:
+            continue
+        if record.key.startswith(records.ESTIMATES_PREFIX):
+            _restore_estimates(scheduler_state, recorder, record)
+            continue
+        if not record.key.startswith(records.TASK_PREFIX):
             continue
         try:
             key = tasks.TaskKey.parse(record.key.removeprefix(records.TASK_PREFIX))
@@ -45,6 +50,16 @@
         scheduler_state.work.restore(key, stored, scheduler_state.clock.now_s())
 
 
+def _restore_estimates(
+    scheduler_state: state.SchedulerState, recorder: recording.Recorder, record: stores.KeyedRecord
+) -> None:
+    """Restore what former leads learned; without it, it is learned again."""
+    try:
+        recorder.estimates.restore(record)
+    except errors.PapayasparError as error:
+        _record_refused(scheduler_state, record, error)
+
+
 def _record_refused(
     scheduler_state: state.SchedulerState, record: stores.KeyedRecord, error: errors.PapayasparError
 ) -> None:
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -60,11 +60,14 @@
     :param lease_max_s: longest lease a worker grants, in seconds.
     :param retention_s: retention of the records of ended jobs, in seconds.
     :param append_bytes_max: largest append that the store accepts, in bytes.
+    :param is_learning: whether run times are learned from finished runs; else the declared ones
+        hold, and workers count as equal until one is slow.
     """
 
     lease_max_s: float
     retention_s: float = RETENTION_S
     append_bytes_max: int = writing.APPEND_BYTES_MAX
+    is_learning: bool = True
 
 
 class Scheduler(links.LinkOwner):
@@ -108,7 +111,7 @@
         self._token_count = 0
         self._planner = planner.Planner()
         self._state = state.SchedulerState(
-            workload.Workload(events), {}, view, clock_source, events
+            workload.Workload(events, limits.is_learning), {}, view, clock_source, events
         )
         self._inputs = planning_inputs.PlanningInputs(self._state.work)
         self._recorder = recording.Recorder(self._state, shared, tasks_writer)
@@ -422,7 +425,7 @@
     def _update_health(self, worker: fleet.Worker, now_s: float) -> None:
         outcomes = self._state.work.outcomes(worker.node)
         worker.is_trusted = not outcomes.is_ejected(now_s)
-        worker.slowness = outcomes.slowness
+        self._state.work.update_slowness(worker)
         worker.trial = outcomes.trial(now_s, self._inputs.newest_start_s(worker.node))
         worker.proven_s = outcomes.proven_s
 
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -5,9 +5,10 @@
 import attrs
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import configurations, progress, registries, tasks, units
+from papayaspar_jobs import configurations, durations, progress, registries, tasks, units
+from papayaspar_lead import learning
 from papayaspar_runs import workers
-from papayaspar_scheduling import health
+from papayaspar_scheduling import fleet, health
 
 MILLISECONDS_PER_SECOND = 1000.0
 # Minimum interval between two stored checkpoints of a task, in seconds: the work that is repeated
@@ -37,10 +38,12 @@
     """The unfinished jobs of a scheduling domain.
 
     :param events: journal of decisions.
+    :param is_learning: whether run times and worker speeds are learned from finished runs.
     """
 
-    def __init__(self, events: journal.Journal) -> None:
+    def __init__(self, events: journal.Journal, is_learning: bool = True) -> None:
         self._events = events
+        self.learner = learning.RunLearner(events, is_learning)
         self._jobs: dict[str, ActiveJob] = {}
         # Ended jobs are kept until their records are deleted: the view may not show their end yet.
         self._ended_jobs: dict[str, registries.JobPhase] = {}
@@ -66,6 +69,17 @@
         """Number of accelerators that each team is guaranteed."""
         return self._guaranteed_accelerators
 
+    @property
+    def durations(self) -> durations.DurationEstimates:
+        """Expected run times of tasks, and slowness of workers."""
+        return self.learner.estimates
+
+    def update_slowness(self, worker: fleet.Worker) -> None:
+        """Set a worker's slowness from the runs on it, and note its incarnation."""
+        self.learner.note_worker(worker)
+        slowness = self.learner.slowness(worker.node)
+        worker.slowness = max(slowness, self.outcomes(worker.node).slowness)
+
     def jobs(self) -> Iterator[ActiveJob]:
         """Return the unfinished jobs; the workload may change during the iteration."""
         return iter(list(self._jobs.values()))
@@ -80,6 +94,7 @@
 
     def sync(self, registry: registries.JobRegistry, now_s: float) -> None:
         """Add the registry's new jobs, and apply its cancellations."""
+        self.learner.refresh(now_s)
         for accepted_job in registry:
             if accepted_job.spec.job_id in self._ended_jobs:
                 continue
@@ -91,7 +106,7 @@
                 if is_cancelled and accepted_job.ended_s is not None:
                     continue
                 active = ActiveJob(
-                    progress.JobProgress(accepted_job, accepted_job.queue.attempts),
+                    progress.JobProgress(accepted_job, accepted_job.queue.attempts, self.durations),
                     first_seen_s=now_s,
                 )
                 self._jobs[accepted_job.spec.job_id] = active
@@ -257,6 +272,7 @@
             )
             task.mark_starting(now_s)
             task.checkpoint = checkpoint
+        self.learner.note_start(unit)
 
     def adopt(self, task: units.Task, incarnation: tasks.Incarnation) -> None:
         """Record that a run continues in a new incarnation of its worker."""
@@ -276,6 +292,7 @@
 
     def _requeue(self, task: units.Task, record: tasks.TaskRecord) -> None:
         """Return a task to the queue with a record of its run's end."""
+        self.learner.note_end(task)
         waiting = attrs.evolve(record, phase=tasks.TaskPhase.WAITING, checkpoint=task.checkpoint)
         self._set_record(task, waiting)
         task.is_stopping = False
@@ -314,6 +331,8 @@
         if end.checkpoint and task.step.is_checkpointed:
             task.update_checkpoint(end.checkpoint, now_s)
         if end.kind is tasks.EndKind.DONE:
+            if is_assigned_here:
+                self.learner.note_success(task, now_s)
             self._apply_success(task)
         elif end.kind is tasks.EndKind.FAILED:
             self._apply_failure(node, task, now_s)
@@ -329,7 +348,7 @@
         """
         if run_status.percent > task.percent:
             task.update_progress(run_status.percent, now_s)
-            self._record_pace(task, now_s)
+            self.outcomes(task.record.node).record_pace(self.learner.note_progress(task, now_s))
             if task.has_proven_start:
                 self.outcomes(task.record.node).record_health(task.started_s)
         if not run_status.checkpoint or not task.step.is_checkpointed:
@@ -342,12 +361,6 @@
         if run_status.checkpoint != task.record.checkpoint:
             self._set_record(task, attrs.evolve(task.record, checkpoint=run_status.checkpoint))
 
-    def _record_pace(self, task: units.Task, now_s: float) -> None:
-        ratio = task.pace_ratio(now_s)
-        if ratio is None or task.step.is_lasting or task.step.is_same_rack or task.step.data_rack:
-            return
-        self.outcomes(task.record.node).record_pace(ratio)
-
     def _apply_success(self, task: units.Task) -> None:
         """Complete a unit; the success of a gang is one of each worker on which it ran."""
         for member in task.unit.members:
@@ -359,6 +372,7 @@
         """Mark a unit as done: a gang is, as soon as one of its members is."""
         for member in unit.members:
             if not member.is_done:
+                self.learner.note_end(member)
                 self._set_record(member, attrs.evolve(member.record, phase=tasks.TaskPhase.DONE))
 
     def _apply_failure(self, node: str, task: units.Task, now_s: float) -> None:
--- a/libs/scheduling/src/papayaspar_scheduling/claims.py
+++ b/libs/scheduling/src/papayaspar_scheduling/claims.py
@@ -11,8 +11,8 @@
 
 import attrs
 
-from papayaspar_jobs import specs
-from papayaspar_scheduling import fleet, ordering, preemption
+from papayaspar_jobs import specs, units
+from papayaspar_scheduling import fleet, ordering, preemption, speed_classes
 
 # Release of no resources at the present time.
 NOTHING_NOW = (0.0, specs.Resources())
@@ -30,6 +30,15 @@
     starts_in_s: float
 
 
+@attrs.frozen(eq=False)
+class _Slot:
+    """Room for one member on a worker, and when it is there."""
+
+    worker_class: int
+    starts_in_s: float
+    worker: fleet.Worker
+
+
 class Releases:
     """Resources that running units are expected to release, by VM.
 
@@ -41,7 +50,7 @@
         self._by_node: dict[str, list[tuple[float, specs.Resources]]] = {}
         for victim in running:
             members = [task for task in victim.unit.members if task.is_assigned]
-            remaining_s = max((task.remaining_s(now_s) for task in members), default=0.0)
+            remaining_s = max((_remaining_s(task, now_s) for task in members), default=0.0)
             for task in members:
                 released = (remaining_s, task.step.counted_resources)
                 self._by_node.setdefault(task.record.node, []).append(released)
@@ -57,13 +66,32 @@
         return self._by_node.get(node, (NOTHING_NOW,))
 
 
+def _remaining_s(task: units.Task, now_s: float) -> float:
+    """Return the expected remaining time of a run, in seconds.
+
+    Progress tells it best; before there is any, what is expected on the run's worker does. A run
+    that exceeds what is expected is assumed to be half done.
+    """
+    expected = task.unit.expected
+    if expected is None or not expected.is_learned or task.percent >= units.PACE_PERCENT_MIN:
+        return task.remaining_s(now_s)
+    elapsed_s = now_s - task.started_s
+    slowness = task.unit.job.estimates.slowness(task.record.node)
+    for duration_s in (expected.middle_s, expected.high_s):
+        if duration_s * slowness > elapsed_s:
+            return duration_s * slowness - elapsed_s
+    return elapsed_s
+
+
 def earliest(
     demand: ordering.Demand,
     groups: Iterable[list[fleet.Worker]],
     free: fleet.FreeCapacity,
     releases: Releases,
 ) -> Claim | None:
-    """Return the claim with which a unit can start first, or ``None`` if it never fits.
+    """Return the claim with which a unit can end first, or ``None`` if it never fits.
+
+    It waits for faster workers only if it then ends earlier than on slow ones.
 
     :param demand: demand of the waiting unit.
     :param groups: sets of workers on which the unit may be placed as a whole.
@@ -73,18 +101,25 @@
     best: Claim | None = None
     best_key = (0.0, 0.0)
     member_count = len(demand.unit.members)
+    middle_s = demand.unit.job.expected(demand.unit).middle_s
     for group in groups:
-        slots: list[tuple[float, float, str]] = []
+        slots: list[_Slot] = []
         for worker in group:
+            worker_class = speed_classes.speed_class(worker)
             for starts_in_s in _slot_times(demand, worker, free, releases):
-                slots.append((round(worker.slowness, 1), starts_in_s, worker.node))
-        if len(slots) < member_count:
-            continue
-        chosen = sorted(slots)[:member_count]
-        starts_in_s = max(slot[1] for slot in chosen)
-        key = (chosen[-1][0], starts_in_s)
-        if best is None or key < best_key:
-            best, best_key = Claim(tuple(slot[2] for slot in chosen), starts_in_s), key
+                slots.append(_Slot(worker_class, starts_in_s, worker))
+        for slowest in sorted({slot.worker_class for slot in slots}):
+            usable = [slot for slot in slots if slot.worker_class <= slowest]
+            if len(usable) < member_count:
+                continue
+            usable.sort(key=lambda slot: (slot.starts_in_s, slot.worker_class, slot.worker.node))
+            chosen = usable[:member_count]
+            starts_in_s = chosen[-1].starts_in_s
+            slowness = max(slot.worker.slowness for slot in chosen)
+            key = (starts_in_s + middle_s * slowness, slowness)
+            if best is None or key < best_key:
+                best = Claim(tuple(slot.worker.node for slot in chosen), starts_in_s)
+                best_key = key
     return best
 
 
--- a/libs/scheduling/src/papayaspar_scheduling/ordering.py
+++ b/libs/scheduling/src/papayaspar_scheduling/ordering.py
@@ -43,6 +43,8 @@
     :param worthless_s: when its job loses its remaining value, on the lead's clock.
     :param remaining_s: estimated time that its job needs from the start of the unit, in seconds.
     :param waited_s: how long the unit has waited, in seconds.
+    :param slack_s: time from now until the latest start with which its job meets its objective on
+        workers of ordinary speed, in seconds; 0 if it has passed.
     """
 
     unit: units.Unit
@@ -51,6 +53,7 @@
     worthless_s: float
     remaining_s: float
     waited_s: float
+    slack_s: float = 0.0
 
 
 class Ordering(abc.ABC):
--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -7,11 +7,13 @@
 import attrs
 
 from papayaspar_jobs import specs
-from papayaspar_scheduling import fleet, health, ordering
+from papayaspar_scheduling import claims, fleet, health, ordering, speed_classes
 
-MILLISECONDS_PER_SECOND = 1000.0
 # Number of pairs of a capacity and a task's resources whose quotient is cached.
 MAX_TASKS_CACHE_SIZE = 1024
+# No unit waits for workers of like speed while less than this share of the accelerators is used: a
+# job may not wait for long beside workers that are mostly free.
+WAIT_USED_SHARE_MIN = 0.5
 
 
 @attrs.frozen
@@ -52,29 +54,57 @@
     def choose(
         self, demand: ordering.Demand, free: fleet.FreeCapacity, scope: PlacementScope
     ) -> tuple[str, ...] | None:
-        """Return VMs in the set of workers that is least slow and has the least capacity left."""
-        step = demand.unit.step
+        """Return VMs in the set of workers that is best in speed and has the least capacity left.
+
+        :return: ``None`` also for a gang that had better wait for workers of like speed.
+        """
         best: tuple[str, ...] | None = None
         best_key: tuple[float, ...] = ()
+        slowest_suitable = speed_classes.suitable_max(demand)
         for group in _groups_with_room(demand, free, scope):
-            nodes = _pack(demand, free, group)
-            if nodes is None:
-                continue
-            key = self._sort_key(step, free, group, nodes)
-            if best is None or key < best_key:
-                best, best_key = nodes, key
+            for members in _like_speed_groups(demand, group):
+                nodes = _pack(demand, free, members, slowest_suitable)
+                if nodes is None:
+                    continue
+                key = self._sort_key(demand, free, members, nodes, slowest_suitable)
+                if best is None or key < best_key:
+                    best, best_key = nodes, key
+        if best is not None and self._should_wait(demand, free, scope, best):
+            return None
         return best
 
     def _sort_key(
         self,
-        step: specs.Step,
+        demand: ordering.Demand,
         free: fleet.FreeCapacity,
         group: list[fleet.Worker],
         nodes: tuple[str, ...],
+        slowest_suitable: int,
     ) -> tuple[float, ...]:
-        slowness = max(free.worker(node).slowness for node in nodes)
+        used = speed_classes.classes(free.worker(node) for node in nodes)
         free_accelerators = sum(free.free(worker.node).accelerators for worker in group)
-        return (round(slowness, 1), free_accelerators - step.room.accelerators * len(nodes))
+        needed_accelerators = demand.unit.step.room.accelerators * len(nodes)
+        return (
+            speed_classes.preference(demand, used[-1], slowest_suitable),
+            # Faster workers than the slowest one of the unit would wait for it.
+            used[-1] - used[0],
+            free_accelerators - needed_accelerators,
+        )
+
+    def _should_wait(
+        self,
+        demand: ordering.Demand,
+        free: fleet.FreeCapacity,
+        scope: PlacementScope,
+        nodes: tuple[str, ...],
+    ) -> bool:
+        """Return whether a unit should wait rather than start on the best workers of now."""
+        if len(nodes) == 1 or scope != PlacementScope():
+            return False
+        used = speed_classes.classes(free.worker(node) for node in nodes)
+        if not speed_classes.is_worth_waiting(demand, used[0], used[-1]):
+            return False
+        return claims.used_share(free) >= WAIT_USED_SHARE_MIN
 
 
 class FirstFit(PlacementPolicy):
@@ -209,17 +239,43 @@
     return min(counts, default=0 if not counts else counts[0]) if counts else 1_000_000
 
 
+def _like_speed_groups(
+    demand: ordering.Demand, group: list[fleet.Worker]
+) -> Iterable[list[fleet.Worker]]:
+    """Return the workers up to each class of speed, and those of each class, for a gang."""
+    if len(demand.unit.members) == 1:
+        return [group]
+    present = speed_classes.classes(group)
+    if len(present) <= 1:
+        return [group]
+    by_class: dict[int, list[fleet.Worker]] = {}
+    for worker in group:
+        by_class.setdefault(speed_classes.speed_class(worker), []).append(worker)
+    up_to: list[fleet.Worker] = []
+    groups: list[list[fleet.Worker]] = []
+    for worker_class in present:
+        groups.append(by_class[worker_class])
+        up_to = up_to + by_class[worker_class]
+        if len(up_to) > len(by_class[worker_class]):
+            groups.append(up_to)
+    return groups
+
+
 def _pack(
-    demand: ordering.Demand, free: fleet.FreeCapacity, group: list[fleet.Worker]
+    demand: ordering.Demand,
+    free: fleet.FreeCapacity,
+    group: list[fleet.Worker],
+    slowest_suitable: int,
 ) -> tuple[str, ...] | None:
-    has_failed = demand.unit.failures > 0
-    is_saved = demand.unit.step.is_checkpointed
-    ordered = sorted(group, key=lambda worker: _packing_key(worker, free, has_failed, is_saved))
+    ordered = sorted(group, key=lambda worker: _packing_key(worker, demand, free, slowest_suitable))
     return _first_fit(demand, free, ordered)
 
 
 def _packing_key(
-    worker: fleet.Worker, free: fleet.FreeCapacity, has_failed: bool, is_saved: bool
+    worker: fleet.Worker,
+    demand: ordering.Demand,
+    free: fleet.FreeCapacity,
+    slowest_suitable: int,
 ) -> tuple[float | bool | str, ...]:
     """Return a sort key; the smallest is filled first.
 
@@ -228,10 +284,12 @@
     prefers those that are new, which won't leave next; checkpointed work leaves them free.
     """
     available = free.free(worker.node)
+    has_failed = demand.unit.failures > 0
+    worker_class = speed_classes.speed_class(worker)
     return (
         worker.trial is not health.Trial.NONE,
-        worker.is_replacement is is_saved,
-        round(worker.slowness, 1),
+        worker.is_replacement is demand.unit.step.is_checkpointed,
+        speed_classes.preference(demand, worker_class, slowest_suitable),
         -worker.proven_s if has_failed else 0.0,
         available.accelerators,
         available.cpu_millicores,
@@ -246,9 +304,10 @@
     step_name = fleet.step_name(demand.unit.members[0].key)
     resources = step.counted_resources
     member_count = len(demand.unit.members)
-    duration_s = step.estimate_ms / MILLISECONDS_PER_SECOND
+    expected = demand.unit.job.expected(demand.unit)
     nodes: list[str] = []
     for worker in group:
+        duration_s = expected.high_s * (worker.slowness if expected.is_learned else 1.0)
         remaining = free.available(worker.node, duration_s)
         step_count = free.count(worker.node, step_name)
         while len(nodes) < member_count and remaining.holds(resources):
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -345,7 +345,7 @@
         demand.unit.failed_nodes,
         demand.unit.failures > 0,
         # Work that ends before a claim begins fits where longer work does not.
-        step.estimate_ms,
+        demand.unit.job.expected(demand.unit).high_s,
         _has_waited_long(demand),
         _may_repeat(demand),
         limited_step,
--- a/libs/store/src/papayaspar_store/records.py
+++ b/libs/store/src/papayaspar_store/records.py
@@ -29,6 +29,7 @@
 STATE_PREFIX = "state/"
 AGENT_PREFIX = "agent/"
 TASK_PREFIX = "task/"
+ESTIMATES_PREFIX = "estimates/"
 LEAD_KEY = "lead"
 
 
@@ -136,6 +137,61 @@
     departure: Departure | None = None
 
 
+@attrs.frozen
+class KindRecord:
+    """Newest steps of one kind of work of which runs have ended, oldest first.
+
+    :param team: team of the work.
+    :param queue: queue of the work.
+    :param shape: what the work runs or needs.
+    :param declared_logs: declared run times, in hundredths of the natural logarithm of seconds.
+    :param observed_logs: median run times on a worker of ordinary speed, in the same unit.
+    :param groups: numbers that identify the steps.
+    :param identities: numbers that identify the newest run of each.
+    :param run_counts: number of runs of each.
+    """
+
+    team: str
+    queue: str
+    shape: str
+    declared_logs: tuple[int, ...] = ()
+    observed_logs: tuple[int, ...] = ()
+    groups: tuple[int, ...] = ()
+    identities: tuple[int, ...] = ()
+    run_counts: tuple[int, ...] = ()
+
+
+@attrs.frozen
+class KindsRecord:
+    """Some of the kinds of work whose run times are learned."""
+
+    kinds: tuple[KindRecord, ...] = ()
+
+
+@attrs.frozen
+class WorkerSpeedRecord:
+    """Learned speed of one worker.
+
+    :param node: VM of the worker.
+    :param born_ms: start of its incarnation, in milliseconds since the Unix epoch.
+    :param excess_log: median of its run times as multiples of what the work takes on other workers,
+        in hundredths of the natural logarithm.
+    :param run_count: number of runs behind it.
+    """
+
+    node: str
+    born_ms: int
+    excess_log: int
+    run_count: int
+
+
+@attrs.frozen
+class WorkerSpeedsRecord:
+    """Learned speeds of some of the workers."""
+
+    workers: tuple[WorkerSpeedRecord, ...] = ()
+
+
 # Errors that values of other types or of extreme size cause when they are structured.
 STRUCTURE_ERRORS = (ValueError, TypeError, KeyError, OverflowError, RecursionError)
 
--- a/tests/adapter/test_messages.py
+++ b/tests/adapter/test_messages.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from papayaspar_adapter import fields, heartbeats, job_bodies, operators, settings
+from papayaspar_adapter import (
+    fields,
+    heartbeats,
+    job_bodies,
+    operators,
+    settings,
+    settings_file,
+)
 from papayaspar_jobs import specs
 from papayaspar_model import errors
 from papayaspar_runs import workers
@@ -127,6 +134,29 @@
     )
 
 
+SETTINGS = (
+    'node = "edge-1"\nip = "127.0.0.1"\ninternal_ports = [7000, 7015]\n'
+    '[platform]\naddr = "127.0.0.1:2"\n'
+)
+
+
+@pytest.mark.parametrize("value, is_learning", [("learned", True), ("declared", False)])
+def test_run_times_are_learned_or_declared(tmp_path, monkeypatch, value, is_learning):
+    path = tmp_path / "local.toml"
+    path.write_text(SETTINGS)
+    assert settings.load(str(path)).is_learning
+    monkeypatch.setenv(settings_file.RUN_TIMES_VARIABLE, value)
+    assert settings.load(str(path)).is_learning is is_learning
+
+
+def test_error_names_the_variable_of_the_run_times(tmp_path, monkeypatch):
+    path = tmp_path / "local.toml"
+    path.write_text(SETTINGS)
+    monkeypatch.setenv(settings_file.RUN_TIMES_VARIABLE, "guessed")
+    with pytest.raises(errors.SettingsError, match=settings_file.RUN_TIMES_VARIABLE):
+        settings.load(str(path))
+
+
 @pytest.mark.parametrize("text", ["", "node = 3", "not toml ["])
 def test_invalid_settings_file_is_rejected(tmp_path, text):
     path = tmp_path / "local.toml"
