Compare workers by the progress of running tasks, and kinds across queues

Change: each run shows its worker's speed beside others of its step once, at a quarter of its progress. Families of work (image, or cores, memory and gang) are compared across queues and teams.

--- a/libs/estimates/src/papayaspar_estimates/run_times.py
+++ b/libs/estimates/src/papayaspar_estimates/run_times.py
@@ -1,9 +1,9 @@
 """Run times of work and speeds of workers, learned together from finished runs.
 
 The model is ``run time = declared^slope x bias(kind) x slowness(worker) x rest``, in logarithms.
-The prediction for work is drawn from wide kinds to narrow ones; each level counts by the number of
-its runs (partial pooling): all teams of a queue, the team there, the team's shape there, and the
-step of the job itself.
+The prediction for work is drawn from wide kinds to narrow ones; each level counts by the number and
+the scatter of its runs (partial pooling): the same family of work of all teams, the team's work in
+the queue, the team's family, the team's shape in the queue, and the step of the job itself.
 """
 
 import collections
@@ -24,20 +24,20 @@
 # Standard deviation of what a level adds to the wider one, as a logarithm: with it, a level counts
 # by how much its runs scatter.
 LEVEL_SPREAD_LOG = 0.25
-# All teams of a queue count from this number of teams on, with this many runs each: with fewer, one
-# of them would decide for another.
+# All teams of a family count from this number of teams on: with fewer, one of them would decide for
+# another.
 TEAMS_MIN = 3
-RUNS_OF_TEAM_MIN = 3
-# Number of teams of a queue that count, those whose runs ended last.
+# Number of teams of a family that count, those whose runs ended last.
 TEAMS_MAX = 32
-# A step counts from this number of its runs on, and shows the speed of workers.
+# A step counts from this number of its runs on, and shows the speed of workers from this number of
+# tasks or members of a gang on.
 RUNS_OF_STEP_MIN = 3
-# Members of a gang from which they show the speeds of their workers beside one another.
-COMPARED_MEMBERS_MIN = 3
+# Number of paces that are kept of a step.
+PACES_MAX = 64
 # A level gives the high value from this number of runs on.
 RUNS_OF_HIGH_MIN = 8
-# Shape of the level of a team in a queue.
-ALL_SHAPES = ""
+# Queue, shape or family of a level that has all of them.
+ALL = ""
 
 
 @attrs.frozen
@@ -46,12 +46,14 @@
 
     :param team: team of the work.
     :param queue: queue of the work.
-    :param shape: what the work runs or needs; :data:`ALL_SHAPES` stands for all of the team's work.
+    :param shape: what the work runs or needs.
+    :param family: the same less exactly, for comparison with work of other queues and teams.
     """
 
     team: str
-    queue: str
-    shape: str = ALL_SHAPES
+    queue: str = ALL
+    shape: str = ALL
+    family: str = ALL
 
 
 @attrs.frozen
@@ -61,11 +63,13 @@
     :param node: VM of its worker.
     :param born_ms: start of the worker's incarnation, in milliseconds since the Unix epoch.
     :param worked_s: time that the member's own work took, in seconds; ``None`` if it is not known.
+    :param is_pace_counted: whether :meth:`RunTimes.observe_pace` was told of the run before.
     """
 
     node: str
     born_ms: int
     worked_s: float | None
+    is_pace_counted: bool = False
 
 
 @attrs.frozen
@@ -116,9 +120,13 @@
         self.revision = 0
         # Kinds in order of their newest run.
         self._kinds: collections.OrderedDict[Kind, windows.RunWindow] = collections.OrderedDict()
-        # Teams by queue, in order of their newest run.
+        # Teams by family, in order of their newest run.
         self._teams: dict[str, dict[str, None]] = {}
         self._steps: collections.OrderedDict[str, windows.RunWindow] = collections.OrderedDict()
+        # Run times of the members of each step, finished or projected, the newest ones.
+        self._paces: collections.OrderedDict[str, collections.deque[MemberRun]] = (
+            collections.OrderedDict()
+        )
         self._counted: collections.OrderedDict[int, None] = collections.OrderedDict()
 
     def __len__(self) -> int:
@@ -126,9 +134,9 @@
         return len(self._kinds)
 
     def kinds(self) -> Iterator[tuple[Kind, windows.RunWindow]]:
-        """Return the kinds with a shape, and the runs of each."""
+        """Return the narrowest kinds, and the runs of each."""
         for kind, window in list(self._kinds.items()):
-            if kind.shape != ALL_SHAPES:
+            if kind.shape != ALL:
                 yield kind, window
 
     def is_counted(self, identity: int) -> bool:
@@ -139,7 +147,9 @@
         """Record a finished run; return whether it counts, which it does once."""
         if run.identity in self._counted:
             return False
-        self._observe_speeds(run)
+        for member in run.members:
+            if member.worked_s is not None and not member.is_pace_counted:
+                self.observe_pace(run.kind.team, run.step, member)
         slowest = max(run.members, key=lambda member: member.worked_s or 0.0)
         declared_log = _log(run.declared_s)
         observed_log = _log(run.observed_s) - self.speeds.slowness_log(slowest.node)
@@ -173,8 +183,8 @@
             self._window(level).add(sample)
         while len(self._kinds) > self._kinds_max:
             dropped, _ = self._kinds.popitem(last=False)
-            if dropped.shape == ALL_SHAPES:
-                self._teams[dropped.queue].pop(dropped.team, None)
+            if dropped.queue == ALL:
+                self._teams[dropped.family].pop(dropped.team, None)
 
     def _window(self, kind: Kind) -> windows.RunWindow:
         """Return the window of a kind, which becomes the newest one."""
@@ -182,7 +192,9 @@
         if window is None:
             window = windows.RunWindow()
         self._kinds[kind] = window
-        teams = self._teams.setdefault(kind.queue, {})
+        if kind.queue != ALL:
+            return window
+        teams = self._teams.setdefault(kind.family, {})
         teams.pop(kind.team, None)
         teams[kind.team] = None
         if len(teams) > TEAMS_MAX:
@@ -196,26 +208,48 @@
             self._steps.popitem(last=False)
         return window
 
-    def _observe_speeds(self, run: FinishedRun) -> None:
-        """Record what a run shows of the speeds of its workers, beside equal work on others."""
-        known = [
-            (member, _log(member.worked_s)) for member in run.members if member.worked_s is not None
-        ]
-        if len(run.members) >= COMPARED_MEMBERS_MIN and len(known) == len(run.members):
-            ordinary_log = robust.median(
-                worked_log - self.speeds.slowness_log(member.node) for member, worked_log in known
-            )
-        elif len(run.members) == 1 and known:
-            window = self._steps.get(run.step)
-            if window is None or len(window) < RUNS_OF_STEP_MIN:
-                return
-            ordinary_log = robust.median(sample.observed_log for sample in window)
-        else:
+    def observe_pace(self, team: str, step: str, run: MemberRun) -> None:
+        """Record the run time of a member, finished or projected from its progress.
+
+        Runs of one step show their workers' speeds beside one another, since an error of the
+        estimate is the same for all of them. To be called once for each run.
+
+        :param team: team of the work.
+        :param step: name of its step.
+        :param run: the member's run, with its time.
+        """
+        paces = self._paces.pop(step, None)
+        if paces is None:
+            paces = collections.deque(maxlen=PACES_MAX)
+        self._paces[step] = paces
+        if len(self._paces) > STEPS_MAX:
+            self._paces.popitem(last=False)
+        paces.append(run)
+        ordinary_log = self._ordinary_log(step)
+        if ordinary_log is None:
             return
-        for member, worked_log in known:
-            self.speeds.observe(
-                member.node, member.born_ms, run.kind.team, worked_log - ordinary_log
-            )
+        # The first runs of a step wait for one another.
+        shown = list(paces) if len(paces) == RUNS_OF_STEP_MIN else [run]
+        for member in shown:
+            excess_log = _log(member.worked_s or 0.0) - ordinary_log
+            self.speeds.observe(member.node, member.born_ms, team, excess_log)
+        self.revision += 1
+
+    def ordinary_s(self, step: str) -> float | None:
+        """Return what the running and finished runs of a step take on an ordinary worker.
+
+        :return: seconds, or ``None`` if too few runs are known.
+        """
+        ordinary_log = self._ordinary_log(step)
+        return math.exp(ordinary_log) if ordinary_log is not None else None
+
+    def _ordinary_log(self, step: str) -> float | None:
+        paces = self._paces.get(step, ())
+        if len(paces) < RUNS_OF_STEP_MIN:
+            return None
+        return robust.median(
+            _log(run.worked_s or 0.0) - self.speeds.slowness_log(run.node) for run in paces
+        )
 
     def set_bound(
         self, kind: Kind, step: str, identity: int, declared_s: float, worked_s: float, node: str
@@ -260,7 +294,7 @@
         declared_log = _log(declared_s)
         middle_log, slope, run_count = declared_log, 1.0, 0
         high_log: float | None = None
-        fits = self._fits_of_teams(kind.queue)
+        fits = self._fits_of_teams(kind.family)
         if len(fits) >= TEAMS_MIN:
             predicted_log = robust.median(fit.predict_log(declared_log) for fit in fits)
             run_count = sum(fit.run_count for fit in fits)
@@ -290,22 +324,20 @@
             return Expectation(declared_s, declared_s, 0)
         return Expectation(math.exp(middle_log), math.exp(middle_log + high_log), run_count)
 
-    def _fits_of_teams(self, queue: str) -> list[windows.Fit]:
-        """Return the fits of the teams that have enough runs in a queue."""
+    def _fits_of_teams(self, family: str) -> list[windows.Fit]:
+        """Return the fits of the teams of a family."""
         fits: list[windows.Fit] = []
-        for team in self._teams.get(queue, ()):
-            window = self._kinds.get(Kind(team, queue))
-            if window is None or len(window) < RUNS_OF_TEAM_MIN:
-                continue
-            fit = window.fit()
+        for team in self._teams.get(family, ()):
+            window = self._kinds.get(Kind(team, family=family))
+            fit = window.fit() if window is not None else None
             if fit is not None:
                 fits.append(fit)
         return fits
 
 
-def _levels(kind: Kind) -> tuple[Kind, Kind]:
-    """Return the levels of a team that a kind belongs to, the wider one first."""
-    return attrs.evolve(kind, shape=ALL_SHAPES), kind
+def _levels(kind: Kind) -> tuple[Kind, ...]:
+    """Return the levels of a team that a kind belongs to, the widest one first."""
+    return Kind(kind.team, kind.queue), Kind(kind.team, family=kind.family), kind
 
 
 def _pooled(wide_log: float, narrow_log: float, spread_log: float, weight: float) -> float:
--- a/libs/lead/src/papayaspar_lead/estimate_records.py
+++ b/libs/lead/src/papayaspar_lead/estimate_records.py
@@ -63,6 +63,7 @@
                     kind.team,
                     kind.queue,
                     kind.shape,
+                    kind.family,
                     tuple(_scaled(sample.declared_log) for sample in samples),
                     tuple(_scaled(sample.observed_log) for sample in samples),
                     tuple(sample.group for sample in samples),
@@ -117,9 +118,11 @@
             kind_record.run_counts,
             strict=False,
         )
-        kind = run_times.Kind(kind_record.team, kind_record.queue, kind_record.shape)
-        if kind.shape == run_times.ALL_SHAPES:
-            raise failures.RecordError(f"{key}: a kind has no shape")
+        kind = run_times.Kind(
+            kind_record.team, kind_record.queue, kind_record.shape, kind_record.family
+        )
+        if run_times.ALL in (kind.queue, kind.shape):
+            raise failures.RecordError(f"{key}: a kind has no queue or no shape")
         for declared, observed, group, identity, run_count in samples:
             declared_log, observed_log = _unscaled(declared, key), _unscaled(observed, key)
             sample = windows.Sample(declared_log, observed_log, group, identity, run_count)
--- a/libs/lead/src/papayaspar_lead/learned_durations.py
+++ b/libs/lead/src/papayaspar_lead/learned_durations.py
@@ -74,7 +74,7 @@
 
 def kind_of(spec: specs.JobSpec, step: specs.Step) -> run_times.Kind:
     """Return the kind of work of a step."""
-    return run_times.Kind(spec.team, spec.queue, _shape(step))
+    return run_times.Kind(spec.team, spec.queue, _shape(step), _family(step))
 
 
 @functools.lru_cache(maxsize=SHAPES_CACHE_SIZE)
@@ -82,9 +82,15 @@
     """Return what the tasks of a step run, or else what they need."""
     if step.image:
         return step.image
-    room = step.room
+    return f"{_family(step)}/{step.room.accelerators}a"
+
+
+def _family(step: specs.Step) -> str:
+    """Return the same, but for the number of accelerators, of which tasks take more or fewer."""
+    if step.image:
+        return step.image
     gang = "gang" if step.is_gang else "task"
-    return f"{gang}/{room.cpu_millicores}m/{room.memory_mb}MB/{room.accelerators}a"
+    return f"{gang}/{step.room.cpu_millicores}m/{step.room.memory_mb}MB"
 
 
 def step_name(spec: specs.JobSpec, step: specs.Step) -> str:
--- a/libs/lead/src/papayaspar_lead/learning.py
+++ b/libs/lead/src/papayaspar_lead/learning.py
@@ -22,6 +22,9 @@
 # may have ended some time ago.
 SILENCE_MAX_S = 1.5
 SILENCE_SHARE_MAX = 0.1
+# Progress in percent from which the run time of a running task is projected, to compare the speeds
+# of workers.
+PROJECTED_PERCENT_MIN = 25.0
 # Number of running runs whose pace is kept of each worker.
 PACES_MAX = 8
 # A worker is slow by the pace of its running runs from this multiple of what is expected on.
@@ -102,10 +105,12 @@
             if task.record.checkpoint:
                 self._resumed[task.key] = _ResumedRun(task.record.run)
 
-    def note_progress(self, task: units.Task, now_s: float) -> float:
+    def note_progress(self, task: units.Task, former_percent: float, now_s: float) -> float:
         """Note the progress of a run; return its pace as a multiple of what was declared.
 
         :param task: the task, whose progress has increased.
+        :param former_percent: progress that was reported before, so that each run is compared with
+            others once, however often it is reported.
         :param now_s: the lead's clock.
         :return: the pace, or 1 where the worker can't be judged by it, or judged it is here.
         """
@@ -115,21 +120,27 @@
         ratio = task.pace_ratio(now_s)
         if ratio is None or task.step.is_lasting or task.unit in self._remote_units:
             return 1.0
-        expected = task.unit.expected
-        if self._learned is None or expected is None or not expected.is_learned:
+        if self._learned is None:
             return ratio
-        self._note_pace(task, ratio, expected)
-        if task is task.unit.members[0]:
+        unit, expected = task.unit, task.unit.expected
+        step = learned_durations.step_name(unit.job.spec, unit.step)
+        projected_s = ratio * task.step.estimate_ms / MILLISECONDS_PER_SECOND
+        if former_percent < PROJECTED_PERCENT_MIN <= task.percent:
+            self.times.observe_pace(unit.job.spec.team, step, self._member_run(task, projected_s))
+        if task is unit.members[0] and expected is not None and expected.is_learned:
             # One member tells of the whole gang, of which each may have hundreds.
-            self._note_bound(task.unit, expected, now_s)
+            self._note_bound(unit, expected, now_s)
+        ordinary_s = self.times.ordinary_s(step)
+        if ordinary_s is None and expected is not None and expected.is_learned:
+            ordinary_s = expected.middle_s
+        if ordinary_s is None:
+            return ratio
+        self._note_pace(task, projected_s, ordinary_s)
         return 1.0
 
-    def _note_pace(
-        self, task: units.Task, ratio: float, expected: durations.ExpectedDuration
-    ) -> None:
+    def _note_pace(self, task: units.Task, projected_s: float, ordinary_s: float) -> None:
         node = task.record.node
-        projected_s = ratio * task.step.estimate_ms / MILLISECONDS_PER_SECOND
-        pace_log = math.log(max(projected_s, run_times.DURATION_MIN_S) / expected.middle_s)
+        pace_log = math.log(max(projected_s, run_times.DURATION_MIN_S) / ordinary_s)
         pace_log -= self.times.speeds.slowness_log(node)
         paces = self._paces.get(node)
         if paces is None:
@@ -201,7 +212,7 @@
             learned_durations.identity_of(members[0].key, task.record.run),
             step.estimate_ms / MILLISECONDS_PER_SECOND,
             observed_s,
-            tuple(self._member_run(member, members, observed_s) for member in members),
+            tuple(self._finished_member(member, members, observed_s) for member in members),
         )
         if not self.times.observe(run) or unit.expected is None:
             return
@@ -240,20 +251,26 @@
             longest_s = max(longest_s, (now_s - resumed.reported_s) / part)
         return longest_s
 
-    def _member_run(
+    def _finished_member(
         self, member: units.Task, members: Sequence[units.Task], observed_s: float
     ) -> run_times.MemberRun:
-        node = member.record.node
-        place = self._places.get(node)
-        born_ms = place.born_ms if place is not None else 0
         if len(members) == 1:
-            return run_times.MemberRun(node, born_ms, observed_s)
+            return self._member_run(member, observed_s)
+        if not member.is_start_seen or member.percent < WORKED_PERCENT_MIN:
+            return self._member_run(member, None)
         # The members of a gang work from the moment at which all of them are present.
         started_s = max(other.started_s for other in members)
-        worked_s = None
-        if member.is_start_seen and member.percent >= WORKED_PERCENT_MIN:
-            worked_s = max(0.0, member.progressed_s - started_s) * 100.0 / member.percent
-        return run_times.MemberRun(node, born_ms, worked_s)
+        worked_s = max(0.0, member.progressed_s - started_s) * 100.0 / member.percent
+        return self._member_run(member, worked_s)
+
+    def _member_run(self, member: units.Task, worked_s: float | None) -> run_times.MemberRun:
+        place = self._places.get(member.record.node)
+        return run_times.MemberRun(
+            member.record.node,
+            place.born_ms if place is not None else 0,
+            worked_s,
+            is_pace_counted=member.percent >= PROJECTED_PERCENT_MIN,
+        )
 
     def _may_be_remote(self, unit: units.Unit) -> bool:
         """Return whether a unit may be slow because it runs on other racks than it should."""
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -347,8 +347,10 @@
         :param now_s: the lead's clock.
         """
         if run_status.percent > task.percent:
+            former_percent = task.percent
             task.update_progress(run_status.percent, now_s)
-            self.outcomes(task.record.node).record_pace(self.learner.note_progress(task, now_s))
+            ratio = self.learner.note_progress(task, former_percent, now_s)
+            self.outcomes(task.record.node).record_pace(ratio)
             if task.has_proven_start:
                 self.outcomes(task.record.node).record_health(task.started_s)
         if not run_status.checkpoint or not task.step.is_checkpointed:
--- a/libs/lead/tests/test_learning.py
+++ b/libs/lead/tests/test_learning.py
@@ -273,7 +273,7 @@
 
 def test_odd_records_cost_accuracy_only(lead):
     odd = records.KindsRecord(
-        (records.KindRecord("team", "checks", "s", (1,), (10**9,), (1,), (1,), (1,)),)
+        (records.KindRecord("team", "checks", "s", "f", (1,), (10**9,), (1,), (1,), (1,)),)
     )
     foreign = records.WorkerSpeedsRecord((records.WorkerSpeedRecord("node-0", 1, -(10**9), 3),))
     assert _refused(lead, "estimates/kinds/0", b"\xc1")
--- a/libs/store/src/papayaspar_store/records.py
+++ b/libs/store/src/papayaspar_store/records.py
@@ -144,6 +144,7 @@
     :param team: team of the work.
     :param queue: queue of the work.
     :param shape: what the work runs or needs.
+    :param family: the same less exactly.
     :param declared_logs: declared run times, in hundredths of the natural logarithm of seconds.
     :param observed_logs: median run times on a worker of ordinary speed, in the same unit.
     :param groups: numbers that identify the steps.
@@ -154,6 +155,7 @@
     team: str
     queue: str
     shape: str
+    family: str = ""
     declared_logs: tuple[int, ...] = ()
     observed_logs: tuple[int, ...] = ()
     groups: tuple[int, ...] = ()
