--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from papayaspar_jobs import run_counts, specs, tasks
+from papayaspar_jobs import durations, run_counts, specs, tasks
 
 if typing.TYPE_CHECKING:
     from papayaspar_jobs import progress
@@ -179,6 +179,11 @@
             self.checkpoint = checkpoint
             self.checkpoint_s = now_s
 
+    @property
+    def is_start_seen(self) -> bool:
+        """Whether this lead started the run, from the beginning of its work."""
+        return self._is_fresh_start
+
     @property
     def has_proven_start(self) -> bool:
         """Whether the run shows lasting progress of its own, not only that of a checkpoint."""
@@ -277,6 +282,7 @@
         the others, in seconds on the lead's clock, or ``None``.
     :param preempting_s: time at which other units were first stopped for this unit since it became
         ready, in seconds on the lead's clock, or ``None``.
+    :param expected: run time that was expected when the current run was assigned, or ``None``.
 
     :attr:`failures` is the number of failed runs; a run counts once, however many members failed in
     it. :attr:`failed_run` is the number of the newest run that was counted, or 0.
@@ -288,6 +294,7 @@
     ready_s: float | None = None
     ending_s: float | None = None
     preempting_s: float | None = None
+    expected: durations.ExpectedDuration | None = None
     stops: run_counts.StopHistory = attrs.field(factory=run_counts.StopHistory, init=False)
     _counts: run_counts.PhaseCounts = attrs.field(factory=run_counts.PhaseCounts, init=False)
     failures: int = attrs.field(default=0, init=False)
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -6,8 +6,9 @@
 
 from papayaspar_events import journal, lines
 from papayaspar_jobs import configurations, durations, progress, registries, tasks, units
+from papayaspar_lead import learning
 from papayaspar_runs import workers
-from papayaspar_scheduling import checkpoint_rates, health, stalls
+from papayaspar_scheduling import checkpoint_rates, fleet, health, stalls
 
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -32,11 +33,12 @@
     ``durations`` are the expected run times of tasks.
 
     :param events: journal of decisions.
+    :param is_learning: whether run times and worker speeds are learned from finished runs.
     """
 
-    def __init__(self, events: journal.Journal) -> None:
-        self.durations: durations.DurationEstimates = durations.DeclaredDurations()
+    def __init__(self, events: journal.Journal, is_learning: bool = True) -> None:
         self._events = events
+        self.learner = learning.RunLearner(events, is_learning)
         self._jobs: dict[str, ActiveJob] = {}
         # Ended jobs are kept until their records are deleted: the view may not show their end yet.
         self._ended_jobs: dict[str, registries.JobPhase] = {}
@@ -62,6 +64,17 @@
         """Number of accelerators that each team is guaranteed."""
         return self._guaranteed_accelerators
 
+    @property
+    def durations(self) -> durations.DurationEstimates:
+        """Expected run times of tasks, and slowness of workers."""
+        return self.learner.estimates
+
+    def update_slowness(self, worker: fleet.Worker) -> None:
+        """Set a worker's slowness from the runs on it, and note its incarnation."""
+        self.learner.note_worker(worker)
+        slowness = self.learner.slowness(worker.node)
+        worker.slowness = max(slowness, self.outcomes(worker.node).slowness)
+
     def jobs(self) -> Iterator[ActiveJob]:
         """Return the unfinished jobs; the workload may change during the iteration."""
         return iter(list(self._jobs.values()))
@@ -76,6 +89,7 @@
 
     def sync(self, registry: registries.JobRegistry, now_s: float) -> None:
         """Add the registry's new jobs, and apply its cancellations."""
+        self.learner.refresh(now_s)
         for accepted_job in registry:
             if accepted_job.spec.job_id in self._ended_jobs:
                 continue
@@ -87,7 +101,7 @@
                 if is_cancelled and accepted_job.ended_s is not None:
                     continue
                 active = ActiveJob(
-                    progress.JobProgress(accepted_job, accepted_job.queue.attempts),
+                    progress.JobProgress(accepted_job, accepted_job.queue.attempts, self.durations),
                     first_seen_s=now_s,
                 )
                 self._jobs[accepted_job.spec.job_id] = active
@@ -249,6 +263,7 @@
             )
             task.mark_starting(now_s)
             task.checkpoint = checkpoint
+        self.learner.note_start(unit)
 
     def adopt(self, task: units.Task, incarnation: tasks.Incarnation) -> None:
         """Record that a run continues in a new incarnation of its worker."""
@@ -268,6 +283,7 @@
 
     def _requeue(self, task: units.Task, record: tasks.TaskRecord) -> None:
         """Return a task to the queue with a record of its run's end."""
+        self.learner.note_end(task)
         waiting = attrs.evolve(record, phase=tasks.TaskPhase.WAITING, checkpoint=task.checkpoint)
         self._set_record(task, waiting)
         task.mark_released()
@@ -306,6 +322,8 @@
         if end.checkpoint and task.step.is_checkpointed:
             task.update_checkpoint(end.checkpoint, now_s)
         if end.kind is tasks.EndKind.DONE:
+            if is_assigned_here:
+                self.learner.note_success(task, now_s)
             self._apply_success(task)
         elif end.kind is tasks.EndKind.FAILED:
             self._apply_failure(node, task, now_s)
@@ -320,8 +338,10 @@
         :param now_s: the lead's clock.
         """
         if run_status.percent > task.percent:
+            former_percent = task.percent
             task.update_progress(run_status.percent, now_s)
-            self._record_pace(task, now_s)
+            ratio = self.learner.note_progress(task, former_percent, now_s)
+            self.outcomes(task.record.node).record_pace(ratio)
             if task.has_proven_start:
                 self.outcomes(task.record.node).record_health(task.started_s)
         if not run_status.checkpoint or not task.step.is_checkpointed:
@@ -333,12 +353,6 @@
         if run_status.checkpoint != task.record.checkpoint:
             self._set_record(task, attrs.evolve(task.record, checkpoint=run_status.checkpoint))
 
-    def _record_pace(self, task: units.Task, now_s: float) -> None:
-        ratio = task.pace_ratio(now_s)
-        if ratio is None or task.step.is_lasting or task.step.is_same_rack or task.step.data_rack:
-            return
-        self.outcomes(task.record.node).record_pace(ratio)
-
     def _apply_success(self, task: units.Task) -> None:
         """Complete a unit; the success of a gang is one of each worker on which it ran."""
         for member in task.unit.members:
@@ -350,6 +364,7 @@
         """Mark a unit as done: a gang is, as soon as one of its members is."""
         for member in unit.members:
             if not member.is_done:
+                self.learner.note_end(member)
                 self._set_record(member, attrs.evolve(member.record, phase=tasks.TaskPhase.DONE))
 
     def _apply_failure(self, node: str, task: units.Task, now_s: float) -> None:
--- a/libs/scheduling/src/papayaspar_scheduling/ordering.py
+++ b/libs/scheduling/src/papayaspar_scheduling/ordering.py
@@ -44,6 +44,8 @@
     :param remaining_s: estimated time that its job needs from the start of the unit, in seconds.
     :param waited_s: how long the unit has waited, in seconds.
     :param is_beyond_share: whether its team has its share of a contended pool without the unit.
+    :param slack_s: time from now until the latest start with which its job meets its objective on
+        workers of ordinary speed, in seconds; 0 if it has passed.
     """
 
     unit: units.Unit
@@ -53,6 +55,7 @@
     remaining_s: float
     waited_s: float
     is_beyond_share: bool = False
+    slack_s: float = 0.0
 
 
 class Ordering(abc.ABC):
