Let cold workers take work as they warm up

Cause: workers report how long they are still slow after their start, and nobody reads it; a data centre that is taken back would get all waiting work at once. Change: the warm-up of a worker, and the part of its capacity that is withheld from the second unit on; warm workers come first.

--- a/libs/scheduling/src/papayaspar_scheduling/fleet.py
+++ b/libs/scheduling/src/papayaspar_scheduling/fleet.py
@@ -5,7 +5,7 @@
 import attrs
 
 from papayaspar_jobs import specs, tasks
-from papayaspar_scheduling import health
+from papayaspar_scheduling import health, warmup
 
 
 @attrs.define
@@ -24,6 +24,8 @@
     :param trial: whether the worker is on trial since its newest run failed.
     :param proven_s: latest start of a run that succeeded or made progress, on the lead's clock.
     :param is_replacement: whether the worker started recently while others of its pool are leaving.
+    :param data_centre: data centre of the worker, or empty if it is unknown.
+    :param cold_ratio: share of the worker's warm-up that remains, from 0 to 1.
     """
 
     node: str
@@ -38,6 +40,8 @@
     trial: health.Trial = health.Trial.NONE
     proven_s: float = float("-inf")
     is_replacement: bool = False
+    data_centre: str = ""
+    cold_ratio: float = 0.0
 
 
 class FreeCapacity:
@@ -52,6 +56,13 @@
         self._workers = {worker.node: worker for worker in workers}
         self.has_trials = any(worker.trial is not health.Trial.NONE for worker in workers)
         self._free = {worker.node: worker.capacity for worker in workers}
+        # Resources of cold workers that are withheld once something runs there: an idle one takes
+        # one unit of any size.
+        self._cold_parts = {
+            worker.node: warmup.cold_part(worker.capacity, worker.cold_ratio)
+            for worker in workers
+            if worker.cold_ratio > 0
+        }
         self._step_counts: dict[tuple[str, str], int] = {}
         # Name of the unit that tries each worker.
         self._trials: dict[str, str] = {}
@@ -70,6 +81,7 @@
         duplicate.has_trials = self.has_trials
         duplicate._selections = self._selections
         duplicate._free = dict(self._free)
+        duplicate._cold_parts = dict(self._cold_parts)
         duplicate._step_counts = dict(self._step_counts)
         duplicate._trials = dict(self._trials)
         duplicate._claimed = dict(self._claimed)
@@ -119,7 +131,10 @@
         """Reserve resources on a worker; unknown workers are ignored."""
         if node not in self._free:
             return
-        self._set_free(node, self._free[node].minus(resources))
+        used = resources
+        if node in self._cold_parts:
+            used = used.plus(self._cold_parts.pop(node))
+        self._set_free(node, self._free[node].minus(used))
         self._step_counts[node, step_name] = self._step_counts.get((node, step_name), 0) + 1
 
     def release(self, node: str, resources: specs.Resources, step_name: str = "") -> None:
--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -230,6 +230,7 @@
     available = free.free(worker.node)
     return (
         worker.trial is not health.Trial.NONE,
+        round(worker.cold_ratio, 1),
         worker.is_replacement is is_saved,
         round(worker.slowness, 1),
         -worker.proven_s if has_failed else 0.0,
