--- a/libs/bench/src/papayaspar_bench/reference.py
+++ b/libs/bench/src/papayaspar_bench/reference.py
@@ -30,6 +30,13 @@
         " stored, answered",
     ),
     ("papayaspar_state", "gauge", "name", "sizes of the state: workers, slots, revisions, short"),
+    (
+        "papayaspar_data_centre_state",
+        "gauge",
+        "name, data_centre",
+        "evacuated: 1 while an evacuation is requested; evacuated_workers, evacuated_tasks: its"
+        " workers and the tasks that still run there",
+    ),
 )
 HEADER = """\
 # Reference
--- a/libs/events/src/papayaspar_events/metrics.py
+++ b/libs/events/src/papayaspar_events/metrics.py
@@ -40,6 +40,12 @@
             ("name",),
             registry=self._registry,
         )
+        self._data_centre_gauges = prometheus_client.Gauge(
+            "papayaspar_data_centre_state",
+            "State of each data centre: whether it is evacuated, its workers and tasks meanwhile.",
+            ("name", "data_centre"),
+            registry=self._registry,
+        )
 
     def count_event(self, kind: str, code: str) -> None:
         """Count an event."""
@@ -57,6 +63,10 @@
         """Set a gauge of the process's state."""
         self._gauges.labels(name).set(value)
 
+    def set_data_centre_state(self, name: str, data_centre: str, value: float) -> None:
+        """Set a gauge of the state of a data centre."""
+        self._data_centre_gauges.labels(name, data_centre).set(value)
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -6,7 +6,7 @@
 import anyio
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import configurations
+from papayaspar_jobs import configurations, evacuations
 from papayaspar_lead import scheduling
 from papayaspar_model import causality, clock, errors, signals
 from papayaspar_runs import service
@@ -50,6 +50,8 @@
     :param hybrid_clock: clock of event stamps.
     :param events: journal of leadership changes.
     :param cpu_cores: CPU of this VM, in cores.
+    :param evacuation_source: the evacuations that the operators have requested, or ``None`` if they
+        can't request any.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
         hybrid_clock: causality.HybridClock,
         events: journal.Journal,
         cpu_cores: float = LEAD_CPU_CORES_MIN,
+        evacuation_source: evacuations.EvacuationSource | None = None,
     ) -> None:
+        self._evacuation_source = evacuation_source
         self._node = node
         self._incarnation = incarnation
         self._candidate_delay_s = CANDIDATE_JITTER_S if cpu_cores < LEAD_CPU_CORES_MIN else 0.0
@@ -222,6 +226,7 @@
             self._clock,
             self._hybrid_clock,
             self._events,
+            self._evacuation_source,
         )
         await scheduler.restore(snapshot)
         if self._configuration is not None:
--- a/libs/lead/src/papayaspar_lead/links.py
+++ b/libs/lead/src/papayaspar_lead/links.py
@@ -8,10 +8,11 @@
 from papayaspar_jobs import tasks
 from papayaspar_model import causality, clock, errors
 from papayaspar_runs import lease, messages, service, workers
-from papayaspar_scheduling import fleet
+from papayaspar_scheduling import fleet, warmup
 from papayaspar_store import records
 from papayaspar_wire import peers, transports
 
+MILLISECONDS_PER_SECOND = 1000.0
 ATTACH_TIMEOUT_S = 3.0
 STOP_TIMEOUT_S = 3.0
 # An agent answers a start order once the outcome is certain: in general when the worker answers, or
@@ -56,6 +57,13 @@
     def is_lead_lease_valid(self) -> bool:
         """Return whether the store confirmed the leadership recently enough to send orders."""
 
+    @abc.abstractmethod
+    def start_lease_s(self, data_centre: str) -> float | None:
+        """Return for how long work may start in a data centre, or ``None`` for no limit.
+
+        :param data_centre: name of the data centre, or empty if it is unknown.
+        """
+
     @abc.abstractmethod
     def handle_state(
         self,
@@ -105,6 +113,7 @@
     ) -> None:
         self.record = record
         self.worker = fleet.Worker(record.node)
+        self.warm_up = warmup.WarmUp()
         self.state: messages.AgentState | None = None
         # Incarnation of the worker that has the runs in `state`; the incarnation in `state` becomes
         # unknown before the runs do.
@@ -263,7 +272,10 @@
             raise errors.LeaseLostError("the lead's lease has expired")
         # A former lead may confirm its leadership for longer.
         self._lead_confirmed_s = max(self._lead_confirmed_s, self._clock.now_s())
-        return messages.Vouched()
+        start_lease_s = self._owner.start_lease_s(message.data_centre)
+        if start_lease_s is None:
+            return messages.Vouched()
+        return messages.Vouched(int(start_lease_s * MILLISECONDS_PER_SECOND))
 
     async def handle_notice(self, peer: peers.Peer, message: object) -> None:
         """Apply the state that the agent reports."""
@@ -291,6 +303,10 @@
             self.worker.capacity = heartbeat.capacity
             self.worker.labels = frozenset(heartbeat.labels)
             self.worker.rack = heartbeat.rack
+            self.worker.data_centre = heartbeat.data_centre
+            if previous is None or previous.heartbeat != heartbeat:
+                cold_s = heartbeat.cold_remaining_ms / MILLISECONDS_PER_SECOND
+                self.warm_up.update(cold_s, self._clock.now_s())
         self.worker.incarnation = state.incarnation
         self.listed_incarnation = state.incarnation or self.listed_incarnation
         is_ready = heartbeat is not None and heartbeat.condition is workers.Condition.READY
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -18,6 +18,7 @@
 PERSISTENT_REFUSALS = (
     workers.RefusalReason.ROOM,
     workers.RefusalReason.NOT_VOUCHED,
+    workers.RefusalReason.NO_START_LEASE,
     workers.RefusalReason.UNREACHABLE,
 )
 
@@ -47,6 +48,7 @@
     :param scheduler_state: state of the scheduler.
     :param recorder: stores assignments.
     :param is_lead_lease_valid: returns whether the lead may still send start orders.
+    :param may_start_on: returns whether work may start on a VM.
     """
 
     def __init__(
@@ -54,10 +56,12 @@
         scheduler_state: state.SchedulerState,
         recorder: recording.Recorder,
         is_lead_lease_valid: Callable[[], bool],
+        may_start_on: Callable[[str], bool],
     ) -> None:
         self._state = scheduler_state
         self._recorder = recorder
         self._is_lead_lease_valid = is_lead_lease_valid
+        self._may_start_on = may_start_on
 
     def assign(self, start: planner.Start, now_s: float) -> None:
         """Assign a unit to workers, and start it once the assignment is stored.
@@ -163,6 +167,10 @@
             task.is_starting = False
             self._state.work.release(task, "not started: the lead resigned or the job ended")
             return
+        if not self._may_start_on(link.node):
+            task.is_starting = False
+            self._state.work.release(task, "not started: its data centre is evacuated")
+            return
         if task.is_stopping:
             task.is_starting = False
             self._state.work.release(task, "not started: its stop was ordered")
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -4,8 +4,10 @@
 import attrs
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import configurations, specs
+from papayaspar_jobs import configurations, evacuations, specs
 from papayaspar_lead import (
+    candidates,
+    evacuating,
     links,
     listings,
     orders,
@@ -19,7 +21,7 @@
 )
 from papayaspar_model import causality, clock
 from papayaspar_runs import messages
-from papayaspar_scheduling import fleet, health, ordering, planner
+from papayaspar_scheduling import ordering, planner
 from papayaspar_store import following, records, stores, views, writing
 
 MILLISECONDS_PER_SECOND = 1000.0
@@ -44,12 +46,6 @@
 # the attachment times the stride; agents raise their own tokens within a stride.
 EPOCH_SHIFT_BITS = 24
 TOKEN_STRIDE = 64
-# When more than this share of the workers are on trial, their runs fail for reasons of the jobs
-# rather than of the workers.
-TRIAL_SHARE_MAX = 0.5
-# While workers of a pool are leaving, one that started within this time is a replacement, in
-# seconds: replacements start before the workers that they replace begin to drain.
-REPLACEMENT_AGE_MAX_S = 20.0
 # Default retention of the records of ended jobs, in seconds.
 RETENTION_S = 120.0
 
@@ -61,11 +57,14 @@
     :param lease_max_s: longest lease a worker grants, in seconds.
     :param retention_s: retention of the records of ended jobs, in seconds.
     :param append_bytes_max: largest append that the store accepts, in bytes.
+    :param evacuation_s: time after the acknowledgement of an evacuation from which on nothing may
+        start in the data centre, in seconds; ``None`` if there is no bound.
     """
 
     lease_max_s: float
     retention_s: float = RETENTION_S
     append_bytes_max: int = writing.APPEND_BYTES_MAX
+    evacuation_s: float | None = None
 
 
 class Scheduler(links.LinkOwner):
@@ -83,6 +82,8 @@
     :param clock_source: the lead's clock.
     :param hybrid_clock: clock of event stamps.
     :param events: journal of decisions.
+    :param evacuation_source: the evacuations that the operators have requested, or ``None`` if they
+        can't request any.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         clock_source: clock.Clock,
         hybrid_clock: causality.HybridClock,
         events: journal.Journal,
+        evacuation_source: evacuations.EvacuationSource | None = None,
     ) -> None:
         self._node = node
         self._epoch = epoch
@@ -113,7 +115,15 @@
         )
         self._inputs = planning_inputs.PlanningInputs(self._state.work)
         self._recorder = recording.Recorder(self._state, shared, tasks_writer)
-        self._orders = orders.Orders(self._state, self._recorder, self.is_lead_lease_valid)
+        self._orders = orders.Orders(
+            self._state, self._recorder, self.is_lead_lease_valid, self.may_start_on
+        )
+        self._evacuations = evacuating.EvacuationControl(
+            self._state,
+            self._orders,
+            evacuation_source or evacuations.NoEvacuations(),
+            limits.evacuation_s,
+        )
         # When the lease of a worker without a link has certainly expired.
         self._unlinked_expiry_s = links.worker_lease_expiry_s(
             former_confirmed_s, limits.lease_max_s
@@ -152,6 +162,7 @@
         async with anyio.create_task_group() as group:
             self._state.spawner.set_group(group)
             group.start_soon(self._watch_agents)
+            group.start_soon(self._evacuations.watch)
             await self._plan_forever()
 
     async def _watch_agents(self) -> None:
@@ -196,6 +207,14 @@
             return False
         return self._state.clock.now_s() - confirmed_s < LEAD_LEASE_S
 
+    def start_lease_s(self, data_centre: str) -> float | None:
+        """Return for how long work may start in a data centre, or ``None`` for no limit."""
+        return self._evacuations.start_lease_s(data_centre)
+
+    def may_start_on(self, node: str) -> bool:
+        """Return whether work may start on a VM now."""
+        return self._evacuations.may_start_on(node)
+
     def handle_superseded(self, reason: str) -> None:
         """Record that an agent serves a lead with a higher epoch, and end the leadership."""
         self._state.events.record(lines.EventKind.LEAD_LOST, detail=reason)
@@ -235,6 +254,7 @@
         )
         self._state.work.sync(self._state.view.jobs, now_s)
         self._reconciler.reconcile(now_s)
+        self._evacuations.update(now_s)
         self._finish_jobs(now_s)
         if self.is_lead_lease_valid():
             self._start_waiting(now_s, wall_ms)
@@ -250,8 +270,10 @@
             self._inputs.restart_demand(unit, now_s, wall_ms)
             for unit in self._reconciler.deferred_units(now_s)
         ]
+        excluded_nodes = self._evacuations.excluded_nodes()
+        self._planner.release_nodes(excluded_nodes)
         for pool in sorted({self._pool_of(demand) for demand in demands + deferred}):
-            self._plan_pool(pool, demands, deferred, reserved, now_s)
+            self._plan_pool(pool, demands, deferred, reserved, excluded_nodes, now_s)
 
     def _startable(
         self,
@@ -291,22 +313,14 @@
         demands: list[ordering.Demand],
         deferred: list[ordering.Demand],
         unassigned: list[tuple[str, specs.Resources]],
+        excluded_nodes: frozenset[str],
         now_s: float,
     ) -> None:
-        candidates = []
-        for link in self._state.links.values():
-            if link.worker.pool != pool or not link.is_attached:
-                continue
-            if link.has_refused_recently(now_s):
-                continue
-            self._update_health(link.worker, now_s)
-            candidates.append(link.worker)
-        _end_uninformative_trials(candidates)
-        self._mark_replacements(pool)
+        pool_workers = candidates.in_pool(self._state, self._inputs, pool, excluded_nodes, now_s)
         plan = self._planner.plan(
             [demand for demand in demands if self._pool_of(demand) == pool],
-            self._inputs.free_capacity(candidates, unassigned, now_s, is_stopping_counted=True),
-            self._inputs.free_capacity(candidates, unassigned, now_s, is_stopping_counted=False),
+            self._inputs.free_capacity(pool_workers, unassigned, now_s, is_stopping_counted=True),
+            self._inputs.free_capacity(pool_workers, unassigned, now_s, is_stopping_counted=False),
             self._inputs.victims(now_s),
             now_s,
             any(link.is_reconnect_expected(now_s) for link in self._state.links.values()),
@@ -328,26 +342,6 @@
         for start in plan.starts:
             self._orders.assign(start, now_s)
 
-    def _mark_replacements(self, pool: str) -> None:
-        """Mark the new workers of a pool while others of it are leaving."""
-        pool_links = [link for link in self._state.links.values() if link.worker.pool == pool]
-        is_replacing = any(link.is_worker_draining for link in pool_links)
-        born_after_s = self._state.clock.wall_s() - REPLACEMENT_AGE_MAX_S
-        for link in pool_links:
-            incarnation = link.worker.incarnation
-            link.worker.is_replacement = (
-                is_replacing
-                and incarnation is not None
-                and incarnation.born_ms / MILLISECONDS_PER_SECOND >= born_after_s
-            )
-
-    def _update_health(self, worker: fleet.Worker, now_s: float) -> None:
-        outcomes = self._state.work.outcomes(worker.node)
-        worker.is_trusted = not outcomes.is_ejected(now_s)
-        worker.slowness = outcomes.slowness
-        worker.trial = outcomes.trial(now_s, self._inputs.newest_start_s(worker.node))
-        worker.proven_s = outcomes.proven_s
-
     def _resources_of(self, run: listings.UnassignedRun) -> specs.Resources:
         """Return the resources of a run; those of its whole worker if its job is unknown."""
         accepted_job = self._state.view.jobs.find(run.task.job_id)
@@ -381,12 +375,3 @@
     :param round_s: duration of the round, in seconds.
     """
     return min(PLAN_INTERVAL_S, round_s * (1.0 / PLAN_TIME_SHARE - 1.0))
-
-
-def _end_uninformative_trials(workers: list[fleet.Worker]) -> None:
-    """Ignore the trials of a pool in which more than ``TRIAL_SHARE_MAX`` are on trial."""
-    on_trial = [worker for worker in workers if worker.trial is not health.Trial.NONE]
-    if len(on_trial) <= TRIAL_SHARE_MAX * len(workers):
-        return
-    for worker in on_trial:
-        worker.trial = health.Trial.NONE
--- a/libs/lead/tests/conftest.py
+++ b/libs/lead/tests/conftest.py
@@ -18,6 +18,8 @@
 from papayaspar_store import following, records, views
 from papayaspar_wire import transports
 
+from . import operator_records
+
 LOOPBACK = "127.0.0.1"
 LEASE_MAX_S = 6.0
 STREAM_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
@@ -37,9 +39,10 @@
 
 @attrs.define
 class EntryUnderTest:
-    """The scheduling part of one entry."""
+    """The scheduling part of one entry; it reads the operators' records by a client of its own."""
 
     store: keyed_stores.MemoryStore
+    operators_store: keyed_stores.MemoryStore
     view: views.SharedView
     follower: following.Follower
     election: election.LeaderElection
@@ -139,6 +142,16 @@
         follower = following.Follower(
             store, records.SHARED_PARTITION, view, self.clock, events, 0.5
         )
+        operators = operator_records.EvacuationReader(self.clock)
+        operators_store = keyed_stores.MemoryStore(self.log)
+        operators.follower = following.Follower(
+            operators_store,
+            operator_records.PARTITION,
+            operators,
+            self.clock,
+            events,
+            operator_records.WAIT_S,
+        )
         candidate = election.LeaderElection(
             node,
             f"boot-{self._process_count}",
@@ -150,14 +163,22 @@
             events.hybrid_clock,
             events,
             cpu_cores,
+            operators,
         )
         candidate.configure(configurations.Configuration(1, (queue(),), ()))
         scope = anyio.CancelScope()
-        entry = EntryUnderTest(store, view, follower, candidate, scope)
+        entry = EntryUnderTest(store, operators_store, view, follower, candidate, scope)
         self.entries[node] = entry
-        self._group.start_soon(_run_within, scope, follower.run, candidate.run)
+        self._group.start_soon(
+            _run_within, scope, follower.run, candidate.run, operators.follower.run
+        )
         return entry
 
+    def evacuate(self, data_centre: str, is_evacuated: bool = True) -> float:
+        """Store an operator's request, and return when it was acknowledged, on the clock."""
+        operator_records.write(self.log, data_centre, is_evacuated)
+        return self.clock.now_s()
+
     async def add_relay(self, target: str, delay_s: float) -> str:
         """Start a relay to an agent, and return its address.
 
--- a/libs/lead/tests/simulated_lead.py
+++ b/libs/lead/tests/simulated_lead.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import tasks, units
+from papayaspar_jobs import evacuations, tasks, units
 from papayaspar_lead import links, state, workload
 from papayaspar_model import errors
 from papayaspar_runs import messages, workers
@@ -122,6 +122,28 @@
         self.simulated.ends = [end for end in self.simulated.ends if end.number > number]
 
 
+class RequestedEvacuations(evacuations.EvacuationSource):
+    """Evacuations that a test requests; ``read_age_s`` is the age of the newest read."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requests = evacuations.Evacuations()
+        self.read_age_s = 0.0
+
+    def begin(self, data_centre: str) -> None:
+        request = evacuations.Evacuation(data_centre, 1, simulated_workers.START_S)
+        self.requests = self.requests.with_evacuation(request)
+
+    def end(self, data_centre: str) -> None:
+        self.requests = self.requests.without(data_centre)
+
+    def current(self) -> evacuations.Evacuations:
+        return self.requests
+
+    def age_s(self) -> float:
+        return self.read_age_s
+
+
 class MemoryWriter(writing.EpochWriter):
     """A writer whose queue the simulation stores."""
 
--- a/libs/lead/tests/simulated_workers.py
+++ b/libs/lead/tests/simulated_workers.py
@@ -58,6 +58,8 @@
     cut_until_s: float = float("-inf")
     confirmed_s: float = START_S
     has_lapsed: bool = False
+    data_centre: str = ""
+    cold_until_s: float = float("-inf")
     born_count: int = 0
     end_count: int = 0
     runs: dict[tuple[tasks.TaskKey, int], Run] = attrs.field(factory=dict)
@@ -124,6 +126,8 @@
             1,
             self.born_count,
             remaining_ms=remaining_ms,
+            data_centre=self.data_centre,
+            cold_remaining_ms=int(max(0.0, self.cold_until_s - now_s) * MILLISECONDS_PER_SECOND),
         )
         return messages.AgentState(
             self.node,
--- a/libs/lead/tests/waiting_simulation.py
+++ b/libs/lead/tests/waiting_simulation.py
@@ -55,9 +55,14 @@
     """Leads that follow one another, the store, and the workers.
 
     :param observer: receiver of what the leads learn and do.
+    :param evacuation_s: bound on starts after the request of an evacuation, in seconds.
     """
 
-    def __init__(self, observer: simulated_lead.Observer) -> None:
+    def __init__(
+        self, observer: simulated_lead.Observer, evacuation_s: float | None = None
+    ) -> None:
+        self.evacuation_s = evacuation_s
+        self.evacuations = simulated_lead.RequestedEvacuations()
         self.clock = clock.ManualClock(simulated_workers.START_S)
         self.hybrid_clock = causality.HybridClock(self.clock)
         self.events = simulated_lead.ObservedJournal(
@@ -128,10 +133,13 @@
             self.shared,
             self.tasks_writer,
             self.now_s,
-            scheduling.SchedulerLimits(LEASE_MAX_S, retention_s=float("inf")),
+            scheduling.SchedulerLimits(
+                LEASE_MAX_S, retention_s=float("inf"), evacuation_s=self.evacuation_s
+            ),
             self.clock,
             self.hybrid_clock,
             self.events,
+            self.evacuations,
         )
         self.planner = self.scheduler._planner = simulated_lead.ObservedPlanner()
         lead_state = self.scheduler._state
--- a/libs/runs/src/papayaspar_runs/lease.py
+++ b/libs/runs/src/papayaspar_runs/lease.py
@@ -29,6 +29,7 @@
         self._clock = clock_source
         self._events = events
         self._lead_lease_expiry_s = 0.0
+        self._start_lease_expiry_s = float("inf")
         # Newest reading of the worker's clock, and when it was read.
         self._worker_clock_ms: int | None = None
         self._worker_clock_read_s = 0.0
@@ -41,6 +42,11 @@
         """Whether a lead confirmed its leadership within ``AGENT_LEAD_LEASE_S``."""
         return self._clock.now_s() < self._lead_lease_expiry_s
 
+    @property
+    def is_start_lease_valid(self) -> bool:
+        """Whether the lead that last confirmed its leadership allows starts now."""
+        return self._clock.now_s() < self._start_lease_expiry_s
+
     @property
     def has_expired(self) -> bool:
         """Whether the lease has certainly expired, whichever renewals the worker received."""
@@ -51,12 +57,17 @@
         """Whether the worker's clock is known."""
         return self._worker_clock_ms is not None
 
-    def renew_lead_lease(self, requested_s: float) -> None:
-        """Renew the lead's lease.
+    def renew_lead_lease(self, requested_s: float, start_lease_s: float | None = None) -> None:
+        """Renew the lead's lease, and replace the start lease.
 
         :param requested_s: when the lead was asked to confirm its leadership, on this VM's clock.
+        :param start_lease_s: time from then on in which runs may start, in seconds; ``None`` for no
+            limit.
         """
         self._lead_lease_expiry_s = max(self._lead_lease_expiry_s, requested_s + AGENT_LEAD_LEASE_S)
+        self._start_lease_expiry_s = (
+            float("inf") if start_lease_s is None else requested_s + start_lease_s
+        )
 
     def set_worker_clock(self, clock_ms: int | None) -> None:
         """Set the current reading of the worker's clock, or ``None`` if it became unknown."""
@@ -88,18 +99,25 @@
             # A worker may accept a renewal without answering. A silent worker is therefore sent no
             # renewals: only then is there a time by which its lease has certainly expired.
             return None
-        return self._renew_until(self._lease_max_s)
+        return self._renew_until(self._lease_max_s, self._worker_clock_min_ms())
 
     def renew_by_start(self, duration_s: float) -> int:
         """Renew the lease by a start order to send, and return the order's expiry.
 
+        The order is not valid beyond the start lease.
+
         :param duration_s: how long the order is valid, in seconds on the worker's clock.
         :return: a time on the worker's clock, in milliseconds.
         """
-        return self._renew_until(duration_s)
-
-    def _renew_until(self, duration_s: float) -> int:
-        expiry_ms = int(self._worker_clock_min_ms() + duration_s * MILLISECONDS_PER_SECOND)
+        worker_clock_ms = self._worker_clock_min_ms()
+        # Read after the worker's clock, since this process may be paused in between.
+        start_lease_s = max(0.0, self._start_lease_expiry_s - self._clock.now_s())
+        return self._renew_until(
+            min(duration_s, start_lease_s / CLOCK_DRIFT_RATIO), worker_clock_ms
+        )
+
+    def _renew_until(self, duration_s: float, worker_clock_ms: float) -> int:
+        expiry_ms = int(worker_clock_ms + duration_s * MILLISECONDS_PER_SECOND)
         # Read after the worker's time was computed, since this process may be paused in between.
         expiry_s = self._clock.now_s() + duration_s * CLOCK_DRIFT_RATIO
         self._expiry_s = max(self._expiry_s, expiry_s)
--- a/libs/runs/src/papayaspar_runs/messages.py
+++ b/libs/runs/src/papayaspar_runs/messages.py
@@ -154,14 +154,22 @@
     """Request of an agent to its lead to confirm the leadership, which renews the lead's lease.
 
     :param node: name of the agent's VM.
+    :param data_centre: data centre of the agent's worker, or empty if it is unknown.
     """
 
     node: str
+    data_centre: str = ""
 
 
 @attrs.frozen
 class Vouched:
-    """Answer to ``Vouch``: the lead's lease was valid when it answered."""
+    """Answer to ``Vouch``: the lead's lease was valid when it answered.
+
+    :param start_lease_ms: time for which the agent may start runs, in milliseconds from its
+        ``Vouch``; ``None`` for no limit.
+    """
+
+    start_lease_ms: int | None = None
 
 
 MESSAGE_TYPES = (
--- a/libs/runs/src/papayaspar_runs/run_orders.py
+++ b/libs/runs/src/papayaspar_runs/run_orders.py
@@ -346,3 +346,26 @@
             await anyio.sleep(RETRY_INTERVAL_S)
         if self._owner.incarnation is None:
             raise workers.WorkerError("the worker's incarnation is unknown", ran=errors.Ran.UNKNOWN)
+
+    async def stop_all(
+        self, statuses: tuple[workers.RunStatus, ...], token: int, worker: str
+    ) -> None:
+        """Stop the runs of a worker that answers although its departure was recorded.
+
+        :param statuses: runs that the worker lists.
+        :param token: fencing token of the poll that listed them.
+        :param worker: id of the worker.
+        """
+        for status in statuses:
+            try:
+                await self._worker.stop(status.task, status.run, token, worker)
+            except errors.PapayasparError:
+                # The next poll lists the run again, unless it has ended.
+                continue
+            self._events.record(
+                lines.EventKind.TASK_STOPPED,
+                worker=worker,
+                job=status.task.job_id,
+                attempt=status.run,
+                detail=f"task={status.task} token={token} the worker had departed",
+            )
--- a/libs/runs/src/papayaspar_runs/service.py
+++ b/libs/runs/src/papayaspar_runs/service.py
@@ -12,6 +12,7 @@
 from papayaspar_runs import messages, worker_control
 from papayaspar_wire import peers, transports
 
+MILLISECONDS_PER_SECOND = 1000.0
 # Interval at which an agent renews the lead's lease, in seconds: a fraction of the validity of one
 # renewal (`lease.AGENT_LEAD_LEASE_S`), so that a few renewals may fail.
 LEAD_LEASE_RENEW_INTERVAL_S = 1.0
@@ -112,9 +113,16 @@
 
     async def _renew_lead_lease(self, peer: peers.Peer) -> None:
         requested_s = self._clock.now_s()
-        await peer.call(messages.Vouch(self._node), LEAD_LEASE_RENEW_TIMEOUT_S)
+        vouch = messages.Vouch(self._node, self._controller.data_centre)
+        reply = await peer.call(vouch, LEAD_LEASE_RENEW_TIMEOUT_S)
+        if not isinstance(reply, messages.Vouched):
+            raise errors.ProtocolError(f"Vouched expected, not {type(reply).__name__}")
         if peer is self._lead:
-            self._controller.renew_lead_lease(requested_s)
+            start_lease_ms = reply.start_lease_ms
+            self._controller.renew_lead_lease(
+                requested_s,
+                None if start_lease_ms is None else start_lease_ms / MILLISECONDS_PER_SECOND,
+            )
             self.lead_confirmed_s = requested_s
 
     async def _report_changes(self, peer: peers.Peer) -> None:
--- a/libs/runs/src/papayaspar_runs/worker_control.py
+++ b/libs/runs/src/papayaspar_runs/worker_control.py
@@ -101,6 +101,11 @@
         """Total resources of the worker; none before its first heartbeat."""
         return self._heartbeat.capacity if self._heartbeat is not None else specs.Resources()
 
+    @property
+    def data_centre(self) -> str:
+        """Data centre of the worker; empty before its first heartbeat."""
+        return self._heartbeat.data_centre if self._heartbeat is not None else ""
+
     @property
     def has_lapsed(self) -> bool:
         """Whether the lease has certainly expired since the worker last answered."""
@@ -138,21 +143,8 @@
     def handle_heartbeat(self, heartbeat: workers.Heartbeat) -> None:
         """Apply a heartbeat; delayed heartbeats, also of a former incarnation, are ignored."""
         previous = self._heartbeat
-        if previous is not None:
-            is_same_incarnation = (
-                previous.worker == heartbeat.worker and previous.born_ms == heartbeat.born_ms
-            )
-            if is_same_incarnation and heartbeat.sequence <= previous.sequence:
-                return
-            is_polled_incarnation = heartbeat.born_ms == self._born_ms
-            if (
-                not is_same_incarnation
-                and heartbeat.born_ms < previous.born_ms
-                and not is_polled_incarnation
-            ):
-                # A delayed heartbeat of a former incarnation. A new incarnation whose clock was set
-                # back also has an earlier start time, but answers polls with it.
-                return
+        if previous is not None and heartbeat.is_older_than(previous, self._born_ms):
+            return
         self._heartbeat = heartbeat
         if previous is None or previous.has_changes(heartbeat):
             kind = lines.EventKind.WORKER_JOINED
@@ -223,12 +215,14 @@
                 seen_sequence = await self._polled.wait_for_change(seen_sequence)
         return self.state()
 
-    def renew_lead_lease(self, requested_s: float) -> None:
-        """Renew the lead's lease.
+    def renew_lead_lease(self, requested_s: float, start_lease_s: float | None = None) -> None:
+        """Renew the lead's lease, and replace the start lease.
 
         :param requested_s: when the lead was asked to confirm its leadership, on this VM's clock.
+        :param start_lease_s: time from then on in which runs may start, in seconds; ``None`` for no
+            limit.
         """
-        self._lease.renew_lead_lease(requested_s)
+        self._lease.renew_lead_lease(requested_s, start_lease_s)
         if not self._lease.is_renewing:
             self._wakeup.notify()
 
@@ -252,6 +246,8 @@
         """Return why a run may not be started now, or ``None`` if it may."""
         if not self._lease.is_lead_lease_valid:
             return workers.RefusalReason.NOT_VOUCHED
+        if not self._lease.is_start_lease_valid:
+            return workers.RefusalReason.NO_START_LEASE
         if order.incarnation != self.incarnation or self._heartbeat is None:
             return workers.RefusalReason.INCARNATION
         if self._heartbeat.condition is workers.Condition.DRAINING:
@@ -318,28 +314,10 @@
         self._refused_polls = 0
         self._apply_status(status, number, token)
         if self._has_departed:
-            await self._stop_departed_runs(token, worker)
+            # Its tasks may have been started elsewhere.
+            await self.orders.stop_all(self._table.statuses(), token, worker)
         return True
 
-    async def _stop_departed_runs(self, token: int, worker: str) -> None:
-        """Stop the runs of a worker that answers although its departure was recorded.
-
-        Its tasks may have been started elsewhere.
-        """
-        for status in self._table.statuses():
-            try:
-                await self._worker.stop(status.task, status.run, token, worker)
-            except errors.PapayasparError:
-                # The next poll lists the run again, unless it has ended.
-                continue
-            self._events.record(
-                lines.EventKind.TASK_STOPPED,
-                worker=worker,
-                job=status.task.job_id,
-                attempt=status.run,
-                detail=f"task={status.task} token={token} the worker had departed",
-            )
-
     def _handle_refusal(
         self, error: workers.OrderRefusedError, token: int, polled: workers.Heartbeat | None
     ) -> None:
--- a/libs/runs/src/papayaspar_runs/workers.py
+++ b/libs/runs/src/papayaspar_runs/workers.py
@@ -34,7 +34,8 @@
     content. ``ADVICE``: the worker requires a ticket from an advice call for this queue, which the
     agent never makes. ``UNREACHABLE``: the worker does not answer its agent. ``NOT_VOUCHED``: the
     lead's lease at the agent has expired. ``DRAINING``: the worker is draining.
-    ``WITHDRAWN``: the lead ordered a stop of the run before it had started.
+    ``WITHDRAWN``: the lead ordered a stop of the run before it had started. ``NO_START_LEASE``: the
+    time is over for which the lead allowed starts, or it allows none.
     """
 
     TOKEN = "token"
@@ -49,6 +50,7 @@
     NOT_VOUCHED = "not_vouched"
     DRAINING = "draining"
     WITHDRAWN = "withdrawn"
+    NO_START_LEASE = "no_start_lease"
 
 
 class OrderRefusedError(errors.PapayasparError):
@@ -87,6 +89,9 @@
     :param born_ms: start of the worker, in milliseconds since the Unix epoch.
     :param clock_ms: monotonic clock of the worker; ``None`` if not reported.
     :param remaining_ms: minimum time until a draining worker terminates; ``None`` if not reported.
+    :param data_centre: data centre of the worker, or empty if not reported.
+    :param cold_remaining_ms: time until the worker has warmed up after its start, in milliseconds;
+        0 if it is warm.
     """
 
     worker: str
@@ -99,14 +104,34 @@
     born_ms: int
     clock_ms: int | None = None
     remaining_ms: int | None = None
+    data_centre: str = ""
+    cold_remaining_ms: int = 0
+
+    def is_older_than(self, newest: "Heartbeat", polled_born_ms: int | None) -> bool:
+        """Return whether this is a delayed or repeated heartbeat, also of a former incarnation.
+
+        :param newest: the newest heartbeat so far.
+        :param polled_born_ms: start of the incarnation that answers polls, or ``None``. A new
+            incarnation whose clock was set back has an earlier start time, but answers polls with
+            it.
+        """
+        if newest.worker == self.worker and newest.born_ms == self.born_ms:
+            return self.sequence <= newest.sequence
+        return self.born_ms < newest.born_ms and self.born_ms != polled_born_ms
 
     def has_changes(self, newer: "Heartbeat") -> bool:
-        """Return whether a newer heartbeat differs in more than its number and its times."""
+        """Return whether a newer heartbeat differs in more than its number and its times.
+
+        That a worker has become cold or warm is a difference.
+        """
+        if (self.cold_remaining_ms > 0) != (newer.cold_remaining_ms > 0):
+            return True
         expected = attrs.evolve(
             self,
             sequence=newer.sequence,
             clock_ms=newer.clock_ms,
             remaining_ms=newer.remaining_ms,
+            cold_remaining_ms=newer.cold_remaining_ms,
         )
         return expected != newer
 
--- a/libs/scheduling/src/papayaspar_scheduling/evictions.py
+++ b/libs/scheduling/src/papayaspar_scheduling/evictions.py
@@ -66,6 +66,12 @@
             return None
         return eviction.nodes
 
+    def release_nodes(self, nodes: frozenset[str]) -> None:
+        """Remove the evictions that free capacity on any of the given VMs."""
+        for key, eviction in list(self._by_task.items()):
+            if not nodes.isdisjoint(eviction.nodes):
+                del self._by_task[key]
+
     def prune(self, now_s: float) -> None:
         """Remove the evictions whose deadline has passed."""
         for key, eviction in list(self._by_task.items()):
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -3,15 +3,7 @@
 import attrs
 
 from papayaspar_jobs import units
-from papayaspar_scheduling import (
-    claims,
-    evictions,
-    fleet,
-    health,
-    ordering,
-    placement,
-    preemption,
-)
+from papayaspar_scheduling import claims, evictions, fleet, health, ordering, placement, preemption
 
 # A unit may use remote racks, which make it slow, once it has waited this multiple of its estimate;
 # also workers that are not trusted, if it would not fit on the others even when they are idle.
@@ -103,6 +95,10 @@
         self._evictions = evictions.Evictions()
         self._is_reconnect_expected = False
 
+    def release_nodes(self, nodes: frozenset[str]) -> None:
+        """Give up the capacity that is being freed on VMs on which nothing may start."""
+        self._evictions.release_nodes(nodes)
+
     def plan(
         self,
         demands: list[ordering.Demand],
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -112,6 +112,9 @@
         self.name = name
         self.fault = WorkerFault.NONE
         self.rack = "r1-1"
+        self.data_centre = ""
+        # Remaining time of the warm-up that heartbeats report.
+        self.cold_remaining_ms = 0
         self.condition = workers.Condition.READY
         self.run_time_s = run_time_s
         self.start_delay_s = 2.0
@@ -177,6 +180,8 @@
             remaining_ms=DRAIN_REMAINING_MS
             if self.condition is workers.Condition.DRAINING
             else None,
+            data_centre=self.data_centre,
+            cold_remaining_ms=self.cold_remaining_ms,
         )
 
     def clock_ms(self) -> int:
