Evacuate data centres in the soak

Cause: the soak knew of no evacuations. Change: two data centres, a bound in the settings, and an evacuation of each that overlaps the faults, drawn by a generator of its own; a check of the bound.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -2,6 +2,7 @@
 
 import attrs
 import callers
+import systems
 
 # Longest time after an acknowledged cancellation at which a task of the job may still start
 # (`cancel_ms` of the site files).
@@ -38,6 +39,7 @@
     violation_lines += _forbidden_starts(runs, jobs)
     violation_lines += _early_failures(runs, jobs, system.attempts)
     violation_lines += _starts_after_attempts(runs, losses_s, system.attempts)
+    violation_lines += _starts_in_evacuated_data_centres(system, runs)
     violation_lines += _unfinished_jobs(jobs)
     violation_lines += _unhandled_exceptions(system)
     return violation_lines
@@ -162,6 +164,19 @@
             yield f"task {run.task} started after its job was reported as succeeded"
 
 
+def _starts_in_evacuated_data_centres(system, runs):
+    data_centres = {machine.name: machine.data_centre for machine in system.agents}
+    for run in runs:
+        for data_centre, acknowledged_s, ended_s in system.evacuations:
+            if data_centres[run.agent] != data_centre:
+                continue
+            if acknowledged_s + systems.EVACUATION_S < run.started_s < ended_s:
+                yield (
+                    f"task {run.task} started on {run.agent} {run.started_s - acknowledged_s:.1f} s"
+                    f" after the evacuation of {data_centre}"
+                )
+
+
 def _unhandled_exceptions(system):
     for machine in system.machines:
         if "Traceback" in machine.log_path.read_text():
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -115,6 +115,35 @@
                 await anyio.sleep(0.2)
 
 
+@attrs.frozen
+class Evacuation(Fault):
+    """The evacuation of a data centre, which is taken back.
+
+    :param data_centre: name of the data centre.
+    :param duration_s: time until it is taken back, in seconds.
+    """
+
+    data_centre: str
+    duration_s: float
+
+    async def inject(self, system):
+        """Request the evacuation, and take it back after the duration."""
+        async with httpx.AsyncClient(trust_env=False, verify=False) as client:
+            await system.evacuate(client, self.data_centre, self.duration_s)
+
+
+def draw_evacuations(rng, data_centres, length_s):
+    """Return pairs of start time, in seconds, and evacuation: one of each data centre.
+
+    :param rng: seeded random number generator.
+    :param length_s: time within which they begin and end, in seconds.
+    """
+    return [
+        (rng.uniform(0.0, 0.3) * length_s, Evacuation(name, rng.uniform(0.3, 0.6) * length_s))
+        for name in data_centres
+    ]
+
+
 def draw(rng, entry_count, agent_count, length_s):
     """Return pairs of start time, in seconds, and fault.
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -56,7 +56,9 @@
     plan = faults.draw(rng, entries, agents, length_s)
     system = systems.System(pathlib.Path(folder), entries, agents)
     job_callers = callers.Callers(system, random.Random(seed + 1), shapes.SoundJobs())
-    # The generator is separate so that the seeds keep their faults and jobs.
+    # The generators are separate so that the seeds keep their faults and jobs.
+    evacuation_rng = random.Random(f"evacuations {seed}")
+    plan += faults.draw_evacuations(evacuation_rng, systems.DATA_CENTRES, length_s)
     gang_rng = random.Random(f"failing gangs {seed}")
     gang_callers = callers.Callers(system, gang_rng, shapes.FailingGangs())
     all_callers = (job_callers, gang_callers)
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins of the platform's store and of a worker, run as programs.
 
-``python standins.py store IP:PORT`` or ``python standins.py worker NAME IP:PORT CONTROL RUN_S``.
+``python standins.py store IP:PORT`` or
+``python standins.py worker NAME IP:PORT CONTROL RUN_S DATA_CENTRE``.
 They implement the platform's published protocol. A worker prints each start and end of a run as a
 line of JSON.
 """
@@ -202,6 +203,7 @@
             body = {
                 "service": heartbeat.pool,
                 "addr": address,
+                "zone": heartbeat.data_centre,
                 "state": "ready",
                 "capacity": {"cpu": 64_000, "mem_mb": 262_144, "gpu": 8},
                 "labels": list(heartbeat.labels),
@@ -231,10 +233,11 @@
     if kind == "store":
         await _serve(StoreApp(), arguments[0])
         return
-    name, address, control, run_time_s = arguments
+    name, address, control, run_time_s, data_centre = arguments
     worker = memory_workers.MemoryWorker(
         name, PrintingRunRecorder(), clock.BootClock(), run_time_s=float(run_time_s)
     )
+    worker.data_centre = data_centre
     background_tasks = ((_advance_forever, worker), (_send_heartbeats, worker, address, control))
     await _serve(WorkerApp(worker), address, *background_tasks)
 
--- a/tests/soak/systems.py
+++ b/tests/soak/systems.py
@@ -28,7 +28,13 @@
 START_TIMEOUT_S = 30.0
 ROUTE_HOST, ROUTE_PREFIX, TEAM_KEY = "photos.example", "/checks/", "key-1"
 GRACE_S = 6
-BOUNDS_SETTINGS = f"hold_max_ms = 6000\nrevoke_ms = 5000\ngrace_s = {GRACE_S}\nstatus_s = 120\n"
+DATA_CENTRES = ("dc-1", "dc-2")
+# Time after the acknowledgement of an evacuation from which on nothing may start there, in seconds.
+EVACUATION_S = 5.0
+BOUNDS_SETTINGS = (
+    f"hold_max_ms = 6000\nrevoke_ms = 5000\ngrace_s = {GRACE_S}\nstatus_s = 120\n"
+    f"evac_ms = {EVACUATION_S * 1000:.0f}\n"
+)
 
 
 def address(group, number, port):
@@ -51,6 +57,7 @@
     :param worker_arguments: command-line arguments of the worker, or empty without one.
     :param links: proxies on the way to or from the machine, by name.
     :param worker_crashes_s: times at which the worker was killed, in seconds since the Unix epoch.
+    :param data_centre: data centre of the machine.
     """
 
     name: str
@@ -61,6 +68,7 @@
     process: subprocess.Popen | None = None
     worker: subprocess.Popen | None = None
     worker_crashes_s: list = attrs.field(factory=list)
+    data_centre: str = DATA_CENTRES[0]
 
     @property
     def log_path(self):
@@ -136,6 +144,9 @@
         self._folder = folder
         self._run_time_s = run_time_s
         self.attempts = attempts
+        # Data centre, acknowledgement and begin of the end of each evacuation, in seconds since the
+        # Unix epoch.
+        self.evacuations = []
         self._store = None
         self._versions = itertools.count(1)
         self.entries = [self._entry(number) for number in range(1, entries + 1)]
@@ -171,9 +182,21 @@
     def _agent(self, number):
         worker = address(AGENT_GROUP, number, WORKER_PORT)
         control = format_address(*address(AGENT_GROUP, number, CONTROL_PORT))
-        worker_arguments = (f"w-{number}", format_address(*worker), control, str(self._run_time_s))
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        worker_arguments = (
+            f"w-{number}",
+            format_address(*worker),
+            control,
+            str(self._run_time_s),
+            data_centre,
+        )
         machine = self._machine(
-            AGENT_GROUP, number, f"agent-{number}", "agent", worker_arguments=worker_arguments
+            AGENT_GROUP,
+            number,
+            f"agent-{number}",
+            "agent",
+            worker_arguments=worker_arguments,
+            data_centre=data_centre,
         )
         link = proxies.Proxy(address(AGENT_GROUP, number + PROXY_OFFSET, WORKER_PORT), worker)
         machine.links["worker"] = link
@@ -186,7 +209,7 @@
         host, _ = address(group, number, 0)
         store = format_address(*machine.links["store"].listen)
         text = (
-            f'node = "{machine.name}"\nzone = "dc-1"\nip = "{host}"\n'
+            f'node = "{machine.name}"\nzone = "{machine.data_centre}"\nip = "{host}"\n'
             f'internal_ports = [7000, 7010]\napp = "{worker}"\n'
             f'[platform]\naddr = "{store}"\n[listen]\n{listen}\n[bounds]\n{BOUNDS_SETTINGS}'
         )
@@ -240,7 +263,21 @@
         }
         tenant = {"name": "booths", "keys": [TEAM_KEY], "guaranteed": {"gpu": 8}}
         value = json.dumps({"version": version, "routes": [route], "tenants": [tenant]}).encode()
-        content = bytes([len("config")]) + b"config" + value
+        return await self._write_operator_record(client, "config", value)
+
+    async def evacuate(self, client, data_centre, duration_s):
+        """Evacuate a data centre for a time, in seconds."""
+        key = f"evacuate/{data_centre}"
+        if not await self._write_operator_record(client, key, b"{}"):
+            return
+        acknowledged_s = time.time()
+        await anyio.sleep(duration_s)
+        self.evacuations.append((data_centre, acknowledged_s, time.time()))
+        await self._write_operator_record(client, key, b"")
+
+    async def _write_operator_record(self, client, key, value):
+        """Write a record to the operators' partition, and return whether the store accepted it."""
+        content = bytes([len(key)]) + key.encode() + value
         url = f"http://{format_address(*address(STORE_GROUP, 1, STORE_PORT))}/api/log-append"
         body = struct.pack(">I", len(content)) + content
         response = await client.post(url, params={"topic": "keyed.op", "part": 0}, content=body)
