Report an evacuation as in force only once its workers are known

Change: the lead waits for the workers that are expected to report their data centre. More loads are tested: a drain in the evacuated data centre, a loss of power beside it, tasks that last.

--- a/libs/lead/src/papayaspar_lead/evacuating.py
+++ b/libs/lead/src/papayaspar_lead/evacuating.py
@@ -109,6 +109,8 @@
         self._set_gauges(request.data_centre, len(evacuated), len(assigned))
         if progress.is_in_force or any(task.is_starting for task in assigned):
             return
+        if not self._are_workers_known(now_s):
+            return
         progress.is_in_force = True
         self._state.events.record(
             lines.EventKind.EVACUATION_IN_FORCE,
@@ -119,6 +121,18 @@
             f" running={len(assigned)}",
         )
 
+    def _are_workers_known(self, now_s: float) -> bool:
+        """Return whether the data centre of each worker is known that is expected to report it.
+
+        A new lead has no reports at first.
+        """
+        if not self._state.links:
+            return False
+        return not any(
+            not link.worker.data_centre and link.is_reconnect_expected(now_s)
+            for link in self._state.links.values()
+        )
+
     def _links_in(self, data_centre: str) -> list[links.AgentLink]:
         return [
             link for link in self._state.links.values() if link.worker.data_centre == data_centre
--- a/libs/lead/tests/test_evacuation_load.py
+++ b/libs/lead/tests/test_evacuation_load.py
@@ -184,6 +184,40 @@
     assert not EVACUATED_NODES.isdisjoint(_running_nodes(simulation, job_id))
 
 
+async def test_work_of_a_worker_that_drains_there_moves_to_what_is_left(simulation):
+    job_id = _submit(simulation, specs.Step(2, WHOLE, 60_000))
+    _pass(simulation, 1.0)
+    assert _running_nodes(simulation, job_id) == EVACUATED_NODES
+    simulation.evacuations.begin(EVACUATED)
+    simulation.drain(simulation.workers["node-0"])
+    _pass(simulation, 3.0)
+    nodes = _running_nodes(simulation, job_id)
+    assert "node-1" in nodes
+    assert len(nodes - EVACUATED_NODES) == 1
+
+
+async def test_work_of_workers_without_power_starts_in_what_is_left(simulation):
+    _fill(simulation, 6000)
+    simulation.evacuations.begin(EVACUATED)
+    started_count = len(simulation.observer.nodes)
+    for node in ("node-2", "node-3"):
+        simulation.leave(simulation.workers[node])
+    _pass(simulation, 14.0)
+    started_nodes = _starts_since(simulation, started_count)
+    assert set(started_nodes) == {"node-4"}
+    assert len(started_nodes) == 16
+
+
+async def test_tasks_that_last_stay_where_they_are(simulation):
+    lasting = specs.Step(40, ONE, 1000, is_lasting=True)
+    job_id = _submit(simulation, lasting, BULK)
+    _pass(simulation, 1.0)
+    simulation.evacuations.begin(EVACUATED)
+    _pass(simulation, 10.0)
+    assert _running_nodes(simulation, job_id) == set(simulation.workers)
+    assert len(simulation.observer.nodes) == 40
+
+
 async def test_lead_that_reads_nothing_starts_and_stops_nothing_once_the_bound_is_over(simulation):
     _fill(simulation, 60_000)
     simulation.evacuations.read_age_s = BOUND_S
--- a/libs/lead/tests/test_evacuations.py
+++ b/libs/lead/tests/test_evacuations.py
@@ -111,7 +111,8 @@
         await cluster.sleep(pause_s)
         former.scope.cancel()
         await _check_bound(cluster, requested_s)
-        assert cluster.lead() != ""
+        (line,) = _in_force_lines(cluster.entries[cluster.lead()])
+        assert "workers=1 " in line
         assert _starts(cluster, "node-b", requested_s + BOUND_S)
 
 
