--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -4,15 +4,18 @@
 import attrs
 
 from papayaspar_events import journal, lines
-from papayaspar_jobs import configurations, specs, tasks
+from papayaspar_jobs import configurations, evacuations, specs
 from papayaspar_lead import (
+    candidates,
     contention,
+    evacuating,
     links,
     listings,
     orders,
     planning_inputs,
     reconciling,
     recording,
+    reports,
     restoring,
     room_summaries,
     state,
@@ -20,7 +23,7 @@
 )
 from papayaspar_model import causality, clock
 from papayaspar_runs import messages
-from papayaspar_scheduling import fleet, health, ordering, planner, stop_costs, stops
+from papayaspar_scheduling import ordering, planner, stop_costs, stops
 from papayaspar_store import following, records, stores, views, writing
 
 MILLISECONDS_PER_SECOND = 1000.0
@@ -45,12 +48,6 @@
 # the attachment times the stride; agents raise their own tokens within a stride.
 EPOCH_SHIFT_BITS = 24
 TOKEN_STRIDE = 64
-# When more than this share of the workers are on trial, their runs fail for reasons of the jobs
-# rather than of the workers.
-TRIAL_SHARE_MAX = 0.5
-# While workers of a pool are leaving, one that started within this time is a replacement, in
-# seconds: replacements start before the workers that they replace begin to drain.
-REPLACEMENT_AGE_MAX_S = 20.0
 # Default retention of the records of ended jobs, in seconds.
 RETENTION_S = 120.0
 
@@ -64,12 +61,15 @@
     :param append_bytes_max: largest append that the store accepts, in bytes.
     :param is_learning: whether run times are learned from finished runs; else the declared ones
         hold, and workers count as equal until one is slow.
+    :param evacuation_s: time after the acknowledgement of an evacuation from which on nothing may
+        start in the data centre, in seconds; ``None`` if there is no bound.
     """
 
     lease_max_s: float
     retention_s: float = RETENTION_S
     append_bytes_max: int = writing.APPEND_BYTES_MAX
     is_learning: bool = True
+    evacuation_s: float | None = None
 
 
 class Scheduler(links.LinkOwner):
@@ -87,6 +87,8 @@
     :param clock_source: the lead's clock.
     :param hybrid_clock: clock of event stamps.
     :param events: journal of decisions.
+    :param evacuation_source: the evacuations that the operators have requested, or ``None`` if they
+        can't request any.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         clock_source: clock.Clock,
         hybrid_clock: causality.HybridClock,
         events: journal.Journal,
+        evacuation_source: evacuations.EvacuationSource | None = None,
     ) -> None:
         self._node = node
         self._epoch = epoch
@@ -125,7 +128,15 @@
             self._state, epoch, self._state.work.durations
         )
         self._recorder = recording.Recorder(self._state, shared, tasks_writer)
-        self._orders = orders.Orders(self._state, self._recorder, self.is_lead_lease_valid)
+        self._orders = orders.Orders(
+            self._state, self._recorder, self.is_lead_lease_valid, self.may_start_on
+        )
+        self._evacuations = evacuating.EvacuationControl(
+            self._state,
+            self._orders,
+            evacuation_source or evacuations.NoEvacuations(),
+            limits.evacuation_s,
+        )
         # When the lease of a worker without a link has certainly expired.
         self._unlinked_expiry_s = links.worker_lease_expiry_s(
             former_confirmed_s, limits.lease_max_s
@@ -133,6 +144,9 @@
         self._reconciler = reconciling.Reconciler(
             self._state, self._orders, self._recorder, self._unlinked_expiry_s
         )
+        self._reports = reports.AgentReports(
+            self._state, self._orders, self._recorder, self._reconciler
+        )
         self.lost = anyio.Event()
 
     def configure(self, configuration: configurations.Configuration) -> None:
@@ -161,6 +175,7 @@
         async with anyio.create_task_group() as group:
             self._state.spawner.set_group(group)
             group.start_soon(self._watch_agents)
+            group.start_soon(self._evacuations.watch)
             await self._plan_forever()
 
     async def _watch_agents(self) -> None:
@@ -205,6 +220,14 @@
             return False
         return self._state.clock.now_s() - confirmed_s < LEAD_LEASE_S
 
+    def start_lease_s(self, data_centre: str) -> float | None:
+        """Return for how long work may start in a data centre, or ``None`` for no limit."""
+        return self._evacuations.start_lease_s(data_centre)
+
+    def may_start_on(self, node: str) -> bool:
+        """Return whether work may start on a VM now."""
+        return self._evacuations.may_start_on(node)
+
     def handle_superseded(self, reason: str) -> None:
         """Record that an agent serves a lead with a higher epoch, and end the leadership."""
         self._state.events.record(lines.EventKind.LEAD_LOST, detail=reason)
@@ -221,90 +244,8 @@
         reported: messages.AgentState,
         previous: messages.AgentState | None = None,
     ) -> None:
-        """Apply the results, losses and progress that an agent reports for its worker.
-
-        Progress alone triggers no planning round, as a loaded fleet reports it all the time; the
-        next round takes it into account.
-        """
-        if reported.departure is not None:
-            self._reconciler.handle_departure(
-                link.node, reported.departure, self._state.clock.now_s()
-            )
-        if reported.has_lapsed:
-            for task in self._state.work.tasks_on_node(link.node):
-                if not task.is_starting:
-                    self._state.work.release(task, "the worker's lease has expired")
-        if reported.incarnation is not None and reported.is_answering:
-            self._state.work.adopt_unrecorded(
-                link.node,
-                reported.incarnation,
-                (*reported.ends, *reported.runs),
-                self._state.clock.now_s(),
-            )
-            self._apply_ends(link, reported, reported.incarnation)
-            self._apply_runs(link, reported, reported.incarnation)
-        self._recorder.flush()
-        if previous is None or reported.has_more_than_progress(previous):
-            self._state.changes.notify()
-
-    def _apply_ends(
-        self, link: links.AgentLink, reported: messages.AgentState, incarnation: tasks.Incarnation
-    ) -> None:
-        for end in reported.ends:
-            if end.number <= link.acknowledged.get(incarnation, 0):
-                continue
-            self._state.work.apply_end(link.node, end, self._state.clock.now_s())
-        if reported.ends:
-            number = max(end.number for end in reported.ends)
-            # The flush that follows queues the changed records before this coroutine runs.
-            self._state.spawner.start(self._recorder.acknowledge, link, incarnation, number)
-
-    def _apply_runs(
-        self, link: links.AgentLink, reported: messages.AgentState, incarnation: tasks.Incarnation
-    ) -> None:
-        now_s = self._state.clock.now_s()
-        listed = {(run_status.task, run_status.run): run_status for run_status in reported.runs}
-        for task in self._state.work.tasks_on_node(link.node):
-            run_status = listed.get((task.key, task.record.run))
-            if task.record.incarnation != incarnation:
-                if run_status is not None:
-                    # The start order reached a new incarnation of a worker that kept its id.
-                    self._state.work.adopt(task, incarnation)
-                elif not task.is_starting and not reported.has_more_ends:
-                    self._state.work.release(task, "the worker has a new incarnation")
-                continue
-            if run_status is not None:
-                self._state.work.apply_progress(task, run_status, now_s)
-                continue
-            if task.is_starting or reported.has_more_ends:
-                # A run that has ended is listed once the results before its own are acknowledged.
-                continue
-            self._state.work.release(task, "its worker does not list the run")
-        ended = {(end.task, end.run) for end in reported.ends}
-        for run_status in reported.runs:
-            if (run_status.task, run_status.run) in ended:
-                # Its agent removes the run at the next poll.
-                continue
-            known_task = self._state.work.find_task(run_status.task)
-            if (
-                known_task is not None
-                and known_task.is_assigned
-                and known_task.record.run == run_status.run
-            ):
-                if known_task.record.node == link.node:
-                    continue
-            if self._state.work.is_run_finished(run_status.task, run_status.run):
-                continue
-            if known_task is not None and known_task.is_starting:
-                self._orders.stop_unit(known_task.unit, "another run of it is listed")
-            self._state.events.record(
-                lines.EventKind.TASK_UNKNOWN,
-                worker=link.node,
-                job=run_status.task.job_id,
-                attempt=run_status.run,
-                detail=f"task={run_status.task}",
-            )
-            self._state.spawner.start(self._orders.stop_run, link, run_status.task, run_status.run)
+        """Apply the state that an agent reports for its worker."""
+        self._reports.apply(link, reported, previous)
 
     # Planning.
 
@@ -326,6 +267,7 @@
         )
         self._state.work.sync(self._state.view.jobs, now_s)
         self._reconciler.reconcile(now_s)
+        self._evacuations.update(now_s)
         self._finish_jobs(now_s)
         if self.is_lead_lease_valid():
             self._start_waiting(now_s, wall_ms)
@@ -348,8 +290,10 @@
             self._inputs.restart_demand(unit, now_s, wall_ms)
             for unit in self._reconciler.deferred_units(now_s)
         ]
+        excluded_nodes = self._evacuations.excluded_nodes()
+        self._planner.release_nodes(excluded_nodes)
         for pool in sorted({self._pool_of(demand) for demand in demands + deferred}):
-            self._plan_pool(pool, demands, deferred, reserved, now_s)
+            self._plan_pool(pool, demands, deferred, reserved, excluded_nodes, now_s)
 
     def _startable(
         self,
@@ -389,24 +333,16 @@
         demands: list[ordering.Demand],
         deferred: list[ordering.Demand],
         unassigned: list[tuple[str, specs.Resources]],
+        excluded_nodes: frozenset[str],
         now_s: float,
     ) -> None:
-        candidates = []
-        for link in self._state.links.values():
-            if link.worker.pool != pool or not link.is_attached:
-                continue
-            if link.has_refused_recently(now_s):
-                continue
-            self._update_health(link.worker, now_s)
-            candidates.append(link.worker)
-        _end_uninformative_trials(candidates)
-        self._mark_replacements(pool)
-        free = self._inputs.free_capacity(candidates, unassigned, now_s, is_stopping_counted=True)
+        pool_workers = candidates.in_pool(self._state, self._inputs, pool, excluded_nodes, now_s)
+        free = self._inputs.free_capacity(pool_workers, unassigned, now_s, is_stopping_counted=True)
         pool_demands = [demand for demand in demands if self._pool_of(demand) == pool]
         plan = self._planner.plan(
             self._contention.assess(pool, pool_demands, free, now_s),
             free,
-            self._inputs.free_capacity(candidates, unassigned, now_s, is_stopping_counted=False),
+            self._inputs.free_capacity(pool_workers, unassigned, now_s, is_stopping_counted=False),
             self._inputs.victims(now_s),
             now_s,
             any(link.is_reconnect_expected(now_s) for link in self._state.links.values()),
@@ -434,26 +370,6 @@
         for start in plan.starts:
             self._orders.assign(start, now_s)
 
-    def _mark_replacements(self, pool: str) -> None:
-        """Mark the new workers of a pool while others of it are leaving."""
-        pool_links = [link for link in self._state.links.values() if link.worker.pool == pool]
-        is_replacing = any(link.is_worker_draining for link in pool_links)
-        born_after_s = self._state.clock.wall_s() - REPLACEMENT_AGE_MAX_S
-        for link in pool_links:
-            incarnation = link.worker.incarnation
-            link.worker.is_replacement = (
-                is_replacing
-                and incarnation is not None
-                and incarnation.born_ms / MILLISECONDS_PER_SECOND >= born_after_s
-            )
-
-    def _update_health(self, worker: fleet.Worker, now_s: float) -> None:
-        outcomes = self._state.work.outcomes(worker.node)
-        worker.is_trusted = not outcomes.is_ejected(now_s)
-        self._state.work.update_slowness(worker)
-        worker.trial = outcomes.trial(now_s, self._inputs.newest_start_s(worker.node))
-        worker.proven_s = outcomes.proven_s
-
     def _resources_of(self, run: listings.UnassignedRun) -> specs.Resources:
         """Return the resources of a run; those of its whole worker if its job is unknown."""
         accepted_job = self._state.view.jobs.find(run.task.job_id)
@@ -487,12 +403,3 @@
     :param round_s: duration of the round, in seconds.
     """
     return min(PLAN_INTERVAL_S, round_s * (1.0 / PLAN_TIME_SHARE - 1.0))
-
-
-def _end_uninformative_trials(workers: list[fleet.Worker]) -> None:
-    """Ignore the trials of a pool in which more than ``TRIAL_SHARE_MAX`` are on trial."""
-    on_trial = [worker for worker in workers if worker.trial is not health.Trial.NONE]
-    if len(on_trial) <= TRIAL_SHARE_MAX * len(workers):
-        return
-    for worker in on_trial:
-        worker.trial = health.Trial.NONE
--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -288,6 +288,7 @@
     worker_class = speed_classes.speed_class(worker)
     return (
         worker.trial is not health.Trial.NONE,
+        round(worker.cold_ratio, 1),
         worker.is_replacement is demand.unit.step.is_checkpointed,
         speed_classes.preference(demand, worker_class, slowest_suitable),
         -worker.proven_s if has_failed else 0.0,
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -123,6 +123,10 @@
         self._evictions = evictions.Evictions()
         self._is_reconnect_expected = False
 
+    def release_nodes(self, nodes: frozenset[str]) -> None:
+        """Give up the capacity that is being freed on VMs on which nothing may start."""
+        self._evictions.release_nodes(nodes)
+
     def plan(
         self,
         demands: list[ordering.Demand],
--- a/libs/standin/src/papayaspar_standin/memory_workers.py
+++ b/libs/standin/src/papayaspar_standin/memory_workers.py
@@ -113,6 +113,9 @@
         self.name = name
         self.fault = WorkerFault.NONE
         self.rack = "r1-1"
+        self.data_centre = ""
+        # Remaining time of the warm-up that heartbeats report.
+        self.cold_remaining_ms = 0
         self.condition = workers.Condition.READY
         self.run_time_s = run_time_s
         self.start_delay_s = 2.0
@@ -180,6 +183,8 @@
             sequence=sequence,
             born_ms=self.born_ms,
             remaining_ms=self._remaining_ms(),
+            data_centre=self.data_centre,
+            cold_remaining_ms=self.cold_remaining_ms,
         )
 
     def _remaining_ms(self) -> int | None:
