Weigh the client before the connection when memory is short

Cause: by the product of what a connection and its address hold, a crowd of middling bodies pushed out another client's larger one: its test failed.

Change: the address that holds most comes first, stalled connections tenfold.

--- a/libs/serving/src/papayaspar_serving/loads.py
+++ b/libs/serving/src/papayaspar_serving/loads.py
@@ -22,6 +22,8 @@
 PROGRESS_BYTES = limits.KIBIBYTE
 # Time without progress after which a client counts as stalled while memory is short, in seconds.
 STALL_S = 1.0
+# Weight of a stalled connection among those of which one has to be closed.
+STALLED_WEIGHT = 10.0
 # Timeout of a body without progress, and of a whole body: a fixed part, and its size at the least
 # rate.
 BODY_TIMEOUT_S = 10.0
@@ -92,13 +94,13 @@
     def is_closable(self, now_s: float) -> bool:
         """Return whether the connection may be closed: no request runs whose answer is wanted."""
         if self.unread_since_s is not None:
-            return now_s - self.unread_since_s >= STALL_S
+            return self.is_stalled(now_s)
         return self.phase in INCOMPLETE_PHASES
 
-    def stalled_s(self, now_s: float) -> float:
-        """Return for how long the client has counted as stalled, in seconds."""
+    def is_stalled(self, now_s: float) -> bool:
+        """Return whether the client has made no progress for some time."""
         last_s = self.progress_s if self.unread_since_s is None else self.unread_since_s
-        return max(0.0, now_s - last_s - STALL_S)
+        return now_s - last_s >= STALL_S
 
 
 @attrs.frozen
@@ -362,19 +364,19 @@
     def _costliest(self, chosen: set[ConnectionLoad], now_s: float) -> ConnectionLoad | None:
         """Return the closable connection that costs most, the newest of equal ones.
 
-        What stalls costs more from second to second. What all connections of a client hold weighs
-        more than what one of them holds, so that a crowd of middling requests does not push out a
-        larger one of another client.
+        What all connections of a client hold comes before what one of them holds, so that a crowd
+        of middling requests does not push out a larger one of another client.
         """
         costliest: ConnectionLoad | None = None
-        cost_max = 0.0
+        cost_max = (0.0, 0)
         for load in self._loads:
             if load in chosen or not load.is_closable(now_s):
                 continue
-            client_weight = self._bytes_by_address.get(load.address, 0) ** 2
-            cost = load.held_bytes * client_weight * (1.0 + load.stalled_s(now_s))
-            if cost >= cost_max:
-                costliest, cost_max = load, cost
+            client_cost = float(self._bytes_by_address.get(load.address, 0))
+            if load.is_stalled(now_s):
+                client_cost *= STALLED_WEIGHT
+            if (client_cost, load.held_bytes) >= cost_max:
+                costliest, cost_max = load, (client_cost, load.held_bytes)
         return costliest
 
     def _charge(self, load: ConnectionLoad, count: int) -> None:
