Serve all HTTP listeners within limits of memory, connections and time

Cause: hypercorn's TCP server buffers up to 384 KiB a connection, and nothing bounds connections, the bytes of all requests, or the time of a header or body; the operators' header and idle timeouts and sizes were read and used nowhere; a body was copied once more when it was complete.

Change: listeners.serve runs the server with limits. Refusals are typed errors as problem documents. A large header is decoded in turn, and a connection waits until those that were closed for it have released their memory. Events connection_closed, gauges of connections and incomplete bytes; docs.

--- a/libs/bench/src/papayaspar_bench/reference.py
+++ b/libs/bench/src/papayaspar_bench/reference.py
@@ -29,7 +29,13 @@
         "duration of planning rounds and of the stages of a unit's start: seen, room, stops,"
         " stored, answered",
     ),
-    ("papayaspar_state", "gauge", "name", "sizes of the state: workers, slots, revisions, short"),
+    (
+        "papayaspar_state",
+        "gauge",
+        "name",
+        "sizes of the state: workers, slots, revisions, short;"
+        " connections and bytes of incomplete requests of each listener",
+    ),
 )
 HEADER = """\
 # Reference
--- a/libs/entry/src/papayaspar_entry/config.py
+++ b/libs/entry/src/papayaspar_entry/config.py
@@ -21,6 +21,9 @@
     :param grace_s: longest wait in seconds for requests in progress at a shutdown.
     :param unready_s: time in seconds between becoming unready and closing the listeners, in which
         the platform's load balancer removes this entry.
+    :param memory_mb: memory limit of the process, in MiB, from which the HTTP listeners' limits are
+        derived.
+    :param fds_max: maximum number of descriptors of the process.
     :param http_tls: TLS files for the HTTP listeners, or ``None`` for plain HTTP.
     :param stream_tls: mutual TLS files for the streams, or ``None`` for plain TCP.
     """
@@ -35,5 +38,7 @@
     advertise: transports.Address | None = None
     grace_s: float = 60.0
     unready_s: float = 1.0
+    memory_mb: int = 1024
+    fds_max: int = 4096
     http_tls: listeners.ServerTls | None = None
     stream_tls: transports.TlsFiles | None = None
--- a/libs/entry/src/papayaspar_entry/fields.py
+++ b/libs/entry/src/papayaspar_entry/fields.py
@@ -16,7 +16,7 @@
     :raises InvalidRequestError: if the text is not a JSON object.
     """
 
-    def __init__(self, body: bytes) -> None:
+    def __init__(self, body: bytes | bytearray) -> None:
         try:
             parsed = json.loads(body, parse_constant=self._reject_constant)
         except (ValueError, RecursionError) as error:
--- a/libs/entry/src/papayaspar_entry/operators.py
+++ b/libs/entry/src/papayaspar_entry/operators.py
@@ -187,7 +187,7 @@
     return int(text)
 
 
-def _text(body: bytes) -> str:
+def _text(body: bytes | bytearray) -> str:
     try:
         return body.decode()
     except UnicodeDecodeError as error:
--- a/libs/entry/src/papayaspar_entry/parsing.py
+++ b/libs/entry/src/papayaspar_entry/parsing.py
@@ -23,7 +23,7 @@
         )
 
 
-def request(body: bytes, caller: str, key: str | None, now_s: float) -> work.Request:
+def request(body: bytes | bytearray, caller: str, key: str | None, now_s: float) -> work.Request:
     """Return the request described by a caller's JSON.
 
     :param body: JSON text.
@@ -50,7 +50,7 @@
     return parsed
 
 
-def job(body: bytes, caller: str) -> work.Job:
+def job(body: bytes | bytearray, caller: str) -> work.Job:
     """Return the job described by a caller's JSON.
 
     :param body: JSON text.
--- a/libs/entry/src/papayaspar_entry/process.py
+++ b/libs/entry/src/papayaspar_entry/process.py
@@ -30,9 +30,10 @@
 from papayaspar_placement import completions, consolidation, durations, fleet, shape_keeping
 from papayaspar_placement import queues as job_queues
 from papayaspar_platform import http_logs, logs
-from papayaspar_serving import listeners
+from papayaspar_serving import limits, listeners, load_tables, reports
 from papayaspar_settings import daemons
 from papayaspar_slots import launches, timings
+from papayaspar_web import bodies
 from papayaspar_wire import transports
 
 UPDATE_INTERVAL_S = 0.01
@@ -265,14 +266,38 @@
         )
 
     async def _serve_http(self, bound: tuple[socket.socket, socket.socket]) -> None:
-        applications = (self._caller_api.application(), self._operator_api.application())
+        callers_socket, operators_socket = bound
+        machine = limits.ListenerLimits.of_machine(self._settings.memory_mb, self._settings.fds_max)
+        callers_table = self._make_table(machine, "callers")
+        operators_table = self._make_table(limits.OPERATORS_LISTENER, "operators")
         async with anyio.create_task_group() as group:
-            for application, listening in zip(applications, bound, strict=True):
-                group.start_soon(self._serve_application, application, listening)
+            group.start_soon(
+                self._serve_application,
+                self._caller_api.application(),
+                callers_socket,
+                callers_table,
+            )
+            group.start_soon(
+                self._serve_application,
+                self._operator_api.application(),
+                operators_socket,
+                operators_table,
+            )
         self._http_closed.set()
 
+    def _make_table(
+        self, listener_limits: limits.ListenerLimits, name: str
+    ) -> load_tables.LoadTable:
+        request_limits = limits.FixedRequestLimits(
+            limits.RequestLimits(body_max_bytes=bodies.BODY_MAX_BYTES)
+        )
+        return reports.make_table(listener_limits, request_limits, self._journal, name)
+
     async def _serve_application(
-        self, application: starlette_applications.Starlette, listening: socket.socket
+        self,
+        application: starlette_applications.Starlette,
+        listening: socket.socket,
+        table: load_tables.LoadTable,
     ) -> None:
         await listeners.serve(
             application,
@@ -280,4 +305,5 @@
             self._closing.wait,
             grace_s=self._settings.grace_s,
             tls=self._settings.http_tls,
+            table=table,
         )
--- a/libs/entry/src/papayaspar_entry/settings.py
+++ b/libs/entry/src/papayaspar_entry/settings.py
@@ -38,6 +38,14 @@
         "1",
         "time between becoming unready and closing the listeners",
     )
+    memory_mb: int = fields.default(
+        kinds.Integer(minimum=64, unit="MiB"),
+        "1024",
+        "memory limit of the process, shared out to requests and connections",
+    )
+    fds_max: int = fields.default(
+        kinds.Integer(minimum=256), "4096", "maximum number of descriptors of the process"
+    )
     http_certificate: pathlib.Path | None = fields.optional(kinds.File(), "HTTP certificate, PEM")
     http_key: pathlib.Path | None = fields.optional(kinds.File(), "HTTP private key, PEM")
     tls_certificate: pathlib.Path | None = fields.optional(
@@ -81,6 +89,8 @@
             peers=tuple(transports.Address.parse(text) for text in self.peers),
             grace_s=self.grace_s,
             unready_s=self.unready_s,
+            memory_mb=self.memory_mb,
+            fds_max=self.fds_max,
             http_tls=http_tls,
             stream_tls=transports.TlsFiles.of(
                 self.tls_certificate, self.tls_key, self.tls_authority
--- a/libs/events/src/papayaspar_events/lines.py
+++ b/libs/events/src/papayaspar_events/lines.py
@@ -77,6 +77,7 @@
     JOB_CANCELLED = "job_cancelled"
     JOB_SHOWN = "job_shown"
     CALL_REFUSED = "call_refused"
+    CONNECTION_CLOSED = "connection_closed"
     CONFIGURATION_IN_FORCE = "configuration_in_force"
     CONFIGURATION_REFUSED = "configuration_refused"
     SETTINGS_RELOADED = "settings_reloaded"
--- a/libs/events/src/papayaspar_events/metrics.py
+++ b/libs/events/src/papayaspar_events/metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of a process, in base units and with a limited number of label values."""
 
+from collections.abc import Callable
+
 import prometheus_client
 from prometheus_client import exposition
 
@@ -57,6 +59,14 @@
         """Set a gauge of the process's state."""
         self._gauges.labels(name).set(value)
 
+    def follow_state(self, name: str, read: Callable[[], float]) -> None:
+        """Read a gauge of the process's state whenever the metrics are requested.
+
+        :param name: name of the gauge.
+        :param read: function that returns its value.
+        """
+        self._gauges.labels(name).set_function(read)
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/libs/intake/src/papayaspar_intake/access.py
+++ b/libs/intake/src/papayaspar_intake/access.py
@@ -22,6 +22,7 @@
 # Maximum age of a configuration that proves a queue or a key not to exist, in seconds: a read of
 # the configuration is answered within a second, so an older one may have a successor.
 REFUSAL_AGE_MAX_S = 1.5
+DEFAULT_LIMITS = configurations.Limits()
 
 
 class UnknownQueueError(errors.NotFoundError):
@@ -86,6 +87,11 @@
         self._source = source
         self._age_max_s = age_max_s
 
+    def limits(self) -> configurations.Limits:
+        """Return the limits on calls: of the newest configuration, else the defaults."""
+        configuration = self._source.current()
+        return configuration.limits if configuration is not None else DEFAULT_LIMITS
+
     def is_available(self) -> bool:
         """Return whether calls can be authorized now."""
         return self._source.current() is not None and self._source.age_s() <= self._age_max_s
--- a/libs/model/src/papayaspar_model/errors.py
+++ b/libs/model/src/papayaspar_model/errors.py
@@ -55,6 +55,14 @@
     title = "The body is too large"
 
 
+class BodyTimeoutError(InvalidRequestError):
+    """The client sent its body too slowly."""
+
+    code = "body_timeout"
+    status = 408
+    title = "The body came too slowly"
+
+
 class BodyCutError(InvalidRequestError):
     """The body ended before its declared length."""
 
--- a/libs/serving/src/papayaspar_serving/applications.py
+++ b/libs/serving/src/papayaspar_serving/applications.py
@@ -7,12 +7,12 @@
 import attrs
 
 from papayaspar_model import errors
+from papayaspar_serving import limits
 
 Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
-# Default limit; an application may override it.
-BODY_MAX_BYTES = 4 * 1024 * 1024
+Body = bytes | bytearray
 
 
 class BodyTooLongError(errors.InvalidRequestError):
@@ -37,7 +37,7 @@
     method: str
     path: str
     headers: dict[str, str]
-    body: bytes
+    body: Body
     query: str = ""
 
 
@@ -55,16 +55,16 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
-class Application(abc.ABC):
+class Application(limits.RequestLimitsSource):
     """An ASGI application that reads the complete request before it answers."""
 
     @abc.abstractmethod
     async def answer(self, request: Request) -> Answer:
         """Return the response to a request."""
 
-    def body_max_bytes(self) -> int:
-        """Return the maximum size of a request body."""
-        return BODY_MAX_BYTES
+    def request_limits(self) -> limits.RequestLimits:
+        """Return the limits on requests; an application may override them."""
+        return limits.DEFAULT_REQUESTS
 
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
         """Handle one ASGI connection scope."""
@@ -88,18 +88,19 @@
         answer = await self.answer(request)
         await _send_answer(send, answer)
 
-    async def _read_body(self, receive: Receive) -> bytes | None:
+    async def _read_body(self, receive: Receive) -> Body | None:
         """Return the body, or ``None`` if the caller disconnects before its end."""
+        body_max_bytes = self.request_limits().body_max_bytes
         body = bytearray()
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 return None
             body += message.get("body", b"")
-            if len(body) > self.body_max_bytes():
-                raise BodyTooLongError(f"the body is longer than {self.body_max_bytes()} bytes")
+            if len(body) > body_max_bytes:
+                raise BodyTooLongError(f"the body is longer than {body_max_bytes} bytes")
             if not message.get("more_body", False):
-                return bytes(body)
+                return body
 
 
 async def _serve_lifespan(receive: Receive, send: Send) -> None:
--- a/libs/serving/src/papayaspar_serving/connections.py
+++ b/libs/serving/src/papayaspar_serving/connections.py
@@ -13,7 +13,7 @@
 from hypercorn import utils as hypercorn_utils
 from hypercorn.asyncio import task_group, worker_context
 
-from papayaspar_serving import http1, loads
+from papayaspar_serving import http1, load_tables, loads
 
 # Largest number of bytes received at once, and the number of buffered bytes above which a
 # connection is not read until the task of the connection has taken them.
@@ -23,6 +23,8 @@
 # its connection is reset: a reset could overtake the response, in seconds.
 LINGER_S = 1.0
 HANDSHAKE_TIMEOUT_S = 10.0
+# Iterations of the event loop in which a connection that is closed ends the work of its request.
+RELEASE_ITERATIONS = 20
 
 
 @attrs.frozen
@@ -42,7 +44,7 @@
     app: hypercorn_typing.AppWrapper
     config: hypercorn.config.Config
     context: worker_context.WorkerContext
-    table: loads.LoadTable
+    table: load_tables.LoadTable
     tls: ssl.SSLContext | None
     close: Callable[[tuple[loads.Closure, ...]], None]
     turns: http1.Turns = attrs.field(factory=http1.Turns)
@@ -51,7 +53,7 @@
     )
 
 
-class _Stream(asyncio.BufferedProtocol, asyncio.StreamReaderProtocol):
+class _Stream(asyncio.StreamReaderProtocol, asyncio.BufferedProtocol):
     """Receives into a shared buffer, and reports the number of received bytes."""
 
     def __init__(
@@ -60,7 +62,7 @@
         receive_buffer: memoryview,
         received: Callable[[int], bool],
     ) -> None:
-        asyncio.StreamReaderProtocol.__init__(self, reader)
+        super().__init__(reader)
         self._buffer = receive_buffer
         self._received = received
         self._input = reader
@@ -139,6 +141,9 @@
                 self._protocol = self._make_protocol(tasks, self._writer)
                 await self._read(self._protocol)
                 await self._protocol.handle(server_events.Closed())
+            self._protocol = None
+            self._server.table.begin_closing(self.load, self._loop.time())
+            self._server.table.release(self.load)
             await self._finish(self._writer)
         finally:
             self._server.table.close(self.load)
@@ -174,10 +179,11 @@
         if self.load.phase in (loads.Phase.IDLE, loads.Phase.CLOSING):
             self.close()
 
-    def header_complete(self, field_count: int) -> None:
-        """Charge the header fields of a request."""
+    async def header_complete(self, field_count: int) -> None:
+        """Charge the header fields of a request; return when there is memory for it."""
         now_s = self._loop.time()
         self._server.close(self._server.table.begin_body(self.load, field_count, now_s))
+        await self._wait_released()
 
     def request_complete(self) -> None:
         """Note that a request can run."""
@@ -242,6 +248,14 @@
             self._unread_bytes -= len(data)
             await protocol.handle(server_events.RawData(data))
             self._server.table.settle(self.load, protocol.held_bytes() + self._unread_bytes)
+            await self._wait_released()
+
+    async def _wait_released(self) -> None:
+        """Let connections that are being closed release what they hold."""
+        for _ in range(RELEASE_ITERATIONS):
+            if self._is_closing or not self._server.table.is_releasing():
+                return
+            await asyncio.sleep(0)
 
     async def _send(self, event: server_events.Event) -> None:
         if isinstance(event, server_events.Closed):
@@ -275,7 +289,6 @@
 
     async def _finish(self, writer: asyncio.StreamWriter) -> None:
         """Send what is left; a client that was refused may finish sending first."""
-        self._server.table.begin_closing(self.load, self._loop.time())
         try:
             self._is_lingering = self._stream.discard() and self._is_lingering
             if self._is_lingering:
@@ -284,7 +297,9 @@
                 self._stream.resume_reading()
             else:
                 writer.close()
-            async with asyncio.timeout(LINGER_S if self._is_lingering else loads.READ_TIMEOUT_S):
+            async with asyncio.timeout(
+                LINGER_S if self._is_lingering else load_tables.READ_TIMEOUT_S
+            ):
                 await self._stream.lost.wait()
         except (OSError, RuntimeError, TimeoutError):
             # The connection is broken or the client does not read; it is aborted.
--- a/libs/serving/src/papayaspar_serving/http1.py
+++ b/libs/serving/src/papayaspar_serving/http1.py
@@ -13,8 +13,10 @@
 from hypercorn.protocol import h11 as h11_protocol
 from hypercorn.protocol import http_stream
 
-from papayaspar_serving import limits, loads, refusals
+from papayaspar_serving import limits, load_tables, loads, refusals
 
+# Headers from this size on are decoded in turn: many short fields take many times their size.
+LARGE_HEADER_BYTES = 2 * limits.KIBIBYTE
 # Chunks of a body that one connection may decode before the other connections get their turn.
 CHUNKS_PER_TURN = 32
 FIELD_SEPARATOR_BYTES = len(": \r\n")
@@ -22,10 +24,10 @@
 
 
 class Turns:
-    """Turns of the connections that send bodies in very many chunks.
+    """Turns of the connections that send large headers or bodies in very many chunks.
 
-    Decoding a chunk costs about the same whatever its size. Only one such connection decodes at a
-    time, so that others are served in between.
+    Decoding a chunk costs about the same time whatever its size, and a header field about the same
+    memory. Only one such connection decodes at a time, so that others are served in between.
     """
 
     def __init__(self) -> None:
@@ -44,8 +46,8 @@
     """Observer of the requests on one connection."""
 
     @abc.abstractmethod
-    def header_complete(self, field_count: int) -> None:
-        """Note that a header is complete."""
+    async def header_complete(self, field_count: int) -> None:
+        """Note that a header is complete; return when there is memory for its request."""
 
     @abc.abstractmethod
     def request_complete(self) -> None:
@@ -134,6 +136,7 @@
     def close(self) -> None:
         """Read no more requests."""
         self._is_closed = True
+        self._unsent_body = bytearray()
         self._resumption.resume()
 
     def refusal(self, cause: loads.Cause) -> bytes:
@@ -141,13 +144,14 @@
 
         :return: the response, or nothing if a response was begun or none is due.
         """
-        refusal = refusals.of_cause(cause)
-        if refusal is None or self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+        error = refusals.of_cause(cause)
+        if error is None or self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return b""
-        headers = refusal.headers + self.config.response_headers("h11")
-        response = h11.Response(status_code=refusal.status, headers=headers)
+        body = refusals.body(error)
+        headers = refusals.headers(error, len(body)) + self.config.response_headers("h11")
+        response = h11.Response(status_code=error.status, headers=headers)
         parts = []
-        for event in (response, h11.Data(data=refusal.body), h11.EndOfMessage()):
+        for event in (response, h11.Data(data=body), h11.EndOfMessage()):
             parts.append(self._parser.send(event) or b"")
         return b"".join(parts)
 
@@ -164,6 +168,9 @@
         if self._parser.they_are_waiting_for_100_continue:
             headers = self.config.response_headers("h11")
             await self._send_h11_event(h11.InformationalResponse(status_code=100, headers=headers))
+        is_header = self._parser.their_state is h11.IDLE
+        if is_header and self.unparsed_bytes() >= LARGE_HEADER_BYTES:
+            await self._next_turn()
         try:
             event = self._parser.next_event()
         except h11.RemoteProtocolError as error:
@@ -172,10 +179,10 @@
         if isinstance(event, h11.Data):
             return await self._take_body(event)
         await self._forward_body()
-        self._leave_turn()
         if isinstance(event, h11.Request):
             await self._begin_request(event)
             return True
+        self._leave_turn()
         if event is h11.PAUSED:
             await self.can_read.clear()
             await self.can_read.wait()
@@ -195,9 +202,10 @@
             if name == b"content-length":
                 body_bytes = int(value)
         field_count = len(request.headers)
-        self._header_bytes = header_bytes + field_count * loads.HEADER_FIELD_BYTES
+        self._header_bytes = header_bytes + field_count * load_tables.HEADER_FIELD_BYTES
         self._body_bytes = 0
-        self._observer.header_complete(field_count)
+        await self._observer.header_complete(field_count)
+        self._leave_turn()
         if header_bytes > self._request_limits.header_max_bytes:
             self._observer.refused(loads.Cause.HEADER_SIZE)
         elif body_bytes > self._request_limits.body_max_bytes:
@@ -268,8 +276,7 @@
             self._turns.leave()
 
     async def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
-        is_too_long = error.error_status_hint == refusals.STATUSES[loads.Cause.HEADER_SIZE]
-        if is_too_long:
+        if error.error_status_hint == refusals.HeaderTooLargeError.status:
             self._observer.refused(loads.Cause.HEADER_SIZE)
             return
         if self._parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
--- a/libs/serving/src/papayaspar_serving/limits.py
+++ b/libs/serving/src/papayaspar_serving/limits.py
@@ -38,7 +38,7 @@
     """Source of the limits on requests, which may change while a listener is open."""
 
     @abc.abstractmethod
-    def current(self) -> RequestLimits:
+    def request_limits(self) -> RequestLimits:
         """Return the limits that apply now."""
 
 
@@ -51,11 +51,16 @@
     def __init__(self, request_limits: RequestLimits) -> None:
         self._request_limits = request_limits
 
-    def current(self) -> RequestLimits:
+    def request_limits(self) -> RequestLimits:
         """Return the limits."""
         return self._request_limits
 
 
+DEFAULT_REQUESTS = RequestLimits()
+# Limits on requests without bodies: readiness checks and metrics.
+AUXILIARY_REQUESTS = RequestLimits(body_max_bytes=16 * KIBIBYTE)
+
+
 @attrs.frozen
 class ListenerLimits:
     """Limits on all connections of a listener together.
@@ -84,6 +89,7 @@
         )
 
 
-# Limits of listeners for short requests without bodies: readiness checks and metrics.
+# Limits of the listener for operators.
+OPERATORS_LISTENER = ListenerLimits(connections_max=64, requests_max_bytes=8 * MEBIBYTE)
+# Limits of listeners for readiness checks and metrics.
 AUXILIARY_LISTENER = ListenerLimits(connections_max=32, requests_max_bytes=MEBIBYTE)
-AUXILIARY_REQUESTS = RequestLimits(body_max_bytes=16 * KIBIBYTE)
--- a/libs/serving/src/papayaspar_serving/listeners.py
+++ b/libs/serving/src/papayaspar_serving/listeners.py
@@ -1,27 +1,17 @@
-"""HTTP listeners, served by hypercorn."""
+"""HTTP listeners."""
 
-import asyncio
 import errno
-import logging
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
-from typing import cast
 
 import attrs
-import hypercorn.asyncio
-import hypercorn.config
-from hypercorn import typing as hypercorn_typing
 
 from papayaspar_model import errors
+from papayaspar_serving import limits, load_tables, loads, servers
 
 BACKLOG = 1024
-KEEP_ALIVE_S = 75.0
-HEADERS_MAX_BYTES = 32 * 1024
-# Iterations of the event loop for reading the requests of the connections accepted last; a server
-# that closes regards a connection without a request as idle.
-LAST_ACCEPTED_ITERATIONS = 10
-LAST_ACCEPTED_INTERVAL_S = 0.001
+ALPN_PROTOCOL = "http/1.1"
 
 
 class ListenError(errors.PapayasparError):
@@ -45,6 +35,14 @@
     key: str
     authority: str | None = None
 
+    def context(self) -> ssl.SSLContext:
+        """Return a TLS context for HTTP/1.1."""
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=self.authority)
+        context.load_cert_chain(self.certificate, self.key)
+        context.verify_mode = ssl.CERT_REQUIRED if self.authority else ssl.CERT_NONE
+        context.set_alpn_protocols([ALPN_PROTOCOL])
+        return context
+
 
 def bind(host: str, port: int) -> socket.socket:
     """Return a listening socket.
@@ -74,6 +72,7 @@
     *,
     grace_s: float = 5.0,
     tls: ServerTls | None = None,
+    table: load_tables.LoadTable | None = None,
 ) -> None:
     """Serve an ASGI application on a bound socket.
 
@@ -82,41 +81,13 @@
     :param stop: function that returns when the server is to stop accepting connections.
     :param grace_s: longest time in seconds that requests in progress may take after that.
     :param tls: TLS files, or ``None`` for plain HTTP.
+    :param table: loads of the connections, with their limits; by default, limits for a machine of
+        2 GB.
     """
-    settings = hypercorn.config.Config()
-    # The server owns and closes the descriptor. With a second owner, the descriptor would be
-    # closed twice, and the second close would hit whichever file has reused its number.
-    descriptor = bound.detach()
-    settings.bind = [f"fd://{descriptor}"]
-    settings.graceful_timeout = grace_s
-    settings.shutdown_timeout = grace_s
-    settings.keep_alive_timeout = KEEP_ALIVE_S
-    settings.h11_max_incomplete_size = HEADERS_MAX_BYTES
-    settings.accesslog = None
-    settings.errorlog = logging.getLogger("hypercorn.silent")
-    logging.getLogger("hypercorn.silent").setLevel(logging.CRITICAL)
-    if tls is not None:
-        settings.certfile = tls.certificate
-        settings.keyfile = tls.key
-        settings.ca_certs = tls.authority
-        settings.verify_mode = ssl.CERT_REQUIRED if tls.authority else None
-
-    async def stop_accepting() -> None:
-        await stop()
-        await _stop_accepting(descriptor)
-
-    framework = cast(hypercorn_typing.ASGIFramework, app)
-    await hypercorn.asyncio.serve(framework, settings, shutdown_trigger=stop_accepting, mode="asgi")
-
-
-async def _stop_accepting(descriptor: int) -> None:
-    """Accept no more connections, and wait until the server knows the accepted ones.
-
-    When it closes, the server waits only for the connections that it knows; others would be cut
-    with the event loop.
-
-    :param descriptor: descriptor of the listening socket.
-    """
-    asyncio.get_running_loop().remove_reader(descriptor)
-    for _ in range(LAST_ACCEPTED_ITERATIONS):
-        await asyncio.sleep(LAST_ACCEPTED_INTERVAL_S)
+    if table is None:
+        request_limits = limits.FixedRequestLimits(limits.DEFAULT_REQUESTS)
+        table = load_tables.LoadTable(
+            limits.ListenerLimits(), request_limits, loads.SilentObserver()
+        )
+    context = tls.context() if tls is not None else None
+    await servers.HttpServer(app, bound, table, context).run(stop, grace_s)
--- a/libs/serving/src/papayaspar_serving/servers.py
+++ b/libs/serving/src/papayaspar_serving/servers.py
@@ -16,12 +16,12 @@
 from hypercorn import typing as hypercorn_typing
 from hypercorn.asyncio import worker_context
 
-from papayaspar_serving import connections, loads
+from papayaspar_serving import connections, load_tables, loads
 
 # Sizes of the operating system's buffers of each connection; unread bytes count toward a machine's
 # memory too.
 SOCKET_BUFFER_BYTES = 64 * 1024
-# Pause after a connection could not be accepted for want of descriptors or memory, in seconds.
+# Pause after a connection could not be accepted, in seconds.
 ACCEPT_PAUSE_S = 0.1
 EXHAUSTED_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # Iterations of the event loop for reading the requests of the connections accepted last; a server
@@ -44,7 +44,7 @@
         self,
         app: Callable[..., Awaitable[None]],
         listening: socket.socket,
-        table: loads.LoadTable,
+        table: load_tables.LoadTable,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         framework = cast(hypercorn_typing.ASGIFramework, app)
@@ -89,13 +89,20 @@
 
     async def _accept(self, tasks: anyio.abc.TaskGroup) -> None:
         while True:
+            # Lets the other tasks run, also while clients connect without a pause.
+            await anyio.lowlevel.checkpoint()
             try:
-                accepted, address = await self._loop.sock_accept(self._listening)
+                accepted, address = self._listening.accept()
+            except BlockingIOError:
+                await anyio.wait_readable(self._listening)
+                continue
+            except ConnectionAbortedError:
+                # The client has closed the connection meanwhile.
+                continue
             except OSError as error:
-                if error.errno not in EXHAUSTED_ERRORS:
-                    # The client has closed the connection meanwhile.
-                    continue
-                self._close(self._table.make_room(self._loop.time(), is_exhausted=True) or ())
+                self._table.observer.accept_failed(error)
+                if error.errno in EXHAUSTED_ERRORS:
+                    self._close(self._table.make_room(self._loop.time(), is_exhausted=True) or ())
                 await anyio.sleep(ACCEPT_PAUSE_S)
                 continue
             closures = self._table.make_room(self._loop.time())
@@ -105,9 +112,6 @@
                 continue
             self._close(closures)
             self._start(accepted, address[0], tasks)
-            if closures:
-                # Descriptors of closed connections are released in the next iteration.
-                await anyio.lowlevel.checkpoint()
 
     def _accept_waiting(self, tasks: anyio.abc.TaskGroup) -> None:
         """Accept the connections that the operating system has established already."""
@@ -116,10 +120,10 @@
                 accepted, address = self._listening.accept()
             except OSError:
                 return
-            accepted.setblocking(False)
             self._start(accepted, address[0], tasks)
 
     def _start(self, accepted: socket.socket, address: str, tasks: anyio.abc.TaskGroup) -> None:
+        accepted.setblocking(False)
         connection = connections.Connection(self._server, accepted, address)
         self._connections[connection.load] = connection
         self._opened.set()
@@ -128,10 +132,12 @@
     async def _serve(self, connection: connections.Connection) -> None:
         try:
             await connection.run()
-        except (OSError, ExceptionGroup) as error:
-            # One connection does not end the server. The application reports its own failures;
-            # what is left are broken connections.
-            LOGGER.debug("connection failed: %s", type(error).__name__)
+        except OSError:
+            # The client has closed the connection, or the TLS handshake failed.
+            pass
+        except ExceptionGroup as group:
+            # An unexpected error ends its connection only.
+            self._table.observer.connection_failed(connection.load.address, group.exceptions[0])
         finally:
             del self._connections[connection.load]
             if not self._connections:
--- a/libs/serving/tests/test_loads.py
+++ b/libs/serving/tests/test_loads.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayaspar_serving import limits, loads
+from papayaspar_serving import limits, load_tables, loads
 
 CONNECTIONS_MAX = 10
 BUDGET_BYTES = limits.MEBIBYTE
@@ -19,7 +19,7 @@
         request_limits = limits.RequestLimits(
             header_timeout_s=HEADER_TIMEOUT_S, idle_timeout_s=IDLE_TIMEOUT_S
         )
-        self.table = loads.LoadTable(
+        self.table = load_tables.LoadTable(
             limits.ListenerLimits(CONNECTIONS_MAX, BUDGET_BYTES),
             limits.FixedRequestLimits(request_limits),
             loads.SilentObserver(),
@@ -89,7 +89,7 @@
 def test_small_request_passes_beside_a_crowd_of_small_ones(listener):
     """Guard against a crowd that fills the budget with requests that count as small."""
     for _ in range(100):
-        listener.request(ATTACKER, loads.SMALL_REQUEST_BYTES, 0.0)
+        listener.request(ATTACKER, load_tables.SMALL_REQUEST_BYTES, 0.0)
     assert listener.is_open(listener.request(CLIENT, SMALL_BYTES, 0.0))
     assert listener.table.held_bytes <= BUDGET_BYTES
 
@@ -121,7 +121,7 @@
 
 
 def test_single_request_of_any_size_within_the_large_share_is_served(listener):
-    count = int(BUDGET_BYTES * loads.LARGE_REQUESTS_RATIO)
+    count = int(BUDGET_BYTES * load_tables.LARGE_REQUESTS_RATIO)
     assert listener.is_open(listener.request(CLIENT, count, 0.0))
 
 
@@ -131,13 +131,13 @@
     for second in range(1, 10):
         listener.send(drip, 1, float(second))
         assert listener.is_open(drip)
-    assert listener.check(loads.BODY_TIMEOUT_S) == [loads.Cause.BODY_TIMEOUT]
+    assert listener.check(load_tables.BODY_TIMEOUT_S) == [loads.Cause.BODY_TIMEOUT]
 
 
 def test_steady_body_above_the_least_rate_is_not_timed_out(listener):
     load = listener.request(CLIENT, SMALL_BYTES, 0.0)
     for second in range(1, 60):
-        listener.send(load, loads.BODY_RATE_MIN_BYTES_PER_S + 1, float(second))
+        listener.send(load, load_tables.BODY_RATE_MIN_BYTES_PER_S + 1, float(second))
         assert listener.check(float(second)) == []
 
 
@@ -152,15 +152,15 @@
     """Clients may keep connections open without a request until the idle timeout."""
     listener.table.open(CLIENT, 0.0)
     assert listener.check(IDLE_TIMEOUT_S) == []
-    assert listener.check(IDLE_TIMEOUT_S + loads.IDLE_MARGIN_S) == [loads.Cause.IDLE_TIMEOUT]
+    assert listener.check(IDLE_TIMEOUT_S + load_tables.IDLE_MARGIN_S) == [loads.Cause.IDLE_TIMEOUT]
 
 
 def test_client_that_does_not_read_its_answer_is_closed(listener):
     load = listener.request(ATTACKER, SMALL_BYTES, 0.0)
     listener.table.begin_answer(load, 0.0)
     load.unread_since_s = 0.0
-    assert listener.check(loads.READ_TIMEOUT_S - 1.0) == []
-    assert listener.check(loads.READ_TIMEOUT_S) == [loads.Cause.READ_TIMEOUT]
+    assert listener.check(load_tables.READ_TIMEOUT_S - 1.0) == []
+    assert listener.check(load_tables.READ_TIMEOUT_S) == [loads.Cause.READ_TIMEOUT]
 
 
 def test_running_request_has_no_timeout(listener):
@@ -180,7 +180,7 @@
 def test_time_spent_waiting_for_a_turn_is_not_the_clients(listener):
     load = listener.request(CLIENT, SMALL_BYTES, 0.0)
     listener.table.excuse(load, 100.0)
-    assert listener.check(100.0 + loads.BODY_TIMEOUT_S - 1.0) == []
+    assert listener.check(100.0 + load_tables.BODY_TIMEOUT_S - 1.0) == []
 
 
 def test_longest_idle_connection_makes_room(listener):
--- a/libs/web/src/papayaspar_web/bodies.py
+++ b/libs/web/src/papayaspar_web/bodies.py
@@ -9,15 +9,7 @@
 BODY_TIMEOUT_S = 10.0
 
 
-class BodyTimeoutError(errors.InvalidRequestError):
-    """The client sent its body too slowly."""
-
-    code = "body_timeout"
-    status = 408
-    title = "The body came too slowly"
-
-
-async def read(request: requests.Request, max_bytes: int = BODY_MAX_BYTES) -> bytes:
+async def read(request: requests.Request, max_bytes: int = BODY_MAX_BYTES) -> bytearray:
     """Return the complete body of a request.
 
     :param request: request whose body has not been read yet.
@@ -40,5 +32,7 @@
             "the client disconnected before the end of the body", field="body"
         ) from error
     except TimeoutError as error:
-        raise BodyTimeoutError(f"the body was not complete within {BODY_TIMEOUT_S:g} s") from error
-    return bytes(body)
+        raise errors.BodyTimeoutError(
+            f"the body was not complete within {BODY_TIMEOUT_S:g} s"
+        ) from error
+    return body
