Send the header alone when a HEAD request is refused

Cause: the refusal of a HEAD request raised in the task that checks timeouts, since its response may have no body, and would have ended the process.

Change: its response is the header only.

--- a/libs/serving/src/papayaspar_serving/http1.py
+++ b/libs/serving/src/papayaspar_serving/http1.py
@@ -117,6 +117,7 @@
         self._unsent_body = bytearray()
         self._chunk_count = 0
         self._has_turn = False
+        self._method = b""
         self._header_bytes = 0
         self._body_bytes = 0
         self._is_closed = False
@@ -149,11 +150,10 @@
             return b""
         body = refusals.body(error)
         headers = refusals.headers(error, len(body)) + self.config.response_headers("h11")
-        response = h11.Response(status_code=error.status, headers=headers)
-        parts = []
-        for event in (response, h11.Data(data=body), h11.EndOfMessage()):
-            parts.append(self._parser.send(event) or b"")
-        return b"".join(parts)
+        response = self._parser.send(h11.Response(status_code=error.status, headers=headers))
+        # The response to a HEAD request has no body. The connection is closed after the response,
+        # so the parser need not know its end.
+        return response if self._method == b"HEAD" else response + body
 
     async def _handle_events(self) -> None:
         self._chunk_count = 0
@@ -202,6 +202,7 @@
             if name == b"content-length":
                 body_bytes = int(value)
         field_count = len(request.headers)
+        self._method = request.method
         self._header_bytes = header_bytes + field_count * load_tables.HEADER_FIELD_BYTES
         self._body_bytes = 0
         await self._observer.header_complete(field_count)
