--- a/libs/serving/tests/test_servers.py
+++ b/libs/serving/tests/test_servers.py
@@ -1,6 +1,7 @@
 """Connections of a server with limits: what is refused, closed, and served as before."""
 
 import asyncio
+import functools
 
 import anyio
 import pytest
@@ -213,3 +214,22 @@
         assert served.table.held_bytes <= 64 * limits.KIBIBYTE
     assert served.app.served < 200_000
     writer.transport.abort()
+
+
+async def test_request_that_outlasts_the_grace_time_is_cut_without_a_log_line(caplog):
+    """Guard against errors that asyncio logs for connections cancelled at the end."""
+    app, stopping = EchoApp(), anyio.Event()
+    bound = listeners.bind("127.0.0.1", 0)
+    address = bound.getsockname()
+    async with anyio.create_task_group() as group:
+        serve = functools.partial(listeners.serve, app, bound, stopping.wait, grace_s=0.1)
+        group.start_soon(serve)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(post(b"abc", path="/wait"))
+        while not app.served:
+            await anyio.sleep(0.01)
+        stopping.set()
+        with anyio.fail_after(TIMEOUT_S):
+            await reader.read()
+    writer.close()
+    assert caplog.records == []
