--- a/libs/bench/src/papayaspar_bench/reference.py
+++ b/libs/bench/src/papayaspar_bench/reference.py
@@ -42,7 +42,6 @@
         "cause",
         "work that ends in time, or at all, since other work was stopped",
     ),
-    ("papayaspar_state", "gauge", "name", "sizes of the state: workers, slots, revisions, short"),
     (
         "papayaspar_data_centre_state",
         "gauge",
@@ -50,6 +49,13 @@
         "evacuated: 1 while an evacuation is requested; evacuated_workers, evacuated_tasks: its"
         " workers and the tasks that still run there",
     ),
+    (
+        "papayaspar_state",
+        "gauge",
+        "name",
+        "sizes of the state: workers, slots, revisions, short;"
+        " connections and bytes of incomplete requests of each listener",
+    ),
 )
 HEADER = """\
 # Reference
