--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -239,7 +239,8 @@
                 worker=link.node,
                 job=task.key.job_id,
                 attempt=task.record.run,
-                detail=f"task={task.key} reason={reason} cause={purpose.cause.value}"
+                detail=f"task={task.key} percent={task.percent:.0f} reason={reason}"
+                f" cause={purpose.cause.value}"
                 f" unit_lost_core_s={lost_core_s:.1f} for={purpose.job_id or '-'}"
                 f" gain_core_s={purpose.gain_core_s:.1f}",
             )
