--- a/tests/adapter/test_starting.py
+++ b/tests/adapter/test_starting.py
@@ -68,3 +68,19 @@
     completed = _run("-m", "papayaspar_adapter", "clerk")
     assert completed.returncode == 2
     assert "entry, agent" in completed.stderr
+
+
+def test_unknown_argument_is_rejected():
+    completed = _run("-m", "papayaspar_adapter", "entry", "--unknown")
+    assert completed.returncode == 2
+    assert "--unknown" in completed.stderr
+
+
+def test_run_times_option_is_checked(settings_path):
+    settings_path.write_text(
+        'node = "edge-1"\nip = "127.0.0.1"\ninternal_ports = [7000, 7015]\n'
+        '[platform]\naddr = "127.0.0.1:2"\n'
+    )
+    completed = _run("-m", "papayaspar_adapter", "entry", "--run-times=guessed")
+    assert completed.returncode != 0
+    assert settings_file.RUN_TIMES_VARIABLE in completed.stderr + completed.stdout
