--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -11,9 +11,9 @@
 
 # Number of pairs of a capacity and a task's resources whose quotient is cached.
 MAX_TASKS_CACHE_SIZE = 1024
-# No unit waits for workers of like speed while less than this share of the accelerators is used: a
-# job may not wait for long beside workers that are mostly free.
-WAIT_USED_SHARE_MIN = 0.5
+# While less than this share of the accelerators is used, no unit waits for workers of like speed,
+# and bulk work leaves no fast workers to others: work on slow ones is in the way for longer.
+USED_SHARE_MIN = 0.5
 
 
 @attrs.frozen
@@ -60,7 +60,9 @@
         """
         best: tuple[str, ...] | None = None
         best_key: tuple[float, ...] = ()
-        slowest_suitable = speed_classes.suitable_max(demand)
+        slowest_suitable = speed_classes.ORDINARY
+        if demand.rank is ordering.Rank.BULK and claims.used_share(free) >= USED_SHARE_MIN:
+            slowest_suitable = speed_classes.suitable_max(demand)
         for group in _groups_with_room(demand, free, scope):
             for members in _like_speed_groups(demand, group):
                 nodes = _pack(demand, free, members, slowest_suitable)
@@ -104,7 +106,7 @@
         used = speed_classes.classes(free.worker(node) for node in nodes)
         if not speed_classes.is_worth_waiting(demand, used[0], used[-1]):
             return False
-        return claims.used_share(free) >= WAIT_USED_SHARE_MIN
+        return claims.used_share(free) >= USED_SHARE_MIN
 
 
 class FirstFit(PlacementPolicy):
--- a/libs/scheduling/src/papayaspar_scheduling/speed_classes.py
+++ b/libs/scheduling/src/papayaspar_scheduling/speed_classes.py
@@ -39,10 +39,8 @@
 def suitable_max(demand: ordering.Demand) -> int:
     """Return the slowest class on which a unit of bulk work still meets its objective.
 
-    :param demand: demand of the unit; for other work, the class is not used.
+    :param demand: demand of the unit.
     """
-    if demand.rank is not ordering.Rank.BULK:
-        return ORDINARY
     middle_s = demand.unit.job.expected(demand.unit).middle_s
     if middle_s <= 0.0 or demand.slack_s <= 0.0:
         return ORDINARY
--- a/libs/scheduling/tests/test_uneven_workers.py
+++ b/libs/scheduling/tests/test_uneven_workers.py
@@ -64,6 +64,7 @@
 
 
 def test_urgent_work_takes_the_fast_workers_and_bulk_the_slow_ones(uneven, make_step):
+    _fill(uneven, 3, 4, 5, 6)
     urgent = _wait(uneven, make_step(accelerators=4), URGENT)
     bulk = _wait(uneven, make_step(accelerators=4), BULK, slack_s=30.0)
     plan = uneven.plan()
@@ -71,7 +72,14 @@
     assert _slow(uneven, _nodes(plan, bulk)) == [True]
 
 
+def test_bulk_work_takes_fast_workers_of_a_pool_that_is_mostly_free(uneven, make_step):
+    _fill(uneven, 3, 4, 5)
+    bulk = _wait(uneven, make_step(accelerators=4), BULK, slack_s=30.0)
+    assert _slow(uneven, _nodes(uneven.plan(), bulk)) == [False]
+
+
 def test_bulk_work_without_slack_takes_fast_workers(uneven, make_step):
+    _fill(uneven, 3, 4, 5, 6)
     bulk = _wait(uneven, make_step(accelerators=4), BULK, slack_s=1.0)
     assert _slow(uneven, _nodes(uneven.plan(), bulk)) == [False]
 
