Compute what a step takes on an ordinary worker once for each run

Cause: the median was computed for each report of progress, about a thousand times a second.

Change: it is kept with the step; racks and incarnations of workers that left are dropped beyond a limit.

--- a/libs/estimates/src/papayaspar_estimates/run_times.py
+++ b/libs/estimates/src/papayaspar_estimates/run_times.py
@@ -92,6 +92,21 @@
     members: tuple[MemberRun, ...]
 
 
+@attrs.define
+class _StepPaces:
+    """Run times of the members of one step, finished or projected.
+
+    :param runs: the newest ones.
+    :param ordinary_log: logarithm of what they take on an ordinary worker; ``None`` if too few are
+        known.
+    """
+
+    runs: collections.deque[MemberRun] = attrs.field(
+        factory=lambda: collections.deque(maxlen=PACES_MAX)
+    )
+    ordinary_log: float | None = None
+
+
 @attrs.frozen
 class Expectation:
     """Expected run time on a worker of ordinary speed.
@@ -123,10 +138,7 @@
         # Teams by family, in order of their newest run.
         self._teams: dict[str, dict[str, None]] = {}
         self._steps: collections.OrderedDict[str, windows.RunWindow] = collections.OrderedDict()
-        # Run times of the members of each step, finished or projected, the newest ones.
-        self._paces: collections.OrderedDict[str, collections.deque[MemberRun]] = (
-            collections.OrderedDict()
-        )
+        self._paces: collections.OrderedDict[str, _StepPaces] = collections.OrderedDict()
         self._counted: collections.OrderedDict[int, None] = collections.OrderedDict()
 
     def __len__(self) -> int:
@@ -218,20 +230,20 @@
         :param step: name of its step.
         :param run: the member's run, with its time.
         """
-        paces = self._paces.pop(step, None)
-        if paces is None:
-            paces = collections.deque(maxlen=PACES_MAX)
+        paces = self._paces.pop(step, None) or _StepPaces()
         self._paces[step] = paces
         if len(self._paces) > STEPS_MAX:
             self._paces.popitem(last=False)
-        paces.append(run)
-        ordinary_log = self._ordinary_log(step)
-        if ordinary_log is None:
+        paces.runs.append(run)
+        if len(paces.runs) < RUNS_OF_STEP_MIN:
             return
+        paces.ordinary_log = robust.median(
+            _log(other.worked_s or 0.0) - self.speeds.excess_log(other.node) for other in paces.runs
+        )
         # The first runs of a step wait for one another.
-        shown = list(paces) if len(paces) == RUNS_OF_STEP_MIN else [run]
+        shown = list(paces.runs) if len(paces.runs) == RUNS_OF_STEP_MIN else [run]
         for member in shown:
-            excess_log = _log(member.worked_s or 0.0) - ordinary_log
+            excess_log = _log(member.worked_s or 0.0) - paces.ordinary_log
             self.speeds.observe(member.node, member.born_ms, team, excess_log)
         self.revision += 1
 
@@ -240,16 +252,10 @@
 
         :return: seconds, or ``None`` if too few runs are known.
         """
-        ordinary_log = self._ordinary_log(step)
-        return math.exp(ordinary_log + self.speeds.center_log) if ordinary_log is not None else None
-
-    def _ordinary_log(self, step: str) -> float | None:
-        paces = self._paces.get(step, ())
-        if len(paces) < RUNS_OF_STEP_MIN:
+        paces = self._paces.get(step)
+        if paces is None or paces.ordinary_log is None:
             return None
-        return robust.median(
-            _log(run.worked_s or 0.0) - self.speeds.excess_log(run.node) for run in paces
-        )
+        return math.exp(paces.ordinary_log + self.speeds.center_log)
 
     def set_bound(
         self, kind: Kind, step: str, identity: int, declared_s: float, worked_s: float, node: str
--- a/libs/lead/src/papayaspar_lead/learning.py
+++ b/libs/lead/src/papayaspar_lead/learning.py
@@ -25,6 +25,8 @@
 # Progress in percent from which the run time of a running task is projected, to compare the speeds
 # of workers.
 PROJECTED_PERCENT_MIN = 25.0
+# Number of workers whose rack and incarnation are kept: more than a fleet has at a time.
+PLACES_MAX = 65_536
 # Number of running runs whose pace is kept of each worker.
 PACES_MAX = 8
 # A worker is slow by the pace of its running runs from this multiple of what is expected on.
@@ -82,7 +84,12 @@
         """Note a worker's rack and incarnation; another incarnation begins without evidence."""
         if worker.incarnation is None:
             return
-        self._places[worker.node] = _WorkerPlace(worker.rack, worker.incarnation.born_ms)
+        place = _WorkerPlace(worker.rack, worker.incarnation.born_ms)
+        if self._places.get(worker.node) == place:
+            return
+        self._places[worker.node] = place
+        if len(self._places) > PLACES_MAX:
+            del self._places[next(iter(self._places))]
         self.times.speeds.begin_incarnation(worker.node, worker.incarnation.born_ms)
 
     def slowness(self, node: str) -> float:
