--- a/libs/runs/tests/test_withdrawn_starts.py
+++ b/libs/runs/tests/test_withdrawn_starts.py
@@ -135,6 +135,26 @@
     assert system.worker.starts == 1
 
 
+async def test_unanswered_start_is_not_sent_again_after_the_start_lease(system):
+    await system.begin_start()
+    system.controller.renew_lead_lease(system.clock.now_s(), 0.1)
+    await system.end_silence()
+    reason = workers.RefusalReason.NO_START_LEASE
+    assert system.outcomes == [messages.StartOutcome(False, reason)]
+    assert system.worker.starts == 1
+
+
+async def test_nothing_starts_while_the_lead_allows_no_starts(system):
+    state = await system.controller.attach(1 << 24)
+    order = messages.StartRun(KEY, 1, "", "", CAPACITY, state.incarnation)
+    system.controller.renew_lead_lease(system.clock.now_s(), 0.0)
+    outcome = await system.controller.orders.start(order)
+    assert outcome.reason is workers.RefusalReason.NO_START_LEASE
+    assert system.worker.starts == 0
+    system.controller.renew_lead_lease(system.clock.now_s(), 5.0)
+    assert (await system.controller.orders.start(order)).is_started
+
+
 # Guards against a stop that overtakes a start and whose refusal counts as that of another run: the
 # lead closed the link to the agent, and the other starts on the worker began anew (issue 32).
 async def test_start_that_its_stop_has_overtaken_is_withdrawn(system):
