--- a/libs/lead/src/papayaspar_lead/reconciling.py
+++ b/libs/lead/src/papayaspar_lead/reconciling.py
@@ -56,7 +56,7 @@
         self.release_departed(now_s)
         self.release_expired(now_s)
         self.stop_cancelled_and_failed()
-        self.evacuate(now_s)
+        self.vacate_leaving_workers(now_s)
         self.restart_stalled(now_s)
         self.forget_disconnected(now_s)
 
@@ -143,7 +143,7 @@
                 detail=f"task={key} lost_in_s={remaining_s:.1f} the agent is not attached",
             )
 
-    def evacuate(self, now_s: float) -> None:
+    def vacate_leaving_workers(self, now_s: float) -> None:
         """Stop the units whose worker leaves before they can end, as late as it makes sense."""
         for unit, action in self._leaving_units(now_s):
             if action is drains.Action.STOP:
