Begin calls of /v1 that change something when their request is complete

Cause: draining and retiring a worker and cancelling a job did not read the body, so they ran before their request was complete, while the listener refuses an incomplete request as one that has not run.

Change: they wait for the end of the request.

Result: the new test fails before (a worker drains after a call whose body was cut), and passes now; 9 of 9 in tests/test_request_path.py.

--- a/libs/entry/src/papayaspar_entry/callers.py
+++ b/libs/entry/src/papayaspar_entry/callers.py
@@ -107,6 +107,7 @@
 
     async def delete_job(self, http_request: requests.Request) -> responses.Response:
         """Cancel a job."""
+        await bodies.check_complete(http_request)
         job_id = http_request.path_params["job_id"]
         await self._jobs.cancel(job_id)
         return web_documents.respond(documents.JobReference(job_id), ACCEPTED_STATUS)
--- a/libs/entry/src/papayaspar_entry/operators.py
+++ b/libs/entry/src/papayaspar_entry/operators.py
@@ -126,12 +126,14 @@
 
     async def delete_job(self, http_request: requests.Request) -> responses.Response:
         """Cancel a job on behalf of its team."""
+        await bodies.check_complete(http_request)
         job_id = http_request.path_params["job_id"]
         await self._jobs.cancel(job_id)
         return web_documents.respond(documents.JobReference(job_id), callers.ACCEPTED_STATUS)
 
     async def drain(self, http_request: requests.Request) -> responses.Response:
         """Drain a worker: its agent rejects new work from now on."""
+        await bodies.check_complete(http_request)
         worker = http_request.path_params["worker"]
         if self._table.get(worker) is None:
             raise errors.NotFoundError(f"worker {worker} does not exist", field="worker")
@@ -140,6 +142,7 @@
 
     async def retire(self, http_request: requests.Request) -> responses.Response:
         """Record an operator's statement that a worker's agent has terminated permanently."""
+        await bodies.check_complete(http_request)
         worker = http_request.path_params["worker"]
         member = self._table.get(worker)
         if member is not None and member.is_connected:
--- a/libs/web/src/papayaspar_web/bodies.py
+++ b/libs/web/src/papayaspar_web/bodies.py
@@ -36,3 +36,15 @@
             f"the body was not complete within {BODY_TIMEOUT_S:g} s"
         ) from error
     return body
+
+
+async def check_complete(request: requests.Request) -> None:
+    """Wait for the end of a request whose body is not used.
+
+    The listener refuses an incomplete request as one that has not run, so a call that changes
+    something begins when its request is complete.
+
+    :param request: request whose body has not been read yet.
+    :raises PapayasparError: as :func:`read`.
+    """
+    await read(request)
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -1,5 +1,7 @@
 """Requests end to end across processes, and refusal of malformed requests."""
 
+import socket
+
 import httpx
 import pytest
 
@@ -39,3 +41,18 @@
 def test_an_oversized_body_is_refused(shared_system):
     response = shared_system.request(shared_system.entries[0], payload="x" * 2_000_000)
     assert (response.status_code, response.json()["code"]) == (413, "body_too_large")
+
+
+def test_call_whose_body_is_cut_changes_nothing(shared_system):
+    """Guard against a call that runs before it is complete: its refusal says that it has not."""
+    entry = shared_system.entries[0]
+    host, _, port = entry.operators.rpartition(":")
+    head = "POST /v1/workers/worker-1/drain HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\n"
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(head.encode() + b"12345")
+        connection.shutdown(socket.SHUT_WR)
+        while connection.recv(65_536):
+            pass
+    rows = shared_system.get(f"http://{entry.operators}/v1/status").json()["workers"]
+    assert {row["state"] for row in rows} == {"up"}
+    shared_system.wait_workers(3)
