Send the body of a refusal that follows a HEAD request

The method of an answered request was kept, so that the refusal of the next request, when its header was incomplete, announced a content length and had no body. The method is forgotten with the sizes. The new test failed before and passes; libs/serving, libs/web, tests/adapter and tests/test_hostile_input.py pass.

--- a/libs/serving/src/papayaspar_serving/http1.py
+++ b/libs/serving/src/papayaspar_serving/http1.py
@@ -131,7 +131,8 @@
         return len(self._parser.trailing_data[0])
 
     def forget_request(self) -> None:
-        """Forget the sizes of a request that was answered."""
+        """Forget the method and the sizes of a request that was answered."""
+        self._method = b""
         self._header_bytes = self._body_bytes = 0
 
     def close(self) -> None:
--- a/libs/serving/tests/test_servers.py
+++ b/libs/serving/tests/test_servers.py
@@ -160,6 +160,13 @@
     assert served.app.served == 0
 
 
+async def test_refusal_after_a_head_request_has_its_body(served):
+    answered = post(b"", last=False).replace(b"POST", b"HEAD")
+    received = await served.exchange(answered + b"GET / HT")
+    assert received.split(b"HTTP/1.1 ")[-1].startswith(b"408")
+    assert b'"ran": "no"' in received
+
+
 @pytest.mark.parametrize("protocol", ["h2c", "websocket"])
 async def test_upgrade_to_another_protocol_is_not_offered(served, protocol):
     upgrade = f"upgrade: {protocol}\r\nconnection: upgrade, close\r\nhttp2-settings: AAMAAABk"
