End the TLS handshake of a connection that is closed

A connection that was closed during its handshake left the table at once, but kept its task and its descriptor until the handshake's timeout, so that clients without a handshake passed the limit on connections: 40 were open where 8 are allowed. The socket is shut down now, which ends the handshake. The new test failed before and passes.

--- a/libs/serving/src/papayaspar_serving/connections.py
+++ b/libs/serving/src/papayaspar_serving/connections.py
@@ -1,6 +1,7 @@
 """One connection of a listener, served by one task: reading, answering, closing."""
 
 import asyncio
+import contextlib
 import socket
 import ssl
 from collections.abc import Callable
@@ -173,6 +174,10 @@
         self._server.table.close(self.load)
         if self._writer is not None:
             self._writer.transport.abort()
+            return
+        # Ends a TLS handshake in progress, which holds the descriptor until its timeout.
+        with contextlib.suppress(OSError):
+            self._accepted.shutdown(socket.SHUT_RDWR)
 
     def close_idle(self) -> None:
         """Close the connection if no request is in progress."""
--- a/libs/serving/tests/test_servers.py
+++ b/libs/serving/tests/test_servers.py
@@ -2,11 +2,20 @@
 
 import asyncio
 import functools
+import ssl
 
 import anyio
 import pytest
 
-from papayaspar_serving import applications, limits, listeners, load_tables, loads
+from papayaspar_serving import (
+    applications,
+    connections,
+    limits,
+    listeners,
+    load_tables,
+    loads,
+    servers,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -240,3 +249,25 @@
             await reader.read()
     writer.close()
     assert caplog.records == []
+
+
+async def test_unfinished_tls_handshakes_stay_within_the_limit(monkeypatch):
+    """Guard against closed connections that keep their descriptors until the handshake's end."""
+    monkeypatch.setattr(connections, "HANDSHAKE_TIMEOUT_S", 100 * TIMEOUT_S)
+    app, stopping, observer = EchoApp(), anyio.Event(), RecordingObserver()
+    table = load_tables.LoadTable(
+        limits.ListenerLimits(CONNECTIONS_MAX, BUDGET_BYTES), app, observer
+    )
+    bound = listeners.bind("127.0.0.1", 0)
+    address = bound.getsockname()
+    server = servers.HttpServer(app, bound, table, ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER))
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.run, stopping.wait, 0.1)
+        members = [await asyncio.open_connection(*address) for _ in range(CONNECTIONS_MAX * 3)]
+        with anyio.fail_after(TIMEOUT_S):
+            for reader, _ in members[: CONNECTIONS_MAX * 2]:
+                assert await reader.read() == b""
+        stopping.set()
+    for _, writer in members:
+        writer.close()
+    assert observer.failures == []
