Regard a connection that its client resets at once as ended

The addresses are read before the group begins, where an error of the socket ends the connection silently. The new test failed before and passes, as do the other tests of libs/serving.

--- a/libs/serving/src/papayaspar_serving/connections.py
+++ b/libs/serving/src/papayaspar_serving/connections.py
@@ -27,6 +27,8 @@
 # Iterations of the event loop in which a connection that is closed ends the work of its request.
 RELEASE_ITERATIONS = 20
 
+Endpoint = tuple[str, int] | None
+
 
 @attrs.frozen
 class Server:
@@ -134,12 +136,13 @@
     async def run(self) -> None:
         """Serve the connection until it is closed.
 
-        :raises OSError: if the TLS handshake fails.
+        :raises OSError: if the TLS handshake fails, or the client has reset the connection.
         """
         try:
             self._writer = await self._connect()
+            client, own = self._endpoints(self._writer)
             async with task_group.TaskGroup(self._loop) as tasks:
-                self._protocol = self._make_protocol(tasks, self._writer)
+                self._protocol = self._make_protocol(tasks, client, own)
                 await self._read(self._protocol)
                 await self._protocol.handle(server_events.Closed())
             self._protocol = None
@@ -215,11 +218,18 @@
         transport.set_write_buffer_limits(high=0)
         return asyncio.StreamWriter(transport, self._stream, self._reader, self._loop)
 
+    def _endpoints(self, writer: asyncio.StreamWriter) -> tuple[Endpoint, Endpoint]:
+        """Return the addresses of the client and of the server."""
+        connected: socket.socket = writer.get_extra_info("socket")
+        return (
+            hypercorn_utils.parse_socket_addr(connected.family, connected.getpeername()),
+            hypercorn_utils.parse_socket_addr(connected.family, connected.getsockname()),
+        )
+
     def _make_protocol(
-        self, tasks: task_group.TaskGroup, writer: asyncio.StreamWriter
+        self, tasks: task_group.TaskGroup, client: Endpoint, own: Endpoint
     ) -> http1.LimitedProtocol:
         server = self._server
-        connected: socket.socket = writer.get_extra_info("socket")
         arguments: tuple[Any, ...] = (
             server.app,
             server.config,
@@ -227,8 +237,8 @@
             tasks,
             hypercorn_typing.ConnectionState({}),
             server.tls is not None,
-            hypercorn_utils.parse_socket_addr(connected.family, connected.getpeername()),
-            hypercorn_utils.parse_socket_addr(connected.family, connected.getsockname()),
+            client,
+            own,
             self._send,
         )
         return http1.LimitedProtocol(server.table.request_limits, self, server.turns, *arguments)
--- a/libs/serving/tests/test_servers.py
+++ b/libs/serving/tests/test_servers.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import functools
+import socket
 import ssl
+import struct
 
 import anyio
 import pytest
@@ -271,3 +273,14 @@
     for _, writer in members:
         writer.close()
     assert observer.failures == []
+
+
+async def test_client_that_resets_its_connection_at_once_is_no_failure(served):
+    """Guard against a log line of an unexpected error for each such client."""
+    for _ in range(20):
+        client = socket.create_connection(served.address)
+        # Closing with a linger time of 0 resets the connection.
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.close()
+    assert (await served.exchange(post(b"abc"))).endswith(b"3")
+    assert served.observer.failures == []
