Cut requests that outlast the grace time without an answer

Their tasks were cancelled first, and hypercorn answers a cancelled request with 500, which a client takes for a final refusal although the request may have run. The connections are aborted before the tasks are cancelled. The test of the grace time now checks that nothing arrives; before, it received 500. libs/serving, libs/web, tests/adapter and tests/test_hostile_input.py pass.

--- a/libs/serving/src/papayaspar_serving/servers.py
+++ b/libs/serving/src/papayaspar_serving/servers.py
@@ -173,6 +173,10 @@
             while self._connections:
                 self._all_closed.clear()
                 await self._all_closed.wait()
+        # Before their tasks are cancelled: a cancelled request would be answered with 500, although
+        # it may have run.
+        for connection in tuple(self._connections.values()):
+            connection.abort()
 
 
 def _protocol_config() -> hypercorn.config.Config:
--- a/libs/serving/tests/test_servers.py
+++ b/libs/serving/tests/test_servers.py
@@ -235,7 +235,10 @@
 
 
 async def test_request_that_outlasts_the_grace_time_is_cut_without_a_log_line(caplog):
-    """Guard against errors that asyncio logs for connections cancelled at the end."""
+    """Guard against errors that asyncio logs for connections cancelled at the end.
+
+    The client gets no answer, so that it asks again: its request may have run.
+    """
     app, stopping = EchoApp(), anyio.Event()
     bound = listeners.bind("127.0.0.1", 0)
     address = bound.getsockname()
@@ -248,7 +251,7 @@
             await anyio.sleep(0.01)
         stopping.set()
         with anyio.fail_after(TIMEOUT_S):
-            await reader.read()
+            assert await reader.read() == b""
     writer.close()
     assert caplog.records == []
 
