Answer requests sent ahead when the server stops

At a shutdown, hypercorn closes a connection after the answer in progress, although the process may have read the next request whole. The connection is closed now when it is idle; the grace time bounds it as before. The new test failed before (one answer of two) and passes, as do the other tests of libs/serving.

--- a/libs/serving/src/papayaspar_serving/connections.py
+++ b/libs/serving/src/papayaspar_serving/connections.py
@@ -41,6 +41,7 @@
     :param tls: TLS context, or ``None`` for plain HTTP.
     :param close: closes connections for a cause.
     :param turns: turns of connections with many chunks.
+    :param stopping: set when connections are to be closed once their requests are answered.
     :param receive_buffer: buffer into which all connections receive.
     """
 
@@ -51,6 +52,7 @@
     tls: ssl.SSLContext | None
     close: Callable[[tuple[loads.Closure, ...]], None]
     turns: http1.Turns = attrs.field(factory=http1.Turns)
+    stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
     receive_buffer: memoryview = attrs.field(
         factory=lambda: memoryview(bytearray(RECEIVE_BYTES)), repr=False
     )
@@ -301,6 +303,8 @@
         unparsed_bytes = self._protocol.unparsed_bytes() + self._unread_bytes
         self._protocol.forget_request()
         self._server.table.finish(self.load, unparsed_bytes, self._loop.time())
+        if self._server.stopping.is_set():
+            self.close_idle()
 
     async def _finish(self, writer: asyncio.StreamWriter) -> None:
         """Send what is left; a client that was refused may finish sending first."""
--- a/libs/serving/src/papayaspar_serving/servers.py
+++ b/libs/serving/src/papayaspar_serving/servers.py
@@ -166,7 +166,8 @@
         """Close the idle connections, and wait until the requests in progress are answered."""
         for _ in range(LAST_ACCEPTED_ITERATIONS):
             await anyio.sleep(LAST_ACCEPTED_INTERVAL_S)
-        await self._server.context.terminated.set()
+        # Hypercorn's own event would drop requests sent ahead that were received already.
+        self._server.stopping.set()
         for connection in tuple(self._connections.values()):
             connection.close_idle()
         with anyio.move_on_after(grace_s):
--- a/libs/serving/tests/test_servers.py
+++ b/libs/serving/tests/test_servers.py
@@ -223,6 +223,20 @@
     writer.close()
 
 
+async def test_requests_sent_ahead_are_answered_when_the_server_stops(served):
+    ahead = post(b"a", path="/wait", last=False) + post(b"ab", last=False)
+    reader, writer = await served.send(ahead)
+    while not served.app.served:
+        await anyio.sleep(0.01)
+    served.stopping.set()
+    await anyio.sleep(0.1)
+    served.app.resume.set()
+    with anyio.fail_after(TIMEOUT_S):
+        received = await reader.read()
+    assert received.count(b"HTTP/1.1 200") == 2
+    writer.close()
+
+
 async def test_requests_are_not_read_while_answers_are_unread(served):
     """Guard against requests sent ahead that pile up in the process."""
     request = post(b"", last=False)
