Don't decode a header of a request that was refused in the queue

A connection that was refused while it waited for its turn went on decoding. The parser, which had sent the response already, raised an AttributeError, which was logged as unexpected and cut the refusal's linger time. The connection ends now after its turn. The new test failed before and passes; libs/serving, libs/web, tests/adapter and tests/test_hostile_input.py pass.

--- a/libs/serving/src/papayaspar_serving/http1.py
+++ b/libs/serving/src/papayaspar_serving/http1.py
@@ -172,6 +172,9 @@
         is_header = self._parser.their_state is h11.IDLE
         if is_header and self.unparsed_bytes() >= LARGE_HEADER_BYTES:
             await self._next_turn()
+            if self._is_closed:
+                # Refused while it waited: the parser takes no request after its response.
+                return False
         try:
             event = self._parser.next_event()
         except h11.RemoteProtocolError as error:
--- a/libs/serving/tests/test_servers.py
+++ b/libs/serving/tests/test_servers.py
@@ -12,6 +12,7 @@
 from papayaspar_serving import (
     applications,
     connections,
+    http1,
     limits,
     listeners,
     load_tables,
@@ -301,3 +302,22 @@
         client.close()
     assert (await served.exchange(post(b"abc"))).endswith(b"3")
     assert served.observer.failures == []
+
+
+async def test_request_refused_while_it_waits_for_its_turn_is_not_decoded(served, monkeypatch):
+    """Guard against an error of the parser, which has sent the response already."""
+    turn = anyio.Event()
+
+    async def take(_turns):
+        await turn.wait()
+
+    monkeypatch.setattr(http1.Turns, "take", take)
+    monkeypatch.setattr(http1.Turns, "leave", lambda _turns: None)
+    reader, writer = await served.send(post(b"a" * 3_000))
+    with anyio.fail_after(TIMEOUT_S):
+        while loads.Cause.HEADER_TIMEOUT not in served.observer.causes:
+            await anyio.sleep(0.01)
+        turn.set()
+        assert (await reader.read()).startswith(b"HTTP/1.1 408")
+    writer.close()
+    assert served.app.served == 0
