--- a/libs/serving/src/papayaspar_serving/connections.py
+++ b/libs/serving/src/papayaspar_serving/connections.py
@@ -1,6 +1,7 @@
 """One connection of a listener, served by one task: reading, answering, closing."""
 
 import asyncio
+import contextlib
 import socket
 import ssl
 from collections.abc import Callable
@@ -26,6 +27,8 @@
 # Iterations of the event loop in which a connection that is closed ends the work of its request.
 RELEASE_ITERATIONS = 20
 
+Endpoint = tuple[str, int] | None
+
 
 @attrs.frozen
 class Server:
@@ -38,6 +41,7 @@
     :param tls: TLS context, or ``None`` for plain HTTP.
     :param close: closes connections for a cause.
     :param turns: turns of connections with many chunks.
+    :param stopping: set when connections are to be closed once their requests are answered.
     :param receive_buffer: buffer into which all connections receive.
     """
 
@@ -48,6 +52,7 @@
     tls: ssl.SSLContext | None
     close: Callable[[tuple[loads.Closure, ...]], None]
     turns: http1.Turns = attrs.field(factory=http1.Turns)
+    stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
     receive_buffer: memoryview = attrs.field(
         factory=lambda: memoryview(bytearray(RECEIVE_BYTES)), repr=False
     )
@@ -133,12 +138,13 @@
     async def run(self) -> None:
         """Serve the connection until it is closed.
 
-        :raises OSError: if the TLS handshake fails.
+        :raises OSError: if the TLS handshake fails, or the client has reset the connection.
         """
         try:
             self._writer = await self._connect()
+            client, own = self._endpoints(self._writer)
             async with task_group.TaskGroup(self._loop) as tasks:
-                self._protocol = self._make_protocol(tasks, self._writer)
+                self._protocol = self._make_protocol(tasks, client, own)
                 await self._read(self._protocol)
                 await self._protocol.handle(server_events.Closed())
             self._protocol = None
@@ -173,6 +179,10 @@
         self._server.table.close(self.load)
         if self._writer is not None:
             self._writer.transport.abort()
+            return
+        # Ends a TLS handshake in progress, which holds the descriptor until its timeout.
+        with contextlib.suppress(OSError):
+            self._accepted.shutdown(socket.SHUT_RDWR)
 
     def close_idle(self) -> None:
         """Close the connection if no request is in progress."""
@@ -210,11 +220,18 @@
         transport.set_write_buffer_limits(high=0)
         return asyncio.StreamWriter(transport, self._stream, self._reader, self._loop)
 
+    def _endpoints(self, writer: asyncio.StreamWriter) -> tuple[Endpoint, Endpoint]:
+        """Return the addresses of the client and of the server."""
+        connected: socket.socket = writer.get_extra_info("socket")
+        return (
+            hypercorn_utils.parse_socket_addr(connected.family, connected.getpeername()),
+            hypercorn_utils.parse_socket_addr(connected.family, connected.getsockname()),
+        )
+
     def _make_protocol(
-        self, tasks: task_group.TaskGroup, writer: asyncio.StreamWriter
+        self, tasks: task_group.TaskGroup, client: Endpoint, own: Endpoint
     ) -> http1.LimitedProtocol:
         server = self._server
-        connected: socket.socket = writer.get_extra_info("socket")
         arguments: tuple[Any, ...] = (
             server.app,
             server.config,
@@ -222,8 +239,8 @@
             tasks,
             hypercorn_typing.ConnectionState({}),
             server.tls is not None,
-            hypercorn_utils.parse_socket_addr(connected.family, connected.getpeername()),
-            hypercorn_utils.parse_socket_addr(connected.family, connected.getsockname()),
+            client,
+            own,
             self._send,
         )
         return http1.LimitedProtocol(server.table.request_limits, self, server.turns, *arguments)
@@ -286,6 +303,8 @@
         unparsed_bytes = self._protocol.unparsed_bytes() + self._unread_bytes
         self._protocol.forget_request()
         self._server.table.finish(self.load, unparsed_bytes, self._loop.time())
+        if self._server.stopping.is_set():
+            self.close_idle()
 
     async def _finish(self, writer: asyncio.StreamWriter) -> None:
         """Send what is left; a client that was refused may finish sending first."""
--- a/libs/serving/src/papayaspar_serving/servers.py
+++ b/libs/serving/src/papayaspar_serving/servers.py
@@ -166,13 +166,18 @@
         """Close the idle connections, and wait until the requests in progress are answered."""
         for _ in range(LAST_ACCEPTED_ITERATIONS):
             await anyio.sleep(LAST_ACCEPTED_INTERVAL_S)
-        await self._server.context.terminated.set()
+        # Hypercorn's own event would drop requests sent ahead that were received already.
+        self._server.stopping.set()
         for connection in tuple(self._connections.values()):
             connection.close_idle()
         with anyio.move_on_after(grace_s):
             while self._connections:
                 self._all_closed.clear()
                 await self._all_closed.wait()
+        # Before their tasks are cancelled: a cancelled request would be answered with 500, although
+        # it may have run.
+        for connection in tuple(self._connections.values()):
+            connection.abort()
 
 
 def _protocol_config() -> hypercorn.config.Config:
--- a/libs/serving/tests/test_servers.py
+++ b/libs/serving/tests/test_servers.py
@@ -2,11 +2,23 @@
 
 import asyncio
 import functools
+import socket
+import ssl
+import struct
 
 import anyio
 import pytest
 
-from papayaspar_serving import applications, limits, listeners, load_tables, loads
+from papayaspar_serving import (
+    applications,
+    connections,
+    http1,
+    limits,
+    listeners,
+    load_tables,
+    loads,
+    servers,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -160,6 +172,13 @@
     assert served.app.served == 0
 
 
+async def test_refusal_after_a_head_request_has_its_body(served):
+    answered = post(b"", last=False).replace(b"POST", b"HEAD")
+    received = await served.exchange(answered + b"GET / HT")
+    assert received.split(b"HTTP/1.1 ")[-1].startswith(b"408")
+    assert b'"ran": "no"' in received
+
+
 @pytest.mark.parametrize("protocol", ["h2c", "websocket"])
 async def test_upgrade_to_another_protocol_is_not_offered(served, protocol):
     upgrade = f"upgrade: {protocol}\r\nconnection: upgrade, close\r\nhttp2-settings: AAMAAABk"
@@ -205,6 +224,20 @@
     writer.close()
 
 
+async def test_requests_sent_ahead_are_answered_when_the_server_stops(served):
+    ahead = post(b"a", path="/wait", last=False) + post(b"ab", last=False)
+    reader, writer = await served.send(ahead)
+    while not served.app.served:
+        await anyio.sleep(0.01)
+    served.stopping.set()
+    await anyio.sleep(0.1)
+    served.app.resume.set()
+    with anyio.fail_after(TIMEOUT_S):
+        received = await reader.read()
+    assert received.count(b"HTTP/1.1 200") == 2
+    writer.close()
+
+
 async def test_requests_are_not_read_while_answers_are_unread(served):
     """Guard against requests sent ahead that pile up in the process."""
     request = post(b"", last=False)
@@ -217,7 +250,10 @@
 
 
 async def test_request_that_outlasts_the_grace_time_is_cut_without_a_log_line(caplog):
-    """Guard against errors that asyncio logs for connections cancelled at the end."""
+    """Guard against errors that asyncio logs for connections cancelled at the end.
+
+    The client gets no answer, so that it asks again: its request may have run.
+    """
     app, stopping = EchoApp(), anyio.Event()
     bound = listeners.bind("127.0.0.1", 0)
     address = bound.getsockname()
@@ -230,6 +266,58 @@
             await anyio.sleep(0.01)
         stopping.set()
         with anyio.fail_after(TIMEOUT_S):
-            await reader.read()
+            assert await reader.read() == b""
     writer.close()
     assert caplog.records == []
+
+
+async def test_unfinished_tls_handshakes_stay_within_the_limit(monkeypatch):
+    """Guard against closed connections that keep their descriptors until the handshake's end."""
+    monkeypatch.setattr(connections, "HANDSHAKE_TIMEOUT_S", 100 * TIMEOUT_S)
+    app, stopping, observer = EchoApp(), anyio.Event(), RecordingObserver()
+    table = load_tables.LoadTable(
+        limits.ListenerLimits(CONNECTIONS_MAX, BUDGET_BYTES), app, observer
+    )
+    bound = listeners.bind("127.0.0.1", 0)
+    address = bound.getsockname()
+    server = servers.HttpServer(app, bound, table, ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER))
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.run, stopping.wait, 0.1)
+        members = [await asyncio.open_connection(*address) for _ in range(CONNECTIONS_MAX * 3)]
+        with anyio.fail_after(TIMEOUT_S):
+            for reader, _ in members[: CONNECTIONS_MAX * 2]:
+                assert await reader.read() == b""
+        stopping.set()
+    for _, writer in members:
+        writer.close()
+    assert observer.failures == []
+
+
+async def test_client_that_resets_its_connection_at_once_is_no_failure(served):
+    """Guard against a log line of an unexpected error for each such client."""
+    for _ in range(20):
+        client = socket.create_connection(served.address)
+        # Closing with a linger time of 0 resets the connection.
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.close()
+    assert (await served.exchange(post(b"abc"))).endswith(b"3")
+    assert served.observer.failures == []
+
+
+async def test_request_refused_while_it_waits_for_its_turn_is_not_decoded(served, monkeypatch):
+    """Guard against an error of the parser, which has sent the response already."""
+    turn = anyio.Event()
+
+    async def take(_turns):
+        await turn.wait()
+
+    monkeypatch.setattr(http1.Turns, "take", take)
+    monkeypatch.setattr(http1.Turns, "leave", lambda _turns: None)
+    reader, writer = await served.send(post(b"a" * 3_000))
+    with anyio.fail_after(TIMEOUT_S):
+        while loads.Cause.HEADER_TIMEOUT not in served.observer.causes:
+            await anyio.sleep(0.01)
+        turn.set()
+        assert (await reader.read()).startswith(b"HTTP/1.1 408")
+    writer.close()
+    assert served.app.served == 0
