Read the body of a call that waits for a job

Cause: a review of the listeners found that get_job doesn't read the body of its call, so that each received piece of it stays in the server's unbounded queue for as long as the call waits, up to 60 s. Change: the call begins to wait once its request is complete and its body is dropped, as in the calls that change something. Measured: the tests of libs/entry on jobs and callers; no test of its own.

--- a/libs/entry/src/papayaspar_entry/callers.py
+++ b/libs/entry/src/papayaspar_entry/callers.py
@@ -101,6 +101,8 @@
 
     async def get_job(self, http_request: requests.Request) -> responses.Response:
         """Return the state of a job; wait for its completion for up to ``wait_s``."""
+        # A body that is not read would fill the server's queue while the call waits.
+        await bodies.check_complete(http_request)
         wait_s = _wait_s(http_request.query_params.get("wait_s", "0"))
         tracked = await self._jobs.wait_for_completion(http_request.path_params["job_id"], wait_s)
         return web_documents.respond(documents.job(tracked, self._jobs.state(tracked)))
