Send bulk work to slow workers only by learned run times

Cause: with learning off, a worker that seemed slow by a wrong estimate, or was ill, attracted bulk work; before, all work avoided it.

Change: without a learned run time, bulk work takes ordinary workers first, as before.

--- a/libs/scheduling/src/papayaspar_scheduling/speed_classes.py
+++ b/libs/scheduling/src/papayaspar_scheduling/speed_classes.py
@@ -41,8 +41,10 @@
 
     :param demand: demand of the unit.
     """
-    middle_s = demand.unit.job.expected(demand.unit).middle_s
-    if middle_s <= 0.0 or demand.slack_s <= 0.0:
+    expected = demand.unit.job.expected(demand.unit)
+    middle_s = expected.middle_s
+    # By declared run times, a worker may only seem slow.
+    if not expected.is_learned or middle_s <= 0.0 or demand.slack_s <= 0.0:
         return ORDINARY
     slowness_max = 1.0 + BULK_SLACK_SHARE * demand.slack_s / middle_s
     return math.floor(math.log(slowness_max) / math.log(CLASS_RATIO))
--- a/libs/scheduling/tests/test_uneven_workers.py
+++ b/libs/scheduling/tests/test_uneven_workers.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from papayaspar_jobs import specs, tasks
+from papayaspar_jobs import durations, specs, tasks
 from papayaspar_scheduling import claims, fleet, ordering, placement, speed_classes
 
 URGENT, NORMAL, BULK = ordering.Rank.URGENT, ordering.Rank.NORMAL, ordering.Rank.BULK
@@ -34,8 +34,17 @@
     return [by_node[node].slowness > 1.0 for node in nodes]
 
 
+class LearnedDurations(durations.DeclaredDurations):
+    """Learned run times that are those of the callers."""
+
+    def expected(self, spec, step):
+        declared = super().expected(spec, step)
+        return attrs.evolve(declared, source=durations.Source.LEARNED, run_count=20)
+
+
 def _wait(cluster, step, rank, slack_s=0.0, waited_s=0.0):
     unit = cluster.add_waiting_unit(step, rank, waited_s, worthless_after_s=LATE_S)
+    unit.job.estimates = LearnedDurations()
     cluster.waiting[-1] = attrs.evolve(cluster.waiting[-1], slack_s=slack_s)
     return unit
 
