Read damaged records as unreadable rather than as deletions

Cause: an item of the store's list without a value, and a record that ends within its key, were delivered as the deletion of the key that they seem to name. That of an evacuation would have taken it back, that of a job dropped it.

--- a/tests/adapter/test_clients.py
+++ b/tests/adapter/test_clients.py
@@ -237,6 +237,9 @@
         {"key": "odd", "value": "a", "offset": 1},
         {"key": "odd", "value": "", "offset": 10**40},
         {"key": "odd", "value": "", "offset": [[]]},
+        {"key": "odd", "offset": 1},
+        {"key": "odd", "value": None, "offset": 1},
+        {"key": "odd", "value": "", "offset": 1},
     ],
 )
 async def test_snapshot_leaves_out_an_odd_item(server, store, odd_item):
@@ -247,6 +250,15 @@
     assert [record.key for record in snapshot.records if record.key] == ["k"]
 
 
+# Guards against the deletion of a key that a damaged record seems to name.
+@pytest.mark.parametrize("content", [b"", b"\x09evacuate", b"\xffevacuate/dc-a"])
+async def test_record_whose_key_is_cut_off_names_no_key(server, store, content):
+    record = struct.pack(">I", len(content)) + content
+    server[0].queue_answer(200, struct.pack(">QQ", 5, 0) + record)
+    page = await store.read(PARTITION, 4, 0.0)
+    assert page.records == (stores.KeyedRecord("", b"", 4),)
+
+
 @pytest.mark.parametrize(("count", "has_more_ends"), [(499, False), (500, True)])
 async def test_full_list_of_results_may_not_be_all(server, worker, count, has_more_ends):
     """A worker lists 500 results at a time; a run beyond them must not be taken for lost."""
