Leave a share to teams without a guarantee

Cause: guarantees that reach the accelerators of the workers that take work, as they can while a data centre is evacuated, and any guarantee in a pool without accelerators, left a team without one a share of nothing. All of its work was beyond the share, and waited for the end of the others' bursts, which their guarantees did not cover.

Change: beside such a team, guarantees weigh nine tenths of the pool at most; in a pool without accelerators they weigh nothing.

--- a/libs/scheduling/src/papayaspar_scheduling/shares.py
+++ b/libs/scheduling/src/papayaspar_scheduling/shares.py
@@ -18,6 +18,9 @@
 # Use beyond the share in the window, in seconds of the whole pool, up to which a team still counts
 # as within its share.
 AHEAD_MAX_S = 0.5
+# Part of a pool that guarantees weigh at most beside a team that has none. The share of such
+# a team would be nothing, and all of its work beyond it, for as long as the others' bursts last.
+GUARANTEED_SHARE_MAX = 0.9
 # Difference of two shares that is no more than rounding.
 ROUNDING = 1e-9
 # A pool is contended by a team whose work has waited for this long, in seconds; work that fits
@@ -48,8 +51,9 @@
     """Return the share of the pool that each team may use before others that wait (max-min).
 
     A team's weight is its guarantee, and an equal part of what no team of them is guaranteed;
-    guarantees that exceed the pool are reduced in proportion. What teams leave of their parts is
-    divided among those that need more.
+    guarantees that exceed the pool are reduced in proportion, to leave each team a share. They are
+    amounts of accelerators, and count for nothing in a pool without any. What teams leave of their
+    parts is divided among those that need more.
 
     :param needs: share of the pool that each team uses and waits for.
     :param pool: the pool.
@@ -78,8 +82,13 @@
     guaranteed = {team: pool.guaranteed_accelerators.get(team, 0) for team in teams}
     if not guaranteed:
         return {}
-    total = max(pool.total.accelerators, sum(guaranteed.values()), 1)
-    equal_part = (1.0 - sum(guaranteed.values()) / total) / len(guaranteed)
+    if pool.total.accelerators <= 0:
+        return dict.fromkeys(guaranteed, 1.0 / len(guaranteed))
+    guaranteed_total = sum(guaranteed.values())
+    total: float = max(pool.total.accelerators, guaranteed_total)
+    if not all(guaranteed.values()):
+        total = max(total, guaranteed_total / GUARANTEED_SHARE_MAX)
+    equal_part = (1.0 - guaranteed_total / total) / len(guaranteed)
     return {team: count / total + equal_part for team, count in guaranteed.items()}
 
 
--- a/libs/scheduling/tests/test_shares.py
+++ b/libs/scheduling/tests/test_shares.py
@@ -117,6 +117,22 @@
     assert shares.fair_shares({"a": 2.0, "b": 2.0}, pool) == {"a": 0.75, "b": 0.25}
 
 
+@pytest.mark.parametrize("accelerators", [0, 4, 8, 9])
+def test_team_without_a_guarantee_has_a_share_beside_any_guarantee(accelerators):
+    pool = shares.Pool(specs.Resources(1, 1, accelerators), specs.Resources(), {"guaranteed": 8})
+    fair = shares.fair_shares({"guaranteed": 2.0, "other": 2.0}, pool)
+    assert sum(fair.values()) == pytest.approx(1.0)
+    assert fair["other"] >= 0.05 - 1e-9
+
+
+def test_guarantees_of_accelerators_weigh_nothing_in_a_pool_without_any():
+    pool = shares.Pool(specs.Resources(1, 1, 0), specs.Resources(), {"guaranteed": 8})
+    assert shares.fair_shares({"guaranteed": 2.0, "other": 2.0}, pool) == {
+        "guaranteed": 0.5,
+        "other": 0.5,
+    }
+
+
 def test_what_a_team_leaves_is_divided_among_the_others():
     pool = shares.Pool(specs.Resources(1, 1, 10), specs.Resources(), {})
     fair = shares.fair_shares({"small": 0.1, "a": 2.0, "b": 0.6}, pool)
@@ -127,6 +143,23 @@
     }
 
 
+def test_burst_of_guaranteed_teams_keeps_no_other_team_waiting(shared):
+    """The guarantee is the whole pool, and does not cover the work of the burst.
+
+    The small team has a twentieth: the other one is ahead by half a second of the pool after some
+    14 s of contention, and the next of its tasks to end makes room.
+    """
+    shared.guaranteed_accelerators["large"] = sum(
+        worker.capacity.accelerators for worker in shared.workers
+    )
+    for _ in range(60):
+        shared.submit("large", 3.0)
+    shared.play(1.0)
+    shared.submit("small", 3.0)
+    shared.play(20.0)
+    assert max(job.waited_s for job in shared.of("small")) <= 14.0 + 1.0 + 3.0 + ROUNDS_S
+
+
 def test_guaranteed_work_goes_first_whatever_its_team_uses(shared):
     for _ in range(12):
         shared.submit("guaranteed", 5.0)
