Return the room of a cold worker once nothing is placed on it

Cause: a reservation on an idle cold worker withheld what is not warmed up, and its release did not return that. After a placement that was given up in the round, such as that of a gang that does not fit, and after the assumed stop of what runs there, no large unit could be placed there until it was warm.

Change: the cold part is withheld while anything is reserved there.

Measured: the new test fails before (4 of 8 accelerators) and passes after, with the tests of libs/scheduling.

--- a/libs/scheduling/src/papayaspar_scheduling/fleet.py
+++ b/libs/scheduling/src/papayaspar_scheduling/fleet.py
@@ -64,6 +64,8 @@
             if worker.cold_ratio > 0
         }
         self._step_counts: dict[tuple[str, str], int] = {}
+        # Number of reservations on each cold worker.
+        self._cold_counts: dict[str, int] = dict.fromkeys(self._cold_parts, 0)
         # Name of the unit that tries each worker.
         self._trials: dict[str, str] = {}
         # Workers that :meth:`select` found, by its key; shared with copies.
@@ -81,7 +83,8 @@
         duplicate.has_trials = self.has_trials
         duplicate._selections = self._selections
         duplicate._free = dict(self._free)
-        duplicate._cold_parts = dict(self._cold_parts)
+        duplicate._cold_parts = self._cold_parts
+        duplicate._cold_counts = dict(self._cold_counts)
         duplicate._step_counts = dict(self._step_counts)
         duplicate._trials = dict(self._trials)
         duplicate._claimed = dict(self._claimed)
@@ -133,7 +136,9 @@
             return
         used = resources
         if node in self._cold_parts:
-            used = used.plus(self._cold_parts.pop(node))
+            if self._cold_counts[node] == 0:
+                used = used.plus(self._cold_parts[node])
+            self._cold_counts[node] += 1
         self._set_free(node, self._free[node].minus(used))
         self._step_counts[node, step_name] = self._step_counts.get((node, step_name), 0) + 1
 
@@ -141,7 +146,13 @@
         """Release what :meth:`reserve` reserved."""
         if node not in self._free:
             return
-        self._set_free(node, self._free[node].plus(resources))
+        released = resources
+        if node in self._cold_parts:
+            self._cold_counts[node] -= 1
+            if self._cold_counts[node] == 0:
+                # It is idle again.
+                released = released.plus(self._cold_parts[node])
+        self._set_free(node, self._free[node].plus(released))
         self._step_counts[node, step_name] = self._step_counts.get((node, step_name), 0) - 1
 
     def _set_free(self, node: str, free: specs.Resources) -> None:
--- a/libs/scheduling/tests/test_warmup.py
+++ b/libs/scheduling/tests/test_warmup.py
@@ -45,6 +45,19 @@
     assert free.free("node-0").accelerators == 3
 
 
+def test_idle_cold_worker_takes_any_unit_after_a_placement_that_was_given_up(cluster):
+    cluster.workers[0].cold_ratio = 0.5
+    free = fleet.FreeCapacity(cluster.workers)
+    free.reserve("node-0", ONE)
+    trial = free.copy()
+    trial.reserve("node-0", ONE)
+    trial.release("node-0", ONE)
+    assert trial.free("node-0") == free.free("node-0")
+    trial.release("node-0", ONE)
+    assert trial.free("node-0") == cluster.workers[0].capacity
+    assert free.free("node-0").accelerators == 3
+
+
 def test_warm_workers_come_first(cluster, make_step):
     for worker in cluster.workers[:3]:
         worker.cold_ratio = 0.3
