Let guaranteed work and deployments without a bound use cold workers

Cause: what is not warmed up was withheld from all work in all deployments. On a fleet that is cold for 20 s, each worker took one task: 5 of 16 guaranteed tasks had begun after 2.7 s, and 5 of 40 tasks in a deployment that names no bound on evacuations, in which cold workers were not considered before.

Change: the warm-up is considered only where a bound is named, and not in rounds in which guaranteed work has waited for a second.

Measured: both new tests fail before and pass after, with the tests of libs/scheduling and those of libs/lead about evacuations under load, large jobs and contention.

--- a/libs/lead/src/papayaspar_lead/candidates.py
+++ b/libs/lead/src/papayaspar_lead/candidates.py
@@ -17,6 +17,7 @@
     inputs: planning_inputs.PlanningInputs,
     pool: str,
     excluded_nodes: frozenset[str],
+    is_warm_up_counted: bool,
     now_s: float,
 ) -> list[fleet.Worker]:
     """Return the workers of a pool to which a planning round may assign work.
@@ -25,6 +26,7 @@
     :param inputs: input of the planning round.
     :param pool: name of the pool.
     :param excluded_nodes: VMs on which nothing may start.
+    :param is_warm_up_counted: whether cold workers take less work than warm ones.
     :param now_s: the lead's clock.
     """
     pool_links = [link for link in scheduler_state.links.values() if link.worker.pool == pool]
@@ -35,6 +37,7 @@
         if link.has_refused_recently(now_s):
             continue
         _update_health(scheduler_state, inputs, link, now_s)
+        link.worker.cold_ratio = link.warm_up.remaining_ratio(now_s) if is_warm_up_counted else 0.0
         usable.append(link.worker)
     _end_uninformative_trials(usable)
     _mark_replacements(pool_links, scheduler_state.clock.wall_s())
@@ -53,7 +56,6 @@
     scheduler_state.work.update_slowness(worker)
     worker.trial = outcomes.trial(now_s, inputs.newest_start_s(worker.node))
     worker.proven_s = outcomes.proven_s
-    worker.cold_ratio = link.warm_up.remaining_ratio(now_s)
 
 
 def _end_uninformative_trials(workers: list[fleet.Worker]) -> None:
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -30,6 +30,9 @@
 # The lead's lease is valid for this long after its last confirmed write, in seconds: longer than
 # most outages of the store, since worker leases expire when no lead confirms its leadership.
 LEAD_LEASE_S = 6.0
+# Guaranteed work waits at most this long for warm workers, in seconds: it has to begin within some
+# seconds of its acceptance, and this leaves time to stop other work.
+COLD_WAIT_MAX_S = 1.0
 # A planning round runs at each change, and at this interval in seconds for conditions that depend
 # on time.
 PLAN_INTERVAL_S = 0.25
@@ -327,6 +330,19 @@
     def _pool_of(self, demand: ordering.Demand) -> str:
         return self._state.work.queue_of(demand.unit.job).pool
 
+    def _is_warm_up_counted(self, demands: list[ordering.Demand]) -> bool:
+        """Return whether cold workers take less work than warm ones in this round.
+
+        It is for data centres that come back after an evacuation. Guaranteed work is owed its room
+        at once: where it has none in time, cold workers are as good as warm ones.
+        """
+        if self._limits.evacuation_s is None:
+            return False
+        return not any(
+            demand.rank is ordering.Rank.GUARANTEED and demand.waited_s >= COLD_WAIT_MAX_S
+            for demand in demands
+        )
+
     def _plan_pool(
         self,
         pool: str,
@@ -336,9 +352,16 @@
         excluded_nodes: frozenset[str],
         now_s: float,
     ) -> None:
-        pool_workers = candidates.in_pool(self._state, self._inputs, pool, excluded_nodes, now_s)
-        free = self._inputs.free_capacity(pool_workers, unassigned, now_s, is_stopping_counted=True)
         pool_demands = [demand for demand in demands if self._pool_of(demand) == pool]
+        pool_workers = candidates.in_pool(
+            self._state,
+            self._inputs,
+            pool,
+            excluded_nodes,
+            self._is_warm_up_counted(pool_demands),
+            now_s,
+        )
+        free = self._inputs.free_capacity(pool_workers, unassigned, now_s, is_stopping_counted=True)
         plan = self._planner.plan(
             self._contention.assess(pool, pool_demands, free, now_s),
             free,
--- a/libs/lead/tests/test_evacuation_load.py
+++ b/libs/lead/tests/test_evacuation_load.py
@@ -264,3 +264,23 @@
     _submit(simulation, specs.Step(5, WHOLE, 5000))
     _pass(simulation, 1.0)
     assert all(worker.runs for worker in simulation.workers.values())
+
+
+async def test_guaranteed_work_starts_on_a_fleet_that_is_cold(simulation):
+    """Small tasks within the guarantee begin in time, however much of the fleet is cold."""
+    for worker in simulation.workers.values():
+        worker.cold_until_s = simulation.now_s + 20.0
+    simulation.tick()
+    _submit(simulation, specs.Step(16, ONE, 60_000), URGENT, "guaranteed")
+    _pass(simulation, RECLAIM_S)
+    assert len(simulation.observer.nodes) == 16
+
+
+async def test_deployment_without_a_bound_uses_cold_workers_as_warm_ones():
+    fleet = waiting_simulation.Simulation(StartRecorder())
+    for worker in fleet.workers.values():
+        worker.cold_until_s = fleet.now_s + 20.0
+    fleet.tick()
+    _submit(fleet, specs.Step(40, ONE, 60_000))
+    _pass(fleet, 1.0)
+    assert len(fleet.observer.nodes) == 40
