Bring the tests of stops and the summary of room in line with the joined code

Cause: Orders takes whether work may start on a VM, expected run times belong to the learner, and mypy found a variable of two types. Change: the tests pass the new parameter and replace the property; the bounds and cases are unchanged. Measured: test_stalls and test_stop_counts, 13 passed.

--- a/libs/lead/src/papayaspar_lead/room_summaries.py
+++ b/libs/lead/src/papayaspar_lead/room_summaries.py
@@ -191,8 +191,8 @@
             if link.worker.pool == pool:
                 capacity = capacity.plus(link.worker.capacity)
         for node in self._state.view.agents:
-            link = self._state.links.get(node)
-            if link is None or not link.worker.pool:
+            known_link = self._state.links.get(node)
+            if known_link is None or not known_link.worker.pool:
                 # This lead has not heard of its worker yet.
                 return _largest((capacity, seen))
         return capacity
--- a/libs/lead/tests/test_stalls.py
+++ b/libs/lead/tests/test_stalls.py
@@ -161,8 +161,10 @@
 
 
 @pytest.mark.parametrize(("neighbour_percent", "is_stopped"), [(10.0, True), (100.0, False)])
-def test_overrunning_task_is_hung_only_if_its_neighbour_is(lead, neighbour_percent, is_stopped):
-    lead.work.durations = LearnedDurations(4.0, 6.0)
+def test_overrunning_task_is_hung_only_if_its_neighbour_is(
+    lead, monkeypatch, neighbour_percent, is_stopped
+):
+    monkeypatch.setattr(workload.Workload, "durations", LearnedDurations(4.0, 6.0))
     long_task = lead.start(specs.Step(1, MEMBER, 4000), [4.0])
     other_step = specs.Step(1, MEMBER, 60_000, is_checkpointed=True)
     other = lead.start(other_step, [60.0], OTHER_JOB_ID)
--- a/libs/lead/tests/test_stop_counts.py
+++ b/libs/lead/tests/test_stop_counts.py
@@ -66,7 +66,7 @@
         work, links, views.SharedView(clock_source), clock_source, events
     )
     scheduler_state.spawner = IdleSpawner()
-    lead_orders = orders.Orders(scheduler_state, None, lambda: True)
+    lead_orders = orders.Orders(scheduler_state, None, lambda: True, lambda node: True)
     return Lead(lead_orders, demand.unit, events, lead_metrics)
 
 
