--- a/libs/lead/src/papayaspar_lead/planning_inputs.py
+++ b/libs/lead/src/papayaspar_lead/planning_inputs.py
@@ -4,14 +4,11 @@
 
 import attrs
 
-from papayaspar_jobs import specs, units
+from papayaspar_jobs import rooms, specs, units
 from papayaspar_lead import workload
 from papayaspar_scheduling import fleet, guarantees, ordering, preemption, stop_costs
 
 MILLISECONDS_PER_SECOND = 1000.0
-# A late job keeps part of its value until this multiple of its objective has passed (payoff in the
-# platform's rules).
-WORTHLESS_AFTER_OBJECTIVES = 3.0
 # Maximum number of units of one step that a planning round considers; the units of a step differ in
 # little, and a round starts no more of them (`scheduling.STARTING_TASKS_MAX`).
 STEP_DEMANDS_MAX = 200
@@ -67,7 +64,7 @@
             unit,
             ordering.Rank.of(queue.priority, job.spec.job_id in covered),
             now_s - age_s + objective_s,
-            now_s - age_s + WORTHLESS_AFTER_OBJECTIVES * objective_s,
+            now_s - age_s + rooms.WORTHLESS_AFTER_OBJECTIVES * objective_s,
             remaining_s,
             now_s - (unit.ready_s if unit.ready_s is not None else now_s),
             slack_s=max(0.0, objective_s - age_s - remaining_s),
