--- a/review/rig3.py
+++ b/review/rig3.py
@@ -269,6 +269,8 @@
         self._record, self._plan = record, plan
         self.starts, self.finished = [], []
         self.state = "ready"
+        # Whether it answers start orders with 503, and does nothing for them.
+        self.is_unhealthy = False
         self.born = int(time.time() * 1000)
         self._born_s = time.monotonic()
         self._fence = 0
@@ -355,6 +357,9 @@
         self._fence = values.get("fence", 0)
         if path == "/api/hold":
             return await self._hold(values)
+        if path == "/api/run-start" and self.is_unhealthy:
+            self._record.add(f"{self.name} refused {values['task']} run {values['run']} with 503")
+            return 503, {}
         if path == "/api/run-start":
             return self._start(values)
         if path == "/api/run-stop":
