Review: keep cases 11 and 14 inside the shares of the site file

One job of 12 was hopeless in case 11 and one run of two failed in case 14, over the shares of 0.05. Changed: ordinary jobs beside both; the stand-ins look for a network with free ports, end all programs before all else, also at a signal to the script.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -14,32 +14,39 @@
 ORDINARY = {"count": 2, "cpu": 7500, "mem_mb": 22000, "gpu": 1, "est_ms": 1000}
 DAY_MS = 86_400_000
 OWN_ENDS_MAX, MACHINES_MIN = 3, 2
-WATCH_S = 40
+# One job in 21 of those seconds can never be done: below the site file's share of 0.05 for 3 s.
+CROWD, CROWD_S = 20, 3.0
+LATER_JOBS, WATCH_S = 5, 26.0
+
+
+async def _submit_at(system, at_s, job_id, spec, step):
+    await asyncio.sleep(at_s)
+    return await system.submit(job_id, {"spec": spec, "steps": [step]})
 
 
 async def case(folder, record, has_trouble):
     """Return whether processes of two machines ended by themselves three times each."""
     system = rig3.System(folder, record, entries=3, workers=4)
     async with rig3.running(system):
-        before = [f"a{number:015x}" for number in range(3)]
-        for job_id in before:
-            await system.submit(job_id, {"spec": "check", "steps": [ORDINARY]})
-        await asyncio.sleep(4.0)
         gpu = ALL_ACCELERATORS if has_trouble else 1
         long = {**ORDINARY, "count": 8, "gpu": gpu, "est_ms": DAY_MS}
-        await system.submit("b000000000000000", {"spec": "day", "steps": [long]})
-        after = [f"c{number:015x}" for number in range(8)]
-        accepted = []
-        for job_id in after:
-            await asyncio.sleep(WATCH_S / len(after) / 2)
-            if await system.submit(job_id, {"spec": "check", "steps": [ORDINARY]}) == 200:
+        crowd = [f"a{number:015x}" for number in range(CROWD)]
+        sent = [
+            _submit_at(system, number * CROWD_S / CROWD, job_id, "check", ORDINARY)
+            for number, job_id in enumerate(crowd)
+        ]
+        sent.append(_submit_at(system, CROWD_S / 2, "b000000000000000", "day", long))
+        *answers, long_answer = await asyncio.gather(*sent)
+        record.add(f"the long job was answered {long_answer}")
+        accepted = [job_id for job_id, status in zip(crowd, answers, strict=True) if status == 200]
+        for number in range(LATER_JOBS):
+            job_id = f"c{number:015x}"
+            if await _submit_at(system, WATCH_S / LATER_JOBS / 2, job_id, "check", ORDINARY) == 200:
                 accepted.append(job_id)
         await asyncio.sleep(WATCH_S / 2)
-        for job_id in [*before, *accepted]:
-            record.add(f"at the end {job_id}: {await system.state(job_id)}")
         unstarted = [job_id for job_id in accepted if not system.starts(job_id)]
-        record.add(f"accepted after the long job: {len(accepted)}, of which {len(unstarted)}")
-        record.add("were never started beside idle workers")
+        record.add(f"{len(accepted)} ordinary jobs accepted, of which {len(unstarted)} never began")
+        record.add(f"an entry shows the last as {await system.state(accepted[-1])}")
         ended = [entry for entry in system.entries if len(entry.own_ends) >= OWN_ENDS_MAX]
         for entry in system.entries:
             record.add(f"{entry.name} ended by itself {len(entry.own_ends)} times")
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -19,7 +19,10 @@
 # A run that fails by its own fault; the queue allows two failed runs.
 FAILS_S = 0.3
 FINISH_S, NOTHING_S = 14.0, 3.0
-WATCH_S = 45.0
+WATCH_S = 25.0
+# With these, one run in 22 fails: below the site file's `error_share` of 0.05.
+CROWD = 20
+ORDINARY = {"count": 1, "cpu": 7500, "mem_mb": 22000, "gpu": 1, "est_ms": 2000}
 
 
 def _rack(number):
@@ -29,16 +32,26 @@
 async def case(folder, record, has_trouble):
     """Return whether the job had nothing running beside an idle worker, after the traffic."""
 
+    def is_failing(run):
+        return has_trouble and run.task.startswith(JOB_ID) and run.number == 1
+
     def plan(run):
         if run.spec == "serve":
             return None
-        return (FAILS_S, "failed") if has_trouble and run.number == 1 else (2.0, "done")
+        return (FAILS_S, "failed") if is_failing(run) else (2.0, "done")
 
     system = rig3.System(folder, record, entries=3, workers=WORKERS, plan=plan, rack=_rack)
     async with rig3.running(system):
         lasting = [{**SERVING, "est_ms": 1000, "long_running": True}]
         await system.submit("b000000000000000", {"spec": "serve", "steps": lasting})
-        await asyncio.sleep(4.0)
+        await asyncio.sleep(1.0)
+        crowd = [f"c{number:015x}" for number in range(CROWD)]
+        await asyncio.gather(
+            *(system.submit(job_id, {"spec": "check", "steps": [ORDINARY]}) for job_id in crowd)
+        )
+        await asyncio.sleep(5.0)
+        if not all([await system.state(job_id) == "succeeded" for job_id in crowd]):
+            raise rig3.CannotRunError("an ordinary job was not done")
         full = [worker for worker in system.workers if worker.running]
         if len(full) != 1:
             raise rig3.CannotRunError("the task that lasts does not run")
--- a/review/rig3.py
+++ b/review/rig3.py
@@ -13,6 +13,7 @@
 import random
 import shutil
 import signal
+import socket
 import struct
 import sys
 import tempfile
@@ -26,12 +27,36 @@
 HOLD_MAX_MS, GRACE_S, GANG_S = 6000, 6, 3.0
 RESTART_S = 0.5
 STORE_PORT, WORKER_PORT, FRONT_PORT, READY_PORT, CONTROL_PORT = 8200, 8080, 8521, 8523, 8526
+# As in the deploy file.
+METRICS_PORT = 7015
 
 
 class CannotRunError(Exception):
     """The case could not run."""
 
 
+def _free_network(hosts):
+    """Return the first three numbers of a loopback network on which all ports in use are free."""
+    ports = (STORE_PORT, WORKER_PORT, FRONT_PORT, READY_PORT, CONTROL_PORT, 7000, METRICS_PORT)
+    for _ in range(50):
+        net = f"127.{random.randrange(20, 250)}.{random.randrange(0, 250)}"
+        probes = []
+        try:
+            for host in hosts:
+                for port in ports:
+                    probe = socket.socket()
+                    probes.append(probe)
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind((f"{net}.{host}", port))
+        except OSError:
+            continue
+        finally:
+            for probe in probes:
+                probe.close()
+        return net
+    raise CannotRunError("no network with free ports")
+
+
 class Record:
     """What was sent, answered and run; written to a file at the end."""
 
@@ -427,6 +452,8 @@
         self.own_ends, self.memory_kills = [], 0
         self.peak_mb = 0.0
         self._is_closing = False
+        # The task that starts the program again and again, once it was begun.
+        self.living = None
 
     async def live(self):
         """Start the program, and start it again after each end, until cancelled."""
@@ -441,6 +468,9 @@
                 self.process = await asyncio.create_subprocess_exec(
                     *self._command, cwd=ROOT, env=environment, stdout=log, stderr=log
                 )
+            if self._is_closing:
+                # It was being started while the others were ended.
+                self.send(signal.SIGKILL)
             self._record.add(f"{self.name} started as a process")
             status = await self.process.wait()
             if self._is_closing:
@@ -494,8 +524,9 @@
     """A store, entries, agents with their workers, and a consumer."""
 
     def __init__(self, folder, record, entries=3, workers=4, memory_mb=300, plan=None, rack=None):
-        octets = random.randrange(20, 250), random.randrange(0, 250)
-        self._net = f"127.{octets[0]}.{octets[1]}"
+        entry_hosts = [10 + number for number in range(1, entries + 1)]
+        worker_hosts = [100 + number for number in range(1, workers + 1)]
+        self._net = _free_network([1, *entry_hosts, *worker_hosts])
         self.record = record
         with (ROOT / "deploy" / "system.toml").open("rb") as file:
             roles = list(tomllib.load(file)["roles"].values())
@@ -601,8 +632,10 @@
         for worker in self.workers:
             await worker.listen()
         self._tasks.append(asyncio.create_task(self._watch_gangs()))
-        for living in (*self.workers, *self.entries, *self.agents):
-            self._tasks.append(asyncio.create_task(living.live()))
+        for worker in self.workers:
+            self._tasks.append(asyncio.create_task(worker.live()))
+        for program in (*self.entries, *self.agents):
+            program.living = asyncio.create_task(program.live())
         deadline_s = time.monotonic() + 30.0
         while time.monotonic() < deadline_s:
             ready = [await self.is_ready(entry) for entry in self.entries]
@@ -661,14 +694,25 @@
 
     async def close(self):
         """End everything that was started."""
+        programs = (*self.entries, *self.agents)
+        await asyncio.gather(*(program.close() for program in programs))
+        for program in programs:
+            if program.living is not None:
+                await asyncio.wait([program.living], timeout=5.0)
         for task in self._tasks:
             task.cancel()
-        for program in (*self.entries, *self.agents):
-            await program.close()
         for standin in (self.store, *self.workers):
             standin.close()
 
 
+async def _bounded(running_case):
+    """Run a case within its time; a signal to the script ends it, with all that it started."""
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(running_case, 115.0)
+
+
 def main(case_folder, case):
     """Run a case: 1 if it returns that the rule was broken, 0 if it held, 2 if it couldn't run."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -677,9 +721,9 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix="papayaspar-"))
     status = 2
     try:
-        is_broken = asyncio.run(asyncio.wait_for(case(folder, record, has_trouble), 115.0))
+        is_broken = asyncio.run(_bounded(case(folder, record, has_trouble)))
         status = 1 if is_broken else 0
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.add(f"could not run: {type(error).__name__} {error}")
     finally:
         record.add(f"exit status {status}")
