End each bar of a unit from a worker by itself

Callers saw: a job of which one run had failed, or one start had been refused, had no further run beside the idle worker while the other worker that it might use was full; it was shown as running without an end.

Cause: a worker on which a unit failed or was refused was open to it again only if no trusted worker could hold the unit when idle. A worker that is full for ever can. The same condition decided for gangs, for tasks that last, for trials that nobody takes, and for remote racks. A trial had no longest time, and tasks that last began its pause again with each failure.

Change: the bar is a pause (0.5 to 2 s where no attempt is at stake, else 2, 4, 6 s, and 6 s before the last attempt); other workers come first while they have room. A trial ends 30 s after the newest failure, and a run keeps it closed for 6 s at most. A task that lasts counts once on a worker. Failed workers are forgotten after 30 s of waiting.

--- a/libs/jobs/src/papayaspar_jobs/run_counts.py
+++ b/libs/jobs/src/papayaspar_jobs/run_counts.py
@@ -57,11 +57,20 @@
     """VMs on which members of the newest failed run of a unit have failed.
 
     :param run: number of the run, or 0.
-    :param nodes: the VMs.
+    :param nodes: the VMs, as far as this lead was told of the failures.
+    :param stored_nodes: the VMs of members whose failure a former lead stored.
+    :param former_nodes: VMs on which earlier runs failed under this lead.
     """
 
     run: int = 0
     nodes: set[str] = attrs.field(factory=set)
+    stored_nodes: set[str] = attrs.field(factory=set)
+    former_nodes: set[str] = attrs.field(factory=set)
+
+    @property
+    def count(self) -> int:
+        """Number of VMs on which the run failed."""
+        return len(self.nodes | self.stored_nodes)
 
     def note(self, run: int, node: str) -> bool:
         """Note on which VM a member of a run failed; return whether it is the first one there.
@@ -69,9 +78,21 @@
         :param run: number of the run.
         :param node: VM of the member.
         """
-        if run != self.run:
-            self.run = run
-            self.nodes.clear()
+        self._begin(run)
         is_first = node not in self.nodes
         self.nodes.add(node)
         return is_first
+
+    def note_stored(self, run: int, node: str) -> None:
+        """Note on which VM a member of a run failed, as its record shows."""
+        if run >= self.run:
+            self._begin(run)
+            self.stored_nodes.add(node)
+
+    def _begin(self, run: int) -> None:
+        if run == self.run:
+            return
+        self.run = run
+        self.former_nodes |= self.nodes
+        self.nodes.clear()
+        self.stored_nodes.clear()
--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -50,7 +50,7 @@
         lead's clock.
     :param checkpoint_stored_s: time at which a checkpoint of the current run was last stored, in
         seconds on the lead's clock.
-    :param failed_nodes: VMs on which a run of the task failed.
+    :param failed_nodes: VMs on which a run of the task failed or was refused a short time ago.
     :param listed_run_max: highest number of a run that a worker listed without an assignment; the
         next run has a higher one.
     """
@@ -345,10 +345,18 @@
         """Note on which VM a member of a run failed; return whether it is the first one there."""
         return self._noted.note(run, node)
 
+    def note_stored_failure(self, run: int, node: str) -> None:
+        """Note on which VM a member of a run failed, as a former lead stored it."""
+        self._noted.note_stored(run, node)
+
+    def has_failed_before(self, node: str) -> bool:
+        """Return whether an earlier run than the newest failed one has failed on a VM."""
+        return node in self._noted.former_nodes
+
     @property
     def has_failed_widely(self) -> bool:
         """Whether members of its newest failed run failed on several VMs."""
-        return len(self._noted.nodes) > 1
+        return self._noted.count > 1
 
     @property
     def is_waiting(self) -> bool:
@@ -399,5 +407,10 @@
 
     @property
     def failed_nodes(self) -> frozenset[str]:
-        """VMs on which a run of any member failed."""
+        """VMs on which a run of any member failed or was refused a short time ago."""
         return frozenset(node for task in self.members for node in task.failed_nodes)
+
+    def forget_failed_nodes(self) -> None:
+        """Treat the VMs on which runs failed or were refused like all others from now on."""
+        for task in self.members:
+            task.failed_nodes.clear()
--- a/libs/lead/src/papayaspar_lead/planning_inputs.py
+++ b/libs/lead/src/papayaspar_lead/planning_inputs.py
@@ -6,7 +6,7 @@
 
 from papayaspar_jobs import rooms, specs, units
 from papayaspar_lead import workload
-from papayaspar_scheduling import fleet, guarantees, ordering, preemption, stop_costs
+from papayaspar_scheduling import fleet, guarantees, health, ordering, preemption, stop_costs
 
 MILLISECONDS_PER_SECOND = 1000.0
 # Maximum number of units of one step that a planning round considers; the units of a step differ in
@@ -39,6 +39,8 @@
             for unit in job.waiting_units(wall_ms, STEP_DEMANDS_MAX):
                 if unit.ready_s is None:
                     unit.ready_s = now_s
+                if now_s >= unit.ready_s + health.TRIAL_MAX_S:
+                    unit.forget_failed_nodes()
                 demands.append(self._demand(unit, covered, now_s, wall_ms))
         return demands
 
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -385,10 +385,14 @@
             )
         if not unit.note_failed_node(run, node):
             return
-        if self.outcomes(node).record_failure(task.key.job_id, now_s, task.started_s, had_progress):
+        is_repeated = unit.step.is_lasting and unit.has_failed_before(node)
+        outcomes = self.outcomes(node)
+        if outcomes.record_failure(
+            task.key.job_id, now_s, task.started_s, had_progress, is_repeated
+        ):
             self._events.record(
                 lines.EventKind.WORKER_EJECTED,
-                detail=f"node={node} until_s={self.outcomes(node).ejected_until_s:.1f}",
+                detail=f"node={node} until_s={outcomes.ejected_until_s:.1f}",
             )
 
     def _set_record(self, task: units.Task, record: tasks.TaskRecord) -> None:
--- a/libs/scheduling/src/papayaspar_scheduling/health.py
+++ b/libs/scheduling/src/papayaspar_scheduling/health.py
@@ -7,7 +7,7 @@
 A worker that fails whatever it starts frees its capacity at once and would get the next unit, and
 the next. So a worker whose newest run failed is on trial, like a half-open circuit breaker: it gets
 one unit at a time, after a pause that grows with each failed trial, until a run that it started
-later succeeds or makes progress.
+later succeeds or makes progress, or until ``TRIAL_MAX_S`` have passed without another failure.
 """
 
 import enum
@@ -23,8 +23,11 @@
 # Pause before the first trial after a failure, in seconds; it doubles with each failed trial.
 TRIAL_PAUSE_S = 0.5
 TRIAL_PAUSE_MAX_S = 6.0
-# Longest pause before a unit without other workers runs where it failed or was refused, in seconds:
-# work that waits for 3 s beside room for it counts as lost (LOST in the platform's rules).
+# A trial ends this long after the newest failure, in seconds: workers that are not tried meanwhile
+# would stay on trial for as long as other work keeps the units away.
+TRIAL_MAX_S = 30.0
+# Longest pause before a unit runs where it failed or was refused if that costs no attempt, in
+# seconds: work that waits for 3 s beside room for it counts as lost (LOST in the platform's rules).
 REPEAT_PAUSE_MAX_S = 2.0
 # Largest number of doublings of a pause or an ejection; a power of two of the number of failures of
 # many hours would not fit into a float.
@@ -38,8 +41,8 @@
 class Trial(enum.Enum):
     """Whether a worker is on trial since its newest run failed.
 
-    ``NONE``: it is not on trial. ``OPEN``: it may try one unit. ``CLOSED``: it tries a unit now, or
-    pauses after the failure.
+    ``NONE``: it is not on trial. ``OPEN``: it may try one unit. ``CLOSED``: it began to try a unit
+    a moment ago, or pauses after the failure.
     """
 
     NONE = "none"
@@ -104,6 +107,7 @@
         now_s: float,
         started_s: float = float("inf"),
         had_progress: bool = False,
+        is_repeated: bool = False,
     ) -> bool:
         """Record a failed run.
 
@@ -112,8 +116,13 @@
         :param started_s: start of the run, on the lead's clock; the default is after any failure.
         :param had_progress: whether the run had made progress, which shows that the worker can run
             work; its failure puts the worker on no trial.
+        :param is_repeated: whether the run is of a lasting task that failed on the worker before.
+            Such a task is restarted without limit, so its failures would never let a trial or the
+            ejections end, and they show no more than the first one.
         :return: whether the failure ejects the worker.
         """
+        if is_repeated:
+            return False
         if not had_progress:
             if self.failed_s is None or started_s > self.failed_s:
                 self.failed_trials += 1
@@ -149,10 +158,14 @@
         """
         if self.failed_s is None:
             return Trial.NONE
+        if now_s >= self.failed_s + TRIAL_MAX_S:
+            return Trial.NONE
         pause_s = _doubled(TRIAL_PAUSE_S, self.failed_trials, TRIAL_PAUSE_MAX_S)
-        if newest_start_s > self.failed_s or now_s < self.failed_s + pause_s:
+        if now_s < self.failed_s + pause_s:
             return Trial.CLOSED
-        return Trial.OPEN
+        # Long work takes minutes to show progress; others need not wait for it.
+        is_trying = newest_start_s > self.failed_s and now_s < newest_start_s + TRIAL_PAUSE_MAX_S
+        return Trial.CLOSED if is_trying else Trial.OPEN
 
     def is_ejected(self, now_s: float) -> bool:
         """Return whether the worker is ejected and gets no work."""
@@ -168,6 +181,15 @@
     return _doubled(TRIAL_PAUSE_S, runs, REPEAT_PAUSE_MAX_S)
 
 
+def attempt_pause_s(failures: int) -> float:
+    """Return the pause before a unit that has attempts to save runs again where it failed.
+
+    :param failures: number of the unit's failed runs, at least 1.
+    :return: seconds; at most the time of a first ejection.
+    """
+    return _doubled(REPEAT_PAUSE_MAX_S, failures, EJECTION_S)
+
+
 def _doubled(first_s: float, repetitions: int, longest_s: float) -> float:
     """Return a time that doubles with each repetition after the first, up to a longest one."""
     doublings = min(repetitions - 1, DOUBLINGS_MAX)
--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -23,7 +23,8 @@
     :param is_remote_allowed: whether the tasks may run on other racks than their data or than each
         other, which makes them slow.
     :param is_repeat_allowed: whether workers on which the unit failed or was refused are allowed,
-        unless they are ejected; a trial that the unit's own failure began does not matter either.
+        unless they are ejected; and whether a unit that has failed may try workers on trial. The
+        trials of workers on which a gang failed widely do not matter then.
     :param is_untrusted_allowed: whether ejected workers, workers on trial, and workers on which the
         unit failed are allowed.
     """
@@ -163,15 +164,16 @@
 ) -> bool:
     """Return whether a unit may run on a worker as far as its trial is concerned.
 
-    A unit that has failed before is not used for trials, since another failure may be its last,
-    unless no other workers can hold it.
+    A unit that has failed before is used for trials only after a pause, since another failure may
+    be its last.
     """
     if worker.trial is health.Trial.NONE:
         return True
-    if demand.unit.failures > 0:
+    unit = demand.unit
+    if unit.failures > 0:
         if not scope.is_repeat_allowed:
             return False
-        if worker.node in demand.unit.failed_nodes:
+        if unit.has_failed_widely and worker.node in unit.failed_nodes:
             return True
     return free.may_try(worker.node, unit_name(demand))
 
--- a/libs/scheduling/src/papayaspar_scheduling/scopes.py
+++ b/libs/scheduling/src/papayaspar_scheduling/scopes.py
@@ -1,10 +1,12 @@
 """Scopes of workers that a waiting unit may use, which grow as it waits."""
 
+import attrs
+
 from papayaspar_jobs import units
 from papayaspar_scheduling import fleet, health, ordering, placement
 
 # A unit may use remote racks, which make it slow, once it has waited this multiple of its estimate;
-# also workers that are not trusted, if it would not fit on the others even when they are idle.
+# also ejected workers, if it would not fit on the others even when they are idle.
 REMOTE_AFTER_ESTIMATES = 1.0
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -14,6 +16,10 @@
 ) -> list[placement.PlacementScope]:
     """Return the scopes in which a demand may be placed, narrowest first.
 
+    A unit prefers the workers on which it neither failed nor was refused. After a pause it may use
+    the others, too, whatever the preferred ones could hold if they were idle: they may be full for
+    as long as other work lasts.
+
     :param demand: demand of the waiting unit.
     :param free_after_stops: free capacity once all units that are being stopped have ended.
     :param is_reconnect_expected: whether workers are expected to reconnect soon; meanwhile no unit
@@ -23,21 +29,23 @@
     step = demand.unit.step
     scopes = [narrowest]
     has_waited_long = _has_waited_long(demand)
+    is_remote_allowed = False
     if step.data_rack or step.is_same_rack:
         fits = any(
             placement.can_hold_when_empty(demand, group)
             for group in placement.candidate_groups(demand, free_after_stops, narrowest)
         )
-        if has_waited_long or not (fits or is_reconnect_expected):
-            scopes.append(placement.PlacementScope(is_remote_allowed=True))
-    if _may_repeat(demand) and not _fits_trusted(demand, free_after_stops):
+        is_remote_allowed = has_waited_long or not (fits or is_reconnect_expected)
+    if is_remote_allowed:
+        scopes.append(placement.PlacementScope(is_remote_allowed=True))
+    if _may_repeat(demand):
         # Tasks that last have no attempts that an ejected worker could use up.
-        is_lasting = step.is_lasting
-        scopes.append(
-            placement.PlacementScope(
-                is_repeat_allowed=not is_lasting, is_untrusted_allowed=is_lasting
-            )
+        repeat = placement.PlacementScope(
+            is_repeat_allowed=not step.is_lasting, is_untrusted_allowed=step.is_lasting
         )
+        scopes.append(repeat)
+        if is_remote_allowed:
+            scopes.append(attrs.evolve(repeat, is_remote_allowed=True))
     if has_waited_long and not _fits_trusted(demand, free_after_stops):
         scopes.append(placement.PlacementScope(is_remote_allowed=True, is_untrusted_allowed=True))
     return scopes
@@ -56,6 +64,7 @@
         len(demand.unit.members),
         demand.unit.failed_nodes,
         demand.unit.failures > 0,
+        demand.unit.has_failed_widely,
         # Work that ends before a claim begins fits where longer work does not.
         demand.unit.job.expected(demand.unit).high_s,
         _has_waited_long(demand),
@@ -79,16 +88,9 @@
 
 
 def _may_repeat(demand: ordering.Demand) -> bool:
-    """Return whether a unit may run where it failed or was refused, if no other worker can hold it.
-
-    A refused start costs no attempt, and tasks that last have no limit of attempts. Members of a
-    gang that fail on several workers in one run most likely failed by the gang's own fault, so that
-    waiting for other workers would not help.
-    """
+    """Return whether a unit may run where it failed or was refused, and try workers on trial."""
     unit = demand.unit
-    if not unit.failed_nodes:
-        return False
-    if unit.failures > 0 and not unit.step.is_lasting and not unit.has_failed_widely:
+    if not unit.failed_nodes and unit.failures == 0:
         return False
     return demand.waited_s >= _repeat_pause_s(unit)
 
@@ -96,12 +98,16 @@
 def _repeat_pause_s(unit: units.Unit) -> float:
     """Return the pause before a unit may run where it failed or was refused, in seconds.
 
-    Workers may fail all they start for some seconds. The last attempt waits for as long as a worker
-    is ejected, so that a unit does not use up all its attempts within such a time.
+    A refused start costs no attempt, and tasks that last have no limit of attempts. Members of a
+    gang that fail on several workers in one run most likely failed by the gang's own fault. Other
+    units save their attempts, since workers may fail all they start for some seconds; the last
+    attempt waits for as long as a worker is ejected.
     """
-    has_attempts_to_save = unit.failures > 0 and not unit.step.is_lasting
-    is_last_attempt = unit.failures + 1 >= unit.job.attempts
     has_newest_run_failed = unit.failed_run == unit.next_run - 1
-    if has_attempts_to_save and is_last_attempt and has_newest_run_failed:
+    if unit.failures == 0 or unit.step.is_lasting or not has_newest_run_failed:
+        return health.repeat_pause_s(unit.next_run - 1)
+    if unit.failures + 1 >= unit.job.attempts:
         return health.EJECTION_S
-    return health.repeat_pause_s(unit.next_run - 1)
+    if unit.has_failed_widely:
+        return health.repeat_pause_s(unit.next_run - 1)
+    return health.attempt_pause_s(unit.failures)
--- a/libs/scheduling/tests/test_repeats.py
+++ b/libs/scheduling/tests/test_repeats.py
@@ -106,3 +106,66 @@
         _refuse_start(unit, "node-3")
     (start,) = cluster.plan().starts
     assert start.demand.unit.step.is_lasting
+
+
+def _fail_run(unit, *nodes):
+    """Let a run of a unit fail on the given VMs."""
+    unit.members[0].failed_nodes.update(nodes)
+    unit.note_failed_node(1, nodes[0])
+    unit.members[0].record = tasks.TaskRecord(run=1, failures=1, failed_run=1)
+
+
+# Guards against a unit that never runs again on the worker on which a run of it failed, as long as
+# a full worker could hold it if idle: the pause ends by itself, and no attempt is used up before.
+@pytest.mark.parametrize(
+    ("attempts", "pause_s"), [(2, health.EJECTION_S), (3, health.attempt_pause_s(1))]
+)
+def test_unit_that_failed_runs_there_again_beside_a_full_worker(
+    cluster, make_step, add_labelled_unit, attempts, pause_s
+):
+    cluster.add_running_unit(make_step(), "node-0", rank=NORMAL)
+    for waited_s in (pause_s - 0.1, pause_s):
+        unit = add_labelled_unit(waited_s)
+        unit.job.attempts = attempts
+        _fail_run(unit, "node-3")
+    (start,) = cluster.plan().starts
+    assert (start.demand.waited_s, start.nodes) == (pause_s, ("node-3",))
+
+
+# As above, on the only worker that the unit may use: its estimate does not matter.
+def test_unit_that_failed_runs_on_its_only_worker_again(cluster, make_step):
+    cluster.workers[3].labels |= {"only"}
+    step = make_step(required_label="only", estimate_ms=3_600_000)
+    _fail_run(cluster.add_waiting_unit(step, NORMAL, waited_s=health.EJECTION_S), "node-3")
+    assert _nodes(cluster.plan()) == ["node-3"]
+
+
+# Guards against a last attempt that is used up on a worker whose newest run has just failed.
+def test_unit_that_failed_waits_while_its_worker_pauses(cluster, make_step, add_labelled_unit):
+    cluster.add_running_unit(make_step(), "node-0", rank=NORMAL)
+    cluster.workers[3].trial = health.Trial.CLOSED
+    _fail_run(add_labelled_unit(health.EJECTION_S), "node-3")
+    assert cluster.plan().starts == ()
+
+
+# Guards against a unit that waits beside the worker on which it failed since it may use remote
+# racks, and that worker only on its own rack.
+def test_unit_that_failed_on_a_remote_rack_runs_there_again(cluster, make_step):
+    for node in ("node-0", "node-1", "node-2"):
+        cluster.add_running_unit(make_step(), node, rank=NORMAL)
+    step = make_step(data_rack="r1-0", estimate_ms=1000)
+    _fail_run(cluster.add_waiting_unit(step, NORMAL, waited_s=health.EJECTION_S), "node-3")
+    assert _nodes(cluster.plan()) == ["node-3"]
+
+
+# Guards against a task that lasts and stays away beside an ejected worker, as long as a worker that
+# is full could hold it if idle.
+def test_lasting_task_that_failed_is_restarted_on_an_ejected_worker_beside_a_full_one(
+    cluster, make_step
+):
+    cluster.workers[3].is_trusted = False
+    for node in ("node-0", "node-1", "node-2"):
+        cluster.add_running_unit(make_step(), node, rank=NORMAL)
+    step = make_step(is_lasting=True, estimate_ms=60_000)
+    _fail_run(cluster.add_waiting_unit(step, NORMAL, waited_s=health.repeat_pause_s(1)), "node-3")
+    assert _nodes(cluster.plan()) == ["node-3"]
