Let a new lead know that a gang failed on several workers

Callers saw: after a change of the lead, a gang that had failed on all its workers at once was taken for one that failed on one of them.

Cause: the workers on which members of a run failed were kept in memory only. The record of each member that failed names the run, and the worker; nothing read them. Change: a restored record of a waiting member whose newest run is the newest failed one adds its worker. It does not count against the worker again, and a member that ended otherwise names an earlier run.

--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -118,6 +118,10 @@
         if task is None:
             return
         task.checkpoint = record.checkpoint
+        if task.is_waiting and 0 < record.failed_run == record.run:
+            # The record of a member that failed in its newest run names that run; those of members
+            # that ended otherwise name an earlier one.
+            task.unit.note_stored_failure(record.run, record.node)
         if task.unit.has_done_member:
             # The former lead stored only some of the records of a gang that is done.
             self._complete(task.unit)
--- a/libs/lead/tests/test_counted_once.py
+++ b/libs/lead/tests/test_counted_once.py
@@ -121,7 +121,6 @@
 
 # Guards against a gang that failed on all its workers at once, and is taken for one that failed on
 # one of them, since two leads were told of the members.
-@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: a failure on several workers is forgotten")
 def test_members_that_fail_under_two_leads_failed_on_several_workers(make_work):
     work = make_work(GANG)
     _assign(work, 100.0)
