Limit the wait that a lead publishes

Callers saw: one job that asks for 2^53 - 1 accelerators a task ended each lead within a second, one after another; nothing was scheduled beside idle workers for as long as the job was stored.

Cause: the wait that waiting work causes is computed from the numbers of all jobs and had no largest value; packed into the lead's record of the pools' room, it raised an OverflowError that nothing caught. Tasks that no worker can hold counted in it, so that with smaller numbers the entries refused all jobs of that rank.

Change: the wait is at most 30 days, and tasks that no worker of the last time could hold don't count. A record that can't be packed is a RecordError, which costs the summary and not the lead. Specifications with other numbers beyond 2^53 are not valid.

--- a/libs/jobs/src/papayaspar_jobs/rooms.py
+++ b/libs/jobs/src/papayaspar_jobs/rooms.py
@@ -106,17 +106,34 @@
     if not room.is_known or not room.kinds:
         return None
     for number, step in enumerate(spec.steps):
-        path = f"steps.{number}"
-        kinds = list(_permitted(step, room))
-        if not kinds:
-            return Impossible(f"{path}.required_label", f"no worker has {step.required_label}")
-        if not any(kind.capacity.holds(step.counted_resources) for kind in kinds):
-            return Impossible(f"{path}.room", f"no worker has {step.summary}")
-        places = sum(_places(step, kind) for kind in kinds)
-        if step.is_gang and step.task_count > places:
-            return Impossible(
-                f"{path}.count", f"a gang of {step.task_count} for {places} places at most"
-            )
+        impossible = _find_impossible_step(step, f"steps.{number}", room)
+        if impossible is not None:
+            return impossible
+    return None
+
+
+def could_hold(step: specs.Step, room: PoolRoom) -> bool:
+    """Return whether the workers that were seen lately could hold a step's tasks when idle.
+
+    Others may come, unless the pool is known.
+
+    :param step: the step.
+    :param room: the pool.
+    """
+    return _find_impossible_step(step, "", room) is None
+
+
+def _find_impossible_step(step: specs.Step, path: str, room: PoolRoom) -> Impossible | None:
+    kinds = list(_permitted(step, room))
+    if not kinds:
+        return Impossible(f"{path}.required_label", f"no worker has {step.required_label}")
+    if not any(kind.capacity.holds(step.counted_resources) for kind in kinds):
+        return Impossible(f"{path}.room", f"no worker has {step.summary}")
+    places = sum(_places(step, kind) for kind in kinds)
+    if step.is_gang and step.task_count > places:
+        return Impossible(
+            f"{path}.count", f"a gang of {step.task_count} for {places} places at most"
+        )
     return None
 
 
--- a/libs/jobs/src/papayaspar_jobs/specs.py
+++ b/libs/jobs/src/papayaspar_jobs/specs.py
@@ -236,7 +236,14 @@
             f"a job must not exceed {SCHEDULED_TASKS_MAX} tasks in all occurrences",
             field="schedule",
         )
-    if spec.schedule is not None and (spec.schedule.times < 1 or spec.schedule.interval_ms < 0):
+    if spec.schedule is not None:
+        _validate_schedule(spec.schedule)
+
+
+def _validate_schedule(schedule: Schedule) -> None:
+    if max(abs(schedule.start_ms), schedule.interval_ms) > NUMBER_MAX:
+        raise InvalidJobError("a number is too large", field="schedule")
+    if schedule.times < 1 or schedule.interval_ms < 0:
         raise InvalidJobError(
             "a schedule must have at least one occurrence and no negative interval",
             field="schedule",
@@ -249,8 +256,16 @@
         raise InvalidJobError("a step must have at least one task", field=f"{path}.count")
     if min(step.room.cpu_millicores, step.room.memory_mb, step.room.accelerators) < 0:
         raise InvalidJobError("a task's resources must not be negative", field=f"{path}.room")
-    numbers = (step.room.cpu_millicores, step.room.memory_mb, step.room.accelerators)
-    if max(*numbers, step.estimate_ms, step.per_worker_max) > NUMBER_MAX:
+    numbers = (
+        step.room.cpu_millicores,
+        step.room.memory_mb,
+        step.room.accelerators,
+        step.estimate_ms,
+        step.per_worker_max,
+        abs(step.latency_target_ms),
+        abs(step.unavailable_max or 0),
+    )
+    if max(numbers) > NUMBER_MAX:
         raise InvalidJobError("a number is too large", field=path)
     if step.estimate_ms < 0 or step.per_worker_max < 0:
         raise InvalidJobError("a step must not have negative numbers", field=path)
--- a/libs/jobs/tests/test_progress.py
+++ b/libs/jobs/tests/test_progress.py
@@ -252,7 +252,11 @@
         ({"steps": (specs.Step(0),)}, "steps.0.count"),
         ({"steps": (specs.Step(1, after=(0,)),)}, "steps.0.after"),
         ({"steps": (specs.Step(1, specs.Resources(-1)),)}, "steps.0.room"),
+        ({"steps": (specs.Step(1, latency_target_ms=2**53 + 1),)}, "steps.0"),
+        ({"steps": (specs.Step(1, unavailable_max=2**53 + 1),)}, "steps.0"),
         ({"schedule": specs.Schedule(0, 0, 0)}, "schedule"),
+        ({"schedule": specs.Schedule(1, -(2**53) - 1, 0)}, "schedule"),
+        ({"schedule": specs.Schedule(1, 0, 2**53 + 1)}, "schedule"),
     ],
 )
 def test_invalid_job_is_rejected_with_its_field(changes, field):
--- a/libs/lead/src/papayaspar_lead/room_summaries.py
+++ b/libs/lead/src/papayaspar_lead/room_summaries.py
@@ -21,6 +21,9 @@
 # a power of the ratio, so that small changes are not published.
 WAIT_MIN_S = 5.0
 WAIT_RATIO = 1.5
+# Longer waits are published as this one, in seconds: sums over jobs have no limit, and the numbers
+# of a record do.
+WAIT_MAX_S = 30 * 86_400.0
 # Bounds on the size of the record.
 POOLS_MAX = 8
 KINDS_MAX = 16
@@ -121,7 +124,7 @@
             self._observe(pool, workers, now_s)
             room = self._room(pool, is_fleet_known, now_s)
             capacity = self._capacity_max(pool, room.total)
-            pools.append(attrs.evolve(room, waits=self._waits(pool, capacity, demands, now_s)))
+            pools.append(attrs.evolve(room, waits=self._waits(room, capacity, demands, now_s)))
         if tuple(pools) == self._published:
             return None
         self._published = tuple(pools)
@@ -199,7 +202,7 @@
 
     def _waits(
         self,
-        pool: str,
+        room: rooms.PoolRoom,
         capacity: specs.Resources,
         demands: Sequence[ordering.Demand],
         now_s: float,
@@ -207,8 +210,10 @@
         """Return the least time until a newcomer of each rank gets the pool's resources.
 
         Before it come the running work of its rank and above, the waiting work of higher ranks that
-        has value, and that of its own rank that is in time: late work comes after it.
+        has value, and that of its own rank that is in time: late work comes after it. Work that no
+        worker of the last time could hold keeps nothing busy.
         """
+        pool = room.pool
         work = [_Work() for _ in ordering.Rank]
         for active in self._state.work.jobs():
             queue = self._state.work.queue_of(active.progress)
@@ -228,6 +233,8 @@
                 continue
             if self._state.work.queue_of(unit.job).pool != pool:
                 continue
+            if not rooms.could_hold(unit.step, room):
+                continue
             first_rank = demand.rank + (finish_s > demand.objective_s)
             expected = self._estimates.expected(unit.job.spec, unit.step)
             _add(work, first_rank, unit.step, len(unit.members), expected.middle_s)
@@ -266,10 +273,12 @@
 def rounded_wait_s(work: float, capacity: int) -> int:
     """Return a wait in whole seconds, rounded down to few values; 0 without capacity or if short.
 
+    It is at most ``WAIT_MAX_S``.
+
     :param work: work, in seconds of one unit of the resource.
     :param capacity: units of the resource.
     """
-    wait_s = work / capacity if capacity > 0 else 0.0
+    wait_s = min(WAIT_MAX_S, work / capacity) if capacity > 0 else 0.0
     if wait_s < WAIT_MIN_S:
         return 0
     power = math.floor(math.log(wait_s / WAIT_MIN_S) / math.log(WAIT_RATIO))
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -24,7 +24,7 @@
 from papayaspar_model import causality, clock
 from papayaspar_runs import messages
 from papayaspar_scheduling import ordering, planner, stop_costs, stops
-from papayaspar_store import following, records, stores, views, writing
+from papayaspar_store import failures, following, records, stores, views, writing
 
 MILLISECONDS_PER_SECOND = 1000.0
 # The lead's lease is valid for this long after its last confirmed write, in seconds: longer than
@@ -279,8 +279,15 @@
 
     def _publish_room(self, now_s: float) -> None:
         room = self._room_summary.updated(self._waiting, now_s)
-        if room is not None:
+        if room is None:
+            return
+        try:
             self._shared.enqueue(records.encode(records.ROOM_KEY, room))
+        except failures.RecordError as error:
+            # Entries accept every job without a summary; work goes on.
+            self._state.events.record(
+                lines.EventKind.RECORD_REFUSED, code=error.code, detail=error.detail
+            )
 
     def _start_waiting(self, now_s: float, wall_ms: float) -> None:
         if self._starting_tasks_left(now_s) <= 0:
--- a/libs/lead/tests/test_room_summaries.py
+++ b/libs/lead/tests/test_room_summaries.py
@@ -264,9 +264,16 @@
 
 
 @pytest.mark.parametrize(
-    ("work", "capacity", "wait_s"), [(0, 8, 0), (39, 8, 0), (40, 8, 5), (8e6, 0, 0), (1600, 8, 193)]
+    ("work", "capacity", "wait_s"),
+    [(0, 8, 0), (39, 8, 0), (40, 8, 5), (8e6, 0, 0), (1600, 8, 193)],
 )
 def test_waits_are_rounded_down(work, capacity, wait_s):
     rounded_s = room_summaries.rounded_wait_s(work, capacity)
     assert rounded_s <= work / max(1, capacity)
     assert rounded_s == pytest.approx(wait_s, abs=65 if wait_s > 100 else 0)
+
+
+# Guards against a wait that no record holds, and one that is not finite.
+@pytest.mark.parametrize("work", [1e300, float("inf")])
+def test_waits_have_a_longest_one(work):
+    assert room_summaries.rounded_wait_s(work, 1) <= room_summaries.WAIT_MAX_S
--- a/libs/store/src/papayaspar_store/failures.py
+++ b/libs/store/src/papayaspar_store/failures.py
@@ -74,7 +74,7 @@
 
 
 class RecordError(errors.ProtocolError):
-    """A record can't be decoded."""
+    """A record can't be encoded or decoded."""
 
     code = "store_record"
     title = "The record can't be read"
--- a/libs/store/src/papayaspar_store/records.py
+++ b/libs/store/src/papayaspar_store/records.py
@@ -216,9 +216,19 @@
 _converter = cattrs_msgpack.make_converter(omit_if_default=True)
 
 
+# Errors that numbers of extreme size and invalid texts cause when they are packed.
+PACK_ERRORS = (ValueError, OverflowError)
+
+
 def encode(key: str, record: attrs.AttrsInstance) -> stores.KeyedRecord:
-    """Return a record encoded for the store."""
-    value = cast(bytes, msgpack.packb(_converter.unstructure(record)))
+    """Return a record encoded for the store.
+
+    :raises RecordError: when the record has a number or a text that can't be stored.
+    """
+    try:
+        value = cast(bytes, msgpack.packb(_converter.unstructure(record)))
+    except PACK_ERRORS as error:
+        raise failures.RecordError(f"{key}: {type(error).__name__}") from error
     return stores.KeyedRecord(key, value)
 
 
