Store run times within the range that a new lead reads

Callers saw: after a run of a job that declares thousands of years had succeeded, a new lead refused the record with it, and began without what other runs in that record had shown.

Cause: the logarithm of a declared time was stored as it is, and read only up to 20; a declared time may be 2^53 ms, whose logarithm is 29.8. Change: it is limited to the range when it is stored. Evidence: test_run_with_the_longest_declared_time_can_be_restored fails without the change (RecordError, out of range), and passes with it.

--- a/libs/lead/src/papayaspar_lead/estimate_records.py
+++ b/libs/lead/src/papayaspar_lead/estimate_records.py
@@ -138,7 +138,8 @@
 
 
 def _scaled(value_log: float) -> int:
-    return round(value_log * LOG_SCALE)
+    """Return a logarithm for a record, within the range that a reader accepts."""
+    return round(min(LOG_MAX, max(-LOG_MAX, value_log)) * LOG_SCALE)
 
 
 def _unscaled(value: int, key: str) -> float:
--- a/libs/lead/tests/test_learning.py
+++ b/libs/lead/tests/test_learning.py
@@ -141,6 +141,14 @@
     return successor
 
 
+# Guards against a job with a declared run time of thousands of years: the record with its run could
+# not be read, and what other teams' runs in it had shown was lost.
+def test_run_with_the_longest_declared_time_can_be_restored(lead):
+    step = specs.Step(1, specs.Resources(1000, 100, 1), specs.NUMBER_MAX)
+    _succeed(lead, 1, step, 12.0)
+    assert _successor(lead).run_count == 1
+
+
 def test_new_lead_begins_with_what_former_leads_learned(lead):
     for number in range(1, 21):
         _succeed(lead, number, TASK, 12.0)
