Forget failures of a worker after thirty seconds

Cause: the failed jobs and the ejections of a worker counted until a run succeeded there; nothing else ended that. Change: they are forgotten once the worker has neither failed nor been ejected for 30 s, which is the longest ejection.

--- a/libs/scheduling/src/papayaspar_scheduling/health.py
+++ b/libs/scheduling/src/papayaspar_scheduling/health.py
@@ -20,6 +20,8 @@
 # Duration of the first ejection and of the longest one, in seconds: impairments last 3 to 12 s.
 EJECTION_S = 6.0
 EJECTION_MAX_S = 30.0
+# A failure or an ejection counts towards the next ejection for this long, in seconds.
+FAILURE_KEPT_S = 30.0
 # Pause before the first trial after a failure, in seconds; it doubles with each failed trial.
 TRIAL_PAUSE_S = 0.5
 TRIAL_PAUSE_MAX_S = 6.0
@@ -55,15 +57,17 @@
     """Outcomes of a worker's recent runs.
 
     :param failed_jobs: ids of the jobs of which a run failed on the worker since its last success
-        or ejection.
+        or ejection, or since it had neither failed nor been ejected for ``FAILURE_KEPT_S``.
     :param ejected_until_s: when the worker gets work again, on the lead's clock.
-    :param ejections: number of ejections since the last success.
+    :param ejections: number of ejections since then.
     :param slowness: run time of the newest work divided by its estimate; 1 for healthy workers.
     :param failed_s: time of the newest failure, on the lead's clock; ``None`` unless the worker is
         on trial.
     :param failed_trials: number of consecutive failures, each of a run that started after the one
         before.
     :param proven_s: latest start of a run that succeeded or made progress, on the lead's clock.
+    :param counted_s: time of the newest failure that counted towards an ejection, on the lead's
+        clock.
     """
 
     failed_jobs: set[str] = attrs.field(factory=set)
@@ -73,6 +77,7 @@
     failed_s: float | None = None
     failed_trials: int = 0
     proven_s: float = float("-inf")
+    counted_s: float = float("-inf")
 
     def record_success(self, started_s: float = float("inf")) -> None:
         """Record a successful run.
@@ -127,6 +132,10 @@
             if self.failed_s is None or started_s > self.failed_s:
                 self.failed_trials += 1
             self.failed_s = now_s
+        if now_s >= max(self.counted_s, self.ejected_until_s) + FAILURE_KEPT_S:
+            self.failed_jobs.clear()
+            self.ejections = 0
+        self.counted_s = now_s
         self.failed_jobs.add(job_id)
         failure_limit = 1 if self.ejections else FAILURES_TO_EJECT
         if len(self.failed_jobs) < failure_limit or self.is_ejected(now_s):
