--- a/libs/scheduling/src/papayaspar_scheduling/health.py
+++ b/libs/scheduling/src/papayaspar_scheduling/health.py
@@ -66,7 +66,7 @@
     :param failed_trials: number of consecutive failures, each of a run that started after the one
         before.
     :param proven_s: latest start of a run that succeeded or made progress, on the lead's clock.
-    :param counted_s: time of the newest failure that counted towards an ejection, on the lead's
+    :param newest_failure_s: time of the newest failure, with progress or without, on the lead's
         clock.
     """
 
@@ -77,7 +77,7 @@
     failed_s: float | None = None
     failed_trials: int = 0
     proven_s: float = float("-inf")
-    counted_s: float = float("-inf")
+    newest_failure_s: float = float("-inf")
 
     def record_success(self, started_s: float = float("inf")) -> None:
         """Record a successful run.
@@ -132,10 +132,10 @@
             if self.failed_s is None or started_s > self.failed_s:
                 self.failed_trials += 1
             self.failed_s = now_s
-        if now_s >= max(self.counted_s, self.ejected_until_s) + FAILURE_KEPT_S:
+        if now_s >= max(self.newest_failure_s, self.ejected_until_s) + FAILURE_KEPT_S:
             self.failed_jobs.clear()
             self.ejections = 0
-        self.counted_s = now_s
+        self.newest_failure_s = now_s
         self.failed_jobs.add(job_id)
         failure_limit = 1 if self.ejections else FAILURES_TO_EJECT
         if len(self.failed_jobs) < failure_limit or self.is_ejected(now_s):
--- a/libs/store/src/papayaspar_store/records.py
+++ b/libs/store/src/papayaspar_store/records.py
@@ -213,12 +213,11 @@
 # Errors that values of other types or of extreme size cause when they are structured.
 STRUCTURE_ERRORS = (ValueError, TypeError, KeyError, OverflowError, RecursionError)
 
-_converter = cattrs_msgpack.make_converter(omit_if_default=True)
-
-
 # Errors that numbers of extreme size and invalid texts cause when they are packed.
 PACK_ERRORS = (ValueError, OverflowError)
 
+_converter = cattrs_msgpack.make_converter(omit_if_default=True)
+
 
 def encode(key: str, record: attrs.AttrsInstance) -> stores.KeyedRecord:
     """Return a record encoded for the store.
