Plan jobs of hundreds of steps without losing the leadership

Callers saw: one valid job of 256 steps of 39 tasks took the leadership from each entry in turn: three entries led 32 times in 80 s.

Cause: a planning round takes the longest chain of all steps anew for each unit, 2.5 s for this job, in which the leadership (1.5 s) is not renewed. Up to 200 units of each step are considered, whatever the number of steps; and a step may name one predecessor many thousand times, each of which is looked at in each round. Change: the longest chain is kept until estimates change; a round considers 2,000 units of a job, where that leaves each step one; repeated predecessors are left out. Jobs with up to ten steps that may start at a time are planned as before. Evidence: without the changes of libs/*/src, three new tests of test_progress.py fail; with them they pass.

--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -88,6 +88,7 @@
         # Duration of the longest chain of steps from each step on, and revision of the estimates
         # that it is computed from.
         self._path_s: dict[int, float] = {}
+        self._critical_path_s: float | None = None
         self._path_revision = self.estimates.revision
 
     @property
@@ -225,23 +226,25 @@
         return iter(tuple(self._active))
 
     def waiting_units(
-        self, wall_ms: float, units_per_step_max: int | None = None
+        self,
+        wall_ms: float,
+        units_per_step_max: int | None = None,
+        units_max: int | None = None,
     ) -> Iterator[units.Unit]:
         """Return the waiting units that are due and whose predecessors are done, in order.
 
         :param wall_ms: current time in milliseconds since the Unix epoch.
         :param units_per_step_max: maximum number of units of each step that never ran, and of
             those that ran before; units of one step differ in little else. ``None`` for all.
+        :param units_max: number of units that all steps share; each has at least one. ``None`` for
+            no limit.
         """
-        schedule = self.spec.schedule
+        startable = self._startable_steps(wall_ms)
+        if units_per_step_max is not None and units_max is not None:
+            step_count = len({number for number, _ in startable})
+            units_per_step_max = min(units_per_step_max, max(1, units_max // max(1, step_count)))
         counts: collections.Counter[tuple[int, bool]] = collections.Counter()
-        for (occurrence, number), step_progress in sorted(
-            self._waiting_steps.items(), key=lambda item: item[0]
-        ):
-            if schedule is not None and schedule.due_ms(occurrence) > wall_ms:
-                continue
-            if not self._are_predecessors_done(occurrence, number):
-                continue
+        for number, step_progress in startable:
             chosen: list[units.Unit] = []
             for is_new, waiting in (
                 (True, step_progress.new),
@@ -255,6 +258,19 @@
                 chosen += first
             yield from sorted(chosen, key=_index)
 
+    def _startable_steps(self, wall_ms: float) -> list[tuple[int, StepProgress]]:
+        """Return the steps that may start now and have waiting units, with their numbers."""
+        schedule = self.spec.schedule
+        startable: list[tuple[int, StepProgress]] = []
+        for (occurrence, number), step_progress in sorted(
+            self._waiting_steps.items(), key=lambda item: item[0]
+        ):
+            if schedule is not None and schedule.due_ms(occurrence) > wall_ms:
+                continue
+            if self._are_predecessors_done(occurrence, number):
+                startable.append((number, step_progress))
+        return startable
+
     def _are_predecessors_done(self, occurrence: int, number: int) -> bool:
         return all(
             self._steps[occurrence, predecessor].is_done
@@ -267,8 +283,12 @@
 
     def critical_path_s(self) -> float:
         """Return the expected duration of the longest chain of dependent steps, in seconds."""
-        first_steps = [number for number, step in enumerate(self.spec.steps) if not step.after]
-        return max((self._path_from_s(number) for number in first_steps), default=0.0)
+        self._drop_outdated_paths()
+        if self._critical_path_s is None:
+            first_steps = [number for number, step in enumerate(self.spec.steps) if not step.after]
+            paths_s = (self._path_from_s(number) for number in first_steps)
+            self._critical_path_s = max(paths_s, default=0.0)
+        return self._critical_path_s
 
     def remaining_s(self, unit: units.Unit) -> float:
         """Return the expected time from a unit's start to the end of the job.
@@ -277,13 +297,19 @@
 
         :return: seconds.
         """
+        self._drop_outdated_paths()
         return self._path_from_s(unit.members[0].key.step)
 
+    def _drop_outdated_paths(self) -> None:
+        """Drop the durations of chains that were computed from other estimates."""
+        if self._path_revision == self.estimates.revision:
+            return
+        self._path_revision = self.estimates.revision
+        self._path_s.clear()
+        self._critical_path_s = None
+
     def _path_from_s(self, number: int) -> float:
         """Return the expected duration of the longest chain of steps that begins with a step."""
-        if self._path_revision != self.estimates.revision:
-            self._path_revision = self.estimates.revision
-            self._path_s.clear()
         path_s = self._path_s.get(number)
         if path_s is None:
             path_s = self._path_s[number] = self._computed_path_s(number)
--- a/libs/jobs/src/papayaspar_jobs/specs.py
+++ b/libs/jobs/src/papayaspar_jobs/specs.py
@@ -1,6 +1,7 @@
 """Job specifications: the steps of a job, and the tasks and resources of each step."""
 
 import re
+from collections.abc import Iterable
 
 import attrs
 
@@ -86,6 +87,10 @@
         )
 
 
+def _distinct(numbers: Iterable[int]) -> tuple[int, ...]:
+    return tuple(dict.fromkeys(numbers))
+
+
 @attrs.frozen
 class Step:
     """A group of identical tasks within a job.
@@ -93,7 +98,8 @@
     :param task_count: number of tasks.
     :param room: resources that each task requires.
     :param estimate_ms: the caller's rough estimate of a task's duration, in milliseconds.
-    :param after: numbers of the earlier steps that must be done before this one starts.
+    :param after: numbers of the earlier steps that must be done before this one starts;
+        repeated numbers are left out.
     :param is_checkpointed: whether a stopped task can resume from a checkpoint.
     :param is_gang: whether the tasks are scheduled as a gang, which runs all of them or none.
     :param is_same_rack: whether the tasks are much slower when they span several racks.
@@ -113,7 +119,7 @@
     task_count: int
     room: Resources = Resources()
     estimate_ms: int = 0
-    after: tuple[int, ...] = ()
+    after: tuple[int, ...] = attrs.field(default=(), converter=_distinct)
     is_checkpointed: bool = False
     is_gang: bool = False
     is_same_rack: bool = False
--- a/libs/jobs/tests/test_progress.py
+++ b/libs/jobs/tests/test_progress.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 
-from papayaspar_jobs import configurations, progress, registries, specs, tasks, units
+from papayaspar_jobs import configurations, durations, progress, registries, specs, tasks, units
 
 QUEUE = configurations.Queue("queue", "host", "/queue/", "pool", 3000)
 
@@ -329,3 +329,38 @@
     assert not task.has_proven_start
     task.update_progress(98.0, units.PROVEN_RUN_S)
     assert task.has_proven_start
+
+
+class CountingDurations(durations.DeclaredDurations):
+    """Declared run times, which count how often a decision looks for newer ones."""
+
+    look_count = 0
+
+    @property
+    def revision(self):
+        self.look_count += 1
+        return 0
+
+
+# Guards against a planning round that takes seconds for one job of many steps, in which a lead does
+# not renew its leadership: the chain of all steps was computed again for each unit.
+def test_critical_path_is_not_computed_for_each_unit():
+    steps = tuple(specs.Step(1, estimate_ms=1000) for _ in range(specs.STEPS_MAX))
+    accepted = registries.AcceptedJob(specs.JobSpec("0" * 16, "queue", "team", "", steps), QUEUE, 0)
+    estimates = CountingDurations()
+    job = progress.JobProgress(accepted, 2, estimates)
+    for _ in range(100):
+        assert job.critical_path_s() == 1.0
+    assert estimates.look_count < 10 * 100
+
+
+# Guards against such a round for the thousands of units that many steps have together.
+def test_waiting_units_of_a_job_are_limited_for_a_round(make_job):
+    job = make_job(*(specs.Step(30) for _ in range(100)))
+    chosen = list(job.waiting_units(0.0, 200, 500))
+    assert len(chosen) == 500
+    assert len({unit.members[0].key.step for unit in chosen}) == 100
+
+
+def test_repeated_predecessors_are_left_out():
+    assert specs.Step(1, after=(0, 1, 0, 0)).after == (0, 1)
--- a/libs/lead/src/papayaspar_lead/planning_inputs.py
+++ b/libs/lead/src/papayaspar_lead/planning_inputs.py
@@ -12,6 +12,9 @@
 # Maximum number of units of one step that a planning round considers; the units of a step differ in
 # little, and a round starts no more of them (`scheduling.STARTING_TASKS_MAX`).
 STEP_DEMANDS_MAX = 200
+# Maximum number of units of one job that a planning round considers, where that leaves each step
+# one: a job of hundreds of steps would keep the lead from renewing its leadership.
+JOB_DEMANDS_MAX = 2000
 # The members of a gang end within this time after the first one that failed, in seconds, unless the
 # VM of one of them is unreachable.
 GANG_END_TIMEOUT_S = 1.0
@@ -36,7 +39,7 @@
                 continue
             job.create_due_tasks(wall_ms)
             job.drop_done_occurrences(now_s)
-            for unit in job.waiting_units(wall_ms, STEP_DEMANDS_MAX):
+            for unit in job.waiting_units(wall_ms, STEP_DEMANDS_MAX, JOB_DEMANDS_MAX):
                 if unit.ready_s is None:
                     unit.ready_s = now_s
                 if now_s >= unit.ready_s + health.TRIAL_MAX_S:
