--- a/libs/lead/tests/conftest.py
+++ b/libs/lead/tests/conftest.py
@@ -7,6 +7,7 @@
 import anyio
 import anyio.abc
 import attrs
+import loguru
 import pytest
 
 from papayaspar_events import journal, metrics
@@ -18,7 +19,7 @@
 from papayaspar_store import following, records, views
 from papayaspar_wire import transports
 
-from . import operator_records
+from . import operator_records, simulated_lead, waiting_simulation
 
 LOOPBACK = "127.0.0.1"
 LEASE_MAX_S = 6.0
@@ -26,6 +27,14 @@
 LIMITS = scheduling.SchedulerLimits(LEASE_MAX_S)
 
 
+@pytest.fixture
+async def simulation() -> AsyncIterator[waiting_simulation.Simulation]:
+    """Return a simulation of a lead in virtual time, while the journal writes no lines."""
+    loguru.logger.disable(journal.__name__)
+    yield waiting_simulation.Simulation(simulated_lead.Observer())
+    loguru.logger.enable(journal.__name__)
+
+
 @pytest.fixture
 def anyio_backend() -> str:
     return "asyncio"
--- a/libs/lead/tests/test_extreme_jobs.py
+++ b/libs/lead/tests/test_extreme_jobs.py
@@ -1,15 +1,13 @@
 """Jobs that ask for as much as the validation allows: they end no lead, and stop no other job."""
 
 import attrs
-import loguru
 import pytest
 
-from papayaspar_events import journal
 from papayaspar_jobs import rooms, specs
 from papayaspar_scheduling import ordering
 from papayaspar_store import records
 
-from . import simulated_lead, simulated_workers, waiting_liveness, waiting_simulation
+from . import simulated_workers, waiting_liveness, waiting_simulation
 
 pytestmark = pytest.mark.anyio
 
@@ -33,14 +31,6 @@
 }
 
 
-@pytest.fixture
-async def simulation():
-    """Return a simulation, while the journal writes no lines."""
-    loguru.logger.disable(journal.__name__)
-    yield waiting_simulation.Simulation(simulated_lead.Observer())
-    loguru.logger.enable(journal.__name__)
-
-
 def _play(simulation, seconds):
     """Let time pass, and check that each summary of the room can be read."""
     for _ in range(round(seconds / waiting_simulation.TICK_S)):
--- a/libs/lead/tests/test_room_summaries.py
+++ b/libs/lead/tests/test_room_summaries.py
@@ -264,8 +264,7 @@
 
 
 @pytest.mark.parametrize(
-    ("work", "capacity", "wait_s"),
-    [(0, 8, 0), (39, 8, 0), (40, 8, 5), (8e6, 0, 0), (1600, 8, 193)],
+    ("work", "capacity", "wait_s"), [(0, 8, 0), (39, 8, 0), (40, 8, 5), (8e6, 0, 0), (1600, 8, 193)]
 )
 def test_waits_are_rounded_down(work, capacity, wait_s):
     rounded_s = room_summaries.rounded_wait_s(work, capacity)
--- a/libs/lead/tests/test_waiting_faults.py
+++ b/libs/lead/tests/test_waiting_faults.py
@@ -4,14 +4,12 @@
 are the callers': 3 s beside room for twice the demand, and ``reclaim_ms`` for guaranteed work.
 """
 
-import loguru
 import pytest
 
-from papayaspar_events import journal
 from papayaspar_jobs import specs
 from papayaspar_scheduling import health
 
-from . import simulated_lead, simulated_workers, waiting_liveness, waiting_simulation
+from . import simulated_workers, waiting_liveness, waiting_simulation
 
 pytestmark = pytest.mark.anyio
 
@@ -24,14 +22,6 @@
 SPECIAL = simulated_workers.SPECIAL
 
 
-@pytest.fixture
-async def simulation():
-    """Return a simulation, while the journal writes no lines."""
-    loguru.logger.disable(journal.__name__)
-    yield waiting_simulation.Simulation(simulated_lead.Observer())
-    loguru.logger.enable(journal.__name__)
-
-
 def _keep(simulation, *nodes):
     """Let all workers leave but those on some VMs."""
     for node, worker in simulation.workers.items():
