Count a unit's pause from its failure, and try workers in turn

Callers saw, in a test: a unit that one worker refuses for ever never ran on the other one, on which it had failed once, and which was well and idle.

Cause: the pause before a unit returns to a worker counted from the beginning of its wait, which each refused start begins again; and of several workers on which it failed or was refused, the packing chose the same one each time. Change: the pause counts from the newest failed run, or refusal for health, which the unit keeps with the VM; the worker where that is longest ago comes first.

--- a/libs/jobs/src/papayaspar_jobs/units.py
+++ b/libs/jobs/src/papayaspar_jobs/units.py
@@ -283,6 +283,9 @@
     :param preempting_s: time at which other units were first stopped for this unit since it became
         ready, in seconds on the lead's clock, or ``None``.
     :param expected: run time that was expected when the current run was assigned, or ``None``.
+    :param paused_from_s: time of the newest failed run, or refused start that bars a VM, in seconds
+        on the lead's clock; ``None`` under a lead that has seen neither.
+    :param suspected_s: time of the newest such event on each VM, in seconds on the lead's clock.
 
     :attr:`failures` is the number of failed runs; a run counts once, however many members failed in
     it. :attr:`failed_run` is the number of the newest run that was counted, or 0.
@@ -295,6 +298,8 @@
     ending_s: float | None = None
     preempting_s: float | None = None
     expected: durations.ExpectedDuration | None = None
+    paused_from_s: float | None = None
+    suspected_s: dict[str, float] = attrs.field(factory=dict)
     stops: run_counts.StopHistory = attrs.field(factory=run_counts.StopHistory, init=False)
     _counts: run_counts.PhaseCounts = attrs.field(factory=run_counts.PhaseCounts, init=False)
     failures: int = attrs.field(default=0, init=False)
@@ -410,7 +415,18 @@
         """VMs on which a run of any member failed or was refused a short time ago."""
         return frozenset(node for task in self.members for node in task.failed_nodes)
 
+    def suspect(self, task: Task, now_s: float) -> None:
+        """Avoid the VM on which a member's run failed or was refused, for some time.
+
+        :param task: the member, with the record of the run.
+        :param now_s: current time in seconds on the lead's clock.
+        """
+        task.failed_nodes.add(task.record.node)
+        self.suspected_s[task.record.node] = now_s
+        self.paused_from_s = now_s
+
     def forget_failed_nodes(self) -> None:
         """Treat the VMs on which runs failed or were refused like all others from now on."""
+        self.suspected_s.clear()
         for task in self.members:
             task.failed_nodes.clear()
--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -217,7 +217,7 @@
         if outcome.reason in PERSISTENT_REFUSALS:
             link.record_refusal()
         if outcome.reason in (workers.RefusalReason.UNHEALTHY, workers.RefusalReason.INVALID):
-            task.failed_nodes.add(link.node)
+            unit.suspect(task, now_s)
 
     def _is_ended(self, job: progress.JobProgress) -> bool:
         accepted_job = job.accepted_job
--- a/libs/lead/src/papayaspar_lead/planning_inputs.py
+++ b/libs/lead/src/papayaspar_lead/planning_inputs.py
@@ -42,8 +42,9 @@
             for unit in job.waiting_units(wall_ms, STEP_DEMANDS_MAX, JOB_DEMANDS_MAX):
                 if unit.ready_s is None:
                     unit.ready_s = now_s
-                if now_s >= unit.ready_s + health.TRIAL_MAX_S:
-                    unit.forget_failed_nodes()
+                if unit.paused_from_s is not None:
+                    if now_s >= unit.paused_from_s + health.TRIAL_MAX_S:
+                        unit.forget_failed_nodes()
                 demands.append(self._demand(unit, covered, now_s, wall_ms))
         return demands
 
@@ -73,6 +74,7 @@
             remaining_s,
             now_s - (unit.ready_s if unit.ready_s is not None else now_s),
             slack_s=max(0.0, objective_s - age_s - remaining_s),
+            paused_s=now_s - unit.paused_from_s if unit.paused_from_s is not None else None,
         )
 
     def _covered_jobs(self) -> frozenset[str]:
--- a/libs/lead/src/papayaspar_lead/workload.py
+++ b/libs/lead/src/papayaspar_lead/workload.py
@@ -375,10 +375,11 @@
         unit, run = task.unit, task.record.run
         is_counted = run > unit.failed_run
         had_progress = unit.has_proven_run(run)
+        unit.paused_from_s = now_s
         if not had_progress:
             # A run that fails after it made progress most likely failed by its own fault, and the
             # capacity that it leaves is the first that the unit can have.
-            task.failed_nodes.add(node)
+            unit.suspect(task, now_s)
         self._requeue(task, unit.with_failure(task.record))
         if is_counted:
             self._events.record(
--- a/libs/lead/tests/test_waiting_faults.py
+++ b/libs/lead/tests/test_waiting_faults.py
@@ -163,6 +163,24 @@
     assert _start_s(simulation, job_id, 60.0) <= longest_s
 
 
+# Guards against a unit that is sent to a worker that refuses it again and again, and never to another
+# one on which it failed once, which is well and idle.
+@pytest.mark.parametrize(
+    ("refusing", "failing"), [(OTHER_NODE, LAST_NODE), (LAST_NODE, OTHER_NODE)]
+)
+async def test_unit_that_one_worker_refuses_for_ever_runs_on_the_other(
+    simulation, refusing, failing
+):
+    _keep(simulation, refusing, failing)
+    simulation.workers[refusing].is_refusing = simulation.workers[failing].is_failing = True
+    job_id = _submit(simulation, specs.Step(1, ONE, HOUR_MS))
+    _wait_until(simulation, lambda: simulation.work.outcomes(failing).failed_s)
+    simulation.workers[failing].is_failing = False
+    _pass(simulation, health.EJECTION_S + waiting_liveness.WAIT_MAX_S)
+    (task,) = simulation.work.tasks_on_node(failing)
+    assert task.key.job_id == job_id
+
+
 # Guards against a worker on trial that takes one unit for minutes, since that is too long to show
 # progress early, while others wait beside it.
 async def test_long_work_on_a_worker_on_trial_keeps_no_other_from_it(simulation):
--- a/libs/lead/tests/waiting_checks.py
+++ b/libs/lead/tests/waiting_checks.py
@@ -212,6 +212,12 @@
     return min(LAST_ATTEMPT_PAUSE_S, ATTEMPT_PAUSE_S * 2 ** (unit.failures - 1))
 
 
+def paused_s(unit: units.Unit, now_s: float) -> float:
+    """Return the time since a unit failed or was refused, or since it waits, in seconds."""
+    since_s = unit.paused_from_s if unit.paused_from_s is not None else unit.ready_s
+    return now_s - since_s if since_s is not None else 0.0
+
+
 class BadWorkersCheck(Check):
     """No start on an ejected worker or in its pause, and one at a time on a worker on trial.
 
@@ -312,7 +318,7 @@
 
     def _has_paused(self, unit: units.Unit) -> bool:
         last_run = unit.members[0].record.run - 1
-        return self._waited_s(unit) >= repeat_pause_s(unit, last_run)
+        return paused_s(unit, self.now_s) >= repeat_pause_s(unit, last_run)
 
     def _may_use_any(self, unit: units.Unit) -> bool:
         estimate_s = unit.step.estimate_ms / waiting_simulation.MILLISECONDS_PER_SECOND
--- a/libs/lead/tests/waiting_liveness.py
+++ b/libs/lead/tests/waiting_liveness.py
@@ -170,8 +170,8 @@
         if node in self._bad_workers.ejected:
             # F1, F2: failures of the jobs' own fault eject a sound worker.
             return False
-        waited_s = self.now_s - (unit.ready_s if unit.ready_s is not None else self.now_s)
-        if waited_s < waiting_checks.repeat_pause_s(unit, unit.next_run - 1):
+        paused_s = waiting_checks.paused_s(unit, self.now_s)
+        if paused_s < waiting_checks.repeat_pause_s(unit, unit.next_run - 1):
             # S6, S8, S9: the pause of a unit that failed or was refused.
             if node in unit.failed_nodes or unit.failures > 0:
                 return False
--- a/libs/scheduling/src/papayaspar_scheduling/ordering.py
+++ b/libs/scheduling/src/papayaspar_scheduling/ordering.py
@@ -46,6 +46,8 @@
     :param is_beyond_share: whether its team has its share of a contended pool without the unit.
     :param slack_s: time from now until the latest start with which its job meets its objective on
         workers of ordinary speed, in seconds; 0 if it has passed.
+    :param paused_s: time since the unit's newest failed run, or refused start that bars a VM, in
+        seconds; ``None`` if the lead has seen neither.
     """
 
     unit: units.Unit
@@ -56,6 +58,7 @@
     waited_s: float
     is_beyond_share: bool = False
     slack_s: float = 0.0
+    paused_s: float | None = None
 
 
 class Ordering(abc.ABC):
--- a/libs/scheduling/src/papayaspar_scheduling/placement.py
+++ b/libs/scheduling/src/papayaspar_scheduling/placement.py
@@ -283,14 +283,17 @@
 ) -> tuple[float | bool | str, ...]:
     """Return a sort key; the smallest is filled first.
 
-    A unit that has failed before runs on the workers that most recently proved that they can start
-    work. While workers are replaced one after the other, work that restarts from the beginning
-    prefers those that are new, which won't leave next; checkpointed work leaves them free.
+    Of the workers on which a unit failed or was refused, it tries the one where that is longest
+    ago: another may refuse it for ever. A unit that has failed before runs on the workers that most
+    recently proved that they can start work. While workers are replaced one after the other, work
+    that restarts from the beginning prefers those that are new, which won't leave next;
+    checkpointed work leaves them free.
     """
     available = free.free(worker.node)
     has_failed = demand.unit.failures > 0
     worker_class = speed_classes.speed_class(worker)
     return (
+        demand.unit.suspected_s.get(worker.node, float("-inf")),
         worker.trial is not health.Trial.NONE,
         round(worker.cold_ratio, 1),
         worker.is_replacement is demand.unit.step.is_checkpointed,
--- a/libs/scheduling/src/papayaspar_scheduling/scopes.py
+++ b/libs/scheduling/src/papayaspar_scheduling/scopes.py
@@ -92,7 +92,9 @@
     unit = demand.unit
     if not unit.failed_nodes and unit.failures == 0:
         return False
-    return demand.waited_s >= _repeat_pause_s(unit)
+    # Refusals of other workers begin the wait again, and not the pause.
+    paused_s = demand.paused_s if demand.paused_s is not None else demand.waited_s
+    return paused_s >= _repeat_pause_s(unit)
 
 
 def _repeat_pause_s(unit: units.Unit) -> float:
--- a/libs/scheduling/tests/test_repeats.py
+++ b/libs/scheduling/tests/test_repeats.py
@@ -1,5 +1,6 @@
 """Which workers a unit may use again after a start was refused or a run of it failed there."""
 
+import attrs
 import pytest
 
 from papayaspar_jobs import tasks
@@ -132,6 +133,17 @@
     assert (start.demand.waited_s, start.nodes) == (pause_s, ("node-3",))
 
 
+# Guards against a pause that begins again with each start that another worker refuses for want of
+# room: each of them begins the wait of the unit again.
+def test_pause_does_not_begin_again_with_the_wait(cluster, make_step, add_labelled_unit):
+    cluster.add_running_unit(make_step(), "node-0", rank=NORMAL)
+    _fail_run(add_labelled_unit(0.0), "node-3")
+    assert _nodes(cluster.plan()) == []
+    (demand,) = cluster.waiting
+    cluster.waiting = [attrs.evolve(demand, paused_s=health.EJECTION_S)]
+    assert _nodes(cluster.plan()) == ["node-3"]
+
+
 # As above, on the only worker that the unit may use: its estimate does not matter.
 def test_unit_that_failed_runs_on_its_only_worker_again(cluster, make_step):
     cluster.workers[3].labels |= {"only"}
