--- a/libs/lead/tests/test_waiting_faults.py
+++ b/libs/lead/tests/test_waiting_faults.py
@@ -163,8 +163,8 @@
     assert _start_s(simulation, job_id, 60.0) <= longest_s
 
 
-# Guards against a unit that is sent to a worker that refuses it again and again, and never to another
-# one on which it failed once, which is well and idle.
+# Guards against a unit that is sent to a worker that refuses it again and again, and never to the
+# other one, on which it failed once, and which is well and idle.
 @pytest.mark.parametrize(
     ("refusing", "failing"), [(OTHER_NODE, LAST_NODE), (LAST_NODE, OTHER_NODE)]
 )
