Name the unit for which work is stopped, and whether again

The lines of stops named the job that gains, not its unit, and did not tell a first round of stops from another one: the hypothesis that freed room goes to other units could not be told from a lack of room. `job_reclaimed` now has `unit=` and the code first or repeated, which its counter has, too. The lines are written by Orders, beside the stops.

--- a/libs/lead/src/papayaspar_lead/orders.py
+++ b/libs/lead/src/papayaspar_lead/orders.py
@@ -21,6 +21,9 @@
     workers.RefusalReason.NO_START_LEASE,
     workers.RefusalReason.UNREACHABLE,
 )
+# Codes of the stops that free capacity for a unit, in the journal.
+FIRST_STOP = "first"
+REPEATED_STOP = "repeated"
 
 
 @attrs.define
@@ -223,6 +226,33 @@
         accepted_job = job.accepted_job
         return accepted_job.phase is registries.JobPhase.CANCELLED or job.has_failed
 
+    def preempt(self, plan: planner.Plan, now_s: float) -> None:
+        """Order the stops of a plan that free capacity for waiting units.
+
+        The stops for a unit are recorded as repeated if others were stopped for it before, since it
+        became ready: the room of these did not become its own.
+
+        :param plan: the plan.
+        :param now_s: the lead's clock.
+        """
+        repeated = {demand.unit for _, demand in plan.stops if demand.unit.preempting_s is not None}
+        for victim, demand in plan.stops:
+            unit, beneficiary = demand.unit, demand.unit.job.spec.job_id
+            self._state.events.record(
+                lines.EventKind.JOB_RECLAIMED,
+                job=victim.unit.job.spec.job_id,
+                code=REPEATED_STOP if unit in repeated else FIRST_STOP,
+                detail=f"for={beneficiary} unit={unit.members[0].key} rank={demand.rank.name}"
+                f" lost_core_s={stop_costs.lost_core_s(victim.unit, now_s):.1f}",
+            )
+            if unit.preempting_s is None:
+                unit.preempting_s = now_s
+            self.stop_unit(
+                victim.unit,
+                f"preempted for {beneficiary}",
+                planner.stop_purpose(plan, victim, demand),
+            )
+
     def stop_unit(
         self, unit: units.Unit, reason: str, purpose: stops.Purpose = stops.NOT_STARTED
     ) -> None:
--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -23,7 +23,7 @@
 )
 from papayaspar_model import causality, clock
 from papayaspar_runs import messages
-from papayaspar_scheduling import ordering, planner, stop_costs, stops
+from papayaspar_scheduling import ordering, planner, stops
 from papayaspar_store import failures, following, records, stores, views, writing
 
 MILLISECONDS_PER_SECOND = 1000.0
@@ -379,20 +379,7 @@
             [demand for demand in deferred if self._pool_of(demand) == pool],
             planner.StartLimit(self._starting_tasks_left(now_s), STARTING_IDLE_JOBS_TASKS),
         )
-        for victim, demand in plan.stops:
-            self._state.events.record(
-                lines.EventKind.JOB_RECLAIMED,
-                job=victim.unit.job.spec.job_id,
-                detail=f"for={demand.unit.job.spec.job_id} rank={demand.rank.name}"
-                f" lost_core_s={stop_costs.lost_core_s(victim.unit, now_s):.1f}",
-            )
-            if demand.unit.preempting_s is None:
-                demand.unit.preempting_s = now_s
-            self._orders.stop_unit(
-                victim.unit,
-                f"preempted for {demand.unit.job.spec.job_id}",
-                planner.stop_purpose(plan, victim, demand),
-            )
+        self._orders.preempt(plan, now_s)
         for demand in plan.moves:
             self._orders.stop_unit(
                 demand.unit, "its worker is draining, and another has capacity", stops.MOVE
