Keep the room that stops free from units that stop others later

A worker that was free was reserved for it while another one was being freed. A guaranteed job for which five units had just been stopped elsewhere had the earlier latest start, and took the free worker; the five were stopped for nothing, and four more for the gang. Cause: units with an eviction in progress were ordered by their value, and the reservation of one holds only against what comes after it. Now they come in the order in which their evictions began. Fails before: test_room_of_an_eviction_is_kept_from_evictions_that_began_later (a start on the free worker). Ruled out: a change of the lead, a lost worker or a failed stop, none of which was near.

--- a/libs/scheduling/src/papayaspar_scheduling/evictions.py
+++ b/libs/scheduling/src/papayaspar_scheduling/evictions.py
@@ -1,4 +1,8 @@
-"""Evictions in progress: the capacity of preempted units is reserved for a waiting unit."""
+"""Evictions in progress: the capacity of preempted units is reserved for a waiting unit.
+
+Units for which others are stopped later may be more urgent. They don't take that capacity: the
+stops would be repeated elsewhere.
+"""
 
 import attrs
 
@@ -17,11 +21,13 @@
 
     :param nodes: VM that is reserved for each member of the waiting unit.
     :param runs: preempted tasks, each with the number of its run.
+    :param begun_s: when the first eviction for the unit began, on the lead's clock.
     :param deadline_s: when stops that are not complete count as failed, on the lead's clock.
     """
 
     nodes: tuple[str, ...]
     runs: tuple[tuple[units.Task, int], ...]
+    begun_s: float
     deadline_s: float
 
     def is_in_progress(self, now_s: float) -> bool:
@@ -57,11 +63,18 @@
             for task in victim.unit.members
             if task.is_assigned
         )
-        self._by_task[demand.unit.members[0].key] = Eviction(nodes, runs, now_s + STOP_TIMEOUT_S)
+        key = demand.unit.members[0].key
+        former = self._by_task.get(key)
+        begun_s = former.begun_s if former is not None else now_s
+        self._by_task[key] = Eviction(nodes, runs, begun_s, now_s + STOP_TIMEOUT_S)
+
+    def begun_s(self, demand: ordering.Demand) -> float:
+        """Return when units were first stopped for a demand, on the lead's clock.
 
-    def has_begun(self, demand: ordering.Demand) -> bool:
-        """Return whether units were stopped for a demand, and their time has not passed."""
-        return demand.unit.members[0].key in self._by_task
+        It is ``inf`` if none were, or if their time has passed.
+        """
+        eviction = self._by_task.get(demand.unit.members[0].key)
+        return eviction.begun_s if eviction is not None else float("inf")
 
     def nodes(self, demand: ordering.Demand, now_s: float) -> tuple[str, ...] | None:
         """Return the VMs reserved for a demand while its eviction is in progress, or ``None``."""
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -221,11 +221,11 @@
     def _order_key(self, demand: ordering.Demand, now_s: float) -> tuple[float, ...]:
         """Return the sort key of a demand.
 
-        Within a rank, a unit for which others were stopped comes first: another one would take the
-        room as it becomes free, and the stops would be repeated.
+        Within a rank, units for which others were stopped come first, in the order of these stops:
+        another one would take the room as it becomes free, and the stops would be repeated.
         """
         key = self._ordering_policy.key(demand, now_s)
-        return (demand.rank, not self._evictions.has_begun(demand), *key)
+        return (demand.rank, self._evictions.begun_s(demand), *key)
 
     def _choose_nodes(
         self,
--- a/libs/scheduling/tests/test_preemption.py
+++ b/libs/scheduling/tests/test_preemption.py
@@ -164,3 +164,21 @@
     gang = make_step(2, is_gang=True, is_same_rack=True, estimate_ms=5_000)
     cluster.add_waiting_unit(gang, ordering.Rank.URGENT)
     assert cluster.plan().stops == ()
+
+
+def test_room_of_an_eviction_is_kept_from_evictions_that_began_later(cluster, make_step):
+    """A gang lost the free worker that it waited on, and stopped other work a second time.
+
+    A later eviction, for work with the earlier latest start, took the free worker before its own
+    victims had ended, which were stopped for nothing.
+    """
+    for number in range(1, 4):
+        cluster.add_running_unit(make_step(estimate_ms=20_000), f"node-{number}", rank=BULK)
+    gang = cluster.add_waiting_unit(make_step(2, is_gang=True), GUARANTEED, objective_s=130.0)
+    first = cluster.plan()
+    assert [demand.unit for _, demand in first.stops] == [gang]
+    cluster.add_waiting_unit(make_step(estimate_ms=1000), GUARANTEED, objective_s=102.0)
+    assert len(cluster.plan(100.1).stops) == 1
+    third = cluster.plan(100.2)
+    assert third.starts == ()
+    assert third.stops == ()
