Keep the room of stopped work until the unit that needs it starts

Cause: an eviction counted as in progress only until the last stopped run was reported as ended. Its agent lists the run until the next poll, so that its room is not free yet; the planner found none, and stopped other work. Fails before: test_no_more_work_is_stopped_while_a_worker_still_lists_the_stopped_run.

--- a/libs/scheduling/src/papayaspar_scheduling/evictions.py
+++ b/libs/scheduling/src/papayaspar_scheduling/evictions.py
@@ -1,7 +1,8 @@
 """Evictions in progress: the capacity of preempted units is reserved for a waiting unit.
 
-Units for which others are stopped later may be more urgent. They don't take that capacity: the
-stops would be repeated elsewhere.
+The reservation holds until the unit starts or its time has passed. The room of a stopped run is not
+free as soon as its end is known, since its worker lists it for a moment longer; and units for which
+others are stopped later may be more urgent. Either would have the stops repeated elsewhere.
 """
 
 import attrs
@@ -22,7 +23,8 @@
     :param nodes: VM that is reserved for each member of the waiting unit.
     :param runs: preempted tasks, each with the number of its run.
     :param begun_s: when the first eviction for the unit began, on the lead's clock.
-    :param deadline_s: when stops that are not complete count as failed, on the lead's clock.
+    :param deadline_s: when the reservation ends, and stops that are not complete count as failed,
+        on the lead's clock.
     """
 
     nodes: tuple[str, ...]
@@ -31,10 +33,14 @@
     deadline_s: float
 
     def is_in_progress(self, now_s: float) -> bool:
-        """Return whether a preempted run has not ended yet and the deadline has not passed."""
+        """Return whether the capacity is being freed, or was freed, before the deadline.
+
+        It is not if runs have not ended and none of them is being stopped: their stops failed.
+        """
         if now_s >= self.deadline_s:
             return False
-        return any(task.is_stopping and task.record.run == run for task, run in self.runs)
+        running = [task for task, run in self.runs if task.is_assigned and task.record.run == run]
+        return not running or any(task.is_stopping for task in running)
 
 
 class Evictions:
@@ -68,6 +74,10 @@
         begun_s = former.begun_s if former is not None else now_s
         self._by_task[key] = Eviction(nodes, runs, begun_s, now_s + STOP_TIMEOUT_S)
 
+    def end(self, demand: ordering.Demand) -> None:
+        """Remove the eviction for a demand whose unit starts, if there is one."""
+        self._by_task.pop(demand.unit.members[0].key, None)
+
     def begun_s(self, demand: ordering.Demand) -> float:
         """Return when units were first stopped for a demand, on the lead's clock.
 
--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -182,6 +182,7 @@
                     moves.append(demand)
                 else:
                     starts.append(Start(demand, nodes))
+                    self._evictions.end(demand)
                     if start_limit is not None:
                         start_limit.count(demand)
                 continue
--- a/libs/scheduling/tests/test_preemption.py
+++ b/libs/scheduling/tests/test_preemption.py
@@ -182,3 +182,44 @@
     third = cluster.plan(100.2)
     assert third.starts == ()
     assert third.stops == ()
+
+
+def test_no_more_work_is_stopped_while_a_worker_still_lists_the_stopped_run(cluster, make_step):
+    """Units were stopped on a second worker in the moment at which the first one was free.
+
+    The end of a run is known before its worker's list is read without it; until then the run uses
+    capacity.
+    """
+    _fill(cluster, make_step, BULK, 5.0)
+    urgent = cluster.add_waiting_unit(make_step(), GUARANTEED)
+    ((victim, _),) = cluster.plan().stops
+    (task,) = victim.unit.members
+    node = task.record.node
+    task.record, task.is_stopping = tasks.TaskRecord(tasks.TaskPhase.WAITING, 1, node), False
+    assert cluster.plan(100.4).stops == ()
+    cluster.stopping.remove(victim)
+    (start,) = cluster.plan(100.5).starts
+    assert (start.demand.unit, start.nodes) == (urgent, (node,))
+
+
+def test_failed_stop_ends_the_reservation_of_its_room(cluster, make_step):
+    _fill(cluster, make_step, BULK, 5.0)
+    cluster.add_waiting_unit(make_step(), GUARANTEED)
+    ((victim, _),) = cluster.plan().stops
+    victim.unit.members[0].is_stopping = False
+    cluster.stopping.remove(victim)
+    cluster.running.append(victim)
+    assert len(cluster.plan(100.4).stops) == 1
+
+
+def test_reservation_ends_with_the_start_of_its_unit(cluster, make_step):
+    """A unit that started and failed at once may run elsewhere, and reserves nothing."""
+    _fill(cluster, make_step, BULK, 5.0)
+    cluster.add_waiting_unit(make_step(), GUARANTEED)
+    ((victim, _),) = cluster.plan().stops
+    (node,) = victim.nodes
+    cluster.stopping.remove(victim)
+    victim.unit.members[0].record = tasks.TaskRecord()
+    (start,) = cluster.plan(100.4).starts
+    start.demand.unit.members[0].failed_nodes.add(node)
+    assert len(cluster.plan(100.6).stops) == 1
