Count a team's urgent jobs by what they still need

Cause: guarantees.covered_jobs counted the first step of a job, however much of it was done. A team is owed its number of accelerators at all times; now a job counts with the tasks that are not done, at most with its first step, so that no job is covered later than before. Fails before: test_accelerators_of_ended_tasks_cover_the_next_job_of_the_team.

--- a/libs/jobs/src/papayaspar_jobs/progress.py
+++ b/libs/jobs/src/papayaspar_jobs/progress.py
@@ -329,6 +329,29 @@
                 path_s[later_number] = max(predecessor_ends_s) + later_s
         return max(path_s.values())
 
+    @property
+    def needed_accelerators(self) -> int:
+        """Accelerators that the job may still use at a time: those of its tasks that are not done.
+
+        At most those of its first step, which is what a guarantee has to hold; all of these for a
+        job of several occurrences.
+        """
+        first_step = self.spec.first_step_resources.accelerators
+        if self.spec.occurrences > 1:
+            return first_step
+        needed = 0
+        for number, step in enumerate(self.spec.steps):
+            step_progress = self._steps.get((0, number))
+            if step_progress is None:
+                return first_step
+            if step_progress.is_done:
+                continue
+            done_tasks = 0 if step.is_gang else step_progress.done_count
+            needed += (step.task_count - done_tasks) * step.room.accelerators
+            if needed >= first_step:
+                return first_step
+        return needed
+
     @property
     def is_active(self) -> bool:
         """Whether any task is assigned to a worker."""
--- a/libs/scheduling/src/papayaspar_scheduling/guarantees.py
+++ b/libs/scheduling/src/papayaspar_scheduling/guarantees.py
@@ -10,6 +10,9 @@
 ) -> frozenset[str]:
     """Return the ids of the jobs that fit into their team's guarantee, oldest jobs first.
 
+    A job counts with the accelerators of its tasks that are not done, so that what its other tasks
+    had belongs to the next job of the team.
+
     :param urgent: urgent jobs that have not ended.
     :param guaranteed_accelerators: number of guaranteed accelerators by team.
     """
@@ -17,8 +20,7 @@
     covered: set[str] = set()
     for job in sorted(urgent, key=lambda job: (job.accepted_job.accepted_ms, job.spec.job_id)):
         team = job.spec.team
-        accelerators = job.spec.first_step_resources.accelerators
-        total = used.get(team, 0) + accelerators
+        total = used.get(team, 0) + job.needed_accelerators
         if total > guaranteed_accelerators.get(team, 0):
             continue
         used[team] = total
