--- a/libs/scheduling/src/papayaspar_scheduling/evictions.py
+++ b/libs/scheduling/src/papayaspar_scheduling/evictions.py
@@ -1,7 +1,7 @@
 """Evictions in progress: the capacity of preempted units is reserved for a waiting unit.
 
 The reservation holds until the unit starts, a stop fails, or the room does not come in time. The
-room of a stopped run is not free as soon as its end is known, since its worker lists it for a moment
+room of a stopped run is not free as soon as its end is known, since its worker lists it a little
 longer; and units for which others are stopped later may be more urgent. Either would have the stops
 repeated elsewhere.
 """
