Count runs that have ended as room that is being freed

Cause of the repeated stops: an agent lists a run beside its end until it polls its worker again. The lead knows that it is over, but counted it as using capacity, also after all stops; so the unit for which it had been stopped did not fit, and more work was stopped. Now such a run counts like one that is being stopped. The test of the half second goes with it; that of the planner keeps its check, and its cluster counts ended runs as the lead does.

--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -295,7 +295,6 @@
         unassigned = listings.unassigned_runs(self._state, now_s)
         demands = self._startable(self._inputs.demands(now_s, wall_ms), unassigned, now_s)
         self._waiting = demands
-        reserved = [(run.node, self._resources_of(run)) for run in unassigned]
         deferred = [
             self._inputs.restart_demand(unit, now_s, wall_ms)
             for unit in self._reconciler.deferred_units(now_s)
@@ -303,7 +302,7 @@
         excluded_nodes = self._evacuations.excluded_nodes()
         self._planner.release_nodes(excluded_nodes)
         for pool in sorted({self._pool_of(demand) for demand in demands + deferred}):
-            self._plan_pool(pool, demands, deferred, reserved, excluded_nodes, now_s)
+            self._plan_pool(pool, demands, deferred, unassigned, excluded_nodes, now_s)
 
     def _startable(
         self,
@@ -355,7 +354,7 @@
         pool: str,
         demands: list[ordering.Demand],
         deferred: list[ordering.Demand],
-        unassigned: list[tuple[str, specs.Resources]],
+        unassigned: list[listings.UnassignedRun],
         excluded_nodes: frozenset[str],
         now_s: float,
     ) -> None:
@@ -368,11 +367,14 @@
             self._is_warm_up_counted(pool_demands),
             now_s,
         )
-        free = self._inputs.free_capacity(pool_workers, unassigned, now_s, is_stopping_counted=True)
+        listed = [(run.node, self._resources_of(run)) for run in unassigned]
+        # An agent lists a run that has ended until it polls its worker again.
+        unended = [(run.node, self._resources_of(run)) for run in unassigned if not run.is_over]
+        free = self._inputs.free_capacity(pool_workers, listed, now_s, is_stopping_counted=True)
         plan = self._planner.plan(
             self._contention.assess(pool, pool_demands, free, now_s),
             free,
-            self._inputs.free_capacity(pool_workers, unassigned, now_s, is_stopping_counted=False),
+            self._inputs.free_capacity(pool_workers, unended, now_s, is_stopping_counted=False),
             self._inputs.victims(now_s),
             now_s,
             any(link.is_reconnect_expected(now_s) for link in self._state.links.values()),
--- a/libs/lead/tests/simulated_workers.py
+++ b/libs/lead/tests/simulated_workers.py
@@ -53,6 +53,7 @@
     is_failing: bool = False
     is_refusing: bool = False
     loses_answers: bool = False
+    lists_ended_runs: bool = False
     ill_s: float = float("-inf")
     leaves_s: float = float("inf")
     cut_until_s: float = float("-inf")
@@ -113,6 +114,8 @@
                 duration_s = max(0.1, run.unit.step.estimate_ms / MILLISECONDS_PER_SECOND)
                 percent = min(99.0, 100.0 * (now_s - run.started_s) / duration_s)
             statuses.append(workers.RunStatus(key, number, percent=percent))
+        if self.lists_ended_runs:
+            statuses += [workers.RunStatus(end.task, end.run) for end in self.ends]
         remaining_ms = None
         if self.condition is workers.Condition.DRAINING:
             remaining_ms = int((self.leaves_s - now_s) * MILLISECONDS_PER_SECOND)
--- a/libs/scheduling/src/papayaspar_scheduling/evictions.py
+++ b/libs/scheduling/src/papayaspar_scheduling/evictions.py
@@ -1,9 +1,7 @@
 """Evictions in progress: the capacity of preempted units is reserved for a waiting unit.
 
-The reservation holds until the unit starts, a stop fails, or the room does not come in time. The
-room of a stopped run is not free as soon as its end is known, since its worker lists it a little
-longer; and units for which others are stopped later may be more urgent. Either would have the stops
-repeated elsewhere.
+Units for which others are stopped later may be more urgent. They don't take that capacity: the
+stops would be repeated elsewhere.
 """
 
 import attrs
@@ -15,12 +13,9 @@
 # in the site files takes 0.9 s, and one poll of the worker may get no answer for 0.8 s
 # (`worker_control.CALL_TIMEOUT_S`).
 STOP_TIMEOUT_S = 2.0
-# Time from the end of the last stopped run until its worker's list must show the room, in seconds;
-# then the unit looks for room elsewhere. A polled worker is asked again at once after an end.
-ROOM_TIMEOUT_S = 0.5
 
 
-@attrs.define(eq=False)
+@attrs.frozen(eq=False)
 class Eviction:
     """Eviction of preempted units to free capacity for one waiting unit.
 
@@ -28,35 +23,18 @@
     :param runs: preempted tasks, each with the number of its run.
     :param begun_s: when the first eviction for the unit began, on the lead's clock.
     :param deadline_s: when stops that are not complete count as failed, on the lead's clock.
-    :param ended_s: when all preempted runs were seen to have ended, on the lead's clock, or
-        ``None``.
     """
 
     nodes: tuple[str, ...]
     runs: tuple[tuple[units.Task, int], ...]
     begun_s: float
     deadline_s: float
-    ended_s: float | None = None
-
-    def note_ends(self, now_s: float) -> None:
-        """Note when all preempted runs have ended; to be called in each planning round."""
-        if self.ended_s is None and not self._running():
-            self.ended_s = now_s
 
     def is_in_progress(self, now_s: float) -> bool:
-        """Return whether the capacity is being freed, or was freed a moment ago.
-
-        It is not if runs have not ended and none of them is being stopped: their stops failed.
-        """
+        """Return whether a preempted run has not ended yet and the deadline has not passed."""
         if now_s >= self.deadline_s:
             return False
-        if self.ended_s is not None:
-            return now_s < self.ended_s + ROOM_TIMEOUT_S
-        return any(task.is_stopping for task in self._running())
-
-    def _running(self) -> list[units.Task]:
-        """Return the preempted tasks whose runs have not ended."""
-        return [task for task, run in self.runs if task.is_assigned and task.record.run == run]
+        return any(task.is_stopping and task.record.run == run for task, run in self.runs)
 
 
 class Evictions:
@@ -116,8 +94,7 @@
                 del self._by_task[key]
 
     def prune(self, now_s: float) -> None:
-        """Note the ends of preempted runs, and remove the evictions whose deadline has passed."""
+        """Remove the evictions whose deadline has passed."""
         for key, eviction in list(self._by_task.items()):
-            eviction.note_ends(now_s)
             if now_s >= eviction.deadline_s:
                 del self._by_task[key]
--- a/libs/scheduling/tests/conftest.py
+++ b/libs/scheduling/tests/conftest.py
@@ -88,11 +88,14 @@
             task.record = tasks.TaskRecord(tasks.TaskPhase.DONE)
 
     def free(self, is_stopping_counted: bool = True) -> fleet.FreeCapacity:
-        """Return the free capacity; stopping tasks use capacity if ``is_stopping_counted``."""
+        """Return the free capacity; tasks that stop use capacity if ``is_stopping_counted``.
+
+        So do those that have ended, and are among the stopping units until a test removes them.
+        """
         free = fleet.FreeCapacity(self.workers)
         for victim in self.running + self.stopping:
             for task in victim.unit.members:
-                if task.is_stopping and not is_stopping_counted:
+                if (task.is_stopping or not task.is_assigned) and not is_stopping_counted:
                     continue
                 free.reserve(
                     task.record.node, task.step.counted_resources, fleet.step_name(task.key)
--- a/libs/scheduling/tests/test_preemption.py
+++ b/libs/scheduling/tests/test_preemption.py
@@ -202,17 +202,6 @@
     assert (start.demand.unit, start.nodes) == (urgent, (node,))
 
 
-def test_unit_looks_elsewhere_if_the_room_of_ended_runs_does_not_come(cluster, make_step):
-    _fill(cluster, make_step, BULK, 5.0)
-    cluster.add_waiting_unit(make_step(), GUARANTEED)
-    ((victim, _),) = cluster.plan().stops
-    (task,) = victim.unit.members
-    node = task.record.node
-    task.record, task.is_stopping = tasks.TaskRecord(tasks.TaskPhase.WAITING, 1, node), False
-    assert cluster.plan(100.4).stops == ()
-    assert len(cluster.plan(100.4 + evictions.ROOM_TIMEOUT_S).stops) == 1
-
-
 def test_failed_stop_ends_the_reservation_of_its_room(cluster, make_step):
     _fill(cluster, make_step, BULK, 5.0)
     cluster.add_waiting_unit(make_step(), GUARANTEED)
