Make up at once for freed room that a higher rank takes

Cause: a reservation was not compared with what is left of the room. Now the planner looks, in each round, whether the reserved workers still hold the unit once all stops have ended; else it plans anew, and stops what is missing. Fails before: test_room_that_a_higher_rank_takes_is_made_up_for_at_once (no second stop).

--- a/libs/scheduling/src/papayaspar_scheduling/planner.py
+++ b/libs/scheduling/src/papayaspar_scheduling/planner.py
@@ -1,5 +1,6 @@
 """One planning round: decide starts and stops from the waiting and the running units."""
 
+import collections
 from collections.abc import Mapping
 
 import attrs
@@ -192,6 +193,9 @@
             # The reservation of an eviction in progress is kept while its worker briefly does not
             # answer; otherwise more units would be preempted elsewhere.
             reserved = self._evictions.nodes(demand, now_s)
+            if reserved is not None and not _can_hold(demand, reserved, free_after_stops):
+                # Work of a higher rank has taken part of the room that is being freed.
+                reserved = None
             if reserved is None:
                 reserved = self._choose_nodes(
                     demand, free_after_stops, free_after_stops, unplaceable_after_stops
@@ -379,6 +383,15 @@
     return max((task.remaining_s(now_s) for task in members), default=0.0) <= 0.0
 
 
+def _can_hold(demand: ordering.Demand, nodes: tuple[str, ...], free: fleet.FreeCapacity) -> bool:
+    """Return whether VMs hold the members of a unit, as far as their workers are known."""
+    resources = demand.unit.step.counted_resources
+    for node, count in collections.Counter(nodes).items():
+        if node in free and not free.free(node).holds(resources.times(count)):
+            return False
+    return True
+
+
 def _reserve(demand: ordering.Demand, nodes: tuple[str, ...], free: fleet.FreeCapacity) -> None:
     for task, node in zip(demand.unit.members, nodes, strict=True):
         free.reserve(node, task.step.counted_resources, fleet.step_name(task.key))
--- a/libs/scheduling/tests/test_preemption.py
+++ b/libs/scheduling/tests/test_preemption.py
@@ -223,3 +223,17 @@
     (start,) = cluster.plan(100.4).starts
     start.demand.unit.members[0].failed_nodes.add(node)
     assert len(cluster.plan(100.6).stops) == 1
+
+
+def test_room_that_a_higher_rank_takes_is_made_up_for_at_once(cluster, make_step):
+    """An urgent gang noticed only at the end of all its stops that it no longer had room.
+
+    A small guaranteed unit had taken part of the room that was being freed. The gang waited for
+    0.8 s before others were stopped for it.
+    """
+    _fill(cluster, make_step, BULK, 5.0, is_checkpointed=True)
+    gang = cluster.add_waiting_unit(make_step(2, is_gang=True), URGENT)
+    assert len(cluster.plan().stops) == 2
+    cluster.add_waiting_unit(make_step(1, 1), GUARANTEED)
+    assert [demand.unit for _, demand in cluster.plan(100.1).stops] == [gang]
+    assert cluster.plan(100.2).stops == ()
