--- a/tests/soak/crowds.py
+++ b/tests/soak/crowds.py
@@ -317,7 +317,10 @@
             "authorization": f"Bearer {systems.TEAM_KEY}",
             "connection": "close",
         }
-        return self.client.post(url, content=body, headers=headers).status_code
+        response = self.client.post(url, content=body, headers=headers)
+        if not response.is_success:
+            print(f"job {job_id}: {response.status_code}, {response.text}")
+        return response.status_code
 
     def beat(self):
         """Send a heartbeat of a worker that is not the agent's, and return the answer's status."""
