Try again at once when only other records kept a candidate from becoming lead

Cause: a candidate's first append is conditional on the end of the shared partition. All agents register when their VMs return, and a registration between the candidate's read and its append refused it ("the partition ends at offset 197"). That was taken for another candidate's win: the candidate gave up, paused and waited for its turn again, while nobody else stood. The class of fault: a condition that is wider than what it protects, so that unrelated writes fail it.

Change: after such a refusal, which tells that nothing was stored, the candidate reads on. While the newest record of a lead is the same and has still expired, it appends again; otherwise it gives up as before. Each attempt waits for the store. The condition itself stays, so that one candidate wins.

Looked for elsewhere: no other append is conditional on the end of a partition; the stand-in and the client of the store only pass the condition on.

--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -175,12 +175,7 @@
         epoch = (former_epoch // EPOCH_STEP + 1) * EPOCH_STEP + random.randrange(EPOCH_STEP)
         self._former_confirmed_s = self._latest_confirmation_s(former)
         shared = self._writer(records.SHARED_PARTITION, epoch, records.LEAD_KEY)
-        self._events.record(
-            lines.EventKind.LEAD_TRIED,
-            detail=f"epoch={epoch} offset={self._follower.offset}"
-            f" view_age_s={self._follower.age_s():.2f}",
-        )
-        await shared.open(self._follower.offset, self._lead_record(epoch))
+        await self._open(shared, epoch, former)
         await self._confirm(epoch)
         async with anyio.create_task_group() as group:
             group.start_soon(shared.run)
@@ -192,6 +187,32 @@
             await self._resign_when_told(epoch, shared)
             group.cancel_scope.cancel()
 
+    async def _open(
+        self, shared: writing.EpochWriter, epoch: int, former: records.LeadRecord | None
+    ) -> None:
+        """Store this process's record as the first one after the former lead's.
+
+        :param shared: writer of the shared partition.
+        :param epoch: epoch of this process.
+        :param former: newest record of a lead when this process became a candidate.
+        :raises PositionError: when another candidate was faster.
+        """
+        while True:
+            self._events.record(
+                lines.EventKind.LEAD_TRIED,
+                detail=f"epoch={epoch} offset={self._follower.offset}"
+                f" view_age_s={self._follower.age_s():.2f}",
+            )
+            try:
+                await shared.open(self._follower.offset, self._lead_record(epoch))
+            except failures.PositionError:
+                await self._follower.catch_up()
+                if self._view.lead != former or self._lead_remaining_s() > 0:
+                    raise
+                # Only other records were stored, such as those of agents that register.
+                continue
+            return
+
     async def _resign_when_told(self, epoch: int, shared: writing.EpochWriter) -> None:
         """Wait for :meth:`resign`, and store the resignation."""
         seen_sequence = 0
--- a/libs/lead/tests/test_election.py
+++ b/libs/lead/tests/test_election.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from papayaspar_events import lines
 from papayaspar_jobs import registries, specs
 from papayaspar_standin import keyed_stores, memory_workers
 
@@ -42,6 +43,27 @@
         assert sum(entry.election.is_lead for entry in cluster.entries.values()) == 1
 
 
+async def test_records_of_others_do_not_end_a_candidacy(start_cluster, monkeypatch):
+    """A candidate waited for half a second more whenever an agent registered at the same time.
+
+    All agents register when all VMs return after a power loss.
+    """
+    async with start_cluster() as cluster:
+        entry = await cluster.add_entry("entry-1")
+        append, agents = entry.store.append, ["node-1", "node-2", "node-3"]
+
+        async def append_after_a_registration(*arguments, expected_end=None, **options):
+            if expected_end is not None and agents:
+                cluster.register(agents.pop(), "127.0.0.1:9")
+            return await append(*arguments, expected_end=expected_end, **options)
+
+        monkeypatch.setattr(entry.store, "append", append_after_a_registration)
+        await cluster.wait_until(lambda: cluster.lead() == "entry-1")
+        kinds = [event.kind for event in entry.election._events.newest(100)]
+        assert kinds.count(lines.EventKind.LEAD_TRIED) == 4
+        assert lines.EventKind.LEAD_LOST not in kinds
+
+
 async def test_candidate_with_hanging_reads_becomes_lead(start_cluster, make_job):
     """A candidate failed for 2 s while its long poll hung.
 
