--- a/libs/lead/src/papayaspar_lead/scheduling.py
+++ b/libs/lead/src/papayaspar_lead/scheduling.py
@@ -369,12 +369,12 @@
         )
         listed = [(run.node, self._resources_of(run)) for run in unassigned]
         # An agent lists a run that has ended until it polls its worker again.
-        unended = [(run.node, self._resources_of(run)) for run in unassigned if not run.is_over]
+        running = [(run.node, self._resources_of(run)) for run in unassigned if not run.is_over]
         free = self._inputs.free_capacity(pool_workers, listed, now_s, is_stopping_counted=True)
         plan = self._planner.plan(
             self._contention.assess(pool, pool_demands, free, now_s),
             free,
-            self._inputs.free_capacity(pool_workers, unended, now_s, is_stopping_counted=False),
+            self._inputs.free_capacity(pool_workers, running, now_s, is_stopping_counted=False),
             self._inputs.victims(now_s),
             now_s,
             any(link.is_reconnect_expected(now_s) for link in self._state.links.values()),
