Wait for the workers of a test before requests are sent to them

Cause, traced in a run whose logs were kept: the request was dispatched to the worker and came back as target_failed after 14 ms: the stand-in of the worker did not listen yet. Its agent was attached, which is all that the fixture waited for. This crowd sends all it has in a moment, so that its request comes first. The system itself is right: the request did not run, and the answer says so.

Change: the fixtures of this file and of the counts beside kills wait as the one of the small system did. A refusal is printed with its reason. No check changes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -192,6 +192,11 @@
         for entry in self.entries:
             self.wait_until(lambda entry=entry: self.usable_workers(entry) == count)
 
+    def wait_targets(self):
+        """Wait until every worker accepts connections; an agent may be attached before."""
+        for name in self.workers:
+            self.wait_until(lambda name=name: self.counts(name) is not None)
+
     def usable_workers(self, entry):
         """Return how many workers are in state ``up`` at an entry."""
         rows = self.get(f"http://{entry.operators}/v1/status").json()["workers"]
@@ -280,10 +285,7 @@
     system.wait_workers(len(names))
     system.wait_until(lambda: system.publish().status_code == 200)
     system.wait_revision(1)
-    for name in names:
-        system.wait_until(
-            lambda name=name: system.get(f"http://{system.workers[name].http}/counts")
-        )
+    system.wait_targets()
 
 
 @pytest.fixture
--- a/tests/test_counts_beside_kills.py
+++ b/tests/test_counts_beside_kills.py
@@ -70,6 +70,7 @@
         system.wait_workers(len(NAMES))
         system.wait_until(lambda: system.publish().status_code == 200)
         system.wait_revision(1)
+        system.wait_targets()
         yield system, proxy, lambda state: portal.call(proxy.switch, state)
         running.cancel()
 
--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -94,7 +94,15 @@
     system.wait_workers(1)
     system.wait_until(lambda: system.publish().status_code == 200)
     system.wait_revision(1)
+    system.wait_targets()
     host, _, port = entry.http.rpartition(":")
+
+    def ask():
+        response = system.request(entry)
+        if not response.is_success:
+            print(f"request: {response.status_code}, {response.text}")
+        return response.status_code
+
     return crowds.Target(
         entry.process,
         (host, int(port)),
@@ -102,7 +110,7 @@
         lambda number: "POST /v1/requests",
         API_BODY,
         API_BODY_BYTES,
-        lambda: system.request(entry).status_code,
+        ask,
     )
 
 
