--- a/libs/lead/src/papayaspar_lead/election.py
+++ b/libs/lead/src/papayaspar_lead/election.py
@@ -175,7 +175,7 @@
         epoch = (former_epoch // EPOCH_STEP + 1) * EPOCH_STEP + random.randrange(EPOCH_STEP)
         self._former_confirmed_s = self._latest_confirmation_s(former)
         shared = self._writer(records.SHARED_PARTITION, epoch, records.LEAD_KEY)
-        await self._open(shared, epoch, former)
+        await self._claim(shared, epoch, former)
         await self._confirm(epoch)
         async with anyio.create_task_group() as group:
             group.start_soon(shared.run)
@@ -187,10 +187,10 @@
             await self._resign_when_told(epoch, shared)
             group.cancel_scope.cancel()
 
-    async def _open(
+    async def _claim(
         self, shared: writing.EpochWriter, epoch: int, former: records.LeadRecord | None
     ) -> None:
-        """Store this process's record as the first one after the former lead's.
+        """Store this process's record as the first one of a lead after the former lead's.
 
         :param shared: writer of the shared partition.
         :param epoch: epoch of this process.
@@ -205,13 +205,12 @@
             )
             try:
                 await shared.open(self._follower.offset, self._lead_record(epoch))
+                return
             except failures.PositionError:
+                # Records of others are stored all the time, such as those of agents that register.
                 await self._follower.catch_up()
                 if self._view.lead != former or self._lead_remaining_s() > 0:
                     raise
-                # Only other records were stored, such as those of agents that register.
-                continue
-            return
 
     async def _resign_when_told(self, epoch: int, shared: writing.EpochWriter) -> None:
         """Wait for :meth:`resign`, and store the resignation."""
