Give each system of the tests a network that nothing else uses

Cause, traced: all its programs logged EADDRINUSE on 127.132. The store, agents and entries of a soak ran there that had been ended by a signal 10 minutes before and had left its programs behind.

Change: a system reserves its network with a socket of its own, and goes on to the next one if that, or the address of the store, is in use. A soak that is ended by a signal still leaves its programs behind.

--- a/tests/soak/systems.py
+++ b/tests/soak/systems.py
@@ -1,11 +1,13 @@
 """Starts the real programs on loopback addresses, connected through proxies."""
 
+import collections
 import contextlib
 import itertools
 import json
 import os
 import pathlib
 import signal
+import socket
 import struct
 import subprocess
 import sys
@@ -20,6 +22,10 @@
 # Second octets of the 127.x networks in use. Each system gets a network of its own, so that
 # concurrent and consecutive runs do not interfere.
 NETWORK_OCTETS = [40 + os.getpid() % 200]
+# Sockets that reserve the networks of the newest systems of this process.
+NETWORK_GUARDS = collections.deque()
+NETWORK_GUARDS_MAX = 4
+GUARD_GROUP, GUARD_PORT = 0, 8099
 STORE_PORT, WORKER_PORT, FRONT_PORT, READY_PORT, CONTROL_PORT = 8200, 8080, 8521, 8523, 8526
 STORE_GROUP = 9
 ENTRY_GROUP, AGENT_GROUP = 1, 2
@@ -37,6 +43,25 @@
 )
 
 
+def reserve_network():
+    """Choose a network that no other process has reserved, and on which no store runs."""
+    while True:
+        NETWORK_OCTETS.append(40 + (NETWORK_OCTETS[-1] + 7) % 200)
+        guard, probe = socket.socket(), socket.socket()
+        try:
+            guard.bind(address(GUARD_GROUP, 1, GUARD_PORT))
+            probe.bind(address(STORE_GROUP, 1, STORE_PORT))
+        except OSError:
+            guard.close()
+            continue
+        finally:
+            probe.close()
+        break
+    NETWORK_GUARDS.append(guard)
+    if len(NETWORK_GUARDS) > NETWORK_GUARDS_MAX:
+        NETWORK_GUARDS.popleft().close()
+
+
 def address(group, number, port):
     """Return the host and port of a machine, given its group and its number in the group."""
     return f"127.{NETWORK_OCTETS[-1]}.{group}.{number}", port
@@ -140,7 +165,7 @@
     """
 
     def __init__(self, folder, entries=3, agents=4, run_time_s=1.5, attempts=3):
-        NETWORK_OCTETS.append(40 + (NETWORK_OCTETS[-1] + 7) % 200)
+        reserve_network()
         self._folder = folder
         self._run_time_s = run_time_s
         self.attempts = attempts
